Serve a call through two nodes over HTTP and a peer stream

Cause: everything else stands on a path that runs on real input.

Change: entry, gate, egress and control parts around replaceable decisions; typed msgpack messages on one stream a pair; checked settings and configuration documents with three naming schemes; numbered result codes; a reader of the platform's values; baseline policies (FIFO gate, random routing, local quota); stand-ins for platform and upstream.

Conclusion: the seams hold; the baselines stay as registered policies to compare against.

--- /dev/null
+++ b/src/savorytally/decisions/fifo.py
@@ -0,0 +1,74 @@
+"""Baseline admission: a fixed limit and a first-in first-out queue."""
+
+import collections
+
+from .. import results
+from . import admission
+
+QUEUE_LENGTH_PER_SLOT = 20
+
+
+@admission.policies.register("fifo")
+class FifoAdmission:
+    """Runs as many calls as there are slots, the oldest first.
+
+    :param capacity: the published slots and connections.
+    """
+
+    def __init__(self, capacity: admission.Capacity) -> None:
+        self.learn_capacity(capacity)
+        self._running: set[int] = set()
+        self._queue: collections.OrderedDict[int, admission.Arrival]
+        self._queue = collections.OrderedDict()
+
+    @property
+    def running(self) -> int:
+        """Calls that are started and not finished."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Calls that wait."""
+        return len(self._queue)
+
+    def learn_capacity(self, capacity: admission.Capacity) -> None:
+        """Apply the published slots."""
+        self._slots = capacity.slots
+        self._queue_max = capacity.slots * QUEUE_LENGTH_PER_SLOT
+
+    def arrive(
+        self, arrival: admission.Arrival, now: float
+    ) -> list[admission.Decision]:
+        """Queue the call, or refuse it if the queue is full."""
+        if len(self._queue) >= self._queue_max:
+            return [admission.Refuse(arrival.ticket, results.SHED_AT_GATE, 0)]
+        self._queue[arrival.ticket] = arrival
+        return self._start()
+
+    def finish(
+        self, ticket: int, ok: bool, now: float
+    ) -> list[admission.Decision]:
+        """Free the call's slot."""
+        self._running.discard(ticket)
+        return self._start()
+
+    def cancel(self, ticket: int, now: float) -> list[admission.Decision]:
+        """Take the call out of the queue."""
+        self._queue.pop(ticket, None)
+        return []
+
+    def tick(self, now: float) -> list[admission.Decision]:
+        """Do nothing; the baseline looks at no deadline."""
+        return []
+
+    def level(self, now: float) -> int:
+        """Return 0; the baseline publishes no shed level."""
+        return 0
+
+    def _start(self) -> list[admission.Decision]:
+        started: list[admission.Decision] = []
+        while self._queue and len(self._running) < self._slots:
+            ticket, _ = self._queue.popitem(last=False)
+            self._running.add(ticket)
+            started.append(admission.Start(ticket))
+        return started
--- /dev/null
+++ b/src/savorytally/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers, the local upstream, the platform and operators."""
--- /dev/null
+++ b/src/savorytally/parts/__init__.py
@@ -0,0 +1,1 @@
+"""The parts of a node: thin asyncio shells around the decisions."""
--- /dev/null
+++ b/src/savorytally/parts/entry.py
@@ -0,0 +1,179 @@
+"""The entry: takes callers' requests and answers them."""
+
+import dataclasses
+import hashlib
+
+from .. import defaults
+from .. import outcomes
+from .. import ports
+from .. import results
+from .. import view
+from ..decisions import quota
+from ..decisions import retry
+from ..world import configuration
+from ..world import route
+from . import context
+from . import dispatch
+from . import headers
+
+KEY_ID_LENGTH = 16
+_BEARER = "bearer "
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """Who sent a request.
+
+    :param organisation_id: its organisation, empty on open routes.
+    :param key_id: prefix of its key's digest, empty on open routes.
+    """
+
+    organisation_id: str
+    key_id: str
+
+
+class Entry:
+    """Checks a request, takes it from the rate and has it run.
+
+    :param outside: clock and random source.
+    :param current: the configuration in force.
+    :param limits: admits requests against the organisations' rates.
+    :param dispatcher: sends calls.
+    """
+
+    def __init__(
+        self,
+        outside: ports.Outside,
+        current: view.View,
+        limits: quota.Quota,
+        dispatcher: dispatch.Dispatcher,
+    ) -> None:
+        self._clock = outside.clock
+        self._random = outside.random
+        self._view = current
+        self._quota = limits
+        self._dispatcher = dispatcher
+
+    async def handle(self, request: context.Request) -> outcomes.Outcome:
+        """Return the outcome of a caller's request."""
+        job = self._prepare(request)
+        if isinstance(job, outcomes.Failure):
+            return job
+        return await self._dispatcher.run(job)
+
+    def _prepare(
+        self, request: context.Request
+    ) -> dispatch.Job | outcomes.Failure:
+        version = self._view.configuration
+        if version is None:
+            return outcomes.Failure(results.NOT_CONFIGURED)
+        found = find_route(version, request)
+        if found is None:
+            return outcomes.Failure(results.UNKNOWN_ROUTE)
+        key = presented_key(request)
+        caller = _identify(version, found.route, key)
+        if isinstance(caller, outcomes.Failure):
+            return caller
+        if key and _repeats_key(request, key):
+            return outcomes.Failure(results.KEY_MISPLACED)
+        idempotency_key = request.header(headers.IDEMPOTENCY_KEY)
+        if not found.route.idempotent and not idempotency_key:
+            return outcomes.Failure(results.IDEMPOTENCY_KEY_MISSING)
+        timeout_s = _timeout_s(request, found.route)
+        if timeout_s is None:
+            return outcomes.Failure(
+                results.MALFORMED_REQUEST, headers.TIMEOUT_MS
+            )
+        now = self._clock.now()
+        if caller.organisation_id:
+            taken = self._quota.take(caller.organisation_id, now)
+            if isinstance(taken, quota.OverRate):
+                return outcomes.Failure(
+                    results.OVER_RATE,
+                    retry_after_ms=taken.retry_after_ms,
+                )
+        return dispatch.Job(
+            route=found.route,
+            tail=found.tail,
+            request=request,
+            context=context.Context(
+                root_id=f"{self._random.getrandbits(64):016x}",
+                organisation_id=caller.organisation_id,
+                key_id=caller.key_id,
+                deadline=now + timeout_s,
+                budget=retry.RetryBudget(version.retries.per_root),
+                depth=0,
+                traceparent=request.header(headers.TRACEPARENT),
+            ),
+            idempotency_key=idempotency_key,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """The route that a path names.
+
+    :param route: the route.
+    :param tail: what follows the route's name.
+    """
+
+    route: route.Route
+    tail: str
+
+
+def find_route(
+    version: configuration.Configuration, request: context.Request
+) -> Found | None:
+    """Resolve ``/service/route/tail`` in any naming scheme."""
+    parts = request.path.split("/", 3)
+    if len(parts) < 3 or parts[0]:
+        return None
+    found = version.find_route(parts[1], parts[2])
+    if found is None or found.method != request.method:
+        return None
+    return Found(found, parts[3] if len(parts) > 3 else "")
+
+
+def presented_key(request: context.Request) -> str:
+    """Return the key that came with a request, or an empty string."""
+    value = request.header(headers.AUTHORIZATION)
+    if value.lower().startswith(_BEARER):
+        return value[len(_BEARER) :].strip()
+    return request.header(headers.API_KEY).strip()
+
+
+def key_digest(key: str) -> str:
+    """Return the digest by which the configuration knows a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def _identify(
+    version: configuration.Configuration, found: route.Route, key: str
+) -> Caller | outcomes.Failure:
+    if not key:
+        if found.open:
+            return Caller("", "")
+        return outcomes.Failure(results.KEY_MISSING)
+    digest = key_digest(key)
+    holder = version.organisation_of_key(digest)
+    if holder is None:
+        return outcomes.Failure(results.KEY_REJECTED)
+    if not found.open and found.route_id not in holder.contract.routes:
+        return outcomes.Failure(results.NOT_PERMITTED)
+    return Caller(holder.organisation_id, digest[:KEY_ID_LENGTH])
+
+
+def _repeats_key(request: context.Request, key: str) -> bool:
+    if key in request.path or key in request.query:
+        return True
+    return key.encode() in request.body
+
+
+def _timeout_s(request: context.Request, found: route.Route) -> float | None:
+    text = request.header(headers.TIMEOUT_MS)
+    if not text:
+        return found.timeout_ms / 1000
+    if not text.isdecimal() or int(text) == 0:
+        return None
+    asked_ms = min(int(text), defaults.CALL_TIMEOUT_MAX_MS)
+    return min(asked_ms, found.timeout_ms) / 1000
--- /dev/null
+++ b/src/savorytally/parts/gate.py
@@ -0,0 +1,174 @@
+"""The gate: decides when calls reach the local upstream."""
+
+import asyncio
+import itertools
+
+from .. import outcomes
+from .. import ports
+from .. import results
+from .. import view
+from ..decisions import admission
+from ..decisions import retry
+from ..peer import messages
+from ..world import route
+from . import headers
+from . import running
+
+
+class Gate:
+    """Runs calls at the local upstream as admission allows.
+
+    :param outside: clock and upstream.
+    :param current: the configuration in force.
+    :param policy: decides which calls run, wait or are refused.
+    :param tokens: running calls by call token, shared with the egress.
+    """
+
+    def __init__(
+        self,
+        outside: ports.Outside,
+        current: view.View,
+        policy: admission.Admission,
+        tokens: running.RunningCalls,
+    ) -> None:
+        self._clock = outside.clock
+        self._upstream = outside.upstream
+        self._view = current
+        self._admission = policy
+        self._tokens = tokens
+        self._tickets = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[admission.Decision]] = {}
+
+    @property
+    def policy(self) -> admission.Admission:
+        """The admission policy in use."""
+        return self._admission
+
+    def level(self) -> int:
+        """Return the shed level to send with answers."""
+        return self._admission.level(self._clock.now())
+
+    def tick(self) -> None:
+        """Let admission remove calls that can't be answered in time."""
+        self._apply(self._admission.tick(self._clock.now()))
+
+    async def run(self, call: messages.Call) -> outcomes.Outcome:
+        """Run a call when admission starts it and return its outcome."""
+        found = self._check(call)
+        if isinstance(found, outcomes.Failure):
+            return found
+        deadline = self._clock.now() + call.remaining_ms / 1000
+        ticket = next(self._tickets)
+        decision = await self._admit(call, found, ticket, deadline)
+        if isinstance(decision, admission.Refuse):
+            return outcomes.Failure(
+                decision.code, retry_after_ms=decision.retry_after_ms
+            )
+        ok = False
+        try:
+            outcome = await self._execute(call, found, deadline)
+            ok = isinstance(outcome, outcomes.Answer)
+            return outcome
+        finally:
+            now = self._clock.now()
+            self._apply(self._admission.finish(ticket, ok, now))
+
+    def _check(self, call: messages.Call) -> route.Route | outcomes.Failure:
+        version = self._view.configuration
+        if version is None:
+            return outcomes.Failure(results.NOT_CONFIGURED)
+        found = version.routes.get(call.route_id)
+        if found is None:
+            return outcomes.Failure(results.UNKNOWN_ROUTE)
+        if not self._granted(call):
+            return outcomes.Failure(results.KEY_REJECTED)
+        return found
+
+    def _granted(self, call: messages.Call) -> bool:
+        if not call.organisation_id:
+            return True
+        version = self._view.configuration
+        holder = version and version.organisations.get(call.organisation_id)
+        if not holder:
+            return False
+        return any(
+            digest.startswith(call.key_id) for digest in holder.key_digests
+        )
+
+    async def _admit(
+        self,
+        call: messages.Call,
+        found: route.Route,
+        ticket: int,
+        deadline: float,
+    ) -> admission.Decision:
+        version = self._view.configuration
+        holder = version and version.organisations.get(call.organisation_id)
+        arrival = admission.Arrival(
+            ticket=ticket,
+            organisation_id=call.organisation_id,
+            weight=holder.contract.weight if holder else 1.0,
+            priority=found.priority,
+            route_id=call.route_id,
+            deadline=deadline,
+            alone=call.suspect,
+        )
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[ticket] = future
+        self._apply(self._admission.arrive(arrival, self._clock.now()))
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._withdraw(ticket, future)
+            raise
+        finally:
+            self._waiting.pop(ticket, None)
+
+    def _withdraw(
+        self, ticket: int, future: asyncio.Future[admission.Decision]
+    ) -> None:
+        now = self._clock.now()
+        started = future.done() and not future.cancelled()
+        if started and isinstance(future.result(), admission.Start):
+            self._apply(self._admission.finish(ticket, False, now))
+            return
+        self._apply(self._admission.cancel(ticket, now))
+
+    def _apply(self, decisions: list[admission.Decision]) -> None:
+        for decision in decisions:
+            future = self._waiting.pop(decision.ticket, None)
+            if future is not None and not future.done():
+                future.set_result(decision)
+
+    async def _execute(
+        self, call: messages.Call, found: route.Route, deadline: float
+    ) -> outcomes.Outcome:
+        if not self._granted(call):
+            return outcomes.Failure(results.KEY_REJECTED)
+        remaining_s = deadline - self._clock.now()
+        if remaining_s <= 0:
+            return outcomes.Failure(results.DEADLINE_TOO_SHORT)
+        budget = retry.RetryBudget(call.retries)
+        token = self._tokens.begin(call, deadline, budget)
+        try:
+            request = _upstream_request(call, found, token)
+            outcome = await self._upstream.exchange(request, remaining_s)
+        finally:
+            self._tokens.end(token)
+        return running.with_unused(outcome, budget.left)
+
+
+def _upstream_request(
+    call: messages.Call, found: route.Route, token: str
+) -> ports.UpstreamRequest:
+    path = found.path
+    if call.tail:
+        path = f"{path.rstrip('/')}/{call.tail}"
+    extra = [(headers.CALL_TOKEN, token), (headers.REQUEST_ID, call.root_id)]
+    return ports.UpstreamRequest(
+        method=found.method,
+        path=path,
+        query=call.query,
+        headers=(*call.headers, *extra),
+        body=call.body,
+    )
--- /dev/null
+++ b/src/savorytally/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between nodes: messages, their codec and the streams."""
--- /dev/null
+++ b/src/savorytally/world/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen data that mirrors what operators and the platform publish."""
--- /dev/null
+++ b/src/savorytally/world/hosts.py
@@ -0,0 +1,45 @@
+"""Reads the platform's host list."""
+
+import typing as t
+
+from .. import fields
+from . import host
+from . import region
+
+
+def read(version: int, value: t.Any) -> host.HostList | list[fields.Fault]:
+    """Turn a parsed host list into hosts.
+
+    :param version: the version of the platform's value.
+    :param value: the parsed JSON value, hosts by identifier.
+    :return: the list, or every fault in it.
+    """
+    faults: list[fields.Fault] = []
+    root = fields.Section({"hosts": value}, "", faults)
+    hosts = {
+        host_id: _read_host(host_id, section)
+        for host_id, section in root.children("hosts").items()
+    }
+    if faults:
+        return faults
+    return host.HostList(version, hosts)
+
+
+def _read_host(host_id: str, section: fields.Section) -> host.Host:
+    state = section.take("state", str, host.HostState.LIVE.value)
+    known = {item.value: item for item in host.HostState}
+    if state not in known:
+        section.fault("state", f"must be one of {', '.join(known)}")
+    item = host.Host(
+        host_id=host_id,
+        service_id=section.take("service", str),
+        place=region.Place(
+            section.take("region", str),
+            section.take("data_centre", str),
+        ),
+        address=section.take("address", str),
+        peer_port=section.number("peer_port", int, 1, 65_535),
+        state=known.get(state, host.HostState.LIVE),
+    )
+    section.finish()
+    return item
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what surrounds a node."""
--- /dev/null
+++ b/tests/fakes/platform.py
@@ -0,0 +1,108 @@
+"""A stand-in for the platform's service, in process or as a program."""
+
+import argparse
+import asyncio
+import dataclasses
+import pathlib
+
+from aiohttp import web
+
+VERSION_HEADER = "Value-Version"
+
+
+@dataclasses.dataclass(frozen=True)
+class Stored:
+    """One published value."""
+
+    version: int
+    body: bytes
+
+
+class Platform:
+    """Publishes values; ``calls`` counts reads, a waiting watch as one."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self._values: dict[str, Stored] = {}
+        self._changed = asyncio.Condition()
+        self._runner: web.AppRunner | None = None
+
+    async def publish(self, name: str, version: int, body: bytes) -> None:
+        """Replace a value and wake its watchers."""
+        async with self._changed:
+            self._values[name] = Stored(version, body)
+            self._changed.notify_all()
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen for readers, and for the test's own publications."""
+        app = web.Application(client_max_size=4 << 20)
+        app.router.add_get("/values/{name:.+}", self._read)
+        app.router.add_put("/values/{name:.+}", self._publish)
+        self._runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=1.0
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, address, port).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _publish(self, request: web.Request) -> web.Response:
+        version = int(request.query["version"])
+        body = await request.read()
+        await self.publish(request.match_info["name"], version, body)
+        return web.Response(status=204)
+
+    async def _read(self, request: web.Request) -> web.Response:
+        self.calls += 1
+        name = request.match_info["name"]
+        after = int(request.query.get("after", "0"))
+        wait_s = int(request.query.get("wait_ms", "0")) / 1000
+
+        def newer() -> bool:
+            value = self._values.get(name)
+            return value is not None and value.version > after
+
+        async with self._changed:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait_for(newer)
+            except TimeoutError:
+                pass
+        if not newer():
+            return web.Response(status=304)
+        value = self._values[name]
+        return web.Response(
+            body=value.body,
+            content_type="application/json",
+            headers={VERSION_HEADER: str(value.version)},
+        )
+
+
+async def serve(given: argparse.Namespace) -> None:
+    """Publish the given files until cancelled."""
+    platform = Platform()
+    for item in given.value:
+        name, _, path = item.partition("=")
+        body = pathlib.Path(path).read_bytes()
+        await platform.publish(name, given.version, body)
+    await platform.start(given.address, given.port)
+    await asyncio.sleep(given.seconds)
+    await platform.stop()
+
+
+def main() -> None:
+    """Run the stand-in as a program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--version", type=int, default=1)
+    parser.add_argument("--value", action="append", default=[])
+    parser.add_argument("--seconds", type=float, default=300.0)
+    asyncio.run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fakes/transport.py
@@ -0,0 +1,140 @@
+"""Carries messages between participants on a virtual clock.
+
+Messages may be delayed, reordered, dropped and doubled, hosts may be paused,
+crashed and cut off. It carries messages and time; it models nothing else.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+import typing as t
+
+from savorytally import clock
+from savorytally import defaults
+from savorytally.decisions import participant
+
+
+@dataclasses.dataclass(frozen=True)
+class Weather:
+    """How badly the network behaves.
+
+    Differing delays reorder messages. ``lose`` and ``double`` are chances
+    for each message.
+    """
+
+    delay_min_s: float = 0.001
+    delay_max_s: float = 0.02
+    lose: float = 0.0
+    double: float = 0.0
+
+
+class Transport:
+    """Delivers messages and ticks in order of time.
+
+    :param source: seeded random source for delays and losses.
+    :param weather: how badly the network behaves; may be replaced.
+    """
+
+    def __init__(
+        self, source: random.Random, weather: Weather = Weather()
+    ) -> None:
+        self.clock = clock.VirtualClock()
+        self.weather = weather
+        self.sent: dict[str, int] = {}
+        self._random = source
+        self._order = itertools.count()
+        self._due: list[tuple[float, int, t.Callable[[], None]]] = []
+        self._members: dict[str, list[participant.Participant]] = {}
+        self._paused: dict[str, list[t.Callable[[], None]]] = {}
+        self._cuts: set[frozenset[str]] = set()
+        self._lives: dict[str, int] = {}
+
+    def join(
+        self, host_id: str, members: t.Sequence[participant.Participant]
+    ) -> None:
+        """Add a host; one that crashed may come back as a new life."""
+        self._members[host_id] = list(members)
+        life = next(self._order)
+        self._lives[host_id] = life
+        first = self._random.uniform(0, defaults.CONTROL_TICK_S)
+        self.at(first, lambda: self._tick(host_id, life))
+
+    def crash(self, host_id: str) -> None:
+        """Remove a host; what is under way to it is lost."""
+        self._members.pop(host_id, None)
+        self._paused.pop(host_id, None)
+        self._lives.pop(host_id, None)
+
+    def pause(self, host_id: str) -> None:
+        """Stop a host; what arrives meanwhile waits for it."""
+        self._paused.setdefault(host_id, [])
+
+    def resume(self, host_id: str) -> None:
+        """Let a paused host go on with what has waited for it."""
+        for work in self._paused.pop(host_id, []):
+            work()
+
+    def cut(self, some: t.Iterable[str], others: t.Iterable[str]) -> None:
+        """Lose every message between the two groups until healed."""
+        self._cuts |= {
+            frozenset((one, other))
+            for one, other in itertools.product(some, others)
+        }
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+
+    def at(self, delay_s: float, work: t.Callable[[], None]) -> None:
+        """Do some work after a delay."""
+        when = self.clock.now() + delay_s
+        heapq.heappush(self._due, (when, next(self._order), work))
+
+    def send(
+        self, sender: str, outgoing: t.Iterable[participant.Outgoing]
+    ) -> None:
+        """Take messages over from a host."""
+        for item in outgoing:
+            self.sent[sender] = self.sent.get(sender, 0) + 1
+            copies = 1 + (self._random.random() < self.weather.double)
+            for _ in range(copies):
+                self._carry(sender, item)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.clock.now() + seconds
+        while self._due and self._due[0][0] <= end:
+            when, _, work = heapq.heappop(self._due)
+            self.clock.move_to(when)
+            work()
+        self.clock.move_to(end)
+
+    def _carry(self, sender: str, item: participant.Outgoing) -> None:
+        if self._random.random() < self.weather.lose:
+            return
+        delay_s = self._random.uniform(
+            self.weather.delay_min_s, self.weather.delay_max_s
+        )
+        self.at(delay_s, lambda: self._arrive(sender, item))
+
+    def _arrive(self, sender: str, item: participant.Outgoing) -> None:
+        if frozenset((sender, item.host_id)) in self._cuts:
+            return
+        if item.host_id in self._paused:
+            waiting = self._paused[item.host_id]
+            waiting.append(lambda: self._arrive(sender, item))
+            return
+        for member in self._members.get(item.host_id, ()):
+            if isinstance(item.message, tuple(member.handles)):
+                now = self.clock.now()
+                answers = member.receive(sender, item.message, now)
+                self.send(item.host_id, answers)
+
+    def _tick(self, host_id: str, life: int) -> None:
+        if self._lives.get(host_id) != life:
+            return
+        if host_id not in self._paused:
+            for member in self._members[host_id]:
+                self.send(host_id, member.tick(self.clock.now()))
+        self.at(defaults.CONTROL_TICK_S, lambda: self._tick(host_id, life))
