Route by two choices and bound retries over the call tree

Cause: random routing sends work to failing and shedding hosts and over the billed link, and nothing limited retries beyond one node.

Change: balanced routing (two draws, own data centre and region, breaker with one probe, shed levels that fade, per-class byte budget of links); retry budget lent down the tree and returned, node-wide retry ratio; shed levels as ranks of class and root request; 503 answers of an upstream are repeated elsewhere only on idempotent routes.

Conclusion: kept as the default routing; random stays as the baseline.

--- /dev/null
+++ b/src/savorytally/decisions/balanced.py
@@ -0,0 +1,208 @@
+"""Routing by two random choices, in the region first.
+
+The better of two hosts drawn at random is called (M. Mitzenmacher, "The
+power of two choices in randomized load balancing", 2001). One is drawn from
+the own data centre, the other from the whole region, and a host elsewhere in
+the region must be clearly less loaded to be preferred. Another region is
+called only if no host of the own region would take the call, and within the
+byte budget of the link between them; calls of low priority cross only if the
+own region has no host at all.
+"""
+
+import dataclasses
+import random
+import typing as t
+
+from .. import results
+from ..world import configuration
+from ..world import host
+from ..world import region
+from ..world import route
+from . import hosthealth
+from . import linkbudget
+from . import routing
+from . import shedding
+
+DISTANCE_CALLS = 1.0
+FAILURE_CALLS = 4.0
+SHED_RETRY_AFTER_MS = 500
+NO_HOST_RETRY_AFTER_MS = 1_000
+LINK_RETRY_AFTER_MS = 1_000
+
+Hosts = list[host.Host]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Service:
+    """The live hosts of a service by distance."""
+
+    near: Hosts
+    region: Hosts
+    far: Hosts
+
+
+_NO_HOSTS = _Service([], [], [])
+
+
+@routing.policies.register("balanced")
+class BalancedRouting:
+    """Two random choices by calls in flight, shed level and failures.
+
+    :param place: where the choosing node is.
+    :param source: seeded random source.
+    """
+
+    def __init__(self, place: region.Place, source: random.Random) -> None:
+        self._place = place
+        self._source = source
+        self._links = linkbudget.LinkBudget(place)
+        self._regions: dict[str, str] = {}
+        self._services: dict[str, _Service] = {}
+        self._health: dict[str, hosthealth.HostHealth] = {}
+
+    def learn_configuration(
+        self, version: configuration.Configuration, now: float
+    ) -> None:
+        """Apply the links of a newer configuration."""
+        self._links.learn_configuration(version, now)
+
+    def learn_hosts(
+        self, hosts: t.Mapping[str, host.Host], now: float
+    ) -> None:
+        """Replace the hosts and forget those that are gone."""
+        self._links.learn_hosts(hosts, now)
+        self._regions = {
+            item.host_id: item.place.region_id for item in hosts.values()
+        }
+        self._services = {
+            service_id: self._by_distance(live)
+            for service_id, live in routing.group_live(hosts).items()
+        }
+        self._health = {
+            host_id: health
+            for host_id, health in self._health.items()
+            if host_id in hosts
+        }
+
+    def choose(self, question: routing.Question, now: float) -> routing.Choice:
+        """Return the host to call, or why there is none."""
+        service = self._services.get(question.service_id, _NO_HOSTS)
+        near = self._fit(service.near, question, now)
+        inside = self._fit(service.region, question, now)
+        willing = self._willing(inside, question, now)
+        if willing:
+            near = self._willing(near, question, now)
+            return routing.Chosen(self._draw(near, willing, now))
+        far = self._fit(service.far, question, now)
+        if inside and question.priority < route.Priority.NORMAL:
+            far = []
+        return self._choose_far(inside, far, question, now)
+
+    def sent(self, host_id: str, now: float) -> None:
+        """Note that a call was sent to the host."""
+        self._of(host_id).sent(now)
+
+    def done(self, result: routing.Result, now: float) -> None:
+        """Note the end of a call."""
+        health = self._of(result.host_id)
+        if result.ok:
+            health.succeeded(now)
+        else:
+            health.failed(now)
+        if result.level != routing.LEVEL_UNKNOWN:
+            health.heard_level(result.level, now)
+        where = self._regions.get(result.host_id, self._place.region_id)
+        if where != self._place.region_id:
+            self._links.charge(where, result.size_bytes, now)
+
+    def service_level(self, service_id: str, now: float) -> int:
+        """Return the lowest shed level among the region's hosts."""
+        service = self._services.get(service_id, _NO_HOSTS)
+        hosts = service.region or service.far
+        levels = [self._of(item.host_id).level(now) for item in hosts]
+        return min(levels, default=0)
+
+    def _by_distance(self, live: Hosts) -> _Service:
+        inside = [
+            item
+            for item in live
+            if item.place.region_id == self._place.region_id
+        ]
+        return _Service(
+            near=[item for item in inside if item.place == self._place],
+            region=inside,
+            far=[item for item in live if item not in inside],
+        )
+
+    def _of(self, host_id: str) -> hosthealth.HostHealth:
+        health = self._health.get(host_id)
+        if health is None:
+            health = self._health[host_id] = hosthealth.HostHealth()
+        return health
+
+    def _fit(
+        self, hosts: Hosts, question: routing.Question, now: float
+    ) -> Hosts:
+        return [
+            item
+            for item in hosts
+            if item.host_id not in question.tried
+            and self._of(item.host_id).available(now)
+        ]
+
+    def _willing(
+        self, hosts: Hosts, question: routing.Question, now: float
+    ) -> Hosts:
+        return [
+            item
+            for item in hosts
+            if shedding.admits(
+                self._of(item.host_id).level(now),
+                question.priority,
+                question.root_hash,
+            )
+        ]
+
+    def _choose_far(
+        self,
+        inside: Hosts,
+        far: Hosts,
+        question: routing.Question,
+        now: float,
+    ) -> routing.Choice:
+        willing = self._willing(far, question, now)
+        affordable = [
+            item
+            for item in willing
+            if self._links.allows(
+                item.place.region_id,
+                question.size_bytes,
+                question.priority,
+                now,
+            )
+        ]
+        if affordable:
+            return routing.Chosen(self._draw([], affordable, now))
+        if willing:
+            return routing.Unavailable(
+                results.LINK_BUDGET_SPENT, LINK_RETRY_AFTER_MS
+            )
+        if inside or far:
+            return routing.Unavailable(
+                results.SHED_AT_ENTRY, SHED_RETRY_AFTER_MS
+            )
+        return routing.Unavailable(results.NO_HOST, NO_HOST_RETRY_AFTER_MS)
+
+    def _draw(self, near: Hosts, hosts: Hosts, now: float) -> host.Host:
+        first = self._source.choice(near or hosts)
+        second = self._source.choice(hosts)
+        if self._cost(second, now) < self._cost(first, now):
+            return second
+        return first
+
+    def _cost(self, item: host.Host, now: float) -> float:
+        health = self._of(item.host_id)
+        cost = health.in_flight + health.failures(now) * FAILURE_CALLS
+        if item.place != self._place:
+            cost += DISTANCE_CALLS
+        return cost + shedding.load(health.level(now))
--- /dev/null
+++ b/src/savorytally/decisions/estimates.py
@@ -0,0 +1,37 @@
+"""Moving estimates of a route's answers."""
+
+import dataclasses
+
+WEIGHT = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class _Estimate:
+    size_bytes: float
+    took_s: float
+
+
+class Estimates:
+    """Exponentially weighted means of answer size and time, by route."""
+
+    def __init__(self) -> None:
+        self._by_route: dict[str, _Estimate] = {}
+
+    def learn(self, route_id: str, size_bytes: int, took_s: float) -> None:
+        """Take in one answer."""
+        known = self._by_route.get(route_id)
+        if known is None:
+            self._by_route[route_id] = _Estimate(size_bytes, took_s)
+            return
+        known.size_bytes += WEIGHT * (size_bytes - known.size_bytes)
+        known.took_s += WEIGHT * (took_s - known.took_s)
+
+    def size_bytes(self, route_id: str) -> float:
+        """Return the mean size of the route's answers, 0 if unknown."""
+        known = self._by_route.get(route_id)
+        return known.size_bytes if known else 0.0
+
+    def took_s(self, route_id: str) -> float:
+        """Return the mean time to an answer, 0 if unknown."""
+        known = self._by_route.get(route_id)
+        return known.took_s if known else 0.0
--- /dev/null
+++ b/src/savorytally/decisions/hosthealth.py
@@ -0,0 +1,72 @@
+"""What a node remembers about the hosts that it calls."""
+
+import dataclasses
+
+from . import shedding
+
+FAILURE_HALF_LIFE_S = 2.0
+FAILURES_TO_OPEN = 3.0
+OPEN_MIN_S = 0.5
+OPEN_MAX_S = 8.0
+
+
+@dataclasses.dataclass(slots=True)
+class HostHealth:
+    """One host's calls in flight, failures and shed level.
+
+    The host is avoided while its circuit breaker is open. After that one
+    call probes it; further ones wait until the probe has succeeded.
+    """
+
+    in_flight: int = 0
+    _level: int = 0
+    _level_at: float = 0.0
+    _failures: float = 0.0
+    _failures_at: float = 0.0
+    _open_until: float = 0.0
+    _open_s: float = OPEN_MIN_S
+    _probing: bool = False
+
+    def level(self, now: float) -> int:
+        """Return the shed level, which fades when nothing is heard."""
+        return shedding.faded(self._level, now - self._level_at)
+
+    def failures(self, now: float) -> float:
+        """Return recent failures; their weight halves with time."""
+        passed = (now - self._failures_at) / FAILURE_HALF_LIFE_S
+        return self._failures * 0.5 ** max(passed, 0.0)
+
+    def available(self, now: float) -> bool:
+        """Return whether the circuit breaker lets a call through."""
+        if self._open_until == 0.0:
+            return True
+        return now >= self._open_until and not self._probing
+
+    def sent(self, now: float) -> None:
+        """Note a call; it is the probe if the breaker was open."""
+        self.in_flight += 1
+        if self._open_until and now >= self._open_until:
+            self._probing = True
+
+    def succeeded(self, now: float) -> None:
+        """Note an answer or a true refusal."""
+        self.in_flight = max(self.in_flight - 1, 0)
+        self._probing = False
+        self._open_until = 0.0
+        self._open_s = OPEN_MIN_S
+
+    def failed(self, now: float) -> None:
+        """Note a call that was neither answered nor refused."""
+        self.in_flight = max(self.in_flight - 1, 0)
+        self._failures = self.failures(now) + 1.0
+        self._failures_at = now
+        if self._probing:
+            self._open_s = min(self._open_s * 2, OPEN_MAX_S)
+        if self._probing or self._failures >= FAILURES_TO_OPEN:
+            self._open_until = now + self._open_s
+            self._probing = False
+
+    def heard_level(self, level: int, now: float) -> None:
+        """Note the shed level that came with a result."""
+        self._level = level
+        self._level_at = now
--- a/src/savorytally/decisions/retry.py
+++ b/src/savorytally/decisions/retry.py
@@ -3,11 +3,38 @@
 The root request receives a budget of retries. A child call takes part of
 what is left to its parent and returns what it does not use, so that the sum
 over the tree never exceeds the root's budget, whatever its depth or fan-out.
+A node-wide ratio bounds retries further when much fails at once.
 """
 
 import dataclasses
 
 from .. import outcomes
+from .. import results
+
+UPSTREAM_BUSY_STATUS = 503
+
+# Another host may do better after these, and the request did not run.
+_OTHER_HOST_MAY_RUN = frozenset(
+    {
+        results.SHED_AT_GATE,
+        results.HOST_LEAVING,
+        results.NOT_DISPATCHED,
+        results.RESOLVED_NOT_RUN,
+        results.NOT_CONFIGURED,
+        results.STALE_VIEW,
+        results.RECORD_FULL,
+    }
+)
+
+# A repetition may succeed after these if it is harmless.
+_REPETITION_MAY_HELP = frozenset(
+    {
+        results.ANSWER_TRUNCATED,
+        results.ANSWER_LOST,
+        results.OUTCOME_UNKNOWN,
+        results.UPSTREAM_BROKEN,
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,12 +43,12 @@
 
     :param idempotent: whether a repetition is harmless.
     :param remaining_s: time left until the deadline.
-    :param other_host: whether a host is left that was not tried.
+    :param needed_s: time that an attempt usually takes.
     """
 
     idempotent: bool
     remaining_s: float
-    other_host: bool
+    needed_s: float = 0.0
 
 
 class RetryBudget:
@@ -56,14 +83,44 @@
         return True
 
 
-def worthwhile(failure: outcomes.Failure, attempt: Attempt) -> bool:
+class RetryRatio:
+    """Limits a node's retries to a fraction of its first attempts.
+
+    :param ratio: retries earned by each first attempt.
+    :param reserve: retries that may be saved up.
+    """
+
+    def __init__(self, ratio: float, reserve: float = 10.0) -> None:
+        self._ratio = ratio
+        self._reserve = reserve
+        self._saved = reserve
+
+    def learn_ratio(self, ratio: float) -> None:
+        """Apply the ratio of a newer configuration."""
+        self._ratio = ratio
+
+    def first_attempt(self) -> None:
+        """Note a first attempt."""
+        self._saved = min(self._reserve, self._saved + self._ratio)
+
+    def spend(self) -> bool:
+        """Take one retry; return whether there was one."""
+        if self._saved < 1.0:
+            return False
+        self._saved -= 1.0
+        return True
+
+
+def worthwhile(outcome: outcomes.Outcome, attempt: Attempt) -> bool:
     """Return whether another attempt is safe and likely to do better.
 
     Safe is an attempt after a proof that the request did not run, or any
     attempt at an idempotent request.
     """
-    if attempt.remaining_s <= 0 or not attempt.other_host:
-        return False
-    if failure.code.http_status in (400, 401, 403, 404, 413, 422, 429, 499):
+    if attempt.remaining_s <= attempt.needed_s:
         return False
-    return failure.code.not_run or attempt.idempotent
+    if isinstance(outcome, outcomes.Answer):
+        return attempt.idempotent and outcome.status == UPSTREAM_BUSY_STATUS
+    if outcome.code in _OTHER_HOST_MAY_RUN:
+        return True
+    return attempt.idempotent and outcome.code in _REPETITION_MAY_HELP
--- a/src/savorytally/decisions/routing.py
+++ b/src/savorytally/decisions/routing.py
@@ -1,12 +1,17 @@
-"""The choice of the host that runs a call."""
+"""The choice of the host that runs a call: the seam and a baseline."""
 
 import dataclasses
 import random
 import typing as t
 
 from .. import registry
+from .. import results
+from ..world import configuration
 from ..world import host
 from ..world import region
+from ..world import route
+
+LEVEL_UNKNOWN = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -15,39 +20,82 @@
 
     :param service_id: the service to be called.
     :param priority: the class of its route.
-    :param bytes_estimate: bytes that it would move between regions.
+    :param root_hash: evenly spread number of the root request, 32 bits.
+    :param size_bytes: what it is expected to move over a link.
     :param tried: hosts of earlier attempts at this call.
-    :param key: shard key that pins the call to an owner, may be empty.
     """
 
     service_id: str
-    priority: int
-    bytes_estimate: int = 0
+    priority: route.Priority
+    root_hash: int = 0
+    size_bytes: int = 0
     tried: frozenset[str] = frozenset()
-    key: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chosen:
+    """The host that is to run the call."""
+
+    host: host.Host
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """No host is to run the call.
+
+    :param code: a result code of the *not run* range.
+    :param retry_after_ms: when a host may be available.
+    """
+
+    code: results.ResultCode
+    retry_after_ms: int
+
+
+Choice = Chosen | Unavailable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What became of a call.
+
+    :param host_id: the host that was called.
+    :param ok: whether it gave an answer or a true refusal.
+    :param level: the shed level that came with it, or ``LEVEL_UNKNOWN``.
+    :param took_s: time from sending to the result.
+    :param size_bytes: what the call moved over a link.
+    """
+
+    host_id: str
+    ok: bool
+    level: int
+    took_s: float
+    size_bytes: int = 0
 
 
 class Routing(t.Protocol):
     """Chooses hosts and learns from what became of the calls."""
 
-    def learn_hosts(self, hosts: t.Mapping[str, host.Host]) -> None:
+    def learn_configuration(
+        self, version: configuration.Configuration, now: float
+    ) -> None:
+        """Apply the links of a newer configuration."""
+
+    def learn_hosts(
+        self, hosts: t.Mapping[str, host.Host], now: float
+    ) -> None:
         """Replace the hosts that may be chosen."""
 
-    def choose(self, question: Question, now: float) -> host.Host | None:
-        """Return the host to call, or ``None`` if none is fit."""
+    def choose(self, question: Question, now: float) -> Choice:
+        """Return the host to call, or why there is none."""
 
     def sent(self, host_id: str, now: float) -> None:
         """Note that a call was sent to the host."""
 
-    def done(self, host_id: str, ok: bool, level: int, now: float) -> None:
-        """Note the end of a call.
-
-        :param ok: whether the host gave an answer or a true refusal.
-        :param level: the shed level that came with it, -1 if none did.
-        """
+    def done(self, result: Result, now: float) -> None:
+        """Note the end of a call."""
 
-    def unreachable(self, host_id: str, now: float) -> None:
-        """Note that the host's node can't be reached."""
+    def service_level(self, service_id: str, now: float) -> int:
+        """Return the lowest shed level among the service's hosts."""
 
 
 RoutingFactory = t.Callable[[region.Place, random.Random], Routing]
@@ -57,6 +105,17 @@
 )
 
 
+def group_live(
+    hosts: t.Mapping[str, host.Host],
+) -> dict[str, list[host.Host]]:
+    """Return the live hosts by service, in order of identifier."""
+    groups: dict[str, list[host.Host]] = {}
+    for item in sorted(hosts.values(), key=lambda item: item.host_id):
+        if item.live:
+            groups.setdefault(item.service_id, []).append(item)
+    return groups
+
+
 @policies.register("random")
 class RandomRouting:
     """Baseline: any live host of the service that was not tried yet.
@@ -69,27 +128,34 @@
         self._source = source
         self._by_service: dict[str, list[host.Host]] = {}
 
-    def learn_hosts(self, hosts: t.Mapping[str, host.Host]) -> None:
+    def learn_configuration(
+        self, version: configuration.Configuration, now: float
+    ) -> None:
+        """Do nothing; the baseline spares no link."""
+
+    def learn_hosts(
+        self, hosts: t.Mapping[str, host.Host], now: float
+    ) -> None:
         """Group the live hosts by service."""
-        self._by_service = {}
-        for item in sorted(hosts.values(), key=lambda item: item.host_id):
-            if item.live:
-                self._by_service.setdefault(item.service_id, []).append(item)
+        self._by_service = group_live(hosts)
 
-    def choose(self, question: Question, now: float) -> host.Host | None:
+    def choose(self, question: Question, now: float) -> Choice:
         """Return one of the hosts with equal chances."""
         fit = [
             item
             for item in self._by_service.get(question.service_id, ())
             if item.host_id not in question.tried
         ]
-        return self._source.choice(fit) if fit else None
+        if not fit:
+            return Unavailable(results.NO_HOST, 0)
+        return Chosen(self._source.choice(fit))
 
     def sent(self, host_id: str, now: float) -> None:
         """Do nothing."""
 
-    def done(self, host_id: str, ok: bool, level: int, now: float) -> None:
+    def done(self, result: Result, now: float) -> None:
         """Do nothing."""
 
-    def unreachable(self, host_id: str, now: float) -> None:
-        """Do nothing."""
+    def service_level(self, service_id: str, now: float) -> int:
+        """Return 0; the baseline keeps no levels."""
+        return 0
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -10,6 +10,7 @@
 from . import settings
 from . import view
 from .decisions import admission
+from .decisions import balanced  # noqa: F401, registers a policy
 from .decisions import fifo  # noqa: F401, registers a policy
 from .decisions import quota
 from .decisions import routing
@@ -74,6 +75,8 @@
         if version is None:
             return
         self.quota.learn_configuration(version, now)
+        self.routing.learn_configuration(version, now)
+        self.dispatcher.learn_configuration(version)
         service = version.services.get(self.settings.service_id)
         if service is not None:
             self.gate.policy.learn_capacity(
@@ -82,7 +85,7 @@
 
     def hosts_changed(self, now: float) -> None:
         """Apply a newer host list."""
-        self.routing.learn_hosts(self.view.hosts.hosts)
+        self.routing.learn_hosts(self.view.hosts.hosts, now)
 
 
 class Daemon:
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -8,14 +8,25 @@
 from .. import outcomes
 from .. import ports
 from .. import results
+from ..decisions import estimates
 from ..decisions import retry
 from ..decisions import routing
 from ..peer import messages
+from ..world import configuration
 from ..world import host
 from ..world import route
 from . import context
 from . import headers
 
+_HOST_FAILURES = frozenset(
+    {
+        results.NOT_DISPATCHED,
+        results.OUTCOME_UNKNOWN,
+        results.UPSTREAM_BROKEN,
+        results.ANSWER_TRUNCATED,
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
@@ -48,62 +59,106 @@
         self._clock = outside.clock
         self._peers = outside.peers
         self._routing = choice
+        self._ratio = retry.RetryRatio(configuration.RetryPolicy().ratio)
+        self._answers = estimates.Estimates()
         self._ids = itertools.count(1)
 
+    def learn_configuration(
+        self, version: configuration.Configuration
+    ) -> None:
+        """Apply the retry ratio of a newer configuration."""
+        self._ratio.learn_ratio(version.retries.ratio)
+
     async def run(self, job: Job) -> outcomes.Outcome:
         """Return the outcome of the job, over all its attempts."""
         tried: set[str] = set()
-        failure = outcomes.Failure(results.NO_HOST, job.route.service_id)
+        last: outcomes.Outcome | None = None
+        self._ratio.first_attempt()
         for attempt in itertools.count():
-            target = self._choose(job, tried)
-            if target is None:
-                return failure
-            tried.add(target.host_id)
-            outcome = await self._attempt(job, target, attempt)
-            if isinstance(outcome, outcomes.Answer):
-                return outcome
-            failure = outcome
-            if not self._again(job, failure, tried):
-                return failure
+            choice = self._choose(job, tried)
+            if isinstance(choice, routing.Unavailable):
+                return last or outcomes.Failure(
+                    choice.code, retry_after_ms=choice.retry_after_ms
+                )
+            if last is not None and not self._spend(job):
+                return last
+            tried.add(choice.host.host_id)
+            last = await self._attempt(job, choice.host, attempt)
+            if not retry.worthwhile(last, self._prospect(job)):
+                return last
         raise AssertionError("unreachable")
 
-    def _choose(self, job: Job, tried: set[str]) -> host.Host | None:
+    def _choose(self, job: Job, tried: set[str]) -> routing.Choice:
+        route_id = job.route.route_id
+        request_bytes = len(job.request.body)
         question = routing.Question(
             service_id=job.route.service_id,
             priority=job.route.priority,
-            bytes_estimate=len(job.request.body),
+            root_hash=root_hash(job.context.root_id),
+            size_bytes=max(
+                request_bytes, int(self._answers.size_bytes(route_id))
+            ),
             tried=frozenset(tried),
         )
         return self._routing.choose(question, self._clock.now())
 
-    def _again(
-        self, job: Job, failure: outcomes.Failure, tried: set[str]
-    ) -> bool:
-        attempt = retry.Attempt(
+    def _prospect(self, job: Job) -> retry.Attempt:
+        return retry.Attempt(
             idempotent=job.route.idempotent,
             remaining_s=job.context.deadline - self._clock.now(),
-            other_host=self._choose(job, tried) is not None,
+            needed_s=self._answers.took_s(job.route.route_id),
         )
-        if not retry.worthwhile(failure, attempt):
+
+    def _spend(self, job: Job) -> bool:
+        if job.context.budget.left == 0:
             return False
-        return job.context.budget.spend()
+        return self._ratio.spend() and job.context.budget.spend()
 
     async def _attempt(
         self, job: Job, target: host.Host, attempt: int
     ) -> outcomes.Outcome:
-        now = self._clock.now()
-        remaining_s = job.context.deadline - now
+        started = self._clock.now()
+        remaining_s = job.context.deadline - started
         if remaining_s <= 0:
             return outcomes.Failure(results.DEADLINE_TOO_SHORT)
         lent = job.context.budget.lend()
         call = self._call(job, attempt, remaining_s, lent)
-        self._routing.sent(target.host_id, now)
-        result = await self._peers.call(target, call)
-        outcome = result.outcome
-        job.context.budget.give_back(outcome.retries_unused, lent)
-        ok = isinstance(outcome, outcomes.Answer) or outcome.code.not_run
-        self._routing.done(target.host_id, ok, result.level, self._clock.now())
-        return outcome
+        self._routing.sent(target.host_id, started)
+        result: ports.CallResult | None = None
+        try:
+            result = await self._peers.call(target, call)
+        finally:
+            self._done(job, target, result, started)
+        unused = result.outcome.retries_unused
+        if _not_run(result.outcome):
+            unused = lent
+        job.context.budget.give_back(unused, lent)
+        return result.outcome
+
+    def _done(
+        self,
+        job: Job,
+        target: host.Host,
+        result: ports.CallResult | None,
+        started: float,
+    ) -> None:
+        now = self._clock.now()
+        took_s = now - started
+        size_bytes = len(job.request.body)
+        outcome = result.outcome if result else None
+        if isinstance(outcome, outcomes.Answer):
+            size_bytes = max(size_bytes, len(outcome.body))
+            self._answers.learn(job.route.route_id, len(outcome.body), took_s)
+        self._routing.done(
+            routing.Result(
+                host_id=target.host_id,
+                ok=_host_works(outcome),
+                level=result.level if result else routing.LEVEL_UNKNOWN,
+                took_s=took_s,
+                size_bytes=size_bytes,
+            ),
+            now,
+        )
 
     def _call(
         self, job: Job, attempt: int, remaining_s: float, retries: int
@@ -130,6 +185,26 @@
         )
 
 
+def root_hash(root_id: str) -> int:
+    """Return an evenly spread number of a root request, 32 bits."""
+    return xxhash.xxh32_intdigest(root_id.encode())
+
+
+def _not_run(outcome: outcomes.Outcome) -> bool:
+    return isinstance(outcome, outcomes.Failure) and outcome.code.not_run
+
+
+def _host_works(outcome: outcomes.Outcome | None) -> bool:
+    """Return whether an outcome speaks for the host's health.
+
+    A cancelled call (no outcome) and one whose deadline passed say nothing
+    against the host; one that is silent is found by heartbeats.
+    """
+    if outcome is None or isinstance(outcome, outcomes.Answer):
+        return True
+    return outcome.code not in _HOST_FAILURES
+
+
 def fingerprint(job: Job) -> int:
     """Return a digest of what the upstream would see of the job."""
     digest = xxhash.xxh3_64()
--- a/src/savorytally/settings.py
+++ b/src/savorytally/settings.py
@@ -45,7 +45,7 @@
     """Names of the registered policies that a node uses."""
 
     admission: str = "fifo"
-    routing: str = "random"
+    routing: str = "balanced"
     quota: str = "local"
 
 
