Charge repeated child calls and report levels from below

Cause: an upstream that repeats a failed child call escaped the retry bound; a service deep in a chain shed only at its own gate; a gate's last word arrived after its caller had stopped waiting.

--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -11,6 +11,7 @@
 from . import view
 from .decisions import admission
 from .decisions import balanced  # noqa: F401, registers a policy
+from .decisions import downstream
 from .decisions import fifo  # noqa: F401, registers a policy
 from .decisions import quota
 from .decisions import routing
@@ -52,10 +53,13 @@
             options.place, outside.random
         )
         self.dispatcher = dispatch.Dispatcher(outside, self.routing)
+        below = downstream.DownstreamLevels(self.routing.service_level)
         self.entry = entry.Entry(
             outside, self.view, self.quota, self.dispatcher
         )
-        self.egress = egress.Egress(self.view, self.tokens, self.dispatcher)
+        self.egress = egress.Egress(
+            outside, self.view, self.tokens, self.dispatcher, below
+        )
         self.gate = gate.Gate(
             outside,
             self.view,
@@ -63,6 +67,7 @@
                 admission.Capacity(slots=1, connections=1)
             ),
             self.tokens,
+            below,
         )
         self.control = control.Control(outside, self.view)
         self.control.add(self.quota)
--- a/src/savorytally/parts/context.py
+++ b/src/savorytally/parts/context.py
@@ -4,6 +4,7 @@
 
 from .. import outcomes
 from ..decisions import retry
+from ..world import route
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -13,6 +14,7 @@
     :param root_id: identifies the root request.
     :param organisation_id: the caller's organisation, empty if none.
     :param key_id: prefix of the key's digest, empty if none.
+    :param priority: the higher class of the route and of the call above.
     :param deadline: when the answer is no longer wanted, node clock.
     :param budget: retries left to this call and its children.
     :param depth: calls above this one.
@@ -22,6 +24,7 @@
     root_id: str
     organisation_id: str
     key_id: str
+    priority: route.Priority
     deadline: float
     budget: retry.RetryBudget
     depth: int
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from .. import defaults
 from .. import outcomes
 from .. import ports
 from .. import results
@@ -93,7 +94,7 @@
         request_bytes = len(job.request.body)
         question = routing.Question(
             service_id=job.route.service_id,
-            priority=job.route.priority,
+            priority=job.context.priority,
             root_hash=root_hash(job.context.root_id),
             size_bytes=max(
                 request_bytes, int(self._answers.size_bytes(route_id))
@@ -170,11 +171,12 @@
             route_id=job.route.route_id,
             organisation_id=job.context.organisation_id,
             key_id=job.context.key_id,
+            priority=job.context.priority,
             tail=job.tail,
             query=request.query,
             headers=headers.end_to_end(request.headers),
             body=request.body,
-            remaining_ms=max(int(remaining_s * 1000), 1),
+            remaining_ms=_remaining_ms(remaining_s),
             retries=retries,
             depth=job.context.depth,
             attempt=attempt,
@@ -190,6 +192,13 @@
     return xxhash.xxh32_intdigest(root_id.encode())
 
 
+def _remaining_ms(remaining_s: float) -> int:
+    """Return the time that a gate is given, so that its word arrives."""
+    remaining_ms = int(remaining_s * 1000)
+    margin_ms = min(defaults.ANSWER_MARGIN_MS, remaining_ms // 10)
+    return max(remaining_ms - margin_ms, 1)
+
+
 def _not_run(outcome: outcomes.Outcome) -> bool:
     return isinstance(outcome, outcomes.Failure) and outcome.code.not_run
 
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -100,6 +100,7 @@
                 root_id=f"{self._random.getrandbits(64):016x}",
                 organisation_id=caller.organisation_id,
                 key_id=caller.key_id,
+                priority=found.route.priority,
                 deadline=now + timeout_s,
                 budget=retry.RetryBudget(version.retries.per_root),
                 depth=0,
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -8,6 +8,7 @@
 from .. import results
 from .. import view
 from ..decisions import admission
+from ..decisions import downstream
 from ..decisions import retry
 from ..peer import messages
 from ..world import route
@@ -22,6 +23,7 @@
     :param current: the configuration in force.
     :param policy: decides which calls run, wait or are refused.
     :param tokens: running calls by call token, shared with the egress.
+    :param below: shed levels of the services called from here.
     """
 
     def __init__(
@@ -30,12 +32,14 @@
         current: view.View,
         policy: admission.Admission,
         tokens: running.RunningCalls,
+        below: downstream.DownstreamLevels,
     ) -> None:
         self._clock = outside.clock
         self._upstream = outside.upstream
         self._view = current
         self._admission = policy
         self._tokens = tokens
+        self._downstream = below
         self._tickets = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[admission.Decision]] = {}
 
@@ -44,9 +48,14 @@
         """The admission policy in use."""
         return self._admission
 
-    def level(self) -> int:
-        """Return the shed level to send with answers."""
-        return self._admission.level(self._clock.now())
+    def level(self, call: messages.Call) -> int:
+        """Return the shed level to send with a call's result.
+
+        It counts in the services that calls on this route have called.
+        """
+        now = self._clock.now()
+        own = self._admission.level(now)
+        return max(own, self._downstream.level(call.route_id, now))
 
     def tick(self) -> None:
         """Let admission remove calls that can't be answered in time."""
@@ -108,7 +117,7 @@
             ticket=ticket,
             organisation_id=call.organisation_id,
             weight=holder.contract.weight if holder else 1.0,
-            priority=found.priority,
+            priority=route.Priority(call.priority),
             route_id=call.route_id,
             deadline=deadline,
             alone=call.suspect,
--- a/src/savorytally/parts/running.py
+++ b/src/savorytally/parts/running.py
@@ -4,6 +4,7 @@
 import secrets
 
 from .. import outcomes
+from ..decisions import repeats
 from ..decisions import retry
 from ..peer import messages
 
@@ -17,11 +18,15 @@
     :param call: the call.
     :param deadline: when its answer is no longer wanted, node clock.
     :param budget: retries left to it and its children.
+    :param failed: its child calls that have failed.
     """
 
     call: messages.Call
     deadline: float
     budget: retry.RetryBudget
+    failed: repeats.FailedChildren = dataclasses.field(
+        default_factory=repeats.FailedChildren
+    )
 
 
 class RunningCalls:
--- a/src/savorytally/peer/links.py
+++ b/src/savorytally/peer/links.py
@@ -87,7 +87,8 @@
         future = asyncio.get_running_loop().create_future()
         self._calls[call.call_id] = _Outstanding(future)
         connected.send(call)
-        timeout_s = call.remaining_ms / 1000
+        allowed_ms = call.remaining_ms + defaults.ANSWER_MARGIN_MS
+        timeout_s = allowed_ms / 1000
         try:
             return await asyncio.wait_for(future, timeout_s)
         except TimeoutError:
--- a/src/savorytally/peer/messages.py
+++ b/src/savorytally/peer/messages.py
@@ -99,6 +99,7 @@
     :param route_id: the route to run.
     :param organisation_id: the caller's organisation, empty if none.
     :param key_id: prefix of the key's digest, empty if none.
+    :param priority: the higher class of its route and of the call above.
     :param tail: what follows the route's path.
     :param query: the query string without the question mark.
     :param headers: end-to-end request headers, free of secrets.
@@ -119,6 +120,7 @@
     route_id: str
     organisation_id: str
     key_id: str
+    priority: int
     tail: str
     query: str
     headers: Pairs
--- a/src/savorytally/peer/server.py
+++ b/src/savorytally/peer/server.py
@@ -11,6 +11,7 @@
 from . import messages
 from . import stream
 
+Level = t.Callable[[messages.Call], int]
 Run = t.Callable[[messages.Call], t.Awaitable[outcomes.Outcome]]
 
 
@@ -79,7 +80,7 @@
 
     async def _run(self, source: stream.Stream, call: messages.Call) -> None:
         outcome = await self._server.run(call)
-        level = self._server.level()
+        level = self._server.level(call)
         for message in answers.to_messages(call.call_id, outcome, level):
             source.send(message)
 
@@ -89,7 +90,7 @@
 
     :param identity: this node.
     :param run: runs a call at the gate.
-    :param level: returns the gate's shed level.
+    :param level: returns the shed level to send with a call's result.
     :param version: returns the configuration version to stamp on frames.
     :param inbox: takes control messages.
     """
@@ -98,7 +99,7 @@
         self,
         identity: links.Identity,
         run: Run,
-        level: t.Callable[[], int],
+        level: Level,
         version: t.Callable[[], int],
         inbox: links.Inbox,
     ) -> None:
--- a/src/savorytally/results.py
+++ b/src/savorytally/results.py
@@ -242,6 +242,14 @@
     "Retry later with the same Idempotency-Key.",
 )
 
+RETRIES_SPENT = _code(
+    1026,
+    "retries_spent",
+    503,
+    "The call repeats a failed one and its root request has no retry left.",
+    "Fail the request above; do not repeat the call.",
+)
+
 ANSWERED = _code(
     2000,
     "answered",
