--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of savorytally, not part of the product."""
--- /dev/null
+++ b/tools/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Works out what each role costs at a size from slopes measured here."""
--- /dev/null
+++ b/tools/capacity/probes_calls.py
@@ -0,0 +1,180 @@
+"""Probes of what calls cost beside the work of the upstream."""
+
+import asyncio
+import random
+
+from savorytally import defaults
+from savorytally import outcomes
+from savorytally import ports
+from savorytally.decisions import balanced
+from savorytally.decisions import retry
+from savorytally.decisions import routing
+from savorytally.parts import running
+from savorytally.peer import answers
+from savorytally.peer import codec
+from savorytally.peer import links
+from savorytally.peer import messages
+from savorytally.peer import server
+from savorytally.world import host
+from savorytally.world import region
+from savorytally.world import route
+
+from . import meter
+from . import slopes
+
+BODY_BYTES = (0, 1_000, 4_000, 16_000, 64_000)
+CALL_COUNTS = (200, 400, 800, 1_600)
+SERVICE_HOSTS = (4, 8, 17, 34, 68)
+STREAM_COUNTS = (8, 16, 32, 64)
+HEARTBEAT_COUNTS = (100, 200, 400, 800)
+ROUNDS = 200
+
+
+def a_call(number: int = 1, body: bytes = b"") -> messages.Call:
+    """Return a call like those that cross a peer stream."""
+    return messages.Call(
+        call_id=number,
+        root_id="0123456789abcdef",
+        route_id="service-1.route-1",
+        organisation_id="organisation-1",
+        key_id="0123456789abcdef",
+        priority=int(route.Priority.NORMAL),
+        tail="valley/7",
+        query="page=2",
+        headers=(("Accept", "application/json"), ("User-Agent", "probe")),
+        body=body,
+        remaining_ms=2_000,
+        retries=2,
+        depth=1,
+        attempt=0,
+        idempotency_key="",
+        fingerprint=1 << 62,
+        suspect=False,
+        traceparent="00-" + "0" * 32 + "-" + "0" * 16 + "-00",
+    )
+
+
+def _hop(call: messages.Call, answer: outcomes.Answer) -> None:
+    """Encode and decode a call and its answer, as two nodes do."""
+    splitter = codec.Splitter()
+    splitter.feed(codec.encode(call, 7))
+    for message in answers.to_messages(call.call_id, answer, 0):
+        (frame,) = splitter.feed(codec.encode(message, 7))
+    answers.Assembly(frame.message).outcome()
+
+
+@slopes.probe("peer hop coding", "us", "body byte", BODY_BYTES)
+def peer_hop_coding(size: int) -> float:
+    """Measure coding of a call and its answer, both ends together."""
+    call = a_call()
+    answer = outcomes.Answer(
+        200, (("Content-Type", "application/json"),), bytes(size)
+    )
+    return meter.cpu_us(lambda: _hop(call, answer), ROUNDS)
+
+
+@slopes.probe("call frame size", "B", "body byte", BODY_BYTES)
+def call_frame_size(size: int) -> float:
+    """Measure the frame of a call."""
+    return len(codec.encode(a_call(body=bytes(size)), 7))
+
+
+@slopes.probe("routing choice", "us", "host of the service", SERVICE_HOSTS)
+def routing_choice(count: int) -> float:
+    """Measure the choice of a host, with the notes before and after."""
+    place = region.Place("region-0", "centre-0")
+    hosts = {
+        f"h{number}": host.Host(f"h{number}", "s", place, "127.0.0.1", 1)
+        for number in range(count)
+    }
+    made = balanced.BalancedRouting(place, random.Random(1))
+    made.learn_hosts(hosts, 0.0)
+    question = routing.Question("s", route.Priority.NORMAL, 77)
+
+    def choose() -> None:
+        chosen = made.choose(question, 1.0).host.host_id
+        made.sent(chosen, 1.0)
+        made.done(routing.Result(chosen, True, 0, 0.01), 1.0)
+
+    return meter.cpu_us(choose, ROUNDS)
+
+
+@slopes.probe("running call memory", "B", "call", CALL_COUNTS)
+def running_call_memory(count: int) -> float:
+    """Measure the bytes held for calls that the upstream works on."""
+
+    def build() -> running.RunningCalls:
+        calls = running.RunningCalls()
+        for number in range(count):
+            budget = retry.RetryBudget(2)
+            calls.begin(a_call(number), 10.0, budget)
+        return calls
+
+    return meter.held_bytes(build)
+
+
+@slopes.probe("heartbeat coding", "us", "heartbeat", HEARTBEAT_COUNTS)
+def heartbeat_coding(count: int) -> float:
+    """Measure coding of heartbeats and their replies."""
+
+    def beat() -> None:
+        splitter = codec.Splitter()
+        for number in range(count):
+            for reply in (False, True):
+                message = messages.Heartbeat(number, reply)
+                splitter.feed(codec.encode(message, 7))
+
+    return meter.cpu_us(beat)
+
+
+@slopes.probe("heartbeat size", "B", "heartbeat", HEARTBEAT_COUNTS)
+def heartbeat_size(count: int) -> float:
+    """Measure the frames of heartbeats and their replies."""
+    return sum(
+        len(codec.encode(messages.Heartbeat(number, reply), 7))
+        for number in range(count)
+        for reply in (False, True)
+    )
+
+
+class _Inbox:
+    """Ignores control messages."""
+
+    def deliver(self, sender: str, message: messages.Message) -> None:
+        """Do nothing."""
+
+    def behind(self, sender: str, version: int) -> None:
+        """Do nothing."""
+
+
+async def _open_streams(count: int) -> float:
+    async def run(call: messages.Call) -> outcomes.Outcome:
+        return outcomes.Answer(200, (), b"")
+
+    listening = server.PeerServer(
+        links.Identity("server", 1), run, lambda call: 0, lambda: 1, _Inbox()
+    )
+    port = defaults.PEER_PORT + 20_000
+    await listening.start("127.0.0.1", port)
+    place = region.Place("region-0", "centre-0")
+    made = links.Links(links.Identity("client", 1), lambda: 1, _Inbox())
+    targets = [
+        host.Host(f"h{number}", "s", place, "127.0.0.1", port)
+        for number in range(count)
+    ]
+    meter.begin_held()
+    for number, target in enumerate(targets):
+        result: ports.CallResult = await made.call(target, a_call(number))
+        if isinstance(result.outcome, outcomes.Failure):
+            raise OSError(result.outcome.detail)
+    held = meter.end_held()
+    made.close()
+    await listening.stop()
+    await asyncio.sleep(0)
+    return held
+
+
+@slopes.probe("peer stream memory", "B", "stream", STREAM_COUNTS)
+def peer_stream_memory(count: int) -> float:
+    """Measure the bytes held for idle streams, both ends together."""
+    return asyncio.run(_open_streams(count))
