Draw two hosts without scanning the service

Cause: a routing choice filtered every host of the service, 0.98 us for each, so that a service of 68 hosts cost 75 us a call.

Change: draw the two candidates first; only if one of them may not be called are the others looked at.

The scan remains for services with a failing or shedding host.

--- a/src/savorytally/decisions/balanced.py
+++ b/src/savorytally/decisions/balanced.py
@@ -87,6 +87,9 @@
     def choose(self, question: routing.Question, now: float) -> routing.Choice:
         """Return the host to call, or why there is none."""
         service = self._services.get(question.service_id, _NO_HOSTS)
+        drawn = self._draw_fit(service, question, now)
+        if drawn is not None:
+            return routing.Chosen(drawn)
         near = self._fit(service.near, question, now)
         inside = self._fit(service.region, question, now)
         willing = self._willing(inside, question, now)
@@ -140,6 +143,23 @@
             health = self._health[host_id] = hosthealth.HostHealth()
         return health
 
+    def _draw_fit(
+        self, service: _Service, question: routing.Question, now: float
+    ) -> host.Host | None:
+        """Draw two hosts without looking at the others.
+
+        :return: the better one, or ``None`` if either may not be called.
+        """
+        if not service.region:
+            return None
+        first = self._source.choice(service.near or service.region)
+        second = self._source.choice(service.region)
+        pair = [first, second]
+        fit = self._willing(self._fit(pair, question, now), question, now)
+        if len(fit) < len(pair):
+            return None
+        return self._better(first, second, now)
+
     def _fit(
         self, hosts: Hosts, question: routing.Question, now: float
     ) -> Hosts:
@@ -196,6 +216,13 @@
     def _draw(self, near: Hosts, hosts: Hosts, now: float) -> host.Host:
         first = self._source.choice(near or hosts)
         second = self._source.choice(hosts)
+        return self._better(first, second, now)
+
+    def _better(
+        self, first: host.Host, second: host.Host, now: float
+    ) -> host.Host:
+        if first is second:
+            return first
         if self._cost(second, now) < self._cost(first, now):
             return second
         return first
