--- a/src/savorytally/settings.py
+++ b/src/savorytally/settings.py
@@ -3,10 +3,9 @@
 import dataclasses
 import pathlib
 
-import pyjson5
-
 from . import defaults
 from . import fields
+from . import files
 from .world import region
 
 
@@ -97,13 +96,10 @@
     :param path: a JSON file, comments admitted.
     :return: the settings, or every fault in them.
     """
-    try:
-        value = pyjson5.decode(path.read_text("utf-8"))
-    except OSError as error:
-        return Refused((fields.Fault("/", str(error.strerror)),))
-    except (ValueError, pyjson5.Json5Exception) as error:
-        return Refused((fields.Fault("/", f"not JSON: {error}"),))
-    return read(value)
+    loaded = files.load(path)
+    if isinstance(loaded, files.Unreadable):
+        return Refused((loaded.fault,))
+    return read(loaded.value)
 
 
 def read(value: object) -> Settings | Refused:
--- /dev/null
+++ b/src/savorytally/world/reading_routes.py
@@ -0,0 +1,67 @@
+"""Reads the routes of a configuration document."""
+
+import re
+import typing as t
+
+from .. import defaults
+from .. import fields
+from . import names
+from . import route
+from . import upstream
+
+_METHOD = re.compile(r"[A-Z]{1,20}")
+_PATH = re.compile(r"/(?:[\w.~!$&'()*+,;=:@/-]|%[0-9A-Fa-f]{2})*", re.ASCII)
+_PRIORITIES = {item.name.lower(): item for item in route.Priority}
+
+
+def read(
+    root: fields.Section,
+    schemes: tuple[str, ...],
+    services: t.Mapping[str, upstream.Service],
+) -> dict[str, route.Route]:
+    """Return the routes by identifier."""
+    return {
+        route_id: _read_route(route_id, section, schemes, services)
+        for route_id, section in root.children("routes").items()
+    }
+
+
+def _read_route(
+    route_id: str,
+    section: fields.Section,
+    schemes: tuple[str, ...],
+    services: t.Mapping[str, upstream.Service],
+) -> route.Route:
+    found = route.Route(
+        route_id=names.read_identifier(route_id, section),
+        service_id=section.text(
+            "service", services.__contains__, "names no service"
+        ),
+        names=names.read_names(section, schemes),
+        method=section.text(
+            "method", _METHOD.fullmatch, "must be an HTTP method", "GET"
+        ),
+        path=section.text(
+            "path", _is_path, "must be an absolute, percent-encoded path"
+        ),
+        priority=section.choice("priority", _PRIORITIES, "normal"),
+        idempotent=section.take("idempotent", bool, True),
+        open=section.take("open", bool, False),
+        timeout_ms=section.number(
+            "timeout_ms",
+            int,
+            1,
+            defaults.CALL_TIMEOUT_MAX_MS,
+            defaults.CALL_TIMEOUT_MS,
+        ),
+    )
+    if found.open and not found.idempotent:
+        section.fault("open", "needs an idempotent route")
+    section.finish()
+    return found
+
+
+def _is_path(text: str) -> bool:
+    if not _PATH.fullmatch(text):
+        return False
+    return not {".", ".."} & set(text.split("/"))
--- /dev/null
+++ b/src/savorytally/world/reading_services.py
@@ -0,0 +1,31 @@
+"""Reads the services of a configuration document."""
+
+from .. import fields
+from . import names
+from . import upstream
+
+SLOTS_MAX = 100_000
+CONNECTIONS_MAX = 100_000
+
+
+def read(
+    root: fields.Section, schemes: tuple[str, ...]
+) -> dict[str, upstream.Service]:
+    """Return the services by identifier."""
+    return {
+        service_id: _read_service(service_id, section, schemes)
+        for service_id, section in root.children("services").items()
+    }
+
+
+def _read_service(
+    service_id: str, section: fields.Section, schemes: tuple[str, ...]
+) -> upstream.Service:
+    service = upstream.Service(
+        service_id=names.read_identifier(service_id, section),
+        names=names.read_names(section, schemes),
+        slots=section.number("slots", int, 1, SLOTS_MAX),
+        connections=section.number("connections", int, 1, CONNECTIONS_MAX),
+    )
+    section.finish()
+    return service
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,16 +1,24 @@
 """Fixtures shared by all tests."""
 
 import asyncio
+import os
 import socket
 import typing as t
 
 from fakes import documents
+import hypothesis
 import pytest
 import uvloop
 
 from savorytally.world import configuration
 from savorytally.world import document
 
+hypothesis.settings.register_profile(
+    "ci", derandomize=True, max_examples=200, deadline=None
+)
+hypothesis.settings.register_profile("long", max_examples=5_000, deadline=None)
+hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
 
 @pytest.fixture
 def himali() -> configuration.Configuration:
