--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -10,6 +10,8 @@
 from . import settings
 from . import view
 from .decisions import admission
+from .decisions import balanced  # noqa: F401, registers a policy
+from .decisions import downstream
 from .decisions import fifo  # noqa: F401, registers a policy
 from .decisions import quota
 from .decisions import routing
@@ -51,10 +53,13 @@
             options.place, outside.random
         )
         self.dispatcher = dispatch.Dispatcher(outside, self.routing)
+        below = downstream.DownstreamLevels(self.routing.service_level)
         self.entry = entry.Entry(
             outside, self.view, self.quota, self.dispatcher
         )
-        self.egress = egress.Egress(self.view, self.tokens, self.dispatcher)
+        self.egress = egress.Egress(
+            outside, self.view, self.tokens, self.dispatcher, below
+        )
         self.gate = gate.Gate(
             outside,
             self.view,
@@ -62,6 +67,7 @@
                 admission.Capacity(slots=1, connections=1)
             ),
             self.tokens,
+            below,
         )
         self.control = control.Control(outside, self.view)
         self.control.add(self.quota)
@@ -74,6 +80,8 @@
         if version is None:
             return
         self.quota.learn_configuration(version, now)
+        self.routing.learn_configuration(version, now)
+        self.dispatcher.learn_configuration(version)
         service = version.services.get(self.settings.service_id)
         if service is not None:
             self.gate.policy.learn_capacity(
@@ -82,7 +90,7 @@
 
     def hosts_changed(self, now: float) -> None:
         """Apply a newer host list."""
-        self.routing.learn_hosts(self.view.hosts.hosts)
+        self.routing.learn_hosts(self.view.hosts.hosts, now)
 
 
 class Daemon:
