--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers: the demonstration mesh, load and measurements."""
