Resolve calls whose answers were lost

Cause: a lost or silent stream ended all its calls as unknown, a silent one only at their deadlines; a cancelled call had no answer, so the retries lent to it were lost; an exception in the gate left the caller waiting; a lost incoming stream left its calls running for nobody. Change: heartbeats find a silent stream; the link opens another one and asks about each call. A newer stream of the same sender ends its older one. Cancelled calls and calls that raise are answered; calls of a sender that stays away are cancelled. Answer pieces carry their offset and digests are seeded with the call, so doubled, reordered and crossed pieces do no harm. Write buffers, outstanding calls and reconnects are bounded.

--- /dev/null
+++ b/src/savorytally/decisions/resolution.py
@@ -0,0 +1,239 @@
+"""What a node knows about the calls that it received from its peers.
+
+A caller whose stream was lost asks what became of each call. The answers
+here are facts: a call whose identifier was never seen is marked so that it
+can never run, a finished one has its outcome retained until the caller says
+that it has it, and a call that may have been forgotten is called unknown.
+"""
+
+import collections
+import dataclasses
+import enum
+
+from .. import outcomes
+
+_RECORD_BYTES = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sender:
+    """One run of a calling node.
+
+    :param host_id: its host.
+    :param incarnation: distinguishes it from earlier and later runs.
+    """
+
+    host_id: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what is retained.
+
+    :param answer_s: how long an outcome is retained.
+    :param record_s: how long a call's identifier is remembered; longer than
+        any deadline, so that no caller asks about a forgotten one.
+    :param bytes: size of all retained outcomes together.
+    :param records: number of remembered identifiers.
+    """
+
+    answer_s: float = 5.0
+    record_s: float = 60.0
+    bytes: int = 8 << 20
+    records: int = 50_000
+
+
+DEFAULT_LIMITS = Limits()
+
+
+class Arrival(enum.Enum):
+    """What to do with a call that arrives."""
+
+    RUN = enum.auto()
+    REPEATED = enum.auto()
+    WITHDRAWN = enum.auto()
+    FORGOTTEN = enum.auto()
+
+
+class State(enum.Enum):
+    """What became of a call."""
+
+    RUNNING = enum.auto()
+    FINISHED = enum.auto()
+    OUTCOME_DROPPED = enum.auto()
+    NEVER_RUN = enum.auto()
+    FORGOTTEN = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resolution:
+    """What became of a call.
+
+    :param state: the verdict.
+    :param outcome: the retained outcome of a finished call.
+    """
+
+    state: State
+    outcome: outcomes.Outcome | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    state: State
+    at: float
+    outcome: outcomes.Outcome | None = None
+    size_bytes: int = 0
+
+
+class _Calls:
+    """The remembered calls of one sender, oldest first."""
+
+    def __init__(self, now: float) -> None:
+        self.records: collections.OrderedDict[int, _Record]
+        self.records = collections.OrderedDict()
+        self.floor = 0
+        self.used_at = now
+
+
+class ServedCalls:
+    """Remembers received calls and retains their outcomes for a while.
+
+    :param limits: bounds on what is retained.
+    """
+
+    def __init__(self, limits: Limits = DEFAULT_LIMITS) -> None:
+        self._limits = limits
+        self._senders: dict[Sender, _Calls] = {}
+        self._retained: collections.OrderedDict[tuple[Sender, int], _Record]
+        self._retained = collections.OrderedDict()
+        self._bytes = 0
+        self._records = 0
+
+    def __len__(self) -> int:
+        return self._records
+
+    @property
+    def retained_bytes(self) -> int:
+        """Size of all retained outcomes."""
+        return self._bytes
+
+    def arrive(self, sender: Sender, call_id: int, now: float) -> Arrival:
+        """Take in a call and return whether it may run."""
+        calls = self._calls(sender, now)
+        record = calls.records.get(call_id)
+        if record is not None:
+            never = record.state is State.NEVER_RUN
+            return Arrival.WITHDRAWN if never else Arrival.REPEATED
+        if call_id < calls.floor:
+            return Arrival.FORGOTTEN
+        self._add(calls, call_id, _Record(State.RUNNING, now))
+        return Arrival.RUN
+
+    def finish(
+        self,
+        sender: Sender,
+        call_id: int,
+        outcome: outcomes.Outcome,
+        now: float,
+    ) -> None:
+        """Retain the outcome of a call that ran or was refused."""
+        calls = self._senders.get(sender)
+        record = calls.records.get(call_id) if calls else None
+        if calls is None or record is None:
+            return
+        if call_id < calls.floor:
+            self._remove(calls, call_id)
+            return
+        record.state = State.FINISHED
+        record.at = now
+        record.outcome = outcome
+        record.size_bytes = _size_bytes(outcome)
+        self._bytes += record.size_bytes
+        self._retained[sender, call_id] = record
+        while self._bytes > self._limits.bytes:
+            self._drop_oldest_outcome()
+
+    def resolve(self, sender: Sender, call_id: int, now: float) -> Resolution:
+        """Return what became of a call; an unseen one will never run."""
+        calls = self._calls(sender, now)
+        record = calls.records.get(call_id)
+        if record is not None:
+            return Resolution(record.state, record.outcome)
+        if call_id < calls.floor:
+            return Resolution(State.FORGOTTEN)
+        self._add(calls, call_id, _Record(State.NEVER_RUN, now))
+        return Resolution(State.NEVER_RUN)
+
+    def settle(self, sender: Sender, below: int, now: float) -> None:
+        """Forget calls that their caller will not ask about any more.
+
+        :param below: all of the sender's smaller identifiers are settled.
+        """
+        calls = self._calls(sender, now)
+        calls.floor = max(calls.floor, below)
+        while calls.records:
+            call_id, record = next(iter(calls.records.items()))
+            if call_id >= below or record.state is State.RUNNING:
+                return
+            self._forget(sender, calls, call_id)
+
+    def expire(self, now: float) -> None:
+        """Drop what is older than the limits allow."""
+        oldest = now - self._limits.answer_s
+        while self._retained:
+            record = next(iter(self._retained.values()))
+            if record.at > oldest:
+                break
+            self._drop_oldest_outcome()
+        for sender, calls in list(self._senders.items()):
+            self._expire_records(sender, calls, now)
+
+    def _expire_records(
+        self, sender: Sender, calls: _Calls, now: float
+    ) -> None:
+        oldest = now - self._limits.record_s
+        while calls.records:
+            call_id, record = next(iter(calls.records.items()))
+            crowded = self._records > self._limits.records
+            if record.state is State.RUNNING:
+                return
+            if record.at > oldest and not crowded:
+                return
+            calls.floor = max(calls.floor, call_id + 1)
+            self._forget(sender, calls, call_id)
+        if calls.used_at < oldest:
+            del self._senders[sender]
+
+    def _calls(self, sender: Sender, now: float) -> _Calls:
+        calls = self._senders.get(sender)
+        if calls is None:
+            calls = self._senders[sender] = _Calls(now)
+        calls.used_at = now
+        return calls
+
+    def _add(self, calls: _Calls, call_id: int, record: _Record) -> None:
+        calls.records[call_id] = record
+        self._records += 1
+
+    def _remove(self, calls: _Calls, call_id: int) -> None:
+        del calls.records[call_id]
+        self._records -= 1
+
+    def _forget(self, sender: Sender, calls: _Calls, call_id: int) -> None:
+        record = self._retained.pop((sender, call_id), None)
+        if record is not None:
+            self._bytes -= record.size_bytes
+        self._remove(calls, call_id)
+
+    def _drop_oldest_outcome(self) -> None:
+        _, record = self._retained.popitem(last=False)
+        self._bytes -= record.size_bytes
+        record.state = State.OUTCOME_DROPPED
+        record.outcome = None
+
+
+def _size_bytes(outcome: outcomes.Outcome) -> int:
+    if isinstance(outcome, outcomes.Answer):
+        return _RECORD_BYTES + len(outcome.body)
+    return _RECORD_BYTES
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -25,6 +25,7 @@
 from .parts import gate
 from .parts import running
 from .parts import watch
+from .peer import identity
 from .peer import links
 from .peer import messages
 from .peer import server as peer_server
@@ -102,25 +103,31 @@
     def __init__(self, options: settings.Settings) -> None:
         now = clock.SystemClock()
         current = view.View()
-        identity = links.Identity(options.host_id, int(now.wall() * 1000))
+        source = random.Random(secrets.randbits(64))
+        own = identity.Identity(options.host_id, int(now.wall() * 1000))
         self._settings = options
-        self._links = links.Links(identity, lambda: current.version, self)
+        self._links = links.Links(
+            links.Shared(own, lambda: current.version, self, source)
+        )
         self._upstream = upstream.HttpUpstream(options.upstream_url)
         self._platform = platform.HttpPlatform(options.platform_url)
         outside = ports.Outside(
             clock=now,
-            random=random.Random(secrets.randbits(64)),
+            random=source,
             peers=self._links,
             upstream=self._upstream,
             platform=self._platform,
         )
         self.node = Node(options, outside, current)
         self._peer_server = peer_server.PeerServer(
-            identity,
-            self.node.gate.run,
-            self.node.gate.level,
-            lambda: current.version,
-            self,
+            own,
+            peer_server.Handlers(
+                run=self.node.gate.run,
+                level=self.node.gate.level,
+                version=lambda: current.version,
+                inbox=self,
+                now=now.now,
+            ),
         )
         self._entry_server = server.RequestServer(self.node.entry.handle)
         self._egress_server = server.RequestServer(self.node.egress.handle)
@@ -141,7 +148,7 @@
         """
         address = self._settings.address
         opened = self._settings.ports
-        await self._peer_server.start(address, opened.peer)
+        await self._peer_server.listen(address, opened.peer)
         await self._egress_server.start("127.0.0.1", opened.egress)
         await self._entry_server.start(address, opened.entry)
         self._tasks = [
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -126,14 +126,15 @@
         call = self._call(job, attempt, remaining_s, lent)
         self._routing.sent(target.host_id, started)
         result: ports.CallResult | None = None
+
+        def give_back(ended: ports.CallResult) -> None:
+            job.context.budget.give_back(_unused(ended.outcome, lent), lent)
+
         try:
-            result = await self._peers.call(target, call)
+            result = await self._peers.call(target, call, give_back)
         finally:
             self._done(job, target, result, started)
-        unused = result.outcome.retries_unused
-        if _not_run(result.outcome):
-            unused = lent
-        job.context.budget.give_back(unused, lent)
+        give_back(result)
         return result.outcome
 
     def _done(
@@ -199,8 +200,11 @@
     return max(remaining_ms - margin_ms, 1)
 
 
-def _not_run(outcome: outcomes.Outcome) -> bool:
-    return isinstance(outcome, outcomes.Failure) and outcome.code.not_run
+def _unused(outcome: outcomes.Outcome, lent: int) -> int:
+    """Return how many of the lent retries come back."""
+    if isinstance(outcome, outcomes.Failure) and outcome.code.not_run:
+        return lent
+    return outcome.retries_unused
 
 
 def _host_works(outcome: outcomes.Outcome | None) -> bool:
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -127,9 +127,12 @@
         self._apply(self._admission.arrive(arrival, self._clock.now()))
         try:
             return await future
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
             self._withdraw(ticket, future)
-            raise
+            failure = outcomes.Failure(
+                results.CANCELLED_BEFORE_START, retries_unused=call.retries
+            )
+            raise ports.Withdrawn(failure) from error
         finally:
             self._waiting.pop(ticket, None)
 
@@ -162,6 +165,11 @@
         try:
             request = _upstream_request(call, found, token)
             outcome = await self._upstream.exchange(request, remaining_s)
+        except asyncio.CancelledError as error:
+            failure = outcomes.Failure(
+                results.CANCELLED_AFTER_START, retries_unused=budget.left
+            )
+            raise ports.Withdrawn(failure) from error
         finally:
             self._tokens.end(token)
         return running.with_unused(outcome, budget.left)
--- a/src/savorytally/peer/answers.py
+++ b/src/savorytally/peer/answers.py
@@ -1,6 +1,5 @@
 """Turns outcomes into answer messages and puts them together again."""
 
-import dataclasses
 import typing as t
 
 import xxhash
@@ -11,9 +10,13 @@
 from . import messages
 
 
-def digest(body: bytes) -> int:
-    """Return the digest that an answer's body is checked against."""
-    return xxhash.xxh3_64_intdigest(body)
+def digest(call_id: int, body: bytes) -> int:
+    """Return the digest that an answer's body is checked against.
+
+    It is seeded with the call, so that a body which belongs to another call
+    does not match.
+    """
+    return xxhash.xxh3_64_intdigest(body, call_id)
 
 
 def to_messages(
@@ -41,14 +44,15 @@
         status=outcome.status,
         headers=outcome.headers,
         length=len(body),
-        digest=digest(body),
+        digest=digest(call_id, body),
         retries_unused=outcome.retries_unused,
         repeated=outcome.repeated,
         load=level,
         body=body[:size],
     )
     for start in range(size, len(body), size):
-        yield messages.AnswerPiece(call_id, body[start : start + size])
+        piece = body[start : start + size]
+        yield messages.AnswerPiece(call_id, start, piece)
 
 
 def to_failure(failed: messages.CallFailed) -> outcomes.Failure:
@@ -65,37 +69,50 @@
     )
 
 
-@dataclasses.dataclass(slots=True)
 class Assembly:
-    """An answer whose pieces are arriving.
-
-    :param head: its first message.
-    """
+    """An answer whose messages arrive in any order, perhaps repeatedly."""
 
-    head: messages.AnswerHead
-    _pieces: list[bytes] = dataclasses.field(default_factory=list)
-    _received: int = 0
+    def __init__(self) -> None:
+        self._head: messages.AnswerHead | None = None
+        self._pieces: dict[int, bytes] = {}
+        self._received = 0
 
-    def __post_init__(self) -> None:
-        self.add(self.head.body)
+    @property
+    def level(self) -> int:
+        """The shed level that came with the answer, -1 if none did."""
+        return self._head.load if self._head else -1
 
     @property
     def complete(self) -> bool:
         """Whether as many bytes arrived as were announced."""
-        return self._received >= self.head.length
+        head = self._head
+        return head is not None and self._received >= head.length
+
+    def add_head(self, head: messages.AnswerHead) -> None:
+        """Take in the first message of the answer."""
+        self._head = head
+        self._add(0, head.body)
 
-    def add(self, piece: bytes) -> None:
-        """Append the next piece of the body."""
-        self._pieces.append(piece)
-        self._received += len(piece)
+    def add_piece(self, piece: messages.AnswerPiece) -> None:
+        """Take in a later piece of the body.
+
+        A piece that would exceed the longest answer is left out, and so the
+        answer never becomes complete.
+        """
+        self._add(piece.offset, piece.body)
 
     def outcome(self) -> outcomes.Outcome:
         """Return the whole answer, or a failure if it is damaged."""
-        head = self.head
-        body = b"".join(self._pieces)
-        if len(body) != head.length or digest(body) != head.digest:
+        head = self._head
+        if head is None:
+            return outcomes.Failure(results.ANSWER_TRUNCATED)
+        pieces = self._pieces
+        body = b"".join(pieces[start] for start in sorted(pieces))
+        whole = len(body) == head.length
+        if not whole or digest(head.call_id, body) != head.digest:
             return outcomes.Failure(
                 results.ANSWER_TRUNCATED,
+                "digest",
                 retries_unused=head.retries_unused,
             )
         return outcomes.Answer(
@@ -105,3 +122,10 @@
             retries_unused=head.retries_unused,
             repeated=head.repeated,
         )
+
+    def _add(self, offset: int, body: bytes) -> None:
+        room = defaults.ANSWER_MAX_BYTES - self._received
+        if offset in self._pieces or len(body) > room:
+            return
+        self._pieces[offset] = body
+        self._received += len(body)
--- a/src/savorytally/peer/codec.py
+++ b/src/savorytally/peer/codec.py
@@ -7,6 +7,7 @@
 import dataclasses
 import operator
 import struct
+import types
 import typing as t
 
 import msgpack
@@ -16,7 +17,10 @@
 
 LENGTH = struct.Struct(">I")
 
-_TYPES: dict[str, tuple[type, ...]] = {}
+# HTTP headers may hold bytes that are not UTF-8; they travel unchanged.
+_TEXT_ERRORS = "surrogateescape"
+
+Check = t.Callable[[t.Any], bool]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,16 +47,59 @@
 
     def __init__(self, cls: type[messages.Message]) -> None:
         hints = t.get_type_hints(cls)
-        fields = dataclasses.fields(cls)
         self.cls = cls
-        self.names = tuple(field.name for field in fields)
-        self.types = tuple(_carried(hints[name]) for name in self.names)
+        self.names = tuple(field.name for field in dataclasses.fields(cls))
+        self.checks = tuple(_check(hints[name]) for name in self.names)
         self.fields = _getter(self.names)
-
-
-def _carried(hint: t.Any) -> type:
-    origin = t.get_origin(hint) or hint
-    return origin if isinstance(origin, type) else object
+        self.plain = [hints[name] for name in self.names]
+        self.nested = [
+            index
+            for index, hint in enumerate(self.plain)
+            if not isinstance(hint, type) or hint is object
+        ]
+        for index in self.nested:
+            self.plain[index] = None
+
+    def first_fault(self, fields: tuple[t.Any, ...]) -> str | None:
+        """Return the name of the first field of a wrong type."""
+        if not self.nested and list(map(type, fields)) == self.plain:
+            return None
+        for name, check, value in zip(
+            self.names, self.checks, fields, strict=True
+        ):
+            if not check(value):
+                return name
+        return None
+
+
+def _check(hint: t.Any) -> Check:
+    """Return a function that tells whether a value fits a type hint."""
+    if hint in (t.Any, object):
+        return lambda value: True
+    origin = t.get_origin(hint)
+    if origin is tuple:
+        return _check_tuple(t.get_args(hint))
+    if origin in (t.Union, types.UnionType):
+        checks = [_check(item) for item in t.get_args(hint)]
+        return lambda value: any(check(value) for check in checks)
+    kind = origin or hint
+    return lambda value: type(value) is kind
+
+
+def _check_tuple(arguments: tuple[t.Any, ...]) -> Check:
+    if len(arguments) == 2 and arguments[1] is Ellipsis:
+        check = _check(arguments[0])
+        return lambda value: type(value) is tuple and all(map(check, value))
+    checks = [_check(item) for item in arguments]
+
+    def fits(value: t.Any) -> bool:
+        if type(value) is not tuple or len(value) != len(checks):
+            return False
+        return all(
+            check(item) for check, item in zip(checks, value, strict=True)
+        )
+
+    return fits
 
 
 def _getter(names: tuple[str, ...]) -> t.Callable[[t.Any], tuple]:
@@ -68,12 +115,14 @@
 
 
 def _layout(kind: t.Any) -> _Layout:
+    if type(kind) is not int:
+        raise FrameError("kind is not a number")
     layout = _LAYOUTS.get(kind)
     if layout is not None:
         return layout
-    cls = messages.by_kind(kind) if isinstance(kind, int) else None
+    cls = messages.by_kind(kind)
     if cls is None:
-        raise FrameError(f"unknown message kind {kind!r}")
+        raise FrameError(f"unknown message kind {kind}")
     _LAYOUTS[kind] = _Layout(cls)
     return _LAYOUTS[kind]
 
@@ -84,6 +133,7 @@
     payload = msgpack.packb(
         (message.kind, configuration_version, *values),
         use_bin_type=True,
+        unicode_errors=_TEXT_ERRORS,
     )
     return LENGTH.pack(len(payload)) + payload
 
@@ -95,7 +145,9 @@
     :raises FrameError: if it is malformed.
     """
     try:
-        values = msgpack.unpackb(payload, use_list=False, raw=False)
+        values = msgpack.unpackb(
+            payload, use_list=False, raw=False, unicode_errors=_TEXT_ERRORS
+        )
     except (ValueError, msgpack.UnpackException) as error:
         raise FrameError(f"not a msgpack value: {error}") from error
     if type(values) is not tuple or len(values) < 2:
@@ -105,12 +157,9 @@
     fields = values[2:]
     if type(version) is not int or len(fields) != len(layout.names):
         raise FrameError(f"{layout.cls.__name__}: wrong number of fields")
-    for name, kind, value in zip(
-        layout.names, layout.types, fields, strict=True
-    ):
-        if type(value) is not kind and kind is not object:
-            text = f"{layout.cls.__name__}.{name}: not {kind.__name__}"
-            raise FrameError(text)
+    fault = layout.first_fault(fields)
+    if fault is not None:
+        raise FrameError(f"{layout.cls.__name__}.{fault}: wrong type")
     return Frame(version, layout.cls(*fields))
 
 
@@ -122,25 +171,33 @@
 
     def __init__(self, max_bytes: int = defaults.FRAME_MAX_BYTES) -> None:
         self._max_bytes = max_bytes
-        self._buffer = bytearray()
+        self._chunks: list[bytes] = []
+        self._held_bytes = 0
+        self._needed_bytes = LENGTH.size
 
-    def feed(self, data: bytes) -> list[Frame]:
-        """Add received bytes and return the frames that are complete.
+    def feed(self, data: bytes) -> t.Iterator[Frame]:
+        """Add received bytes and yield the frames that are complete.
 
-        :raises FrameError: if a frame is too long or malformed.
+        :raises FrameError: if a frame is too long or malformed; the frames
+            before it have been yielded.
         """
-        self._buffer += data
-        frames = []
+        self._chunks.append(data)
+        self._held_bytes += len(data)
+        if self._held_bytes < self._needed_bytes:
+            return
+        data = b"".join(self._chunks)
         start = 0
-        while len(self._buffer) - start >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(self._buffer, start)
+        needed = LENGTH.size
+        while len(data) - start >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(data, start)
             if length > self._max_bytes:
                 raise FrameError(f"frame of {length} bytes is too long")
-            end = start + LENGTH.size + length
-            if end > len(self._buffer):
+            needed = LENGTH.size + length
+            if len(data) - start < needed:
                 break
-            payload = bytes(self._buffer[start + LENGTH.size : end])
-            frames.append(decode(payload))
-            start = end
-        del self._buffer[:start]
-        return frames
+            yield decode(data[start + LENGTH.size : start + needed])
+            start += needed
+            needed = LENGTH.size
+        self._chunks = [data[start:]]
+        self._held_bytes = len(data) - start
+        self._needed_bytes = needed
--- a/src/savorytally/peer/messages.py
+++ b/src/savorytally/peer/messages.py
@@ -155,7 +155,8 @@
     :param status: the upstream's HTTP status.
     :param headers: end-to-end response headers.
     :param length: length of the whole body in bytes.
-    :param digest: XXH3 64-bit digest of the whole body.
+    :param digest: XXH3 64-bit digest of the whole body, seeded with the
+        call's identifier.
     :param retries_unused: retries that come back to the caller.
     :param repeated: whether it is a retained answer.
     :param load: the gate's shed level, see ``decisions.shedding``.
@@ -179,10 +180,12 @@
     """Continues the body of an answer.
 
     :param call_id: the call.
+    :param offset: bytes of the body before this piece.
     :param body: the next piece.
     """
 
     call_id: int
+    offset: int
     body: bytes
 
 
@@ -232,3 +235,14 @@
     """
 
     call_id: int
+
+
+@message(17)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settled(Message):
+    """Tells that the sender will not ask about earlier calls any more.
+
+    :param below: calls with a smaller identifier are settled.
+    """
+
+    below: int
--- /dev/null
+++ b/src/savorytally/peer/session.py
@@ -0,0 +1,102 @@
+"""One incoming stream and the calls that arrive on it."""
+
+import typing as t
+
+from .. import outcomes
+from .. import results
+from ..decisions import resolution
+from . import answers
+from . import messages
+from . import stream
+
+if t.TYPE_CHECKING:
+    from . import server
+
+
+class Session:
+    """Takes in what one peer sends on one stream.
+
+    :param owner: the server that accepted the stream.
+    """
+
+    def __init__(self, owner: "server.PeerServer") -> None:
+        self._server = owner
+        self._stream: stream.Stream | None = None
+        self.sender: resolution.Sender | None = None
+        self.dismissed = False
+
+    def opened(self, opened: stream.Stream) -> None:
+        """Keep the stream; the peer introduces itself first."""
+        self._stream = opened
+        self._server.opened(self)
+
+    def received(
+        self, source: stream.Stream, message: messages.Message
+    ) -> None:
+        """Take in a call, a question about one or a control message."""
+        if isinstance(message, messages.Hello):
+            self._greet(source, message)
+        elif self.sender is None:
+            self.abort()
+        elif isinstance(message, messages.Call):
+            self._server.start(self, message)
+        elif isinstance(message, messages.Cancel):
+            self._server.cancel(self.sender, message.call_id)
+        elif isinstance(message, messages.Resolve):
+            self._server.resolve(self, message)
+        elif isinstance(message, messages.Settled):
+            self._server.settle(self.sender, message.below)
+        elif isinstance(message, messages.Heartbeat):
+            source.send(messages.Heartbeat(message.sequence, True))
+        elif isinstance(message, messages.Goodbye):
+            self.dismissed = True
+            self._server.inbox.deliver(self.sender.host_id, message)
+        else:
+            self._server.inbox.deliver(self.sender.host_id, message)
+
+    def behind(self, source: stream.Stream, version: int) -> None:
+        """Pass on that the peer has a newer configuration."""
+        if self.sender is not None:
+            self._server.inbox.behind(self.sender.host_id, version)
+
+    def closed(self, closed: stream.Stream) -> None:
+        """Tell the server."""
+        self._server.closed(self)
+
+    def send(self, message: messages.Message) -> None:
+        """Send one message."""
+        if self._stream is not None and self._stream.open:
+            self._stream.send(message)
+
+    def answer(
+        self, call_id: int, outcome: outcomes.Outcome, level: int
+    ) -> None:
+        """Send the outcome of a call."""
+        if self._stream is not None and self._stream.open:
+            pieces = answers.to_messages(call_id, outcome, level)
+            self._stream.send_all(pieces)
+
+    def fail(self, call_id: int, code: results.ResultCode) -> None:
+        """End a call that this node knows no more about."""
+        self.answer(call_id, outcomes.Failure(code), -1)
+
+    def close(self) -> None:
+        """Send what is queued and close the stream."""
+        if self._stream is not None:
+            self._stream.close()
+
+    def abort(self) -> None:
+        """Close the stream at once."""
+        if self._stream is not None:
+            self._stream.abort()
+
+    def _greet(self, source: stream.Stream, hello: messages.Hello) -> None:
+        known = self.sender is not None
+        if known or hello.protocol != messages.PROTOCOL_VERSION:
+            self.abort()
+            return
+        source.host_id = hello.host_id
+        source.incarnation = hello.incarnation
+        self.sender = resolution.Sender(hello.host_id, hello.incarnation)
+        self._server.greeted(self)
+        source.send(self._server.identity.hello())
--- a/src/savorytally/ports.py
+++ b/src/savorytally/ports.py
@@ -4,6 +4,7 @@
 opening a port; the ``http`` and ``peer`` packages implement them for real.
 """
 
+import asyncio
 import dataclasses
 import random
 import typing as t
@@ -56,13 +57,34 @@
     level: int = -1
 
 
+Late = t.Callable[[CallResult], None]
+
+
+class Withdrawn(asyncio.CancelledError):
+    """A call was cancelled; tells what had become of it.
+
+    :param outcome: the failure that its sender is told.
+    """
+
+    def __init__(self, outcome: outcomes.Failure) -> None:
+        super().__init__(outcome.code.name)
+        self.outcome = outcome
+
+
 class Peers(t.Protocol):
     """The nodes of other hosts, and this one under its own name."""
 
-    async def call(self, target: host.Host, call: messages.Call) -> CallResult:
+    async def call(
+        self,
+        target: host.Host,
+        call: messages.Call,
+        late: Late | None = None,
+    ) -> CallResult:
         """Run a call at the target's gate.
 
         Cancelling the awaiting task sends ``Cancel`` to the gate.
+
+        :param late: called with the result of a call that was cancelled.
         """
 
     def send(self, target: host.Host, message: messages.Message) -> None:
--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -31,7 +31,10 @@
         ] = lambda target, call: None
 
     async def call(
-        self, target: host.Host, call: messages.Call
+        self,
+        target: host.Host,
+        call: messages.Call,
+        late: ports.Late | None = None,
     ) -> ports.CallResult:
         """Run the call at the target's gate."""
         self.calls.append(call)
