Admit by class, fair share, deadline and measured limit

Cause: the gate ran a fixed number of calls in order of arrival, so an overload made every caller wait, browsing delayed checklists, and work was done for calls that had already expired.

Change: the policy "adaptive" from small modules: a limiter that ramps up and tries lower limits only on evidence, start-time fair queueing by organisation inside strict classes, newest first under overload, refusal at once where the deadline can't be met, a shed level controlled by offered work, and shares that spare organisations below their fair share. A call now ends as answered, late, rejected, broken or withdrawn.

--- /dev/null
+++ b/src/savorytally/decisions/adaptive.py
@@ -0,0 +1,311 @@
+"""Admission that adapts to the upstream and protects classes and shares.
+
+The queue is short: it absorbs bursts, and while calls have been waiting for
+longer than a burst lasts it holds only what keeps the slots busy and serves
+the newest first (compare Maurer, "Fail at Scale", ACM Queue 2015). A call
+that can't be answered in time is refused as soon as that is known.
+"""
+
+import dataclasses
+import heapq
+
+from .. import results
+from ..world import route
+from ..world import upstream
+from . import admission
+from . import concurrency
+from . import fairness
+from . import level
+from . import service_time
+
+BURST_WAIT_S = 0.5
+OVERLOAD_WAIT_S = 0.05
+OVERLOAD_AFTER_S = 0.1
+SERVICE_UNKNOWN_S = 0.01
+RETRY_AFTER_MIN_MS = 50
+RETRY_AFTER_MAX_MS = 5_000
+PROBE_AFTER_S = 0.5
+ALONE_SPACING_S = 1.0
+ALONE_WAITING_MAX = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """Which mechanisms are in use; replay turns them off one by one."""
+
+    concurrency: bool = True
+    deadlines: bool = True
+    priority: bool = True
+    fairness: bool = True
+    newest_first: bool = True
+    levels: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Running:
+    """A started call."""
+
+    arrival: admission.Arrival
+    since: float
+
+
+@admission.policies.register("adaptive")
+class AdaptiveAdmission:
+    """Admission by measured limit, class, fair share and deadline.
+
+    :param capacity: the published slots and connections.
+    :param options: the mechanisms in use.
+    """
+
+    def __init__(
+        self,
+        capacity: admission.Capacity,
+        options: Options = Options(),
+    ) -> None:
+        self._options = options
+        self._capacity = capacity
+        self._limiter = concurrency.Limiter(_ceiling(capacity))
+        self._times = service_time.ServiceTimes()
+        self._queue = fairness.FairQueue(options.fairness, options.priority)
+        self._levels = level.LevelControl()
+        self._running: dict[int, _Running] = {}
+        self._alone: dict[int, admission.Arrival] = {}
+        self._alone_at = float("-inf")
+        self._deadlines: list[tuple[float, int]] = []
+        self._busy_since: float | None = None
+        self._answered_at = float("-inf")
+
+    @property
+    def running(self) -> int:
+        """Calls that are started and not finished."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Calls that wait."""
+        return len(self._queue) + len(self._alone)
+
+    @property
+    def limit(self) -> int:
+        """How many calls may run at once."""
+        if not self._options.concurrency:
+            return _ceiling(self._capacity)
+        return self._limiter.limit
+
+    def learn_capacity(self, capacity: admission.Capacity) -> None:
+        """Apply the published slots and connections."""
+        self._capacity = capacity
+        self._limiter.learn_ceiling(_ceiling(capacity))
+
+    def learn_report(self, report: upstream.LoadReport, now: float) -> None:
+        """Let a bad report cause a trial of a lower limit; no more."""
+        if not report.healthy or report.in_use > self._capacity.slots:
+            self._limiter.doubt()
+
+    def arrive(
+        self, arrival: admission.Arrival, now: float
+    ) -> list[admission.Decision]:
+        """Take in a new call; it may start, wait, or be refused."""
+        cost_s = self._times.mean(arrival.route_id, now) or SERVICE_UNKNOWN_S
+        self._levels.offered(arrival.priority, cost_s)
+        if self._hopeless(arrival, now, cost_s):
+            return [self._refuse(arrival, results.DEADLINE_TOO_SHORT)]
+        heapq.heappush(self._deadlines, (arrival.deadline, arrival.ticket))
+        if arrival.alone:
+            self._alone[arrival.ticket] = arrival
+        else:
+            self._queue.push(fairness.Waiting(arrival, cost_s, now))
+        decisions = self._start(now)
+        decisions += self._trim(now)
+        return decisions
+
+    def finish(
+        self, ticket: int, end: admission.End, now: float
+    ) -> list[admission.Decision]:
+        """Learn from the end of a started call and start others."""
+        ended = self._running.pop(ticket, None)
+        if ended is None:
+            return []
+        self._learn(ended, end, now)
+        decisions = self._start(now)
+        decisions += self._trim(now)
+        return decisions
+
+    def cancel(self, ticket: int, now: float) -> list[admission.Decision]:
+        """Forget a waiting call."""
+        self._queue.remove(ticket)
+        self._alone.pop(ticket, None)
+        return self._start(now)
+
+    def tick(self, now: float) -> list[admission.Decision]:
+        """Remove calls that can no longer be answered in time."""
+        decisions = self._start(now)
+        decisions += self._trim(now)
+        self._levels.update(self.limit, self._overloaded(now), now)
+        return decisions
+
+    def level(self, now: float) -> int:
+        """Return the shed level to publish."""
+        if not self._options.levels:
+            return 0
+        self._levels.update(self.limit, self._overloaded(now), now)
+        return self._levels.level
+
+    def _learn(self, ended: _Running, end: admission.End, now: float) -> None:
+        service_s = now - ended.since
+        route_id = ended.arrival.route_id
+        if end is admission.End.BROKEN:
+            self._limiter.broken(now)
+            return
+        if end is admission.End.REJECTED:
+            self._limiter.rejected(now)
+            return
+        if end is admission.End.LATE:
+            mean_s = self._times.mean(route_id, now)
+            self._times.observe(route_id, max(service_s, mean_s), now)
+            return
+        if end is admission.End.WITHDRAWN or ended.arrival.alone:
+            return
+        self._answered_at = now
+        self._times.observe(route_id, service_s, now)
+        sample = concurrency.Sample(
+            work_s=self._times.baseline(route_id),
+            service_s=service_s,
+            saturated=len(self._queue) > 0,
+        )
+        self._limiter.answered(sample, now)
+
+    def _start(self, now: float) -> list[admission.Decision]:
+        decisions = self._expire(now)
+        while True:
+            alone = self._next_alone(now)
+            if alone is not None:
+                if not self._running:
+                    decisions.append(self._run_alone(alone, now))
+                break
+            if self._isolated() or len(self._running) >= self.limit:
+                break
+            newest = self._options.newest_first and self._overloaded(now)
+            waiting = self._queue.pop(newest)
+            if waiting is None:
+                break
+            decisions.append(self._run_or_refuse(waiting, now))
+        self._note_waiting(now)
+        return decisions
+
+    def _run_or_refuse(
+        self, waiting: fairness.Waiting, now: float
+    ) -> admission.Decision:
+        arrival = waiting.arrival
+        need_s = 0.0
+        if len(self._queue) and self._overloaded(now):
+            need_s = self._times.high(arrival.route_id, now)
+        if self._hopeless(arrival, now, need_s):
+            return self._refuse(arrival, results.DEADLINE_TOO_SHORT)
+        self._running[arrival.ticket] = _Running(arrival, now)
+        return admission.Start(arrival.ticket)
+
+    def _hopeless(
+        self, arrival: admission.Arrival, now: float, need_s: float
+    ) -> bool:
+        remaining_s = arrival.deadline - now
+        if remaining_s <= 0:
+            return True
+        if not self._options.deadlines or not self._running:
+            return False
+        if now - self._answered_at > PROBE_AFTER_S:
+            return False
+        return remaining_s < need_s
+
+    def _isolated(self) -> bool:
+        return any(item.arrival.alone for item in self._running.values())
+
+    def _next_alone(self, now: float) -> admission.Arrival | None:
+        if not self._alone:
+            return None
+        best = max(self._alone.values(), key=lambda item: item.priority)
+        top = self._queue.top()
+        if top is not None and top > best.priority:
+            return None
+        critical = best.priority is route.Priority.CRITICAL
+        if not critical and now - self._alone_at < ALONE_SPACING_S:
+            return None
+        return best
+
+    def _run_alone(
+        self, arrival: admission.Arrival, now: float
+    ) -> admission.Decision:
+        self._alone_at = now
+        del self._alone[arrival.ticket]
+        self._running[arrival.ticket] = _Running(arrival, now)
+        return admission.Start(arrival.ticket)
+
+    def _expire(self, now: float) -> list[admission.Decision]:
+        refused: list[admission.Decision] = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, ticket = heapq.heappop(self._deadlines)
+            waiting = self._queue.remove(ticket)
+            arrival = self._alone.pop(ticket, None)
+            if waiting is not None:
+                arrival = waiting.arrival
+            if arrival is not None:
+                code = results.DEADLINE_TOO_SHORT
+                refused.append(self._refuse(arrival, code))
+        self._sweep_deadlines()
+        return refused
+
+    def _sweep_deadlines(self) -> None:
+        if len(self._deadlines) <= 4 * self.waiting + 64:
+            return
+        self._deadlines = [
+            item
+            for item in self._deadlines
+            if item[1] in self._alone or item[1] in self._queue
+        ]
+        heapq.heapify(self._deadlines)
+
+    def _trim(self, now: float) -> list[admission.Decision]:
+        refused: list[admission.Decision] = []
+        bound_s = self._bound_s(now)
+        while self._queue.work_s > bound_s and len(self._queue) > 1:
+            waiting = self._queue.evict()
+            if waiting is None:
+                break
+            code = results.SHED_AT_GATE
+            refused.append(self._refuse(waiting.arrival, code))
+        while len(self._alone) > ALONE_WAITING_MAX:
+            least = min(self._alone.values(), key=lambda item: item.priority)
+            if least.priority is route.Priority.CRITICAL:
+                break
+            del self._alone[least.ticket]
+            refused.append(self._refuse(least, results.SHED_AT_GATE))
+        return refused
+
+    def _bound_s(self, now: float) -> float:
+        wait_s = BURST_WAIT_S
+        if self._overloaded(now):
+            wait_s = OVERLOAD_WAIT_S
+        return self.limit * max(wait_s, self._times.overall_s)
+
+    def _overloaded(self, now: float) -> bool:
+        since = self._busy_since
+        return since is not None and now - since >= OVERLOAD_AFTER_S
+
+    def _note_waiting(self, now: float) -> None:
+        if not len(self._queue):
+            self._busy_since = None
+        elif self._busy_since is None:
+            self._busy_since = now
+
+    def _refuse(
+        self, arrival: admission.Arrival, code: results.ResultCode
+    ) -> admission.Refuse:
+        wait_s = self._queue.work_s / self.limit
+        pressure = max(1.0, self._levels.pressure(self.limit))
+        wait_ms = int(wait_s * pressure * 1000)
+        wait_ms = max(RETRY_AFTER_MIN_MS, min(wait_ms, RETRY_AFTER_MAX_MS))
+        return admission.Refuse(arrival.ticket, code, wait_ms)
+
+
+def _ceiling(capacity: admission.Capacity) -> int:
+    return max(1, min(capacity.slots, capacity.connections))
--- a/src/savorytally/decisions/admission.py
+++ b/src/savorytally/decisions/admission.py
@@ -4,11 +4,23 @@
 """
 
 import dataclasses
+import enum
 import typing as t
 
 from .. import registry
 from .. import results
 from ..world import route
+from ..world import upstream
+
+
+class End(enum.Enum):
+    """How a started call ended."""
+
+    ANSWERED = "answered"
+    LATE = "late"
+    REJECTED = "rejected"
+    BROKEN = "broken"
+    WITHDRAWN = "withdrawn"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,10 +78,16 @@
     def arrive(self, arrival: Arrival, now: float) -> list[Decision]:
         """Take in a new call; it may start, wait, or be refused."""
 
-    def finish(self, ticket: int, ok: bool, now: float) -> list[Decision]:
+    def learn_report(self, report: upstream.LoadReport, now: float) -> None:
+        """Note what the upstream says about its own load."""
+
+    def finish(self, ticket: int, end: End, now: float) -> list[Decision]:
         """Note the end of a started call.
 
-        :param ok: whether the upstream gave a whole answer in time.
+        :param end: ``ANSWERED`` with a whole answer in time, ``LATE`` if
+            the deadline passed, ``REJECTED`` if the upstream shed it itself,
+            ``BROKEN`` if the upstream failed or could not be reached,
+            ``WITHDRAWN`` if the caller gave up.
         """
 
     def cancel(self, ticket: int, now: float) -> list[Decision]:
--- /dev/null
+++ b/src/savorytally/decisions/concurrency.py
@@ -0,0 +1,189 @@
+"""The number of calls that run at one upstream at the same time.
+
+The limit never exceeds what is published. Below that, only the gate's own
+measurements move it: a broken upstream halves it, answers raise it again,
+and a lower limit is kept only after a trial has shown that the same work
+is done with it. The upstream's own reports can cause a trial and no more.
+"""
+
+import dataclasses
+
+COLD_SHARE = 0.25
+FLOOR_SHARE = 0.125
+CUT_SPACING_S = 0.1
+CUT_BROKEN = 0.5
+CUT_REJECTED = 0.9
+WINDOW_S = 0.25
+WINDOW_CALLS_PER_SLOT = 2
+SLOW_RATIO = 1.5
+NORMAL_RATIO = 1.2
+RATIO_GAIN = 0.05
+TRIAL_SHARE = 0.8
+TRIAL_KEEPS = 0.97
+TRIAL_GAINS = 1.03
+TRIAL_SPACING_S = 2.0
+TRIAL_SPACING_MAX_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """One answered call.
+
+    :param work_s: service time of its route without overload.
+    :param service_s: the time that it held its slot.
+    :param saturated: whether another call was waiting for its slot.
+    """
+
+    work_s: float
+    service_s: float
+    saturated: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Window:
+    """Work done during a period in which all permitted slots were used."""
+
+    start: float
+    work_s: float = 0.0
+    calls: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Trial:
+    """Another limit that is tried for one window.
+
+    :param previous: the limit before the trial.
+    :param rate: work done in a second before the trial.
+    """
+
+    previous: float
+    rate: float
+
+
+class Limiter:
+    """Adapts the limit within a published ceiling.
+
+    :param ceiling: the most calls that may run at once.
+    """
+
+    def __init__(self, ceiling: int) -> None:
+        self._ceiling = max(ceiling, 1)
+        self._ramp = max(1.0, self._ceiling * COLD_SHARE)
+        self._target = float(self._ceiling)
+        self._ratio = 1.0
+        self._cut_at = float("-inf")
+        self._window: _Window | None = None
+        self._trial: _Trial | None = None
+        self._trial_at = float("-inf")
+        self._spacing_s = TRIAL_SPACING_S
+        self._doubted = False
+
+    @property
+    def limit(self) -> int:
+        """How many calls may run at once."""
+        return max(1, int(min(self._ramp, self._target)))
+
+    def learn_ceiling(self, ceiling: int) -> None:
+        """Apply newly published slots; a higher one is ramped up to."""
+        if ceiling == self._ceiling:
+            return
+        self._ceiling = max(ceiling, 1)
+        self._ramp = max(min(self._ramp, self._ceiling), self._floor())
+        self._target = float(self._ceiling)
+        self._trial = None
+        self._window = None
+
+    def doubt(self) -> None:
+        """Note that the upstream reports overload or ill health."""
+        self._doubted = True
+
+    def answered(self, sample: Sample, now: float) -> None:
+        """Take in an answered call."""
+        if sample.work_s > 0:
+            ratio = sample.service_s / sample.work_s
+            self._ratio += RATIO_GAIN * (ratio - self._ratio)
+        if sample.saturated and self._ramp < self._ceiling:
+            self._ramp = min(self._ramp + 1.0, self._ceiling)
+            return
+        self._measure(sample, now)
+
+    def broken(self, now: float) -> None:
+        """Take in a call that the upstream failed or did not accept."""
+        self._cut(CUT_BROKEN, now)
+
+    def rejected(self, now: float) -> None:
+        """Take in a call that the upstream shed itself."""
+        self._cut(CUT_REJECTED, now)
+
+    def _cut(self, share: float, now: float) -> None:
+        self._window = None
+        self._abandon_trial()
+        if now - self._cut_at < CUT_SPACING_S:
+            return
+        self._cut_at = now
+        self._ramp = max(self._floor(), self._ramp * share)
+
+    def _floor(self) -> float:
+        return max(1.0, self._ceiling * FLOOR_SHARE)
+
+    def _measure(self, sample: Sample, now: float) -> None:
+        if not sample.saturated:
+            self._window = None
+            self._abandon_trial()
+            self._relax()
+            return
+        if self._window is None:
+            self._window = _Window(now)
+            return
+        window = self._window
+        if now < window.start:
+            return
+        window.work_s += sample.work_s
+        window.calls += 1
+        enough = window.calls >= WINDOW_CALLS_PER_SLOT * self.limit
+        if enough and now - window.start >= WINDOW_S:
+            self._close(window.work_s / (now - window.start), sample, now)
+
+    def _close(self, rate: float, sample: Sample, now: float) -> None:
+        if self._trial is not None:
+            self._judge(self._trial, rate, now)
+        else:
+            self._relax()
+            self._try(rate, now)
+        settle_s = sample.service_s if self._trial is not None else 0.0
+        self._window = _Window(now + settle_s)
+
+    def _relax(self) -> None:
+        if self._ratio < NORMAL_RATIO:
+            self._target = float(self._ceiling)
+            self._spacing_s = TRIAL_SPACING_S
+
+    def _try(self, rate: float, now: float) -> None:
+        if now - self._trial_at < self._spacing_s:
+            return
+        if self._target < self._ceiling:
+            self._begin(min(self._target / TRIAL_SHARE, self._ceiling), rate)
+        elif self._ratio > SLOW_RATIO or self._doubted:
+            self._begin(self._target * TRIAL_SHARE, rate)
+        self._doubted = False
+
+    def _begin(self, target: float, rate: float) -> None:
+        self._trial = _Trial(self._target, rate)
+        self._target = max(target, self._floor())
+
+    def _judge(self, trial: _Trial, rate: float, now: float) -> None:
+        raised = self._target > trial.previous
+        wanted = TRIAL_GAINS if raised else TRIAL_KEEPS
+        if rate >= wanted * trial.rate:
+            self._spacing_s = TRIAL_SPACING_S
+        else:
+            self._target = trial.previous
+            doubled_s = self._spacing_s * 2
+            self._spacing_s = min(doubled_s, TRIAL_SPACING_MAX_S)
+        self._trial = None
+        self._trial_at = now
+
+    def _abandon_trial(self) -> None:
+        if self._trial is not None:
+            self._target = self._trial.previous
+            self._trial = None
--- a/src/savorytally/decisions/fifo.py
+++ b/src/savorytally/decisions/fifo.py
@@ -3,6 +3,7 @@
 import collections
 
 from .. import results
+from ..world import upstream
 from . import admission
 
 QUEUE_LENGTH_PER_SLOT = 20
@@ -45,8 +46,11 @@
         self._queue[arrival.ticket] = arrival
         return self._start()
 
+    def learn_report(self, report: upstream.LoadReport, now: float) -> None:
+        """Do nothing."""
+
     def finish(
-        self, ticket: int, ok: bool, now: float
+        self, ticket: int, end: admission.End, now: float
     ) -> list[admission.Decision]:
         """Free the call's slot."""
         self._running.discard(ticket)
--- /dev/null
+++ b/src/savorytally/decisions/service_time.py
@@ -0,0 +1,76 @@
+"""Estimates how long the upstream works on a call of each route."""
+
+import dataclasses
+
+GAIN = 0.1
+STALE_AFTER_S = 0.5
+STALE_HALF_LIFE_S = 1.0
+BASELINE_RISE_S = 60.0
+HIGH_DEVIATIONS = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Estimate:
+    """Moving figures of one route, in seconds."""
+
+    mean_s: float
+    deviation_s: float
+    baseline_s: float
+    at: float
+
+
+class ServiceTimes:
+    """Moving mean and deviation of service times for each route.
+
+    An estimate without samples fades, so that a slow period can't bar a
+    route for longer than it lasts.
+    """
+
+    def __init__(self) -> None:
+        self._by_route: dict[str, _Estimate] = {}
+        self._overall_s = 0.0
+
+    @property
+    def overall_s(self) -> float:
+        """Moving mean over all routes in seconds, 0 before any sample."""
+        return self._overall_s
+
+    def observe(self, route_id: str, seconds: float, now: float) -> None:
+        """Take in the time that a finished call held its slot."""
+        overall_s = self._overall_s or seconds
+        self._overall_s = overall_s + GAIN * (seconds - overall_s)
+        known = self._by_route.get(route_id)
+        if known is None:
+            self._by_route[route_id] = _Estimate(seconds, 0.0, seconds, now)
+            return
+        error = seconds - known.mean_s
+        known.mean_s += GAIN * error
+        known.deviation_s += GAIN * (abs(error) - known.deviation_s)
+        rise = 1.0 + (now - known.at) / BASELINE_RISE_S
+        known.baseline_s = min(known.baseline_s * rise, known.mean_s)
+        known.at = now
+
+    def mean(self, route_id: str, now: float) -> float:
+        """Return the expected service time in seconds, 0 if unknown."""
+        known = self._by_route.get(route_id)
+        if known is None:
+            return self._overall_s
+        return known.mean_s * _trust(known, now)
+
+    def high(self, route_id: str, now: float) -> float:
+        """Return a time in seconds within which most calls are answered."""
+        known = self._by_route.get(route_id)
+        if known is None:
+            return self._overall_s
+        high_s = known.mean_s + HIGH_DEVIATIONS * known.deviation_s
+        return high_s * _trust(known, now)
+
+    def baseline(self, route_id: str) -> float:
+        """Return the service time without overload in seconds."""
+        known = self._by_route.get(route_id)
+        return known.baseline_s if known is not None else self._overall_s
+
+
+def _trust(known: _Estimate, now: float) -> float:
+    age_s = now - known.at - STALE_AFTER_S
+    return 0.5 ** (age_s / STALE_HALF_LIFE_S) if age_s > 0 else 1.0
--- /dev/null
+++ b/src/savorytally/decisions/shares.py
@@ -0,0 +1,114 @@
+"""Divides what a shed level admits of a class among organisations.
+
+Measured at the entry: an organisation below its max-min fair share keeps
+all its requests, and one above it is cut down to that share.
+"""
+
+import dataclasses
+import typing as t
+
+from ..world import route
+from . import shedding
+
+INTERVAL_S = 0.2
+GAIN = 0.3
+LEAST = 1e-3
+
+
+@dataclasses.dataclass(slots=True)
+class _Demand:
+    """Requests of one organisation in one class per interval."""
+
+    weight: float
+    rate: float = 0.0
+    count: int = 0
+
+
+def water_fill(
+    demands: t.Sequence[tuple[float, float]], capacity: float
+) -> float:
+    """Return the max-min fair allotment for a unit of weight.
+
+    :param demands: pairs of demand and weight.
+    :param capacity: what is divided, in the unit of the demands.
+    :return: the allotment; an organisation gets at most it times weight.
+    """
+    left = capacity
+    weights = sum(weight for _, weight in demands)
+    for demand, weight in sorted(demands, key=lambda item: item[0] / item[1]):
+        if demand / weight * weights >= left:
+            return left / weights
+        left -= demand
+        weights -= weight
+    return float("inf")
+
+
+class Shares:
+    """Moving demand of organisations, and what each may keep of it."""
+
+    def __init__(self) -> None:
+        self._demands: dict[tuple[route.Priority, str], _Demand] = {}
+        self._allotments: dict[tuple[route.Priority, int], float] = {}
+        self._until = float("-inf")
+
+    def note(
+        self,
+        priority: route.Priority,
+        organisation_id: str,
+        weight: float,
+        now: float,
+    ) -> None:
+        """Count a request before it is judged."""
+        if now >= self._until:
+            self._turn(now)
+        key = (priority, organisation_id)
+        demand = self._demands.get(key)
+        if demand is None:
+            demand = self._demands[key] = _Demand(max(weight, LEAST))
+        demand.count += 1
+
+    def share(
+        self, level: int, priority: route.Priority, organisation_id: str
+    ) -> float:
+        """Return the fraction of an organisation's requests to admit.
+
+        :param level: the shed level in force where they are to run.
+        """
+        part = shedding.admitted(level, priority)
+        demand = self._demands.get((priority, organisation_id))
+        if part in (0.0, 1.0) or demand is None or not demand.rate:
+            return part
+        key = (priority, level)
+        if key not in self._allotments:
+            self._allotments[key] = self._allot(part, priority)
+        return min(1.0, self._allotments[key] * demand.weight / demand.rate)
+
+    def admits(
+        self,
+        level: int,
+        priority: route.Priority,
+        organisation_id: str,
+        root_hash: int,
+    ) -> bool:
+        """Return whether a root request of an organisation is admitted."""
+        refused = 1.0 - self.share(level, priority, organisation_id)
+        return root_hash % shedding.STEPS >= refused * shedding.STEPS
+
+    def _allot(self, part: float, priority: route.Priority) -> float:
+        demands = [
+            (item.rate, item.weight)
+            for (held, _), item in self._demands.items()
+            if held == priority and item.rate > 0
+        ]
+        total = sum(rate for rate, _ in demands)
+        return water_fill(demands, part * total)
+
+    def _turn(self, now: float) -> None:
+        self._until = now + INTERVAL_S
+        self._allotments.clear()
+        for key, item in list(self._demands.items()):
+            gain = GAIN if item.rate else 1.0
+            item.rate += gain * (item.count - item.rate)
+            item.count = 0
+            if item.rate < LEAST:
+                del self._demands[key]
--- a/src/savorytally/decisions/shedding.py
+++ b/src/savorytally/decisions/shedding.py
@@ -42,3 +42,18 @@
 def load(level: int) -> float:
     """Return how many calls in flight a level outweighs in routing."""
     return level / STEPS
+
+
+def admitted(level: int, priority: route.Priority) -> float:
+    """Return the fraction of a class that a level admits."""
+    refused = (level - priority * STEPS) / STEPS
+    return 1.0 - min(max(refused, 0.0), 1.0)
+
+
+def level_for(priority: route.Priority, fraction: float) -> int:
+    """Return the level that admits a fraction of a class.
+
+    Lower classes are refused whole, higher ones admitted.
+    """
+    refused = round((1.0 - min(max(fraction, 0.0), 1.0)) * STEPS)
+    return min(priority * STEPS + refused, LEVEL_MAX)
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -9,6 +9,7 @@
 from . import ports
 from . import settings
 from . import view
+from .decisions import adaptive  # noqa: F401, registers a policy
 from .decisions import admission
 from .decisions import balanced  # noqa: F401, registers a policy
 from .decisions import downstream
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -15,6 +15,13 @@
 from . import headers
 from . import running
 
+_SERVICE_UNAVAILABLE = 503
+_UPSTREAM_FAULTS = (
+    results.NOT_DISPATCHED,
+    results.UPSTREAM_BROKEN,
+    results.ANSWER_TRUNCATED,
+)
+
 
 class Gate:
     """Runs calls at the local upstream as admission allows.
@@ -71,16 +78,18 @@
         decision = await self._admit(call, found, ticket, deadline)
         if isinstance(decision, admission.Refuse):
             return outcomes.Failure(
-                decision.code, retry_after_ms=decision.retry_after_ms
+                decision.code,
+                retry_after_ms=decision.retry_after_ms,
+                retries_unused=call.retries,
             )
-        ok = False
+        end = admission.End.WITHDRAWN
         try:
             outcome = await self._execute(call, found, deadline)
-            ok = isinstance(outcome, outcomes.Answer)
+            end = _end(outcome)
             return outcome
         finally:
             now = self._clock.now()
-            self._apply(self._admission.finish(ticket, ok, now))
+            self._apply(self._admission.finish(ticket, end, now))
 
     def _check(self, call: messages.Call) -> route.Route | outcomes.Failure:
         version = self._view.configuration
@@ -139,7 +148,8 @@
         now = self._clock.now()
         started = future.done() and not future.cancelled()
         if started and isinstance(future.result(), admission.Start):
-            self._apply(self._admission.finish(ticket, False, now))
+            end = admission.End.WITHDRAWN
+            self._apply(self._admission.finish(ticket, end, now))
             return
         self._apply(self._admission.cancel(ticket, now))
 
@@ -167,6 +177,18 @@
         return running.with_unused(outcome, budget.left)
 
 
+def _end(outcome: outcomes.Outcome) -> admission.End:
+    if isinstance(outcome, outcomes.Answer):
+        if outcome.status == _SERVICE_UNAVAILABLE:
+            return admission.End.REJECTED
+        return admission.End.ANSWERED
+    if outcome.code in _UPSTREAM_FAULTS:
+        return admission.End.BROKEN
+    if outcome.code is results.DEADLINE_PASSED:
+        return admission.End.LATE
+    return admission.End.WITHDRAWN
+
+
 def _upstream_request(
     call: messages.Call, found: route.Route, token: str
 ) -> ports.UpstreamRequest:
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,100 @@
+"""Shed levels, their control, and the share of each organisation."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from savorytally.decisions import level
+from savorytally.decisions import shares
+from savorytally.decisions import shedding
+from savorytally.world import route
+
+BROWSING = route.Priority.BROWSING
+CRITICAL = route.Priority.CRITICAL
+
+
+class TestWaterFill:
+    @given(
+        st.lists(
+            st.tuples(st.floats(0.1, 1e3), st.floats(0.1, 10)), min_size=1
+        ),
+        st.floats(0.1, 1e3),
+    )
+    def test_divides_all_that_is_wanted(self, demands, capacity):
+        unit = shares.water_fill(demands, capacity)
+        given_out = sum(min(demand, unit * w) for demand, w in demands)
+        wanted = sum(demand for demand, _ in demands)
+        assert given_out == pytest.approx(min(wanted, capacity))
+
+
+class TestShares:
+    def test_only_organisations_above_their_share_are_cut(self):
+        measured = shares.Shares()
+        now = 0.0
+        for _ in range(20):
+            now += shares.INTERVAL_S
+            for _ in range(60):
+                measured.note(BROWSING, "big", 1.0, now)
+            for _ in range(10):
+                measured.note(BROWSING, "small", 1.0, now)
+        half = shedding.level_for(BROWSING, 0.5)
+        assert measured.share(half, BROWSING, "small") == 1.0
+        big = measured.share(half, BROWSING, "big")
+        assert big == pytest.approx(25 / 60, rel=0.05)
+
+    @given(st.integers(0, shedding.LEVEL_MAX), st.integers(0, 1 << 32))
+    def test_higher_class_is_never_cut_before_a_lower(self, at, root_hash):
+        measured = shares.Shares()
+        kept = [
+            measured.admits(at, item, "org0", root_hash)
+            for item in sorted(route.Priority)
+        ]
+        assert kept == sorted(kept)
+        assert kept == [
+            shedding.admits(at, item, root_hash)
+            for item in sorted(route.Priority)
+        ]
+
+
+class TestLevelControl:
+    @staticmethod
+    def converge(demand, limit=10, seconds=5.0, control=None, now=0.0):
+        """Offer browsing of ``demand`` slots to callers that obey."""
+        control = control or level.LevelControl()
+        source = random.Random(1)
+        admitted = 0
+        for _ in range(int(seconds / level.INTERVAL_S)):
+            now += level.INTERVAL_S
+            admitted = 0
+            for _ in range(int(demand * 10)):
+                root = source.getrandbits(32)
+                if shedding.admits(control.level, BROWSING, root):
+                    admitted += 1
+                    control.offered(BROWSING, level.INTERVAL_S / 10)
+            control.update(limit, admitted > limit * 10, now)
+        return control, admitted / 10
+
+    def test_twofold_demand_is_cut_to_slightly_above_capacity(self):
+        _, admitted = self.converge(demand=20)
+        assert 10.0 <= admitted <= 13.0
+
+    def test_no_overload_means_no_level(self):
+        control, _ = self.converge(demand=8)
+        assert control.level == 0
+
+    def test_level_falls_soon_after_the_overload(self):
+        control, _ = self.converge(demand=60)
+        assert control.level > 0
+        self.converge(demand=8, seconds=2.0, control=control, now=5.0)
+        assert control.level == 0
+
+    def test_lower_classes_go_first(self):
+        control = level.LevelControl()
+        for tick in range(50):
+            control.offered(CRITICAL, 0.5)
+            control.offered(BROWSING, 2.0)
+            control.update(10, True, tick * 0.1)
+        assert shedding.admitted(control.level, CRITICAL) == 1.0
+        assert shedding.admitted(control.level, BROWSING) < 0.5
