Lend quota from shard owners without coordination

The baseline divides each rate evenly and knows no fleet. Rendezvous ownership with waits, releases and fencing; policy 'loans' with token loans inside a place and share loans between places.

--- /dev/null
+++ b/src/savorytally/decisions/loans.py
@@ -0,0 +1,433 @@
+"""Quota by expiring loans on two levels.
+
+The owner of a shard lends tokens to the entries of its place, and owners of
+the same shard in different places lend shares of the contract to each other;
+see ``docs/design/rates.md``.
+"""
+
+import dataclasses
+import itertools
+import math
+import typing as t
+
+import xxhash
+
+from ..peer import loans
+from ..peer import messages
+from ..world import configuration
+from ..world import host
+from ..world import organisation
+from . import account
+from . import bucket
+from . import ownership
+from . import participant
+from . import quota
+
+SHARDS_PER_PLACE = 4
+CLAIM_PERIOD_S = 0.3
+CLAIM_MAX_S = 5.0
+SHARE_PERIOD_S = 1.0
+SHARE_MIN = 0.001
+UNKNOWN_WAIT_MS = 60_000
+BUCKET_PERIOD_S = 0.5
+WITHDRAWN = organisation.Contract(frozenset(), 0.0, 0.0)
+
+Key = tuple[str, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Claim:
+    """A claim that has not been answered."""
+
+    nonce: int
+    first_at: float
+    asked_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class _ShareRequest:
+    """The latest request for a share of another place."""
+
+    sequence: int
+    region_id: str
+    asked_at: float
+
+
+def pinned_share(
+    version: configuration.Configuration, region_id: str
+) -> float:
+    """Return the fraction of every contract that is pinned to a place.
+
+    Places share in proportion to their data centres.
+    """
+    regions = version.regions
+    total = sum(len(item.data_centres) for item in regions.values())
+    own = regions.get(region_id)
+    return len(own.data_centres) / total if own and total else 0.0
+
+
+@quota.policies.register("loans")
+class LoanQuota:
+    """Admits requests with tokens that owners of shards lend.
+
+    :param site: this node and what it knows of its peers.
+    """
+
+    handles = (
+        loans.Borrow,
+        loans.Lend,
+        loans.BorrowShare,
+        loans.LendShare,
+        loans.Claim,
+        loans.Release,
+        loans.NotOwner,
+    )
+
+    def __init__(self, site: quota.Site) -> None:
+        self._site = site
+        self._ownership = ownership.Ownership(
+            site.host_id, site.region_id, site.evidence, site.fresh
+        )
+        self._contracts: dict[str, organisation.Contract] = {}
+        self._regions: tuple[str, ...] = ()
+        self._rankings: dict[str, ownership.Ranking] = {}
+        self._share = quota.PinnedShare(ownership.TAKEOVER_WAIT_S)
+        self._accounts: dict[str, account.Account] = {}
+        self._buckets: dict[Key, bucket.Bucket] = {}
+        self._claims: dict[Key, _Claim] = {}
+        self._releases: dict[Key, loans.Release] = {}
+        self._requests: dict[Key, _ShareRequest] = {}
+        self._totals: dict[str, tuple[int, int]] = {}
+        self._sequences = itertools.count(1)
+        self._buckets_at = -math.inf
+        self._receivers: dict[type, t.Callable[..., None]] = {
+            loans.Borrow: self._borrow,
+            loans.Lend: self._lend,
+            loans.BorrowShare: self._borrow_share,
+            loans.LendShare: self._lend_share,
+            loans.Claim: self._claim,
+            loans.Release: self._release,
+            loans.NotOwner: self._not_owner,
+        }
+        self._outbox: list[participant.Outgoing] = []
+
+    def usage(self) -> tuple[quota.Usage, ...]:
+        """Return what this node admitted and refused so far."""
+        names = sorted(set(self._totals) | set(self._accounts))
+        return tuple(self._usage(name) for name in names)
+
+    def learn_configuration(
+        self, version: configuration.Configuration, now: float
+    ) -> None:
+        """Apply the rates and bursts of a new configuration."""
+        self._contracts = {
+            identifier: item.contract
+            for identifier, item in version.organisations.items()
+        }
+        self._regions = tuple(sorted(version.regions))
+        share = pinned_share(version, self._site.region_id)
+        self._share.learn(share / SHARDS_PER_PLACE, now)
+        for name, item in list(self._accounts.items()):
+            if name in self._contracts:
+                item.learn_contract(self._contracts[name])
+            else:
+                self._close(name)
+        self._refit(now)
+
+    def learn_hosts(self, hosts: host.HostList, now: float) -> None:
+        """Apply a newer host list."""
+        self._ownership.learn_hosts(hosts, now)
+        self._claims.clear()
+        live: dict[str, set[str]] = {}
+        for item in hosts.hosts.values():
+            if item.live:
+                region_id = item.place.region_id
+                live.setdefault(region_id, set()).add(item.host_id)
+        none = ownership.Ranking(frozenset())
+        self._rankings = {
+            region_id: self._rankings.get(region_id, none).derive(
+                frozenset(names)
+            )
+            for region_id, names in live.items()
+        }
+
+    def take(
+        self, organisation_id: str, now: float
+    ) -> quota.Taken | quota.OverRate:
+        """Take one token for a request that arrives now."""
+        item = self._accounts.get(organisation_id)
+        if item is None:
+            item = self._open(organisation_id, now)
+            if item is None:
+                return quota.OverRate(UNKNOWN_WAIT_MS)
+        if item.take(now):
+            return quota.TAKEN
+        return quota.OverRate(item.wait_ms(now))
+
+    def receive(
+        self, sender: str, message: messages.Message, now: float
+    ) -> list[participant.Outgoing]:
+        """Take in one message and return what to send."""
+        self._receivers[type(message)](sender, message, now)
+        return self._flush()
+
+    def tick(self, now: float) -> list[participant.Outgoing]:
+        """Ask for tokens and shares that will be needed."""
+        self._ownership.tick(now)
+        if self._share.tick(now):
+            self._refit(now)
+        for name, item in list(self._accounts.items()):
+            for index, request in item.tick(now):
+                owner = self._ownership.owner(self._shard(name, index))
+                self._send(owner, request, now)
+            if item.idle:
+                self._close(name)
+        if now - self._buckets_at >= BUCKET_PERIOD_S:
+            self._buckets_at = now
+            self._tend_buckets(now)
+        return self._flush()
+
+    def _open(
+        self, organisation_id: str, now: float
+    ) -> account.Account | None:
+        contract = self._contracts.get(organisation_id)
+        if contract is None:
+            return None
+        name = f"{self._site.host_id}\0{organisation_id}"
+        item = account.Account(
+            organisation_id,
+            SHARDS_PER_PLACE,
+            xxhash.xxh3_64_intdigest(name.encode()) % SHARDS_PER_PLACE,
+            self._site.incarnation,
+            self._sequences,
+            now,
+        )
+        item.learn_contract(contract)
+        self._accounts[organisation_id] = item
+        return item
+
+    def _close(self, organisation_id: str) -> None:
+        used = self._usage(organisation_id)
+        del self._accounts[organisation_id]
+        self._totals[organisation_id] = (used.admitted, used.refused)
+
+    def _usage(self, organisation_id: str) -> quota.Usage:
+        admitted, refused = self._totals.get(organisation_id, (0, 0))
+        item = self._accounts.get(organisation_id)
+        return quota.Usage(
+            organisation_id=organisation_id,
+            admitted=admitted + (item.admitted if item else 0),
+            refused=refused + (item.refused if item else 0),
+            tokens=item.tokens if item else 0.0,
+        )
+
+    def _shard(self, organisation_id: str, index: int) -> str:
+        region_id = self._site.region_id
+        return f"quota/{region_id}/{organisation_id}/{index}"
+
+    def _refit(self, now: float) -> None:
+        for key, item in self._buckets.items():
+            contract = self._contracts.get(key[0], WITHDRAWN)
+            item.learn_contract(contract, self._share.value, now)
+
+    def _send(
+        self, host_id: str, message: messages.Message, now: float
+    ) -> None:
+        if host_id == self._site.host_id:
+            self._receivers[type(message)](host_id, message, now)
+        elif host_id:
+            self._outbox.append(participant.Outgoing(host_id, message))
+
+    def _flush(self) -> list[participant.Outgoing]:
+        outgoing, self._outbox = self._outbox, []
+        return outgoing
+
+    def _bucket(self, key: Key, now: float) -> bucket.Bucket | None:
+        """Return the bucket of a shard for which this node acts."""
+        shard = self._shard(*key)
+        contract = self._contracts.get(key[0])
+        valid = contract is not None and 0 <= key[1] < SHARDS_PER_PLACE
+        if not valid or not self._ownership.acts(shard, now):
+            return None
+        item = self._buckets.get(key)
+        if item is None:
+            item = bucket.Bucket(now)
+            item.learn_contract(contract, self._share.value, now)
+            item.fill(self._ownership.acting_since(shard), now)
+            self._buckets[key] = item
+        return item
+
+    def _borrow(self, sender: str, asked: loans.Borrow, now: float) -> None:
+        key = (asked.organisation_id, asked.index)
+        item = self._bucket(key, now)
+        if item is None:
+            self._ask_predecessor(key, now)
+            refusal = loans.NotOwner(*key, asked.sequence)
+            self._send(sender, refusal, now)
+            return
+        grant = item.lend(
+            (sender, asked.incarnation),
+            asked.sequence,
+            (asked.held, asked.returned),
+            asked.wanted,
+            now,
+        )
+        if grant is None:
+            return
+        answer = loans.Lend(
+            *key, asked.sequence, grant.kept, grant.tokens, grant.wait_ms
+        )
+        self._send(sender, answer, now)
+
+    def _lend(self, sender: str, lent: loans.Lend, now: float) -> None:
+        item = self._accounts.get(lent.organisation_id)
+        if item is not None:
+            item.lent(lent, now)
+
+    def _not_owner(
+        self, sender: str, refusal: loans.NotOwner, now: float
+    ) -> None:
+        item = self._accounts.get(refusal.organisation_id)
+        if item is not None:
+            item.not_owner(refusal, now)
+
+    def _ask_predecessor(self, key: Key, now: float) -> None:
+        shard = self._shard(*key)
+        if self._ownership.owner(shard) != self._site.host_id:
+            return
+        claim = self._claims.get(key)
+        if claim is not None and now - claim.asked_at < CLAIM_PERIOD_S:
+            return
+        if claim is None or now - claim.first_at > CLAIM_MAX_S:
+            nonce = self._site.random.getrandbits(63)
+            claim = _Claim(nonce, now, now)
+            self._claims[key] = claim
+        claim.asked_at = now
+        for host_id in self._ownership.predecessors(shard):
+            self._send(host_id, loans.Claim(*key, claim.nonce), now)
+
+    def _claim(self, sender: str, claim: loans.Claim, now: float) -> None:
+        key = (claim.organisation_id, claim.index)
+        known = self._releases.get(key)
+        if known is not None and known.nonce == claim.nonce:
+            self._send(sender, known, now)
+            return
+        contract = self._contracts.get(key[0])
+        if contract is None:
+            return
+        since = self._ownership.release(self._shard(*key), sender, now)
+        if since is None:
+            return
+        item = self._buckets.pop(key, None)
+        if item is None:
+            item = bucket.Bucket(now)
+            item.learn_contract(contract, self._share.value, now)
+            item.fill(since, now)
+        item.settle(now)
+        answer = loans.Release(
+            *key,
+            claim.nonce,
+            item.stored,
+            item.outstanding,
+            item.share_lent(now),
+        )
+        self._releases[key] = answer
+        self._send(sender, answer, now)
+
+    def _release(
+        self, sender: str, released: loans.Release, now: float
+    ) -> None:
+        key = (released.organisation_id, released.index)
+        claim = self._claims.get(key)
+        contract = self._contracts.get(key[0])
+        if claim is None or claim.nonce != released.nonce or not contract:
+            return
+        if now - claim.first_at > CLAIM_MAX_S:
+            return
+        if not self._ownership.accept(self._shard(*key), now):
+            return
+        del self._claims[key]
+        item = bucket.Bucket(now)
+        item.learn_contract(contract, self._share.value, now)
+        item.inherit(released.stored, released.lent, released.share_lent, now)
+        self._buckets[key] = item
+
+    def _borrow_share(
+        self, sender: str, asked: loans.BorrowShare, now: float
+    ) -> None:
+        if asked.region_id != self._site.region_id:
+            return
+        item = self._bucket((asked.organisation_id, asked.index), now)
+        if item is None:
+            return
+        share = item.lend_share(
+            (sender, asked.incarnation), asked.sequence, asked.share, now
+        )
+        if share is None:
+            return
+        answer = loans.LendShare(
+            asked.organisation_id,
+            asked.index,
+            asked.region_id,
+            asked.sequence,
+            share,
+        )
+        self._send(sender, answer, now)
+
+    def _lend_share(
+        self, sender: str, lent: loans.LendShare, now: float
+    ) -> None:
+        key = (lent.organisation_id, lent.index)
+        request = self._requests.get(key)
+        if request is None or request.sequence != lent.sequence:
+            return
+        del self._requests[key]
+        item = self._bucket(key, now)
+        if item is not None:
+            until = request.asked_at + bucket.SHARE_USE_S
+            item.borrowed(request.region_id, lent.share, until, now)
+
+    def _tend_buckets(self, now: float) -> None:
+        for key, item in list(self._buckets.items()):
+            shard = self._shard(*key)
+            if self._ownership.acts(shard, now):
+                item.settle(now)
+                self._ask_share(key, item, now)
+                if item.idle:
+                    del self._buckets[key]
+            elif not self._ownership.holds(shard):
+                del self._buckets[key]
+        self._releases = {
+            key: answer
+            for key, answer in self._releases.items()
+            if self._ownership.released(self._shard(*key))
+        }
+
+    def _ask_share(self, key: Key, item: bucket.Bucket, now: float) -> None:
+        request = self._requests.get(key)
+        if request and now - request.asked_at < SHARE_PERIOD_S:
+            return
+        wanted = item.extra_wanted(now)
+        others = [
+            name for name in self._regions if name != self._site.region_id
+        ]
+        if not others or wanted < SHARE_MIN:
+            return
+        region_id = item.next_lender(others, now)
+        rest = wanted - sum(item.extra_of(name) for name in others)
+        share = max(item.extra_of(region_id) + rest, 0.0)
+        ranking = self._rankings.get(region_id)
+        shard = f"quota/{region_id}/{key[0]}/{key[1]}"
+        if ranking is None or share < SHARE_MIN:
+            return
+        sequence = next(self._sequences)
+        self._requests[key] = _ShareRequest(sequence, region_id, now)
+        asked = loans.BorrowShare(
+            key[0],
+            key[1],
+            region_id,
+            self._site.incarnation,
+            sequence,
+            share,
+        )
+        self._send(ranking.owner(shard), asked, now)
--- a/src/savorytally/decisions/quota.py
+++ b/src/savorytally/decisions/quota.py
@@ -1,10 +1,14 @@
 """Fleet-wide rate and burst of organisations: the seam and a baseline."""
 
 import dataclasses
+import math
+import random
 import typing as t
 
 from .. import registry
 from ..world import configuration
+from ..world import host
+from . import ownership
 from . import participant
 
 
@@ -23,6 +27,85 @@
     retry_after_ms: int
 
 
+TAKEN = Taken()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """What one node admitted of one organisation since its start.
+
+    :param organisation_id: the organisation.
+    :param admitted: requests that were within rate and burst.
+    :param refused: requests that were refused.
+    :param tokens: borrowed tokens that are not spent.
+    """
+
+    organisation_id: str
+    admitted: int
+    refused: int
+    tokens: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Site:
+    """What a quota policy knows of its node.
+
+    :param host_id: the node's host.
+    :param region_id: its place.
+    :param incarnation: distinguishes a restarted node from its predecessor.
+    :param evidence: age of the host list and signs of life of peers.
+    :param random: seeded random source.
+    :param fresh: whether the operator declares that no earlier node of the
+        fleet can still be running.
+    """
+
+    host_id: str
+    region_id: str
+    incarnation: int
+    evidence: ownership.Evidence
+    random: random.Random
+    fresh: bool = False
+
+
+class PinnedShare:
+    """The share of a shard, which falls at once and rises after a wait.
+
+    Nodes learn a configuration at different times; a share may rise only
+    after the shares that fall with it have fallen everywhere.
+
+    :param wait_s: how long a rise waits.
+    """
+
+    def __init__(self, wait_s: float) -> None:
+        self._wait_s = wait_s
+        self._value = math.nan
+        self._later = 0.0
+        self._rises_at = math.inf
+
+    @property
+    def value(self) -> float:
+        """The share in force, 0 before the first configuration."""
+        return 0.0 if math.isnan(self._value) else self._value
+
+    def learn(self, share: float, now: float) -> None:
+        """Apply the share of a newer configuration."""
+        if math.isnan(self._value):
+            self._value = share
+        self._rises_at = math.inf
+        self._later = share
+        if share > self._value:
+            self._rises_at = now + self._wait_s
+        self._value = min(self._value, share)
+
+    def tick(self, now: float) -> bool:
+        """Let a rise take effect; return whether it did."""
+        if now < self._rises_at:
+            return False
+        self._value = self._later
+        self._rises_at = math.inf
+        return True
+
+
 class Quota(participant.Participant, t.Protocol):
     """Admits requests against the fleet-wide rate of organisations."""
 
@@ -31,11 +114,17 @@
     ) -> None:
         """Apply the rates and bursts of a new configuration."""
 
+    def learn_hosts(self, hosts: host.HostList, now: float) -> None:
+        """Apply a newer host list."""
+
+    def usage(self) -> tuple[Usage, ...]:
+        """Return what this node admitted and refused so far."""
+
     def take(self, organisation_id: str, now: float) -> Taken | OverRate:
         """Take one token for a request that arrives now."""
 
 
-policies: registry.Registry[t.Callable[..., Quota]] = registry.Registry(
+policies: registry.Registry[t.Callable[[Site], Quota]] = registry.Registry(
     "quota policy"
 )
 
@@ -44,12 +133,13 @@
 class LocalQuota:
     """Baseline: each node admits an equal part of the rate by itself.
 
+    :param site: this node.
     :param nodes: number of nodes among which the rate is divided.
     """
 
     handles = ()
 
-    def __init__(self, nodes: int = 1) -> None:
+    def __init__(self, site: Site, nodes: int = 1) -> None:
         self._nodes = nodes
         self._rates: dict[str, tuple[float, float]] = {}
         self._tokens: dict[str, tuple[float, float]] = {}
@@ -66,6 +156,13 @@
             for identifier, item in version.organisations.items()
         }
 
+    def learn_hosts(self, hosts: host.HostList, now: float) -> None:
+        """Do nothing."""
+
+    def usage(self) -> tuple[Usage, ...]:
+        """Return nothing; the baseline counts nothing."""
+        return ()
+
     def take(self, organisation_id: str, now: float) -> Taken | OverRate:
         """Take one token from this node's part of the bucket."""
         rate, burst = self._rates.get(organisation_id, (0.0, 0.0))
@@ -73,7 +170,7 @@
         tokens = min(burst, tokens + (now - at) * rate)
         if tokens >= 1.0:
             self._tokens[organisation_id] = (tokens - 1.0, now)
-            return Taken()
+            return TAKEN
         self._tokens[organisation_id] = (tokens, now)
         wait_s = (1.0 - tokens) / rate if rate else 60.0
         return OverRate(int(wait_s * 1000) + 1)
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -11,6 +11,8 @@
 from . import view
 from .decisions import admission
 from .decisions import fifo  # noqa: F401, registers a policy
+from .decisions import loans  # noqa: F401, registers a policy
+from .decisions import ownership
 from .decisions import quota
 from .decisions import routing
 from .http import platform
@@ -46,7 +48,17 @@
         self.outside = outside
         self.view = current
         self.tokens = running.RunningCalls()
-        self.quota = quota.policies.get(policies.quota)()
+        self.evidence = ownership.ListEvidence()
+        self.quota = quota.policies.get(policies.quota)(
+            quota.Site(
+                host_id=options.host_id,
+                region_id=options.place.region_id,
+                incarnation=int(outside.clock.wall() * 1000),
+                evidence=self.evidence,
+                random=outside.random,
+                fresh=options.fresh_fleet,
+            )
+        )
         self.routing = routing.policies.get(policies.routing)(
             options.place, outside.random
         )
@@ -65,7 +77,9 @@
         )
         self.control = control.Control(outside, self.view)
         self.control.add(self.quota)
-        self.watch = watch.PlatformWatch(outside, self.view)
+        self.watch = watch.PlatformWatch(
+            outside, self.view, self.evidence.confirm
+        )
         self.view.subscribe(self)
 
     def configuration_changed(self, now: float) -> None:
@@ -82,6 +96,7 @@
 
     def hosts_changed(self, now: float) -> None:
         """Apply a newer host list."""
+        self.quota.learn_hosts(self.view.hosts, now)
         self.routing.learn_hosts(self.view.hosts.hosts)
 
 
--- a/src/savorytally/parts/watch.py
+++ b/src/savorytally/parts/watch.py
@@ -15,15 +15,28 @@
 CONFIGURATION = "configuration"
 HOSTS = "hosts"
 
+_WAITS_S = {
+    CONFIGURATION: defaults.PLATFORM_WATCH_S,
+    HOSTS: defaults.HOST_LIST_WATCH_S,
+}
+
 
 class PlatformWatch:
     """Reads configuration and host list whenever they change.
 
     :param outside: clock and platform.
     :param current: receives what was read.
+    :param confirm: told of the host list's version at every reading, with
+        the time at which the reading began.
     """
 
-    def __init__(self, outside: ports.Outside, current: view.View) -> None:
+    def __init__(
+        self,
+        outside: ports.Outside,
+        current: view.View,
+        confirm: t.Callable[[int, float], None],
+    ) -> None:
+        self._confirm = confirm
         self._clock = outside.clock
         self._platform = outside.platform
         self._view = current
@@ -39,11 +52,11 @@
         self, name: str, take: t.Callable[[ports.Value], None]
     ) -> None:
         after = 0
+        wait_s = _WAITS_S[name]
         while True:
+            began_at = self._clock.now()
             try:
-                value = await self._platform.read(
-                    name, after, defaults.PLATFORM_WATCH_S
-                )
+                value = await self._platform.read(name, after, wait_s)
             except OSError as error:
                 logging.warning("code=9006 value=%s %s", name, error)
                 await asyncio.sleep(defaults.PLATFORM_RETRY_S)
@@ -51,6 +64,8 @@
             if value is not None:
                 after = max(after, value.version)
                 take(value)
+            if name == HOSTS and after == self._view.hosts.version:
+                self._confirm(after, began_at)
 
     def _take_configuration(self, value: ports.Value) -> None:
         read = document.read(json.loads(value.body))
--- a/src/savorytally/settings.py
+++ b/src/savorytally/settings.py
@@ -65,6 +65,8 @@
     :param entry_tls: TLS towards callers, ``None`` for plain HTTP.
     :param policies: names of the policies in use.
     :param trace_sample: fraction of root requests that are traced.
+    :param fresh_fleet: whether no node of an earlier fleet can still be
+        running, so that nothing is waited for at the start.
     """
 
     host_id: str
@@ -79,6 +81,7 @@
     entry_tls: Tls | None = None
     policies: Policies = Policies()
     trace_sample: float = 0.0
+    fresh_fleet: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +129,7 @@
         entry_tls=_read_tls(root, "entry_tls"),
         policies=_read_policies(root.child("policies")),
         trace_sample=root.number("trace_sample", float, 0.0, 1.0, 0.0),
+        fresh_fleet=root.take("fresh_fleet", bool, False),
     )
     root.finish()
     return Refused(tuple(faults)) if faults else settings
