--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -14,6 +14,8 @@
 from .decisions import balanced  # noqa: F401, registers a policy
 from .decisions import downstream
 from .decisions import fifo  # noqa: F401, registers a policy
+from .decisions import loans  # noqa: F401, registers a policy
+from .decisions import ownership
 from .decisions import quota
 from .decisions import routing
 from .http import platform
@@ -50,7 +52,17 @@
         self.outside = outside
         self.view = current
         self.tokens = running.RunningCalls()
-        self.quota = quota.policies.get(policies.quota)()
+        self.evidence = ownership.ListEvidence()
+        self.quota = quota.policies.get(policies.quota)(
+            quota.Site(
+                host_id=options.host_id,
+                region_id=options.place.region_id,
+                incarnation=int(outside.clock.wall() * 1000),
+                evidence=self.evidence,
+                random=outside.random,
+                fresh=options.fresh_fleet,
+            )
+        )
         self.routing = routing.policies.get(policies.routing)(
             options.place, outside.random
         )
@@ -73,7 +85,9 @@
         )
         self.control = control.Control(outside, self.view)
         self.control.add(self.quota)
-        self.watch = watch.PlatformWatch(outside, self.view)
+        self.watch = watch.PlatformWatch(
+            outside, self.view, self.evidence.confirm
+        )
         self.view.subscribe(self)
 
     def configuration_changed(self, now: float) -> None:
@@ -92,6 +106,7 @@
 
     def hosts_changed(self, now: float) -> None:
         """Apply a newer host list."""
+        self.quota.learn_hosts(self.view.hosts, now)
         self.routing.learn_hosts(self.view.hosts.hosts, now)
 
 
