Shed at the entry by organisations' fair shares

Cause: a shed level cut every organisation of a class by the same fraction, so that one sender above its share took capacity from others.

Change: the dispatcher measures demand by class and organisation and judges a host's level by the organisation's max-min share; a question to routing carries that judgement.

--- a/src/savorytally/decisions/balanced.py
+++ b/src/savorytally/decisions/balanced.py
@@ -176,11 +176,7 @@
         return [
             item
             for item in hosts
-            if shedding.admits(
-                self._of(item.host_id).level(now),
-                question.priority,
-                question.root_hash,
-            )
+            if question.admits(self._of(item.host_id).level(now))
         ]
 
     def _choose_far(
--- a/src/savorytally/decisions/routing.py
+++ b/src/savorytally/decisions/routing.py
@@ -14,20 +14,25 @@
 LEVEL_UNKNOWN = -1
 
 
+def admits_all(level: int) -> bool:
+    """Admit a call whatever the shed level."""
+    return True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Question:
     """What routing needs to know of a call.
 
     :param service_id: the service to be called.
     :param priority: the class of its route.
-    :param root_hash: evenly spread number of the root request, 32 bits.
+    :param admits: returns whether a shed level admits the call.
     :param size_bytes: what it is expected to move over a link.
     :param tried: hosts of earlier attempts at this call.
     """
 
     service_id: str
     priority: route.Priority
-    root_hash: int = 0
+    admits: t.Callable[[int], bool] = admits_all
     size_bytes: int = 0
     tried: frozenset[str] = frozenset()
 
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -12,6 +12,7 @@
 from ..decisions import estimates
 from ..decisions import retry
 from ..decisions import routing
+from ..decisions import shares
 from ..peer import messages
 from ..world import configuration
 from ..world import host
@@ -62,12 +63,18 @@
         self._routing = choice
         self._ratio = retry.RetryRatio(configuration.RetryPolicy().ratio)
         self._answers = estimates.Estimates()
+        self._shares = shares.Shares()
+        self._weights: dict[str, float] = {}
         self._ids = itertools.count(1)
 
     def learn_configuration(
         self, version: configuration.Configuration
     ) -> None:
-        """Apply the retry ratio of a newer configuration."""
+        """Apply the retry ratio and weights of a newer configuration."""
+        self._weights = {
+            identifier: item.contract.weight
+            for identifier, item in version.organisations.items()
+        }
         self._ratio.learn_ratio(version.retries.ratio)
 
     async def run(self, job: Job) -> outcomes.Outcome:
@@ -75,6 +82,7 @@
         tried: set[str] = set()
         last: outcomes.Outcome | None = None
         self._ratio.first_attempt()
+        self._note_demand(job.context)
         for attempt in itertools.count():
             choice = self._choose(job, tried)
             if isinstance(choice, routing.Unavailable):
@@ -92,10 +100,16 @@
     def _choose(self, job: Job, tried: set[str]) -> routing.Choice:
         route_id = job.route.route_id
         request_bytes = len(job.request.body)
+        hashed = root_hash(job.context.root_id)
         question = routing.Question(
             service_id=job.route.service_id,
             priority=job.context.priority,
-            root_hash=root_hash(job.context.root_id),
+            admits=lambda level: self._shares.admits(
+                level,
+                job.context.priority,
+                job.context.organisation_id,
+                hashed,
+            ),
             size_bytes=max(
                 request_bytes, int(self._answers.size_bytes(route_id))
             ),
@@ -103,6 +117,14 @@
         )
         return self._routing.choose(question, self._clock.now())
 
+    def _note_demand(self, above: context.Context) -> None:
+        self._shares.note(
+            above.priority,
+            above.organisation_id,
+            self._weights.get(above.organisation_id, 1.0),
+            self._clock.now(),
+        )
+
     def _prospect(self, job: Job) -> retry.Attempt:
         return retry.Attempt(
             idempotent=job.route.idempotent,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -38,7 +38,10 @@
 
 
 def ask(priority=BROWSING, **fields):
-    return routing.Question("browse", priority, **fields)
+    def admits(level):
+        return shedding.admits(level, priority, 0)
+
+    return routing.Question("browse", priority, admits, **fields)
 
 
 def report(host_id, ok=True, level=0, size_bytes=0):
--- /dev/null
+++ b/tools/capacity/deployments.py
@@ -0,0 +1,116 @@
+"""The deployments for which costs are worked out."""
+
+import dataclasses
+
+DAY_S = 86_400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Sizes of one deployment.
+
+    :param name: its name.
+    :param hosts: endpoints, each with its node.
+    :param services: groups of interchangeable upstreams.
+    :param regions: regions.
+    :param data_centres: data centres over all regions.
+    :param organisations: organisations.
+    :param organisations_active: organisations that one node serves.
+    :param calls_per_s: calls over all hops of all chains.
+    :param depth: calls in the longest chain.
+    :param services_called: services that one node's upstream calls.
+    :param callers: nodes that call one node.
+    :param running: calls that one upstream works on at once.
+    :param changes_per_s: changes of the configuration.
+    :param moves_per_s: hosts that start, leave or fail.
+    """
+
+    name: str
+    hosts: int
+    services: int
+    regions: int
+    data_centres: int
+    organisations: int
+    organisations_active: int
+    calls_per_s: float
+    depth: int
+    services_called: int
+    callers: int
+    running: int
+    changes_per_s: float
+    moves_per_s: float
+
+    @property
+    def hosts_per_service(self) -> float:
+        """Hosts of one service."""
+        return self.hosts / self.services
+
+    @property
+    def hosts_per_place(self) -> float:
+        """Hosts of one data centre."""
+        return self.hosts / self.data_centres
+
+    @property
+    def calls_per_node(self) -> float:
+        """Calls a second that one gate runs."""
+        return self.calls_per_s / self.hosts
+
+    @property
+    def streams(self) -> float:
+        """Peer streams of one node, in both directions."""
+        called = self.services_called * self.hosts_per_service
+        return min(called, self.hosts) + self.callers
+
+
+HIMALI = Deployment(
+    name="Himali",
+    hosts=18,
+    services=4,
+    regions=2,
+    data_centres=4,
+    organisations=8,
+    organisations_active=8,
+    calls_per_s=2_000,
+    depth=3,
+    services_called=3,
+    callers=17,
+    running=35,
+    changes_per_s=0.01,
+    moves_per_s=0.001,
+)
+
+PETTIGREW = Deployment(
+    name="Pettigrew",
+    hosts=16,
+    services=4,
+    regions=2,
+    data_centres=2,
+    organisations=8,
+    organisations_active=8,
+    calls_per_s=2_000,
+    depth=3,
+    services_called=3,
+    callers=15,
+    running=75,
+    changes_per_s=0.01,
+    moves_per_s=0.001,
+)
+
+IN_TWO_YEARS = Deployment(
+    name="In two years",
+    hosts=31_000,
+    services=1_800,
+    regions=8,
+    data_centres=25,
+    organisations=1_000,
+    organisations_active=100,
+    calls_per_s=6_500_000,
+    depth=22,
+    services_called=6,
+    callers=100,
+    running=40,
+    changes_per_s=79_000 / DAY_S,
+    moves_per_s=2 * (3_500 + 65) / DAY_S,
+)
+
+ALL = (HIMALI, PETTIGREW, IN_TWO_YEARS)
