State the organisation to upstreams and refuse a foreign one

Cause: a caller could name another organisation in X-Organisation and an upstream that trusts the header would act for it.

Change: the header is removed on arrival, must resolve, in any naming scheme, to the key's own organisation, and is stated anew by the gate.

Conclusion: an upstream may trust the header.

--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -74,6 +74,10 @@
         caller = _identify(version, found.route, key)
         if isinstance(caller, outcomes.Failure):
             return caller
+        if not _same_organisation(version, request, caller):
+            return outcomes.Failure(
+                results.NOT_PERMITTED, headers.ORGANISATION
+            )
         if key and _repeats_key(request, key):
             return outcomes.Failure(results.KEY_MISPLACED)
         idempotency_key = request.header(headers.IDEMPOTENCY_KEY)
@@ -164,6 +168,19 @@
     return Caller(holder.organisation_id, digest[:KEY_ID_LENGTH])
 
 
+def _same_organisation(
+    version: configuration.Configuration,
+    request: context.Request,
+    caller: Caller,
+) -> bool:
+    """Return whether an organisation that is named is the key's own."""
+    named = request.header(headers.ORGANISATION)
+    if not named:
+        return True
+    resolved = version.organisation_names.resolve(named)
+    return resolved == caller.organisation_id
+
+
 def _repeats_key(request: context.Request, key: str) -> bool:
     if key in request.path or key in request.query:
         return True
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -204,6 +204,8 @@
     if call.tail:
         path = f"{path.rstrip('/')}/{call.tail}"
     extra = [(headers.CALL_TOKEN, token), (headers.REQUEST_ID, call.root_id)]
+    if call.organisation_id:
+        extra.append((headers.ORGANISATION, call.organisation_id))
     return ports.UpstreamRequest(
         method=found.method,
         path=path,
--- a/src/savorytally/parts/headers.py
+++ b/src/savorytally/parts/headers.py
@@ -4,6 +4,7 @@
 
 AUTHORIZATION = "Authorization"
 API_KEY = "X-Api-Key"
+ORGANISATION = "X-Organisation"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 TIMEOUT_MS = "X-Request-Timeout-Ms"
 REQUEST_ID = "X-Request-Id"
@@ -31,11 +32,13 @@
     }
 )
 
-_SECRET = frozenset(
+# Removed on arrival: secrets, and what only a node may state.
+_REMOVED = frozenset(
     {
         AUTHORIZATION.lower(),
         API_KEY.lower(),
         CALL_TOKEN.lower(),
+        ORGANISATION.lower(),
     }
 )
 
@@ -43,10 +46,11 @@
 def end_to_end(headers: outcomes.Headers) -> outcomes.Headers:
     """Return the headers that travel to the other end.
 
-    Hop-by-hop headers and those that carry secrets are left out.
+    Hop-by-hop headers are left out, those that carry secrets, and the
+    organisation, which a gate states anew.
     """
     return tuple(
         (name, value)
         for name, value in headers
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in _SECRET
+        if name.lower() not in _HOP_BY_HOP and name.lower() not in _REMOVED
     )
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -62,6 +62,31 @@
         assert outcome.code is code
         assert fleet.peers.calls == []
 
+    def test_organisation_must_be_the_key_s_own(self, run, fleet):
+        made = fleet.add("browse-0", answer_ok)
+        fleet.add("browse-2", answer_ok)
+        foreign = get("/browse/species", X_Organisation="ORG2")
+        outcome = run(made.entry.handle(foreign))
+        assert outcome.code is results.NOT_PERMITTED
+        own = get("/browse/species", X_Organisation="ORG1")
+        assert run(made.entry.handle(own)).code is results.ANSWERED
+
+    def test_upstream_is_told_the_key_s_organisation(self, run, fleet):
+        told = []
+
+        async def note(request, timeout_s):
+            told.extend(
+                value
+                for name, value in request.headers
+                if name == headers.ORGANISATION
+            )
+            return OK
+
+        made = fleet.add("browse-0", note)
+        fleet.add("browse-2", note)
+        run(made.entry.handle(get("/browse/species", "org3")))
+        assert told == ["org3"]
+
     def test_every_naming_scheme_reaches_the_same_route(self, run, fleet):
         made = fleet.add("browse-0", answer_ok)
         fleet.add("browse-2", answer_ok)
