--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -19,6 +19,9 @@
 ]
 
 
+LOCAL = settings.Policies(quota="local")
+
+
 class DirectPeers:
     """Calls other nodes' gates in the same process."""
 
--- a/tools/capacity/probes_calls.py
+++ b/tools/capacity/probes_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 from savorytally import defaults
 from savorytally import outcomes
@@ -12,6 +13,7 @@
 from savorytally.parts import running
 from savorytally.peer import answers
 from savorytally.peer import codec
+from savorytally.peer import identity
 from savorytally.peer import links
 from savorytally.peer import messages
 from savorytally.peer import server
@@ -58,9 +60,14 @@
     """Encode and decode a call and its answer, as two nodes do."""
     splitter = codec.Splitter()
     splitter.feed(codec.encode(call, 7))
+    assembly = answers.Assembly()
     for message in answers.to_messages(call.call_id, answer, 0):
         (frame,) = splitter.feed(codec.encode(message, 7))
-    answers.Assembly(frame.message).outcome()
+        if isinstance(frame.message, messages.AnswerHead):
+            assembly.add_head(frame.message)
+        else:
+            assembly.add_piece(frame.message)
+    assembly.outcome()
 
 
 @slopes.probe("peer hop coding", "us", "body byte", BODY_BYTES)
@@ -73,6 +80,19 @@
     return meter.cpu_us(lambda: _hop(call, answer), ROUNDS)
 
 
+@slopes.probe("peer hop base", "us", "call", HEARTBEAT_COUNTS)
+def peer_hop_base(count: int) -> float:
+    """Measure coding of calls with short answers, both ends together."""
+    call = a_call()
+    answer = outcomes.Answer(200, (("Content-Type", "text/plain"),), b"ok")
+
+    def hops() -> None:
+        for _ in range(count):
+            _hop(call, answer)
+
+    return meter.cpu_us(hops)
+
+
 @slopes.probe("call frame size", "B", "body byte", BODY_BYTES)
 def call_frame_size(size: int) -> float:
     """Measure the frame of a call."""
@@ -151,13 +171,26 @@
     async def run(call: messages.Call) -> outcomes.Outcome:
         return outcomes.Answer(200, (), b"")
 
-    listening = server.PeerServer(
-        links.Identity("server", 1), run, lambda call: 0, lambda: 1, _Inbox()
+    inbox = _Inbox()
+    handlers = server.Handlers(
+        run=run,
+        level=lambda call: 0,
+        version=lambda: 1,
+        inbox=inbox,
+        now=time.monotonic,
     )
+    listening = server.PeerServer(identity.Identity("server", 1), handlers)
     port = defaults.PEER_PORT + 20_000
     await listening.start("127.0.0.1", port)
     place = region.Place("region-0", "centre-0")
-    made = links.Links(links.Identity("client", 1), lambda: 1, _Inbox())
+    made = links.Links(
+        links.Shared(
+            identity=identity.Identity("client", 1),
+            version=lambda: 1,
+            inbox=inbox,
+            random=random.Random(1),
+        )
+    )
     targets = [
         host.Host(f"h{number}", "s", place, "127.0.0.1", port)
         for number in range(count)
