Give the command line its commands and the node JSON logs

The command line imported the whole node for any command, had no work on configuration documents, and logs were plain text without a guard against keys. Settings checked types only. Logs are JSON lines with request id and code, with header secrets redacted as a second guard. Settings check addresses, URLs, ports, the admin section and the names of policies; admin_token became admin.token or admin.token_variable. The administration API serves status, configuration, hosts, limits, a dry run of a patch and drain.

--- a/src/savorytally/cli.py
+++ b/src/savorytally/cli.py
@@ -1,89 +1,33 @@
 """The command line."""
 
 import argparse
-import asyncio
-import pathlib
-import sys
-import typing as t
 
-import uvloop
+from . import commands
+from .commands import base
+from .commands import config  # noqa: F401, registers a command
+from .commands import node  # noqa: F401, registers a command
+from .commands import status  # noqa: F401, registers a command
+from .commands import version  # noqa: F401, registers a command
 
-from . import __version__
-from . import node
-from . import registry
-from . import settings
+_DESCRIPTION = """\
+Overload control layer for service call graphs.
 
-EXIT_OK = 0
-EXIT_FAULT = 1
-EXIT_USAGE = 2
-
-
-class Command(t.Protocol):
-    """One subcommand."""
-
-    def arguments(self, parser: argparse.ArgumentParser) -> None:
-        """Declare the subcommand's arguments."""
-
-    def run(self, given: argparse.Namespace) -> int:
-        """Carry it out and return the exit code."""
-
-
-commands: registry.Registry[type[Command]] = registry.Registry("command")
-
-
-@commands.register("node")
-class NodeCommand:
-    """Run the node of one host until it is told to stop."""
-
-    def arguments(self, parser: argparse.ArgumentParser) -> None:
-        """Declare the settings file."""
-        parser.add_argument(
-            "--settings",
-            type=pathlib.Path,
-            required=True,
-            metavar="FILE",
-            help="settings of the node, JSON with comments",
-        )
-
-    def run(self, given: argparse.Namespace) -> int:
-        """Run the node."""
-        read = settings.load(given.settings)
-        if isinstance(read, settings.Refused):
-            for fault in read.faults:
-                place = f"{given.settings}: {fault.place}"
-                print(f"9001 {place}: {fault.text}", file=sys.stderr)
-            return EXIT_FAULT
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(node.Daemon(read).run())
-        return EXIT_OK
-
-
-@commands.register("version")
-class VersionCommand:
-    """Print the program's version."""
-
-    def arguments(self, parser: argparse.ArgumentParser) -> None:
-        """Declare nothing."""
-
-    def run(self, given: argparse.Namespace) -> int:
-        """Print the version."""
-        print(__version__)
-        return EXIT_OK
+One node runs beside every upstream. Begin with a settings file and
+'savorytally node --settings FILE'; check configuration documents with
+'savorytally config check FILE'. Every command explains itself with --help.
+"""
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser of the whole command line."""
+    exits = "\n".join(f"  {code}  {text}" for code, text in base.EXITS.items())
     parser = argparse.ArgumentParser(
         prog="savorytally",
-        description="Overload control layer for service call graphs.",
+        description=_DESCRIPTION,
+        epilog=f"exit codes:\n{exits}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    below = parser.add_subparsers(metavar="COMMAND", required=True)
-    for name in commands.names():
-        command = commands.get(name)()
-        text = type(command).__doc__
-        child = below.add_parser(name, help=text, description=text)
-        command.arguments(child)
-        child.set_defaults(run=command.run)
+    base.add_commands(parser, commands.commands, "COMMAND")
     return parser
 
 
--- /dev/null
+++ b/src/savorytally/commands/version.py
@@ -0,0 +1,19 @@
+"""``savorytally version``."""
+
+import argparse
+
+from .. import __version__
+from . import base
+
+
+@base.commands.register("version")
+class VersionCommand:
+    """Print the program's version."""
+
+    def arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare nothing."""
+
+    def run(self, given: argparse.Namespace) -> int:
+        """Print the version."""
+        print(__version__)
+        return base.EXIT_OK
--- /dev/null
+++ b/src/savorytally/http/admin_views.py
@@ -0,0 +1,153 @@
+"""What the administration API shows, as JSON values without secrets."""
+
+import typing as t
+
+from .. import __version__
+from .. import fields
+from .. import results
+from ..decisions import usage
+from ..world import configuration
+from ..world import host
+from ..world import organisation
+from ..world import region
+from ..world import route
+from ..world import upstream
+
+KEY_DIGEST_SHOWN_LENGTH = 8
+
+Json = dict[str, t.Any]
+
+
+def show_faults(
+    code: results.ResultCode, faults: t.Iterable[fields.Fault]
+) -> Json:
+    """Show what is wrong with a request."""
+    return {
+        "code": code.number,
+        "name": code.name,
+        "summary": code.summary,
+        "advice": code.advice,
+        "faults": [
+            {"place": fault.place, "text": fault.text} for fault in faults
+        ],
+    }
+
+
+def show_configuration(item: configuration.Configuration) -> Json:
+    """Show a configuration without its members."""
+    return {
+        "version": item.version,
+        "schemes": list(item.schemes),
+        "retries": {
+            "per_root": item.retries.per_root,
+            "ratio": item.retries.ratio,
+        },
+        "members": {
+            kind: len(members) for kind, members in members_of(item).items()
+        },
+        "program": __version__,
+    }
+
+
+def members_of(
+    item: configuration.Configuration,
+) -> dict[str, t.Mapping[str, t.Any]]:
+    """Return the members of each section by identifier."""
+    return {
+        "organisations": item.organisations,
+        "services": item.services,
+        "routes": item.routes,
+        "regions": item.regions,
+        "links": {"-".join(pair): link for pair, link in item.links.items()},
+    }
+
+
+def show_member(item: t.Any) -> Json:
+    """Show one member of a section."""
+    return _SHOWN[type(item)](item)
+
+
+def show_host(item: host.Host) -> Json:
+    """Show a host of the host list."""
+    return {
+        "service": item.service_id,
+        "region": item.place.region_id,
+        "data_centre": item.place.data_centre_id,
+        "address": item.address,
+        "peer_port": item.peer_port,
+        "state": item.state.value,
+    }
+
+
+def show_limits(
+    item: organisation.Organisation, used: usage.Usage | None
+) -> Json:
+    """Show an organisation's limits and their use at this node."""
+    shown: Json = {
+        "rate_per_s": item.contract.rate_per_s,
+        "burst": item.contract.burst,
+        "weight": item.contract.weight,
+        "usage": None,
+    }
+    if used is not None:
+        shown["usage"] = {
+            "tokens": used.tokens,
+            "admitted": used.admitted,
+            "refused": used.refused,
+        }
+    return shown
+
+
+def _show_organisation(item: organisation.Organisation) -> Json:
+    return {
+        "names": dict(item.names),
+        "key_digests": sorted(
+            digest[:KEY_DIGEST_SHOWN_LENGTH] for digest in item.key_digests
+        ),
+        "routes": sorted(item.contract.routes),
+        "rate_per_s": item.contract.rate_per_s,
+        "burst": item.contract.burst,
+        "weight": item.contract.weight,
+    }
+
+
+def _show_service(item: upstream.Service) -> Json:
+    return {
+        "names": dict(item.names),
+        "slots": item.slots,
+        "connections": item.connections,
+    }
+
+
+def _show_route(item: route.Route) -> Json:
+    return {
+        "service": item.service_id,
+        "names": dict(item.names),
+        "method": item.method,
+        "path": item.path,
+        "priority": item.priority.name.lower(),
+        "idempotent": item.idempotent,
+        "open": item.open,
+        "timeout_ms": item.timeout_ms,
+    }
+
+
+def _show_region(item: region.Region) -> Json:
+    return {"data_centres": list(item.data_centres)}
+
+
+def _show_link(item: region.Link) -> Json:
+    return {
+        "ends": list(item.ends),
+        "bits_per_s": item.bits_per_s,
+        "call_share": item.call_share,
+    }
+
+
+_SHOWN: dict[type, t.Callable[[t.Any], Json]] = {
+    organisation.Organisation: _show_organisation,
+    upstream.Service: _show_service,
+    route.Route: _show_route,
+    region.Region: _show_region,
+    region.Link: _show_link,
+}
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -6,6 +6,7 @@
 import signal
 
 from . import clock
+from . import fields
 from . import ports
 from . import settings
 from . import view
@@ -15,6 +16,7 @@
 from .decisions import fifo  # noqa: F401, registers a policy
 from .decisions import quota
 from .decisions import routing
+from .http import admin
 from .http import platform
 from .http import server
 from .http import upstream
@@ -30,6 +32,20 @@
 from .peer import server as peer_server
 
 
+def check_policies(chosen: settings.Policies) -> list[fields.Fault]:
+    """Return a fault for each policy that is not registered."""
+    known = {
+        "admission": admission.policies.names(),
+        "routing": routing.policies.names(),
+        "quota": quota.policies.names(),
+    }
+    return [
+        fields.Fault(f"/policies/{kind}", f"must be one of {', '.join(names)}")
+        for kind, names in known.items()
+        if getattr(chosen, kind) not in names
+    ]
+
+
 class Node:
     """The parts of one node, composed behind the seam to the outside.
 
@@ -124,8 +140,28 @@
         )
         self._entry_server = server.RequestServer(self.node.entry.handle)
         self._egress_server = server.RequestServer(self.node.egress.handle)
+        self.admin = admin.AdminServer(
+            options,
+            admin.Subject(
+                outside=outside,
+                current=current,
+                limits=self.node.quota,
+                admitted=self.node.gate.policy,
+                drain=self,
+            ),
+        )
+        self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def draining(self) -> bool:
+        """Whether the node takes no new work."""
+        return self._stopping.is_set()
+
+    def drain(self) -> None:
+        """Begin a graceful stop and return at once."""
+        self._stopping.set()
+
     def deliver(self, sender: str, message: messages.Message) -> None:
         """Hand a peer's control message to the participants."""
         self.node.control.deliver(sender, message)
@@ -144,6 +180,7 @@
         await self._peer_server.start(address, opened.peer)
         await self._egress_server.start("127.0.0.1", opened.egress)
         await self._entry_server.start(address, opened.entry)
+        await self.admin.start()
         self._tasks = [
             asyncio.ensure_future(self.node.watch.run()),
             asyncio.ensure_future(self.node.control.run()),
@@ -159,13 +196,13 @@
         self._links.close()
         await self._upstream.close()
         await self._platform.close()
+        await self.admin.stop()
 
     async def run(self) -> None:
         """Serve until the process is told to stop."""
         loop = asyncio.get_running_loop()
-        stopping = asyncio.Event()
         for number in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(number, stopping.set)
+            loop.add_signal_handler(number, self.drain)
         await self.start()
-        await stopping.wait()
+        await self._stopping.wait()
         await self.stop()
--- a/src/savorytally/ports.py
+++ b/src/savorytally/ports.py
@@ -111,3 +111,18 @@
     peers: Peers
     upstream: Upstream
     platform: Platform
+
+
+class Drain(t.Protocol):
+    """The graceful stop of a node."""
+
+    @property
+    def draining(self) -> bool:
+        """Whether the node takes no new work."""
+
+    def drain(self) -> None:
+        """Begin a graceful stop and return at once.
+
+        The node refuses new work, finishes its requests in progress and
+        ends its process. A repeated call changes nothing.
+        """
--- a/src/savorytally/results.py
+++ b/src/savorytally/results.py
@@ -25,7 +25,8 @@
 
     :param number: the code itself, stable across releases.
     :param name: its identifier in logs and metrics.
-    :param http_status: the status that a caller receives with it.
+    :param http_status: the status that comes with it, 0 if it never
+        travels over HTTP.
     :param summary: what happened.
     :param advice: what the caller should do next.
     """
@@ -339,21 +340,21 @@
 CONFIGURATION_FAULT = _code(
     9002,
     "configuration_fault",
-    0,
+    422,
     "The configuration document is malformed and was refused whole.",
     "Correct every place that the faults name.",
 )
 PATCH_VERSION_MISMATCH = _code(
     9003,
     "patch_version_mismatch",
-    0,
+    409,
     "The patch was made against another version.",
     "Make the patch against the current version.",
 )
 PATCH_FAULT = _code(
     9004,
     "patch_fault",
-    0,
+    422,
     "The patch is malformed or does not apply.",
     "Correct the operation that the fault names.",
 )
@@ -367,7 +368,7 @@
 PLATFORM_FAULT = _code(
     9006,
     "platform_fault",
-    0,
+    503,
     "The platform's service could not be read.",
     "Check the platform; the last accepted configuration stays in force.",
 )
@@ -378,3 +379,31 @@
     "A recorded trace is malformed.",
     "Correct the line that the fault names.",
 )
+ADMIN_UNAUTHORIZED = _code(
+    9008,
+    "admin_unauthorized",
+    401,
+    "The administration API was not given its token.",
+    "Send the token as a bearer token in the Authorization header.",
+)
+ADMIN_CLOSED = _code(
+    9009,
+    "admin_closed",
+    403,
+    "The settings name no token, so that the administration API is closed.",
+    "Set a token in the node's settings.",
+)
+ADMIN_NOT_FOUND = _code(
+    9010,
+    "admin_not_found",
+    404,
+    "The administration API has no such resource.",
+    "Check the path against the API's description.",
+)
+ADMIN_REQUEST_FAULT = _code(
+    9011,
+    "admin_request_fault",
+    400,
+    "A request to the administration API is malformed.",
+    "Correct the place that the fault names.",
+)
--- a/src/savorytally/settings.py
+++ b/src/savorytally/settings.py
@@ -1,13 +1,23 @@
 """Settings of one process, read from JSON with comments."""
 
 import dataclasses
+import ipaddress
 import pathlib
+import urllib.parse
 
 from . import defaults
 from . import fields
 from . import files
+from .world import names
 from .world import region
 
+ADMIN_TOKEN_MIN_LENGTH = 16
+
+_ADDRESS_RULE = "must be an IP number"
+_URL_RULE = "must be an http or https URL without user, query and fragment"
+_TOKEN_RULE = f"must have {ADMIN_TOKEN_MIN_LENGTH} or more ASCII characters"
+_LOG_LEVELS = {name: name for name in ("debug", "info", "warning", "error")}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ports:
@@ -31,12 +41,26 @@
 
     :param certificate: its chain, PEM.
     :param key: its private key, PEM.
-    :param authority: the fleet's authority, PEM.
+    :param authority: the fleet's authority, PEM; empty towards callers.
     """
 
     certificate: str
     key: str
-    authority: str
+    authority: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admin:
+    """The administration API.
+
+    :param address: the IP number to listen on.
+    :param token: the bearer token, empty for none.
+    :param token_variable: environment variable that holds the token.
+    """
+
+    address: str = "127.0.0.1"
+    token: str = dataclasses.field(default="", repr=False)
+    token_variable: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,11 +83,12 @@
     :param ports: TCP ports.
     :param upstream_url: base URL of the local upstream.
     :param platform_url: base URL of the platform's service.
-    :param admin_token: secret of the admin interface, empty to close it.
+    :param admin: the administration API.
     :param peer_tls: mutual TLS between nodes, ``None`` for plain TCP.
     :param entry_tls: TLS towards callers, ``None`` for plain HTTP.
     :param policies: names of the policies in use.
     :param trace_sample: fraction of root requests that are traced.
+    :param log_level: the least severe level of the logs.
     """
 
     host_id: str
@@ -73,11 +98,12 @@
     upstream_url: str
     platform_url: str
     ports: Ports = Ports()
-    admin_token: str = ""
+    admin: Admin = Admin()
     peer_tls: Tls | None = None
     entry_tls: Tls | None = None
     policies: Policies = Policies()
     trace_sample: float = 0.0
+    log_level: str = "info"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,35 +133,78 @@
     faults: list[fields.Fault] = []
     root = fields.Section(value, "", faults)
     settings = Settings(
-        host_id=root.take("host_id", str),
-        service_id=root.take("service", str),
+        host_id=root.text("host_id", names.well_formed, names.NAME_RULE),
+        service_id=root.text("service", names.well_formed, names.NAME_RULE),
         place=region.Place(
-            root.take("region", str),
-            root.take("data_centre", str),
+            root.text("region", names.well_formed, names.NAME_RULE),
+            root.text("data_centre", names.well_formed, names.NAME_RULE),
         ),
-        address=root.take("address", str),
-        upstream_url=root.take("upstream_url", str),
-        platform_url=root.take("platform_url", str),
+        address=root.text("address", _is_address, _ADDRESS_RULE),
+        upstream_url=root.text("upstream_url", _is_url, _URL_RULE),
+        platform_url=root.text("platform_url", _is_url, _URL_RULE),
         ports=_read_ports(root.child("ports")),
-        admin_token=root.take("admin_token", str, ""),
-        peer_tls=_read_tls(root, "peer_tls"),
-        entry_tls=_read_tls(root, "entry_tls"),
+        admin=_read_admin(root.child("admin")),
+        peer_tls=_read_tls(root, "peer_tls", mutual=True),
+        entry_tls=_read_tls(root, "entry_tls", mutual=False),
         policies=_read_policies(root.child("policies")),
         trace_sample=root.number("trace_sample", float, 0.0, 1.0, 0.0),
+        log_level=root.choice("log_level", _LOG_LEVELS, "info"),
     )
     root.finish()
     return Refused(tuple(faults)) if faults else settings
 
 
+def _is_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_url(text: str) -> bool:
+    try:
+        parts = urllib.parse.urlsplit(text)
+        port = parts.port
+    except ValueError:
+        return False
+    if parts.query or parts.fragment or parts.username or port == 0:
+        return False
+    return parts.scheme in ("http", "https") and bool(parts.hostname)
+
+
 def _read_ports(section: fields.Section) -> Ports:
     given = {
         field.name: section.number(field.name, int, 1, 65_535, field.default)
         for field in dataclasses.fields(Ports)
     }
     section.finish()
+    taken: dict[int, str] = {}
+    for name, port in given.items():
+        holder = taken.setdefault(port, name)
+        if port and holder != name:
+            section.fault(name, f"is the port of {holder} already")
     return Ports(**given)
 
 
+def _read_admin(section: fields.Section) -> Admin:
+    admin = Admin(
+        address=section.text(
+            "address", _is_address, _ADDRESS_RULE, Admin().address
+        ),
+        token=section.text("token", _is_token, _TOKEN_RULE, ""),
+        token_variable=section.take("token_variable", str, ""),
+    )
+    if admin.token and admin.token_variable:
+        section.fault("token_variable", "must be absent if a token is given")
+    section.finish()
+    return admin
+
+
+def _is_token(text: str) -> bool:
+    return len(text) >= ADMIN_TOKEN_MIN_LENGTH and text.isascii()
+
+
 def _read_policies(section: fields.Section) -> Policies:
     given = {
         field.name: section.take(field.name, str, field.default)
@@ -145,14 +214,14 @@
     return Policies(**given)
 
 
-def _read_tls(root: fields.Section, key: str) -> Tls | None:
+def _read_tls(root: fields.Section, key: str, mutual: bool) -> Tls | None:
     section = root.child(key)
     if not section.given:
         return None
     tls = Tls(
         certificate=section.take("certificate", str),
         key=section.take("key", str),
-        authority=section.take("authority", str),
+        authority=section.take("authority", str) if mutual else "",
     )
     section.finish()
     return tls
--- a/src/savorytally/world/sections.py
+++ b/src/savorytally/world/sections.py
@@ -21,6 +21,8 @@
 SECTION_COUNT_MAX = 4096
 DIGEST_LENGTH = 32
 
+HEAD = "configuration"
+
 _KINDS = ("organisations", "routes", "services")
 _COUNTS = "section_counts"
 _SECTIONS = "sections"
@@ -34,7 +36,7 @@
 class SectionReference:
     """One section as a head lists it.
 
-    :param name: the section's name among the platform's values.
+    :param name: the divided field and the section's number.
     :param version: version of the document that last changed it.
     :param digest: digest of its body, hexadecimal.
     """
@@ -43,6 +45,11 @@
     version: int
     digest: str
 
+    @property
+    def value_name(self) -> str:
+        """The section's name among the platform's values."""
+        return f"{HEAD}/{self.name}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,77 @@
+"""Logs: JSON lines that hold no key."""
+
+import json
+import logging as standard
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from savorytally import logs
+
+KEY = "key-org1-0123456789abcdef"
+
+
+def line_of(message, *args, **fields):
+    """Return the line that a log call writes."""
+    record = standard.LogRecord(
+        "absl", standard.INFO, "entry.py", 1, message, args, None
+    )
+    record.__dict__.update(logs.fields(**fields))
+    return logs.JsonFormatter("h1").format(record)
+
+
+class TestLine:
+    def test_fields_are_members_of_the_object(self):
+        line = line_of("refused", request_id="7f", code=1010, place="/a")
+        value = json.loads(line)
+        assert value["host"] == "h1"
+        assert value["message"] == "refused"
+        assert value["request_id"] == "7f"
+        assert value["code"] == 1010
+        assert value["place"] == "/a"
+
+    def test_a_record_is_one_line_whatever_it_holds(self):
+        line = line_of("a\nb %s", "\u2028\ud800")
+        assert line.splitlines() == [line]
+        assert json.loads(line)["message"] == "a\nb \u2028\ud800"
+
+
+class TestRedaction:
+    @pytest.mark.parametrize(
+        "text",
+        [
+            "Authorization: Bearer {}",
+            "authorization: {}",
+            "Authorization: Basic {}",
+            "X-Api-Key: {}; next",
+            "x-api-key={}",
+            "{{'Authorization': 'Bearer {}'}}",
+            "<CIMultiDictProxy('X-Api-Key': '{}')>",
+            "(('Authorization', 'Bearer {}'),)",
+            "(b'authorization', b'Bearer {}')",
+            'Savorytally-Call-Token": "{}"',
+            "bearer {}",
+        ],
+    )
+    def test_values_of_headers_with_secrets_are_replaced(self, text):
+        line = line_of(text.format(KEY), place=text.format(KEY))
+        assert KEY not in line
+        assert line.count(logs.REDACTED) == 2
+
+    @hypothesis.given(st.text(), st.text())
+    def test_any_text_around_a_header_leaves_it_redacted(self, before, after):
+        text = f"{before}\nX-Api-Key: {KEY}\n{after}"
+        assert KEY not in logs.redact(text)
+
+    def test_exceptions_are_redacted(self):
+        try:
+            raise ValueError(f"Authorization: Bearer {KEY}")
+        except ValueError as error:
+            trouble = (type(error), error, error.__traceback__)
+        record = standard.LogRecord(
+            "absl", standard.ERROR, "x.py", 1, "bad", (), trouble
+        )
+        line = logs.JsonFormatter("h1").format(record)
+        assert "ValueError" in line
+        assert KEY not in line
