--- a/src/savorytally/peer/server.py
+++ b/src/savorytally/peer/server.py
@@ -75,6 +75,11 @@
         """Takes control messages."""
         return self._handlers.inbox
 
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self._listener.sockets[0].getsockname()[1]
+
     @property
     def outstanding(self) -> int:
         """Calls that wait or run."""
--- /dev/null
+++ b/tests/fakes/peers.py
@@ -0,0 +1,148 @@
+"""Two ends of a peer stream with a proxy between them."""
+
+import asyncio
+import dataclasses
+import random
+import time
+import typing as t
+
+from savorytally import outcomes
+from savorytally.peer import identity
+from savorytally.peer import links
+from savorytally.peer import messages
+from savorytally.peer import server
+from savorytally.world import host
+from savorytally.world import region
+
+from . import proxy
+
+Run = t.Callable[[messages.Call], t.Awaitable[outcomes.Outcome]]
+
+
+class Inbox:
+    """Keeps control messages for the test to look at."""
+
+    def __init__(self) -> None:
+        self.messages: list[tuple[str, messages.Message]] = []
+
+    def deliver(self, sender: str, message: messages.Message) -> None:
+        self.messages.append((sender, message))
+
+    def behind(self, sender: str, version: int) -> None:
+        pass
+
+
+class Gate:
+    """Counts the calls that it runs.
+
+    ``release`` lets running calls end; each answers with its tail.
+    """
+
+    def __init__(self) -> None:
+        self.ran: list[int] = []
+        self.release = asyncio.Event()
+        self.release.set()
+        self.body_bytes = 0
+
+    async def run(self, call: messages.Call) -> outcomes.Outcome:
+        self.ran.append(call.call_id)
+        await self.release.wait()
+        body = call.tail.encode().ljust(self.body_bytes, b".")
+        return outcomes.Answer(200, (("Content-Type", "x"),), body)
+
+
+@dataclasses.dataclass
+class Pair:
+    """A calling node's links, a proxy and a serving node's server."""
+
+    gate: Gate
+    server: server.PeerServer
+    proxy: proxy.Proxy
+    links: links.Links
+    inbox: Inbox
+
+    @property
+    def target(self) -> host.Host:
+        """The serving host as the caller knows it: behind the proxy."""
+        place = region.Place("bagmati", "kirtipur")
+        return host.Host(
+            "right", "browse", place, "127.0.0.1", self.proxy.port
+        )
+
+    def call(self, number: int, **fields: t.Any) -> asyncio.Task[t.Any]:
+        """Start a call."""
+        made = call(number, **fields)
+        return asyncio.ensure_future(self.links.call(self.target, made))
+
+    async def stop(self) -> None:
+        """End both ends."""
+        self.links.close()
+        await self.server.stop()
+        await self.proxy.stop()
+
+
+def call(number: int, **fields: t.Any) -> messages.Call:
+    """Return a call whose answer can be told from others."""
+    given = {
+        "call_id": number,
+        "root_id": f"{number:016x}",
+        "route_id": "species",
+        "organisation_id": "org1",
+        "key_id": "0" * 16,
+        "priority": 1,
+        "tail": f"call-{number}-",
+        "query": "",
+        "headers": (),
+        "body": b"",
+        "remaining_ms": 20_000,
+        "retries": 3,
+        "depth": 0,
+        "attempt": 0,
+        "idempotency_key": "",
+        "fingerprint": 0,
+        "suspect": False,
+        "traceparent": "",
+    }
+    return messages.Call(**{**given, **fields})
+
+
+def handlers(run: Run, inbox: Inbox) -> server.Handlers:
+    """Return what a serving end hands its messages to."""
+    return server.Handlers(
+        run=run,
+        level=lambda call: 0,
+        version=lambda: 1,
+        inbox=inbox,
+        now=time.monotonic,
+    )
+
+
+def make_links(inbox: Inbox, incarnation: int = 1) -> links.Links:
+    """Return the links of a calling node."""
+    own = identity.Identity("left", incarnation)
+    return links.Links(links.Shared(own, lambda: 1, inbox, random.Random(1)))
+
+
+async def start(
+    port: int, run: Run | None = None, incarnation: int = 1
+) -> Pair:
+    """Start a pair.
+
+    :param run: what the serving node does, a :class:`Gate` by default.
+    """
+    inbox = Inbox()
+    gate = Gate()
+    serving = server.PeerServer(
+        identity.Identity("right", incarnation),
+        handlers(run or gate.run, inbox),
+    )
+    await serving.listen("127.0.0.1", port)
+    between = proxy.Proxy(port)
+    await between.start()
+    return Pair(gate, serving, between, make_links(inbox), inbox)
+
+
+async def until(met: t.Callable[[], bool]) -> None:
+    """Wait until a condition is met."""
+    while not met():
+        await asyncio.sleep(0.005)
--- /dev/null
+++ b/tests/fakes/proxy.py
@@ -0,0 +1,122 @@
+"""A proxy on loopback that harms peer streams on demand.
+
+It forwards frame by frame. Connections can be cut, or go silent for good
+while new ones work, or keep what they are given until told to go on; frames
+towards the caller can be doubled and reordered.
+"""
+
+import asyncio
+import random
+
+from savorytally.peer import codec
+
+
+class Connection:
+    """One proxied connection."""
+
+    def __init__(self, writers: list[asyncio.StreamWriter]) -> None:
+        self.writers = writers
+        self.silent = False
+        self.kept: list[tuple[asyncio.StreamWriter, bytes]] = []
+
+    def forward(self, writer: asyncio.StreamWriter, frame: bytes) -> None:
+        """Pass a frame on, or keep it while the connection is silent."""
+        if self.silent:
+            self.kept.append((writer, frame))
+        elif not writer.is_closing():
+            writer.write(frame)
+
+    def release(self) -> None:
+        """Pass on what was kept."""
+        self.silent = False
+        kept, self.kept = self.kept, []
+        for writer, frame in kept:
+            self.forward(writer, frame)
+
+
+class Proxy:
+    """Forwards connections to a port of loopback.
+
+    :param target_port: where frames go.
+    """
+
+    def __init__(self, target_port: int) -> None:
+        self.connections: list[Connection] = []
+        self.copies = 1
+        self.shuffle: random.Random | None = None
+        self.silent_on_accept = False
+        self.port = 0
+        self._target_port = target_port
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Cut everything and stop listening."""
+        self._server.close()
+        self.cut()
+        for task in self._tasks:
+            task.cancel()
+
+    def silence(self) -> None:
+        """Let the open connections go silent for good."""
+        for item in self.connections:
+            item.silent = True
+
+    def cut(self) -> None:
+        """Reset the open connections."""
+        for item in self.connections:
+            for writer in item.writers:
+                writer.transport.abort()
+        self.connections.clear()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        onward = await asyncio.open_connection("127.0.0.1", self._target_port)
+        connection = Connection([writer, onward[1]])
+        connection.silent = self.silent_on_accept
+        self.connections.append(connection)
+        for source, sink, harmed in (
+            (reader, onward[1], False),
+            (onward[0], writer, True),
+        ):
+            task = asyncio.ensure_future(
+                self._pump(connection, source, sink, harmed)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _pump(
+        self,
+        connection: Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        harmed: bool,
+    ) -> None:
+        held: list[bytes] = []
+        try:
+            while True:
+                length = await reader.readexactly(codec.LENGTH.size)
+                size = codec.LENGTH.unpack(length)[0]
+                frame = length + await reader.readexactly(size)
+                copies = self.copies if harmed else 1
+                held += [frame] * copies
+                if harmed and self.shuffle and await self._more(reader):
+                    continue
+                if self.shuffle:
+                    self.shuffle.shuffle(held)
+                for item in held:
+                    connection.forward(writer, item)
+                held.clear()
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+    async def _more(self, reader: asyncio.StreamReader) -> bool:
+        """Return whether another frame follows at once."""
+        await asyncio.sleep(0.01)
+        return bool(reader._buffer)
