--- a/src/savorytally/settings.py
+++ b/src/savorytally/settings.py
@@ -3,10 +3,9 @@
 import dataclasses
 import pathlib
 
-import pyjson5
-
 from . import defaults
 from . import fields
+from . import files
 from .world import region
 
 
@@ -65,6 +64,8 @@
     :param entry_tls: TLS towards callers, ``None`` for plain HTTP.
     :param policies: names of the policies in use.
     :param trace_sample: fraction of root requests that are traced.
+    :param fresh_fleet: whether no node of an earlier fleet can still be
+        running, so that nothing is waited for at the start.
     """
 
     host_id: str
@@ -79,6 +80,7 @@
     entry_tls: Tls | None = None
     policies: Policies = Policies()
     trace_sample: float = 0.0
+    fresh_fleet: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,13 +99,10 @@
     :param path: a JSON file, comments admitted.
     :return: the settings, or every fault in them.
     """
-    try:
-        value = pyjson5.decode(path.read_text("utf-8"))
-    except OSError as error:
-        return Refused((fields.Fault("/", str(error.strerror)),))
-    except (ValueError, pyjson5.Json5Exception) as error:
-        return Refused((fields.Fault("/", f"not JSON: {error}"),))
-    return read(value)
+    loaded = files.load(path)
+    if isinstance(loaded, files.Unreadable):
+        return Refused((loaded.fault,))
+    return read(loaded.value)
 
 
 def read(value: object) -> Settings | Refused:
@@ -126,6 +125,7 @@
         entry_tls=_read_tls(root, "entry_tls"),
         policies=_read_policies(root.child("policies")),
         trace_sample=root.number("trace_sample", float, 0.0, 1.0, 0.0),
+        fresh_fleet=root.take("fresh_fleet", bool, False),
     )
     root.finish()
     return Refused(tuple(faults)) if faults else settings
--- a/tools/__init__.py
+++ b/tools/__init__.py
@@ -1,1 +1,1 @@
-"""Programs for developers: the demonstration mesh, load and measurements."""
+"""Measurements of savorytally, not part of the product."""
