Spread publications by few readers, relay trees and repair

Cause: every node watched the platform for itself, which at 31,000 nodes is far over the platform's 2,000 calls a second, and a restarted node took whatever copy the platform served. Change: a few rotating readers per data centre watch; everyone else gets notices down a relay tree and pulls sections that changed; summaries with random peers repair. A new process asks its peers for the highest version first, a paused one re-confirms before it admits, leaving hosts tell their peers themselves. The gate's key check is a set lookup made when the configuration is loaded.

--- /dev/null
+++ b/src/savorytally/decisions/dissemination.py
@@ -0,0 +1,382 @@
+"""Spreads publications from a few readers to every node.
+
+A reader that finds a newer version on the platform sends a notice down its
+tree; each receiver pulls what changed from the sender of the notice, puts it
+in force and passes the notice on. Summaries exchanged with random peers
+repair what was lost, and carry versions between data centres.
+"""
+
+import random
+import typing as t
+
+from .. import defaults
+from ..peer import messages
+from ..peer import spread
+from . import boot
+from . import freshness
+from . import hold
+from . import participant
+from . import readers
+from . import relay
+from . import shelf
+
+CONFIGURATION = "configuration"
+HOSTS = "hosts"
+
+Outgoing = participant.Outgoing
+
+
+class Dissemination:
+    """Holds the newest publications and exchanges them with peers.
+
+    :param host_id: this node's host.
+    :param tree: ranks and trees of the data centre, shared.
+    :param source: seeded random source.
+    :param acceptor: checks publications and puts them in force.
+    :param fit: whether a host can be reached.
+    """
+
+    handles: tuple[type[messages.Message], ...] = (
+        spread.Notice,
+        spread.Pull,
+        spread.Delta,
+        spread.Summary,
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        tree: relay.Relay,
+        source: random.Random,
+        acceptor: shelf.Acceptor,
+        fit: t.Callable[[str], bool],
+    ) -> None:
+        self._own = host_id
+        self._relay = tree
+        self._random = source
+        self._fit = fit
+        self._role = readers.ReaderRole(tree)
+        self._boot = boot.Boot(source)
+        self._holds: dict[str, hold.Hold] = {}
+        self._forwarded: dict[tuple[str, str], int] = {}
+        self._waiting: dict[str, set[str]] = {}
+        self._read_ok = False
+        self._was_reading = False
+        self._pulse_at = 0.0
+        self._repair_at = 0.0
+        self.freshness = freshness.Freshness(source)
+        self.shelves = {
+            name: shelf.Shelf(name, acceptor)
+            for name in (CONFIGURATION, HOSTS)
+        }
+
+    @property
+    def booting(self) -> bool:
+        """Whether the highest version of the peers is not known yet."""
+        return self._boot.active
+
+    @property
+    def versions(self) -> dict[str, int]:
+        """The version of each publication that is held."""
+        return {
+            name: item.version
+            for name, item in self.shelves.items()
+            if item.version
+        }
+
+    def platform_age_s(self, now: float) -> float | None:
+        """Return the time since any known reader read the platform."""
+        return self._role.platform_age_s(now)
+
+    def reading(self, name: str, now: float) -> bool:
+        """Return whether this node is to read a value of the platform."""
+        if not self.shelves[name].version and name == HOSTS:
+            return True
+        if not self.shelves[name].version and self._boot.alone(now):
+            return True
+        return self._role.reading(now)
+
+    def published(
+        self,
+        name: str,
+        version: int,
+        texts: t.Mapping[str, bytes],
+        now: float,
+    ) -> list[Outgoing]:
+        """Take in a value that this node read from the platform.
+
+        :param texts: the bytes of each of its sections.
+        """
+        if name == CONFIGURATION and self._boot.active:
+            self._boot.keep_copy(version, texts)
+            return []
+        item = self.shelves[name]
+        if not item.read_whole(version, texts):
+            return []
+        if name == HOSTS and self._boot.active:
+            item.enforce(now)
+            return []
+        children = self._children(self._own)
+        self._holds[name] = hold.Hold(version, len(children), now)
+        self._release(name, now)
+        return self._notices(self._own, name)
+
+    def platform_answered(self, asked_at: float, now: float) -> None:
+        """Note that a read of the platform ended well."""
+        self._read_ok = True
+        self._role.platform_read(now)
+        self.freshness.platform_answered(asked_at)
+
+    def platform_failed(self) -> None:
+        """Note that the platform could not be read."""
+        self._read_ok = False
+
+    def behind(self, sender: str, version: int, now: float) -> list[Outgoing]:
+        """Take in that a frame showed a newer configuration version."""
+        return self._pull(sender, CONFIGURATION, version, now)
+
+    def receive(
+        self, sender: str, message: messages.Message, now: float
+    ) -> list[Outgoing]:
+        """Take in one message and return what to send."""
+        if isinstance(message, spread.Notice):
+            return self._noticed(sender, message, now)
+        if isinstance(message, spread.Pull):
+            return self._pulled(sender, message)
+        if isinstance(message, spread.Delta):
+            return self._delivered(sender, message, now)
+        if isinstance(message, spread.Summary):
+            return self._summarised(sender, message, now)
+        return []
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Do what is due and return what to send."""
+        outgoing = self._confirm(now)
+        outgoing += self._start(now)
+        outgoing += self._pulse(now)
+        outgoing += self._repair(now)
+        for name, item in self.shelves.items():
+            source = item.overdue(now)
+            if source:
+                pull = spread.Pull(name, item.version)
+                outgoing.append(Outgoing(source, pull))
+            outgoing += self._hold_on(name, now)
+        return outgoing
+
+    def _noticed(
+        self, sender: str, notice: spread.Notice, now: float
+    ) -> list[Outgoing]:
+        item = self.shelves.get(notice.name)
+        if item is None:
+            return []
+        if notice.version > item.version:
+            self._waiting.setdefault(notice.name, set()).add(notice.root)
+            return self._pull(sender, notice.name, notice.version, now)
+        outgoing = []
+        if sender == notice.root:
+            outgoing.append(Outgoing(sender, self._summary(0, True, now)))
+        if notice.root and item.version == notice.version:
+            outgoing += self._notices(notice.root, notice.name)
+        return outgoing
+
+    def _pulled(self, sender: str, pull: spread.Pull) -> list[Outgoing]:
+        item = self.shelves.get(pull.name)
+        if item is None or item.version <= pull.after:
+            return []
+        return [Outgoing(sender, item.since(max(pull.after, 0)))]
+
+    def _delivered(
+        self, sender: str, delta: spread.Delta, now: float
+    ) -> list[Outgoing]:
+        item = self.shelves.get(delta.name)
+        if item is None or not item.apply(delta):
+            return []
+        self._holds.pop(delta.name, None)
+        if delta.name == HOSTS or not self._boot.active:
+            item.enforce(now)
+        self._learned(now)
+        roots = self._waiting.pop(delta.name, set())
+        outgoing = []
+        if sender in roots:
+            outgoing.append(Outgoing(sender, self._summary(0, True, now)))
+        for root in sorted(roots - {""}):
+            outgoing += self._notices(root, delta.name)
+        if not roots - {""}:
+            outgoing += self._spread_from_here(delta.name)
+        return outgoing
+
+    def _spread_from_here(self, name: str) -> list[Outgoing]:
+        if self._own in self._relay.candidates:
+            return self._notices(self._own, name)
+        notice = spread.Notice("", name, self.shelves[name].version)
+        return [
+            Outgoing(reader, notice)
+            for reader in self._relay.readers
+            if reader != self._own
+        ]
+
+    def _notices(self, root: str, name: str) -> list[Outgoing]:
+        version = self.shelves[name].version
+        if self._forwarded.get((root, name), 0) >= version:
+            return []
+        self._forwarded[root, name] = version
+        notice = spread.Notice(root, name, version)
+        return [Outgoing(child, notice) for child in self._children(root)]
+
+    def _children(self, root: str) -> list[str]:
+        return self._relay.children(root, self._fit)
+
+    def _pull(
+        self, sender: str, name: str, version: int, now: float
+    ) -> list[Outgoing]:
+        item = self.shelves[name]
+        if not item.announced(sender, version, now):
+            return []
+        return [Outgoing(sender, spread.Pull(name, item.version))]
+
+    def _summarised(
+        self, sender: str, summary: spread.Summary, now: float
+    ) -> list[Outgoing]:
+        self._learn_ages(sender, summary, now)
+        outgoing: list[Outgoing] = []
+        told = dict(summary.versions)
+        for name, item in self.shelves.items():
+            version = told.get(name, 0)
+            outgoing += self._pull(sender, name, version, now)
+            if summary.reply:
+                self._acknowledged(sender, name, version, now)
+            elif version < item.version:
+                notice = spread.Notice("", name, item.version)
+                outgoing.append(Outgoing(sender, notice))
+        if summary.reply:
+            self._answered(sender, summary)
+        elif summary.nonce and self._may_answer(now):
+            answer = self._summary(summary.nonce, True, now)
+            outgoing.append(Outgoing(sender, answer))
+        return outgoing
+
+    def _may_answer(self, now: float) -> bool:
+        return self.freshness.confirmed(now)
+
+    def _answered(self, sender: str, summary: spread.Summary) -> None:
+        self._boot.answered(sender, summary)
+        asked = self.freshness.inquiry
+        if asked is not None and asked.nonce == summary.nonce:
+            asked.answer(sender, summary.versions)
+            self.freshness.peer_answered(self.versions)
+
+    def _learn_ages(
+        self, sender: str, summary: spread.Summary, now: float
+    ) -> None:
+        if summary.reading:
+            self._role.heard(sender, now)
+        if summary.reader_age_ms >= 0:
+            self._role.reader_active(now - summary.reader_age_ms / 1000)
+        if summary.platform_age_ms >= 0:
+            self._role.platform_read(now - summary.platform_age_ms / 1000)
+
+    def _summary(self, nonce: int, reply: bool, now: float) -> spread.Summary:
+        active = self._role.reading(now)
+        reader_age_s = 0.0 if active else self._role.reader_age_s(now)
+        return spread.Summary(
+            nonce=nonce,
+            reply=reply,
+            reading=active and self._read_ok,
+            reader_age_ms=_milliseconds(reader_age_s),
+            platform_age_ms=_milliseconds(self._role.platform_age_s(now)),
+            versions=tuple(self.versions.items()),
+        )
+
+    def _confirm(self, now: float) -> list[Outgoing]:
+        if self.freshness.confirmed(now):
+            return []
+        asked = self.freshness.inquiry
+        assert asked is not None
+        self.freshness.peer_answered(self.versions)
+        near = [item for item in self._relay.readers if item != self._own]
+        near += self._some(defaults.CONFIRM_PEERS)
+        summary = self._summary(asked.nonce, False, now)
+        return [Outgoing(peer, summary) for peer in asked.ask(near, now)]
+
+    def _start(self, now: float) -> list[Outgoing]:
+        if not self._boot.active or not self.shelves[HOSTS].version:
+            return []
+        peers = self._boot.peers(self._relay, self._own)
+        asked = self._boot.ask(peers, now)
+        summary = self._summary(self._boot.nonce, False, now)
+        outgoing = [Outgoing(peer, summary) for peer in asked]
+        if not self._boot.finish(self.versions, now):
+            return outgoing
+        for item in self.shelves.values():
+            item.enforce(now)
+        self._learned(now)
+        copy = self._boot.copy
+        if copy is not None:
+            outgoing += self.published(
+                CONFIGURATION, copy.version, copy.texts, now
+            )
+        return outgoing
+
+    def _learned(self, now: float) -> None:
+        self._relay.learn_version(self.shelves[CONFIGURATION].version)
+        self.freshness.peer_answered(self.versions)
+
+    def _pulse(self, now: float) -> list[Outgoing]:
+        active = self._role.reading(now)
+        begun = active and not self._was_reading
+        self._was_reading = active
+        if not active or (now < self._pulse_at and not begun):
+            return []
+        self._pulse_at = now + defaults.READER_PULSE_S
+        summary = self._summary(0, False, now)
+        return [
+            Outgoing(peer, summary)
+            for peer in self._relay.candidates
+            if peer != self._own
+        ]
+
+    def _repair(self, now: float) -> list[Outgoing]:
+        if now < self._repair_at:
+            return []
+        jitter = self._random.uniform(0.8, 1.2)
+        self._repair_at = now + defaults.REPAIR_PERIOD_S * jitter
+        peers = self._some(1)
+        if self._own in self._relay.candidates and self._relay.far:
+            place = self._random.choice(sorted(self._relay.far))
+            peers.append(self._random.choice(self._relay.far[place]))
+        summary = self._summary(0, False, now)
+        return [Outgoing(peer, summary) for peer in peers]
+
+    def _some(self, count: int) -> list[str]:
+        fit = [item for item in self._relay.near if self._fit(item)]
+        near = fit or self._relay.near
+        return self._random.sample(near, min(count, len(near)))
+
+    def _acknowledged(
+        self, sender: str, name: str, version: int, now: float
+    ) -> None:
+        held = self._holds.get(name)
+        if held is not None:
+            held.acknowledged(sender, version)
+            self._release(name, now)
+
+    def _hold_on(self, name: str, now: float) -> list[Outgoing]:
+        held = self._holds.get(name)
+        if held is None:
+            return []
+        self._release(name, now)
+        if name not in self._holds or not held.repeat(now):
+            return []
+        notice = spread.Notice(self._own, name, held.version)
+        children = self._children(self._own)
+        return [Outgoing(child, notice) for child in children]
+
+    def _release(self, name: str, now: float) -> None:
+        if self._holds[name].over(now):
+            del self._holds[name]
+            self.shelves[name].enforce(now)
+            self._learned(now)
+
+
+def _milliseconds(age_s: float | None) -> int:
+    return -1 if age_s is None else int(age_s * 1000)
--- /dev/null
+++ b/src/savorytally/decisions/liveness.py
@@ -0,0 +1,92 @@
+"""What this node knows of its peers from its own streams."""
+
+import dataclasses
+import random
+
+from .. import defaults
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """What is known of one peer."""
+
+    incarnation: int = 0
+    connected: bool = False
+    heard_at: float = float("-inf")
+    failures: int = 0
+    retry_at: float = float("-inf")
+
+
+class Liveness:
+    """Contact with peers, and when a lost one may be dialled again.
+
+    :param source: seeded random source for the jitter of the backoff.
+    """
+
+    def __init__(self, source: random.Random) -> None:
+        self._random = source
+        self._peers: dict[str, _Peer] = {}
+
+    @property
+    def connected(self) -> list[str]:
+        """Hosts that a stream is open with, either way."""
+        return sorted(
+            host_id for host_id, peer in self._peers.items() if peer.connected
+        )
+
+    def reachable(self, host_id: str, now: float) -> bool:
+        """Return whether the peer may be sent to.
+
+        A peer that was lost may be tried again when its backoff is over.
+        """
+        peer = self._peers.get(host_id)
+        return peer is None or peer.connected or now >= peer.retry_at
+
+    def contact(self, host_id: str) -> float | None:
+        """Return when the peer was last heard, ``None`` if never."""
+        peer = self._peers.get(host_id)
+        if peer is None or peer.heard_at == float("-inf"):
+            return None
+        return peer.heard_at
+
+    def incarnation(self, host_id: str) -> int:
+        """Return the peer's newest known incarnation, 0 if unknown."""
+        peer = self._peers.get(host_id)
+        return peer.incarnation if peer else 0
+
+    def opened(self, host_id: str, incarnation: int, now: float) -> None:
+        """Note that a stream was opened and the peer introduced itself."""
+        peer = self._peers.setdefault(host_id, _Peer())
+        peer.incarnation = max(peer.incarnation, incarnation)
+        peer.connected = True
+        peer.heard_at = now
+        peer.failures = 0
+        peer.retry_at = float("-inf")
+
+    def heard(self, host_id: str, now: float) -> None:
+        """Note that a message of the peer arrived."""
+        peer = self._peers.setdefault(host_id, _Peer())
+        peer.heard_at = now
+        peer.failures = 0
+        peer.retry_at = float("-inf")
+
+    def lost(self, host_id: str, now: float) -> None:
+        """Note a stream that broke, fell silent or could not be opened."""
+        peer = self._peers.setdefault(host_id, _Peer())
+        peer.connected = False
+        longest = defaults.DIAL_BACKOFF_MIN_S * 2**peer.failures
+        longest = min(longest, defaults.DIAL_BACKOFF_MAX_S)
+        peer.failures = min(peer.failures + 1, 16)
+        peer.retry_at = now + self._random.uniform(longest / 2, longest)
+
+    def closed(self, host_id: str) -> None:
+        """Note a stream that was closed in good order."""
+        peer = self._peers.get(host_id)
+        if peer is not None:
+            peer.connected = False
+
+    def forget(self, present: frozenset[str]) -> None:
+        """Drop peers that are not connected and not listed any more."""
+        for host_id, peer in list(self._peers.items()):
+            if host_id not in present and not peer.connected:
+                del self._peers[host_id]
--- /dev/null
+++ b/src/savorytally/decisions/membership.py
@@ -0,0 +1,262 @@
+"""Which hosts take new work: the platform's list, corrected by the hosts.
+
+The list lags, so a leaving host tells its peers itself. Its note is bound to
+the incarnation of its node: a node that started later on the same host
+overrides it.
+"""
+
+import dataclasses
+import random
+import typing as t
+
+from .. import defaults
+from ..peer import messages
+from ..peer import spread
+from ..world import host
+from . import liveness
+from . import participant
+from . import relay
+
+Outgoing = participant.Outgoing
+
+
+class Contacts(t.Protocol):
+    """What other decisions may ask about hosts."""
+
+    def fit(self, host_id: str, now: float) -> bool:
+        """Return whether a host may be given new work."""
+
+    def contact(self, host_id: str) -> float | None:
+        """Return when a host was last heard, ``None`` if never."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """What a host said about itself.
+
+    :param incarnation: its node's incarnation.
+    :param leaving: whether it takes no new work.
+    :param heard_at: when this node learned it.
+    """
+
+    incarnation: int
+    leaving: bool
+    heard_at: float
+
+    def overrides(self, other: "Note | None") -> bool:
+        """Return whether it is newer than another note."""
+        if other is None:
+            return True
+        mine = (self.incarnation, self.leaving)
+        return mine > (other.incarnation, other.leaving)
+
+
+class Membership:
+    """The hosts of the list, without those that said they are leaving.
+
+    :param host_id: this node's host.
+    :param incarnation: this node's incarnation.
+    :param tree: ranks and trees of the data centre, shared.
+    :param source: seeded random source.
+    :param changed: called when the set of working hosts changes.
+    """
+
+    handles: tuple[type[messages.Message], ...] = (
+        spread.HostNote,
+        spread.HostNotes,
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        incarnation: int,
+        tree: relay.Relay,
+        source: random.Random,
+        changed: t.Callable[[], None] = lambda: None,
+    ) -> None:
+        self._own = host_id
+        self._incarnation = incarnation
+        self._relay = tree
+        self._random = source
+        self._changed = changed
+        self._hosts: t.Mapping[str, host.Host] = {}
+        self._notes: dict[str, Note] = {}
+        self._announced = False
+        self._dirty = False
+        self._repair_at = 0.0
+        self._now = float("-inf")
+        self.liveness = liveness.Liveness(source)
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this node has announced that it takes no new work."""
+        note = self._notes.get(self._own)
+        return note is not None and note.leaving
+
+    @property
+    def incarnation(self) -> int:
+        """This node's incarnation."""
+        return self._incarnation
+
+    def working(self) -> dict[str, host.Host]:
+        """Return the listed hosts that are not leaving."""
+        return {
+            host_id: item
+            for host_id, item in self._hosts.items()
+            if item.live and not self._is_leaving(host_id)
+        }
+
+    def fit(self, host_id: str, now: float) -> bool:
+        """Return whether a host may be given new work."""
+        item = self._hosts.get(host_id)
+        if item is None or not item.live or self._is_leaving(host_id):
+            return False
+        return self.liveness.reachable(host_id, now)
+
+    def contact(self, host_id: str) -> float | None:
+        """Return when a host was last heard, ``None`` if never."""
+        return self.liveness.contact(host_id)
+
+    def reachable(self, host_id: str) -> bool:
+        """Return whether a host was reachable when this node last looked."""
+        return self.liveness.reachable(host_id, self._now)
+
+    def learn_hosts(self, hosts: t.Mapping[str, host.Host]) -> None:
+        """Replace the list."""
+        self._hosts = hosts
+        self._dirty = False
+        self.liveness.forget(frozenset(hosts))
+
+    def opened(
+        self, host_id: str, incarnation: int, now: float
+    ) -> list[Outgoing]:
+        """Take in that a peer introduced itself on a stream.
+
+        A note of an earlier incarnation no longer counts.
+        """
+        self._now = max(self._now, now)
+        self.liveness.opened(host_id, incarnation, now)
+        outgoing = []
+        note = self._notes.get(host_id)
+        if note is not None and note.incarnation < incarnation:
+            self._take(host_id, Note(incarnation, False, now))
+        if self.leaving:
+            outgoing.append(Outgoing(host_id, self._own_note("")))
+        return outgoing
+
+    def leave(self, now: float) -> list[Outgoing]:
+        """Announce that this host takes no new work.
+
+        Peers with an open stream are told directly, and the readers of
+        every data centre, which pass it on down their trees.
+        """
+        self._take(self._own, Note(self._incarnation, True, now))
+        return self._announce(self.liveness.connected)
+
+    def receive(
+        self, sender: str, message: messages.Message, now: float
+    ) -> list[Outgoing]:
+        """Take in one message and return what to send."""
+        self._now = max(self._now, now)
+        if isinstance(message, spread.HostNote):
+            return self._noted(message, now)
+        if isinstance(message, spread.HostNotes):
+            outgoing = []
+            for host_id, incarnation, leaving in message.notes:
+                note = spread.HostNote("", host_id, incarnation, leaving)
+                outgoing += self._noted(note, now)
+            return outgoing
+        return []
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Do what is due and return what to send."""
+        self._now = max(self._now, now)
+        if now < self._repair_at:
+            return []
+        jitter = self._random.uniform(0.8, 1.2)
+        self._repair_at = now + defaults.NOTE_PERIOD_S * jitter
+        self._expire(now)
+        if self._dirty:
+            self._dirty = False
+            self._changed()
+        return self._introduce(now) + self._repeat(now)
+
+    def _is_leaving(self, host_id: str) -> bool:
+        note = self._notes.get(host_id)
+        return note is not None and note.leaving
+
+    def _noted(self, note: spread.HostNote, now: float) -> list[Outgoing]:
+        if note.host_id == self._own:
+            return self._refute(note, now)
+        if not self._take(
+            note.host_id, Note(note.incarnation, note.leaving, now)
+        ):
+            return []
+        root = note.root
+        if not root and self._own not in self._relay.candidates:
+            return []
+        root = root or self._own
+        passed = dataclasses.replace(note, root=root)
+        children = self._relay.children(root, self.reachable)
+        return [Outgoing(child, passed) for child in children]
+
+    def _refute(self, note: spread.HostNote, now: float) -> list[Outgoing]:
+        if self.leaving or not note.leaving:
+            return []
+        self._incarnation = max(self._incarnation, note.incarnation + 1)
+        self._take(self._own, Note(self._incarnation, False, now))
+        return self._announce(())
+
+    def _take(self, host_id: str, note: Note) -> bool:
+        if not note.overrides(self._notes.get(host_id)):
+            return False
+        before = self._is_leaving(host_id)
+        self._notes[host_id] = note
+        self._dirty |= before != note.leaving
+        return True
+
+    def _own_note(self, root: str) -> spread.HostNote:
+        return spread.HostNote(
+            root, self._own, self._incarnation, self.leaving
+        )
+
+    def _announce(self, directly: t.Iterable[str]) -> list[Outgoing]:
+        readers = [*self._relay.readers, *self._relay.far_readers()]
+        told = dict.fromkeys([*directly, *readers])
+        told.pop(self._own, None)
+        note = self._own_note("")
+        return [Outgoing(peer, note) for peer in told]
+
+    def _introduce(self, now: float) -> list[Outgoing]:
+        if self._announced or not self._hosts:
+            return []
+        self._announced = True
+        if not self.leaving:
+            self._take(self._own, Note(self._incarnation, False, now))
+        return self._announce(())
+
+    def _repeat(self, now: float) -> list[Outgoing]:
+        recent = [
+            (host_id, note.incarnation, note.leaving)
+            for host_id, note in self._notes.items()
+            if now - note.heard_at < defaults.NOTE_REPEAT_S
+        ]
+        if not recent:
+            return []
+        again = self._own in {item[0] for item in recent} and self.leaving
+        announced = self._announce(self.liveness.connected) if again else []
+        count = min(defaults.NOTES_PER_MESSAGE, len(recent))
+        notes = spread.HostNotes(tuple(self._random.sample(recent, count)))
+        near = [item for item in self._relay.near if self.reachable(item)]
+        chosen = self._random.sample(near, min(1, len(near)))
+        if self._own in self._relay.candidates and self._relay.far:
+            place = self._random.choice(sorted(self._relay.far))
+            chosen.append(self._random.choice(self._relay.far[place]))
+        return announced + [Outgoing(peer, notes) for peer in chosen]
+
+    def _expire(self, now: float) -> None:
+        for host_id, note in list(self._notes.items()):
+            old = now - note.heard_at > defaults.NOTE_RETENTION_S
+            needed = note.leaving and host_id in self._hosts
+            if old and not needed and host_id != self._own:
+                del self._notes[host_id]
--- /dev/null
+++ b/src/savorytally/decisions/shelf.py
@@ -0,0 +1,129 @@
+"""What a node holds of one publication, and what it still misses."""
+
+import typing as t
+
+from .. import defaults
+from ..peer import spread
+from ..world import publication
+
+
+class Acceptor(t.Protocol):
+    """Checks publications and puts them in force on this node."""
+
+    def check(self, offered: publication.Publication) -> bool:
+        """Return whether it is without fault; report every fault if not."""
+
+    def enforce(self, name: str, now: float) -> None:
+        """Put the publication that was last found good in force."""
+
+
+class Shelf:
+    """The newest good version of one publication.
+
+    Versions only rise. A faulty version is remembered by its number, so
+    that it is neither asked for again nor passed on.
+
+    :param name: the publication.
+    :param acceptor: checks versions and puts them in force.
+    """
+
+    def __init__(self, name: str, acceptor: Acceptor) -> None:
+        self._held = publication.empty(name)
+        self._acceptor = acceptor
+        self._enforced = 0
+        self._refused = 0
+        self._known = 0
+        self._source = ""
+        self._asked = float("-inf")
+
+    @property
+    def name(self) -> str:
+        """The publication's name."""
+        return self._held.name
+
+    @property
+    def version(self) -> int:
+        """The newest good version that is held."""
+        return self._held.version
+
+    @property
+    def enforced(self) -> int:
+        """The version that this node has put in force."""
+        return self._enforced
+
+    def read_whole(self, version: int, texts: t.Mapping[str, bytes]) -> bool:
+        """Take in a version read from the platform; return if it is new."""
+        if version <= max(self.version, self._refused):
+            return False
+        return self._take(self._held.replace(version, texts))
+
+    def apply(self, delta: spread.Delta) -> bool:
+        """Take in a delta from a peer; return whether it brought news."""
+        if delta.version <= max(self.version, self._refused):
+            return False
+        offered = self._held.apply(from_message(delta))
+        return offered is not None and self._take(offered)
+
+    def since(self, after: int) -> spread.Delta:
+        """Return the message that carries what changed after a version."""
+        return to_message(self.name, self._held.since(after))
+
+    def enforce(self, now: float) -> None:
+        """Put what is held in force."""
+        if self.version > self._enforced:
+            self._enforced = self.version
+            self._acceptor.enforce(self.name, now)
+
+    def announced(self, sender: str, version: int, now: float) -> bool:
+        """Note a version that a peer holds; return whether to pull it."""
+        if version <= max(self.version, self._refused):
+            return False
+        fresh = version > self._known
+        self._known = max(self._known, version)
+        self._source = sender
+        if not fresh and now - self._asked < defaults.PULL_RETRY_S:
+            return False
+        self._asked = now
+        return True
+
+    def overdue(self, now: float) -> str:
+        """Return whom to pull from again, empty if nothing is overdue."""
+        if self._known <= max(self.version, self._refused):
+            return ""
+        if now - self._asked < defaults.PULL_RETRY_S:
+            return ""
+        self._asked = now
+        return self._source
+
+    def _take(self, offered: publication.Publication) -> bool:
+        if not self._acceptor.check(offered):
+            self._refused = max(self._refused, offered.version)
+            return False
+        self._held = offered
+        return True
+
+
+def to_message(name: str, delta: publication.Delta) -> spread.Delta:
+    """Return the message that carries a delta."""
+    return spread.Delta(
+        name=name,
+        after=delta.after,
+        version=delta.version,
+        sections=tuple(
+            (item.name, item.version, item.digest, item.body)
+            for item in delta.sections
+        ),
+        removed=tuple(delta.removed.items()),
+    )
+
+
+def from_message(message: spread.Delta) -> publication.Delta:
+    """Return the delta that a message carries."""
+    return publication.Delta(
+        after=message.after,
+        version=message.version,
+        sections=tuple(
+            publication.Section(*item) for item in message.sections
+        ),
+        removed=dict(message.removed),
+    )
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -10,8 +10,11 @@
 from . import settings
 from . import view
 from .decisions import admission
+from .decisions import dissemination
 from .decisions import fifo  # noqa: F401, registers a policy
+from .decisions import membership
 from .decisions import quota
+from .decisions import relay
 from .decisions import routing
 from .http import platform
 from .http import server
@@ -21,6 +24,7 @@
 from .parts import egress
 from .parts import entry
 from .parts import gate
+from .parts import publications
 from .parts import running
 from .parts import watch
 from .peer import links
@@ -33,6 +37,7 @@
 
     :param options: the node's settings.
     :param outside: clock, random source, peers, upstream and platform.
+    :param incarnation: distinguishes it from earlier nodes of its host.
     """
 
     def __init__(
@@ -40,6 +45,7 @@
         options: settings.Settings,
         outside: ports.Outside,
         current: view.View,
+        incarnation: int = 0,
     ) -> None:
         policies = options.policies
         self.settings = options
@@ -63,10 +69,32 @@
             ),
             self.tokens,
         )
-        self.control = control.Control(outside, self.view)
+        self.relay = relay.Relay(options.host_id, options.place)
+        self.membership = membership.Membership(
+            options.host_id,
+            incarnation,
+            self.relay,
+            outside.random,
+            self._working_hosts_changed,
+        )
+        self.dissemination = dissemination.Dissemination(
+            options.host_id,
+            self.relay,
+            outside.random,
+            publications.Publications(self.view),
+            self.membership.reachable,
+        )
+        self.control = control.Control(
+            outside, self.view, self.dissemination, self.membership
+        )
+        self.control.add(self.dissemination)
+        self.control.add(self.membership)
         self.control.add(self.quota)
-        self.watch = watch.PlatformWatch(outside, self.view)
+        self.watch = watch.PlatformWatch(
+            outside, self.dissemination, self.control.send
+        )
         self.view.subscribe(self)
+        self.view.confirm_with(self.dissemination.freshness.confirmed)
 
     def configuration_changed(self, now: float) -> None:
         """Apply a newer configuration."""
@@ -82,7 +110,12 @@
 
     def hosts_changed(self, now: float) -> None:
         """Apply a newer host list."""
-        self.routing.learn_hosts(self.view.hosts.hosts)
+        self.relay.learn_hosts(self.view.hosts.hosts)
+        self.membership.learn_hosts(self.view.hosts.hosts)
+        self._working_hosts_changed()
+
+    def _working_hosts_changed(self) -> None:
+        self.routing.learn_hosts(self.membership.working())
 
 
 class Daemon:
@@ -106,7 +139,7 @@
             upstream=self._upstream,
             platform=self._platform,
         )
-        self.node = Node(options, outside, current)
+        self.node = Node(options, outside, current, identity.incarnation)
         self._peer_server = peer_server.PeerServer(
             identity,
             self.node.gate.run,
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -16,7 +16,7 @@
 from . import dispatch
 from . import headers
 
-KEY_ID_LENGTH = 16
+KEY_ID_LENGTH = configuration.KEY_ID_LENGTH
 _BEARER = "bearer "
 
 
@@ -67,6 +67,8 @@
         version = self._view.configuration
         if version is None:
             return outcomes.Failure(results.NOT_CONFIGURED)
+        if not self._view.confirmed(self._clock.now()):
+            return outcomes.Failure(results.STALE_VIEW)
         found = find_route(version, request)
         if found is None:
             return outcomes.Failure(results.UNKNOWN_ROUTE)
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -88,11 +88,8 @@
         if not call.organisation_id:
             return True
         version = self._view.configuration
-        holder = version and version.organisations.get(call.organisation_id)
-        if not holder:
-            return False
-        return any(
-            digest.startswith(call.key_id) for digest in holder.key_digests
+        return version is not None and version.granted(
+            call.organisation_id, call.key_id
         )
 
     async def _admit(
@@ -143,6 +140,8 @@
     async def _execute(
         self, call: messages.Call, found: route.Route, deadline: float
     ) -> outcomes.Outcome:
+        if not self._view.confirmed(self._clock.now()):
+            return outcomes.Failure(results.STALE_VIEW)
         if not self._granted(call):
             return outcomes.Failure(results.KEY_REJECTED)
         remaining_s = deadline - self._clock.now()
--- /dev/null
+++ b/src/savorytally/peer/spread.py
@@ -0,0 +1,106 @@
+"""Messages that spread publications and notes on hosts between nodes."""
+
+import dataclasses
+
+from . import messages
+
+Versions = tuple[tuple[str, int], ...]
+
+
+@messages.message(20)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Notice(messages.Message):
+    """Announces a newer version of a publication to the next level.
+
+    :param root: the reader whose tree carries it, empty outside a tree.
+    :param name: the publication.
+    :param version: its version, which the sender can deliver.
+    """
+
+    root: str
+    name: str
+    version: int
+
+
+@messages.message(21)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pull(messages.Message):
+    """Asks for the sections that changed.
+
+    :param name: the publication.
+    :param after: the version that the sender holds, 0 for none.
+    """
+
+    name: str
+    after: int
+
+
+@messages.message(22)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delta(messages.Message):
+    """Carries what changed in a publication between two versions.
+
+    :param name: the publication.
+    :param after: the older version.
+    :param version: the newer version.
+    :param sections: name, version, digest and compressed body of each
+        section that changed.
+    :param removed: name and version of removal of each removed section.
+    """
+
+    name: str
+    after: int
+    version: int
+    sections: tuple[tuple[str, int, int, bytes], ...]
+    removed: Versions
+
+
+@messages.message(23)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary(messages.Message):
+    """Says which versions the sender holds.
+
+    :param nonce: repeated in the reply, 0 if no reply is wanted.
+    :param reply: whether this is the reply.
+    :param reading: whether the sender reads the platform successfully.
+    :param reader_age_ms: time since any reader that the sender knows of was
+        active, 0 if it is one itself, -1 if it knows of none.
+    :param platform_age_ms: time since any reader that the sender knows of
+        last read the platform, -1 if it knows of none.
+    :param versions: each publication's version, 0 left out.
+    """
+
+    nonce: int
+    reply: bool
+    reading: bool
+    reader_age_ms: int
+    platform_age_ms: int
+    versions: Versions
+
+
+@messages.message(30)
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostNote(messages.Message):
+    """Says that a host is leaving, or that it has started anew.
+
+    :param root: the host whose tree carries it, empty outside a tree.
+    :param host_id: the host.
+    :param incarnation: its node's incarnation; a greater one overrides.
+    :param leaving: whether it takes no new work.
+    """
+
+    root: str
+    host_id: str
+    incarnation: int
+    leaving: bool
+
+
+@messages.message(31)
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostNotes(messages.Message):
+    """Repeats recent notes to a random peer.
+
+    :param notes: host, incarnation and whether it is leaving.
+    """
+
+    notes: tuple[tuple[str, int, bool], ...]
--- a/src/savorytally/view.py
+++ b/src/savorytally/view.py
@@ -28,6 +28,7 @@
         self._configuration: Configuration | None = None
         self._hosts = host.EMPTY
         self._listeners: list[Listener] = []
+        self._confirm: t.Callable[[float], bool] = lambda now: True
 
     @property
     def configuration(self) -> Configuration | None:
@@ -44,6 +45,18 @@
         """The configuration's version, 0 before the first."""
         return self._configuration.version if self._configuration else 0
 
+    def confirm_with(self, confirm: t.Callable[[float], bool]) -> None:
+        """Ask ``confirm`` whether the view may be acted on."""
+        self._confirm = confirm
+
+    def confirmed(self, now: float) -> bool:
+        """Return whether the view may be acted on at this moment.
+
+        It may not from a pause of the process until the version has been
+        confirmed.
+        """
+        return self._confirm(now)
+
     def subscribe(self, listener: Listener) -> None:
         """Tell the listener of later changes."""
         self._listeners.append(listener)
--- a/src/savorytally/world/configuration.py
+++ b/src/savorytally/world/configuration.py
@@ -11,6 +11,8 @@
 
 Organisation = organisation.Organisation
 
+KEY_ID_LENGTH = 16
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryPolicy:
@@ -54,6 +56,23 @@
     service_names: names.NameTable
     route_names: t.Mapping[str, names.NameTable]
     keys: t.Mapping[str, str]
+    _grants: frozenset[tuple[str, str]] = dataclasses.field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        grants = frozenset(
+            (holder, digest[:KEY_ID_LENGTH])
+            for digest, holder in self.keys.items()
+        )
+        object.__setattr__(self, "_grants", grants)
+
+    def granted(self, organisation_id: str, key_id: str) -> bool:
+        """Return whether a key is granted to an organisation.
+
+        :param key_id: the first :data:`KEY_ID_LENGTH` digits of its digest.
+        """
+        return (organisation_id, key_id) in self._grants
 
     def organisation_of_key(self, digest: str) -> Organisation | None:
         """Return the organisation to which a key digest is granted."""
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,252 @@
+"""Spread of publications: readers, relay, repair, restart and refusal."""
+
+from fakes import fleet
+from fakes import transport
+import pytest
+
+from savorytally import defaults
+from savorytally.decisions import relay
+from savorytally.world import publication
+from savorytally.world import region
+
+ONE_PLACE = {("bagmati", "kirtipur"): 16}
+TWO_PLACES = {("bagmati", "kirtipur"): 12, ("gandaki", "pokhara"): 12}
+IN_FORCE_S = 3.0
+LOSSY = transport.Weather(lose=0.1, double=0.1)
+
+
+@pytest.fixture
+def one() -> fleet.Fleet:
+    """One data centre whose nodes all serve version 1."""
+    made = fleet.Fleet(ONE_PLACE, weather=LOSSY)
+    made.publish()
+    made.start_all()
+    return made
+
+
+@pytest.fixture
+def two() -> fleet.Fleet:
+    """Two data centres of two regions whose nodes all serve version 1."""
+    made = fleet.Fleet(TWO_PLACES, weather=LOSSY)
+    made.publish()
+    made.start_all()
+    return made
+
+
+def behind(made: fleet.Fleet, version: int) -> dict[str, int]:
+    """Return the nodes that have not put the version in force."""
+    held = made.versions()
+    return {name: item for name, item in held.items() if item < version}
+
+
+class TestReaders:
+    def test_only_the_first_ranks_read(self, two):
+        assert len(two.readers()) == 2 * defaults.READERS_PER_DATA_CENTRE
+
+    def test_readers_rotate_with_the_version(self, one):
+        before = set(one.readers())
+        tree = one.members["kirtipur-0"].relay
+        tree.learn_version(defaults.READER_ROTATION_VERSIONS)
+        assert set(tree.readers) != before
+
+    def test_next_ranks_step_in_for_dead_readers(self, one):
+        for reader in one.readers():
+            one.crash(reader)
+        one.transport.run(defaults.READER_SILENCE_S + 1.0)
+        assert len(one.readers()) == defaults.READERS_PER_DATA_CENTRE
+
+    def test_readers_are_few_while_the_platform_is_down_for_all(self, one):
+        one.store.down = set(one.all_hosts)
+        one.transport.run(120.0)
+        assert len(one.readers()) <= defaults.READER_CANDIDATES
+
+    def test_hosts_beyond_the_candidates_step_in_after_long_silence(self, one):
+        candidates = set(one.members["kirtipur-0"].relay.candidates)
+        for host_id in candidates:
+            one.crash(host_id)
+        one.transport.run(defaults.READER_AGE_MAX_S + 10.0)
+        version = one.publish()
+        one.transport.run(IN_FORCE_S)
+        assert behind(one, version) == {}
+
+    def test_platform_calls_at_full_size_are_bounded(self):
+        centres, changes_per_s = 25, 79_000 / 86_400
+        retries_per_s = 2 / (defaults.PLATFORM_RETRY_MAX_S / 2)
+        outage = centres * defaults.READER_CANDIDATES * retries_per_s
+        watches = 2 / defaults.PLATFORM_WATCH_S
+        reads = 2 * changes_per_s + watches
+        normal = centres * defaults.READERS_PER_DATA_CENTRE * reads
+        assert max(outage, normal) < 2_000 / 2
+
+
+class TestRelay:
+    def test_every_host_is_reached_once_in_each_tree(self, one):
+        members = one.members
+        for root in one.readers():
+            reached = [root]
+            for host_id in members:
+                tree = members[host_id].relay
+                children = tree.children(root, lambda host_id: True)
+                assert len(children) <= defaults.RELAY_FAN_OUT
+                reached += children
+            assert sorted(reached) == sorted(members)
+
+    def test_children_of_a_lost_host_are_reached(self, one):
+        root = one.readers()[0]
+        lost = one.members[root].relay.children(root, lambda item: True)[0]
+        orphans = one.members[lost].relay.children(root, lambda item: True)
+        adopted = one.members[root].relay.children(
+            root, lambda item: item != lost
+        )
+        assert set(orphans) <= set(adopted)
+
+    def test_rank_moves_only_the_lost_host(self):
+        hosts = [f"host-{number}" for number in range(40)]
+        ranks = relay.rank("1", hosts)
+        fewer = [item for item in hosts if item != ranks[3]]
+        expected = [item for item in ranks if item != ranks[3]]
+        assert relay.rank("1", fewer) == expected
+
+    def test_far_hosts_are_not_in_the_tree(self, two):
+        tree = two.members["kirtipur-0"].relay
+        assert list(tree.far) == [region.Place("gandaki", "pokhara")]
+        assert all(item.startswith("kirtipur") for item in tree.ranks)
+
+
+class TestInForce:
+    def test_everywhere_under_loss(self, two):
+        version = two.publish()
+        two.transport.run(IN_FORCE_S)
+        assert behind(two, version) == {}
+
+    def test_with_all_readers_of_a_place_killed(self, one):
+        for reader in one.readers():
+            one.crash(reader)
+        version = one.publish()
+        one.transport.run(IN_FORCE_S)
+        assert behind(one, version) == {}
+
+    def test_through_the_other_place_when_the_platform_is_out_of_reach(
+        self, two
+    ):
+        two.store.down = {
+            item for item in two.all_hosts if item.startswith("pokhara")
+        }
+        version = two.publish()
+        two.transport.run(IN_FORCE_S)
+        assert behind(two, version) == {}
+
+    def test_in_both_parts_of_a_partition_between_regions(self, two):
+        near = [item for item in two.all_hosts if item.startswith("kirt")]
+        far = [item for item in two.all_hosts if item.startswith("pokh")]
+        two.transport.cut(near, far)
+        version = two.publish()
+        two.transport.run(IN_FORCE_S)
+        assert behind(two, version) == {}
+
+    def test_at_a_node_that_is_not_listed_yet(self, one):
+        spare = "kirtipur-15"
+        one.crash(spare)
+        listed = {k: v for k, v in one.all_hosts.items() if k != spare}
+        one.publish_hosts(listed)
+        one.transport.run(2.0)
+        one.start(spare)
+        one.transport.run(2 * defaults.BOOT_WAIT_S)
+        version = one.publish()
+        one.transport.run(IN_FORCE_S)
+        assert behind(one, version) == {}
+
+    def test_last_version_stays_while_the_platform_is_down(self, one):
+        one.store.down = set(one.all_hosts)
+        one.transport.run(600.0)
+        assert set(one.versions().values()) == {1}
+
+    def test_frame_of_a_newer_sender_triggers_a_pull(self, one):
+        news = one.members["kirtipur-0"].dissemination
+        sent = news.behind("kirtipur-1", 7, one.now)
+        assert [(item.host_id, item.message.after) for item in sent] == [
+            ("kirtipur-1", 1)
+        ]
+        assert news.behind("kirtipur-1", 7, one.now) == []
+
+
+class TestRefusal:
+    def test_faulty_version_is_not_in_force_and_not_relayed(self, one):
+        faulty = one.publish(b"faulty")
+        one.transport.run(IN_FORCE_S)
+        readers = set(one.readers())
+        assert set(one.versions().values()) == {faulty - 1}
+        for host_id, member in one.members.items():
+            if host_id not in readers:
+                assert member.dissemination.versions["configuration"] == 1
+
+    def test_next_good_version_follows_a_faulty_one(self, one):
+        one.publish(b"faulty")
+        one.transport.run(1.0)
+        version = one.publish()
+        one.transport.run(IN_FORCE_S)
+        assert behind(one, version) == {}
+
+
+class TestRestart:
+    def test_stale_platform_copy_does_not_take_a_new_process_back(self, one):
+        version = one.publish()
+        one.transport.run(IN_FORCE_S)
+        for host_id in list(one.all_hosts)[:8]:
+            one.store.stale[host_id] = 1
+            one.crash(host_id)
+            one.transport.run(0.3)
+            one.start(host_id)
+        one.transport.run(defaults.BOOT_GIVE_UP_S)
+        assert behind(one, version) == {}
+        for member in one.members.values():
+            seen = [e for e in member.enforced if e.name == "configuration"]
+            assert min(item.version for item in seen[-1:]) >= version
+
+    def test_process_that_no_peer_answers_serves_the_platform_copy(self):
+        made = fleet.Fleet({("bagmati", "kirtipur"): 3})
+        made.publish()
+        made.start("kirtipur-1")
+        made.transport.run(defaults.BOOT_WAIT_S * 2)
+        assert made.versions() == {"kirtipur-1": 1}
+
+    def test_reader_tells_others_before_it_acts_on_a_version(self, one):
+        version = one.publish()
+        one.transport.run(IN_FORCE_S)
+        at = {
+            host_id: item.at
+            for host_id, member in one.members.items()
+            for item in member.enforced
+            if item.name == "configuration" and item.version == version
+        }
+        first = min(at, key=lambda host_id: at[host_id])
+        assert first not in one.readers()
+
+
+class TestSections:
+    def test_delta_carries_only_what_changed(self):
+        old = publication.empty("x").replace(1, {"a": b"1", "b": b"1"})
+        new = old.replace(2, {"a": b"1", "b": b"2"})
+        delta = new.since(1)
+        assert [item.name for item in delta.sections] == ["b"]
+        assert old.apply(delta) == new
+
+    def test_removed_section_leaves_a_holder_of_any_older_version(self):
+        first = publication.empty("x").replace(1, {"a": b"1", "b": b"1"})
+        second = first.replace(2, {"b": b"2"})
+        third = second.replace(3, {"b": b"3"})
+        applied = first.apply(third.since(1))
+        assert set(applied.sections) == {"b"}
+        assert set(second.apply(third.since(2)).sections) == {"b"}
+
+    def test_damaged_section_is_not_applied(self):
+        old = publication.empty("x").replace(1, {"a": b"1"})
+        delta = old.replace(2, {"a": b"2"}).since(1)
+        damaged = publication.Section("a", 2, 7, delta.sections[0].body)
+        broken = publication.Delta(1, 2, (damaged,), {})
+        assert old.apply(broken) is None
+
+    def test_delta_after_a_version_that_is_not_held_is_not_applied(self):
+        old = publication.empty("x").replace(1, {"a": b"1"})
+        new = old.replace(5, {"a": b"5"}).replace(6, {"a": b"6"})
+        assert old.apply(new.since(5)) is None
