--- a/src/savorytally/decisions/boot.py
+++ b/src/savorytally/decisions/boot.py
@@ -15,11 +15,11 @@
     """A version that was read from the platform while booting.
 
     :param version: its number.
-    :param texts: the bytes of its sections.
+    :param bodies: the bytes of its sections.
     """
 
     version: int
-    texts: t.Mapping[str, bytes]
+    bodies: t.Mapping[str, bytes]
 
 
 class Boot:
@@ -58,10 +58,10 @@
             return False
         return asked.age_s(now) >= defaults.BOOT_WAIT_S
 
-    def keep_copy(self, version: int, texts: t.Mapping[str, bytes]) -> None:
+    def keep_copy(self, version: int, bodies: t.Mapping[str, bytes]) -> None:
         """Set a copy aside until the peers have been heard."""
         if self._copy is None or version > self._copy.version:
-            self._copy = Copy(version, texts)
+            self._copy = Copy(version, bodies)
 
     def peers(self, tree: relay.Relay, own: str) -> tuple[str, ...]:
         """Return whom to ask: the candidates and random hosts."""
--- a/src/savorytally/decisions/dissemination.py
+++ b/src/savorytally/decisions/dissemination.py
@@ -13,6 +13,7 @@
 from ..peer import messages
 from ..peer import spread
 from . import boot
+from . import evidence
 from . import freshness
 from . import hold
 from . import participant
@@ -34,6 +35,7 @@
     :param source: seeded random source.
     :param acceptor: checks publications and puts them in force.
     :param fit: whether a host can be reached.
+    :param known: is told how old the host list is and who was heard.
     """
 
     handles: tuple[type[messages.Message], ...] = (
@@ -50,11 +52,13 @@
         source: random.Random,
         acceptor: shelf.Acceptor,
         fit: t.Callable[[str], bool],
+        known: evidence.SpreadEvidence,
     ) -> None:
         self._own = host_id
         self._relay = tree
         self._random = source
         self._fit = fit
+        self._evidence = known
         self._role = readers.ReaderRole(tree)
         self._boot = boot.Boot(source)
         self._holds: dict[str, hold.Hold] = {}
@@ -64,6 +68,8 @@
         self._was_reading = False
         self._pulse_at = 0.0
         self._repair_at = 0.0
+        self._ask_at = 0.0
+        self._asked: dict[int, float] = {}
         self.freshness = freshness.Freshness(source)
         self.shelves = {
             name: shelf.Shelf(name, acceptor)
@@ -84,9 +90,9 @@
             if item.version
         }
 
-    def platform_age_s(self, now: float) -> float | None:
-        """Return the time since any known reader read the platform."""
-        return self._role.platform_age_s(now)
+    def list_age_s(self, now: float) -> float:
+        """Return the time since the host list was confirmed as newest."""
+        return now - self._evidence.confirmed_at()
 
     def reading(self, name: str, now: float) -> bool:
         """Return whether this node is to read a value of the platform."""
@@ -100,18 +106,18 @@
         self,
         name: str,
         version: int,
-        texts: t.Mapping[str, bytes],
+        bodies: t.Mapping[str, bytes],
         now: float,
     ) -> list[Outgoing]:
         """Take in a value that this node read from the platform.
 
-        :param texts: the bytes of each of its sections.
+        :param bodies: the bytes of each of its sections.
         """
         if name == CONFIGURATION and self._boot.active:
-            self._boot.keep_copy(version, texts)
+            self._boot.keep_copy(version, bodies)
             return []
         item = self.shelves[name]
-        if not item.read_whole(version, texts):
+        if not item.read_whole(version, bodies):
             return []
         if name == HOSTS and self._boot.active:
             item.enforce(now)
@@ -121,12 +127,19 @@
         self._release(name, now)
         return self._notices(self._own, name)
 
-    def platform_answered(self, asked_at: float, now: float) -> None:
-        """Note that a read of the platform ended well."""
+    def platform_answered(self, asked_at: float) -> None:
+        """Note that a read of the platform ended well.
+
+        :param asked_at: when it was begun.
+        """
         self._read_ok = True
-        self._role.platform_read(now)
         self.freshness.platform_answered(asked_at)
 
+    def list_confirmed(self, version: int, asked_at: float) -> None:
+        """Note the newest host list of the platform at a time."""
+        if version == self.shelves[HOSTS].version:
+            self._evidence.confirm(version, asked_at)
+
     def platform_failed(self) -> None:
         """Note that the platform could not be read."""
         self._read_ok = False
@@ -151,10 +164,12 @@
 
     def tick(self, now: float) -> list[Outgoing]:
         """Do what is due and return what to send."""
+        self.freshness.tick(now)
         outgoing = self._confirm(now)
         outgoing += self._start(now)
         outgoing += self._pulse(now)
         outgoing += self._repair(now)
+        outgoing += self._ask(now)
         for name, item in self.shelves.items():
             source = item.overdue(now)
             if source:
@@ -237,9 +252,10 @@
     def _summarised(
         self, sender: str, summary: spread.Summary, now: float
     ) -> list[Outgoing]:
-        self._learn_ages(sender, summary, now)
-        outgoing: list[Outgoing] = []
         told = dict(summary.versions)
+        self._evidence.heard(sender, told.get(HOSTS, 0), now)
+        self._learn_role(sender, summary, now)
+        outgoing: list[Outgoing] = []
         for name, item in self.shelves.items():
             version = told.get(name, 0)
             outgoing += self._pull(sender, name, version, now)
@@ -259,31 +275,38 @@
         return self.freshness.confirmed(now)
 
     def _answered(self, sender: str, summary: spread.Summary) -> None:
+        self._learn_list_age(summary)
         self._boot.answered(sender, summary)
         asked = self.freshness.inquiry
         if asked is not None and asked.nonce == summary.nonce:
             asked.answer(sender, summary.versions)
             self.freshness.peer_answered(self.versions)
 
-    def _learn_ages(
+    def _learn_role(
         self, sender: str, summary: spread.Summary, now: float
     ) -> None:
         if summary.reading:
             self._role.heard(sender, now)
         if summary.reader_age_ms >= 0:
             self._role.reader_active(now - summary.reader_age_ms / 1000)
-        if summary.platform_age_ms >= 0:
-            self._role.platform_read(now - summary.platform_age_ms / 1000)
+
+    def _learn_list_age(self, summary: spread.Summary) -> None:
+        asked_at = self._asked.pop(summary.nonce, None)
+        version = dict(summary.versions).get(HOSTS, 0)
+        if asked_at is not None and summary.list_age_ms >= 0:
+            at = asked_at - summary.list_age_ms / 1000
+            self.list_confirmed(version, at)
 
     def _summary(self, nonce: int, reply: bool, now: float) -> spread.Summary:
         active = self._role.reading(now)
-        reader_age_s = 0.0 if active else self._role.reader_age_s(now)
+        if active:
+            self._role.reader_active(now)
         return spread.Summary(
             nonce=nonce,
             reply=reply,
             reading=active and self._read_ok,
-            reader_age_ms=_milliseconds(reader_age_s),
-            platform_age_ms=_milliseconds(self._role.platform_age_s(now)),
+            reader_age_ms=_milliseconds(self._role.reader_age_s(now)),
+            list_age_ms=_milliseconds(self.list_age_s(now)),
             versions=tuple(self.versions.items()),
         )
 
@@ -313,7 +336,7 @@
         copy = self._boot.copy
         if copy is not None:
             outgoing += self.published(
-                CONFIGURATION, copy.version, copy.texts, now
+                CONFIGURATION, copy.version, copy.bodies, now
             )
         return outgoing
 
@@ -347,6 +370,21 @@
         summary = self._summary(0, False, now)
         return [Outgoing(peer, summary) for peer in peers]
 
+    def _ask(self, now: float) -> list[Outgoing]:
+        if now < self._ask_at:
+            return []
+        jitter = self._random.uniform(0.8, 1.0)
+        self._ask_at = now + defaults.ASK_PERIOD_S * jitter
+        peer = self._relay.upstream()
+        if not peer or not self._fit(peer) or self._asked:
+            others = set(self._relay.candidates) - {self._own}
+            peer = self._random.choice(sorted(others)) if others else ""
+        if not peer:
+            return []
+        nonce = self._random.getrandbits(32) | 1
+        self._asked = {nonce: now}
+        return [Outgoing(peer, self._summary(nonce, False, now))]
+
     def _some(self, count: int) -> list[str]:
         fit = [item for item in self._relay.near if self._fit(item)]
         near = fit or self._relay.near
@@ -379,4 +417,6 @@
 
 
 def _milliseconds(age_s: float | None) -> int:
-    return -1 if age_s is None else int(age_s * 1000)
+    if age_s is None or age_s == float("inf"):
+        return -1
+    return int(age_s * 1000) + 1
--- a/src/savorytally/decisions/freshness.py
+++ b/src/savorytally/decisions/freshness.py
@@ -38,12 +38,17 @@
     def confirmed(self, now: float) -> bool:
         """Return whether requests may be admitted at this moment.
 
-        Must be called at every use and every tick; a gap between two calls
-        is taken for a pause.
+        Must be called at every use; together with :meth:`tick` it takes a
+        long gap between two calls for a pause.
         """
-        self._look(now)
+        if self._seen is not None:
+            self._look(now)
         return self._inquiry is None
 
+    def tick(self, now: float) -> None:
+        """Note that the process runs."""
+        self._look(now)
+
     def peer_answered(self, versions: t.Mapping[str, int]) -> None:
         """Take in that some answer arrived.
 
--- a/src/savorytally/decisions/liveness.py
+++ b/src/savorytally/decisions/liveness.py
@@ -1,92 +1,86 @@
-"""What this node knows of its peers from its own streams."""
+"""When a stream counts as silent and when a peer is dialled again."""
 
-import dataclasses
+import enum
 import random
 
 from .. import defaults
 
 
-@dataclasses.dataclass(slots=True)
-class _Peer:
-    """What is known of one peer."""
+class Check(enum.Enum):
+    """What to do about a stream."""
 
-    incarnation: int = 0
-    connected: bool = False
-    heard_at: float = float("-inf")
-    failures: int = 0
-    retry_at: float = float("-inf")
+    NOTHING = enum.auto()
+    PING = enum.auto()
+    SILENT = enum.auto()
 
 
-class Liveness:
-    """Contact with peers, and when a lost one may be dialled again.
+class StreamHealth:
+    """Judges one stream by what was heard on it.
 
-    :param source: seeded random source for the jitter of the backoff.
+    A stream on which nothing is expected is left alone. A process that was
+    paused has not listened, so time between distant checks does not count.
+
+    :param now: when the stream was opened.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._checked_at = now
+        self._ping_at: float | None = None
+
+    def check(self, expecting: bool, heard_at: float, now: float) -> Check:
+        """Return what to do now; called every ``defaults.CONTROL_TICK_S``.
+
+        :param expecting: whether an answer of any kind is due.
+        :param heard_at: when anything was last received.
+        """
+        gap = now - self._checked_at
+        self._checked_at = now
+        if self._ping_at is not None and gap > defaults.HEARTBEAT_PERIOD_S:
+            self._ping_at += gap
+        if self._ping_at is not None and heard_at >= self._ping_at:
+            self._ping_at = None
+        if not expecting:
+            return Check.NOTHING
+        if self._ping_at is not None:
+            waited = now - self._ping_at + defaults.HEARTBEAT_PERIOD_S
+            silent = waited >= defaults.HEARTBEAT_TIMEOUT_S
+            return Check.SILENT if silent else Check.NOTHING
+        if now - heard_at < defaults.HEARTBEAT_PERIOD_S:
+            return Check.NOTHING
+        self._ping_at = now
+        return Check.PING
+
+
+class Backoff:
+    """Spaces out attempts to connect, with jitter.
+
+    :param source: seeded random source.
     """
 
     def __init__(self, source: random.Random) -> None:
         self._random = source
-        self._peers: dict[str, _Peer] = {}
+        self._failures = 0
+        self._ready_at = float("-inf")
 
     @property
-    def connected(self) -> list[str]:
-        """Hosts that a stream is open with, either way."""
-        return sorted(
-            host_id for host_id, peer in self._peers.items() if peer.connected
+    def ready_at(self) -> float:
+        """When the next attempt may start."""
+        return self._ready_at
+
+    def ready(self, now: float) -> bool:
+        """Return whether an attempt may start."""
+        return now >= self._ready_at
+
+    def failed(self, now: float) -> None:
+        """Note a failed attempt."""
+        longest = min(
+            defaults.RECONNECT_MIN_S * 2**self._failures,
+            defaults.RECONNECT_MAX_S,
         )
+        self._failures = min(self._failures + 1, 16)
+        self._ready_at = now + longest * self._random.uniform(0.5, 1.0)
 
-    def reachable(self, host_id: str, now: float) -> bool:
-        """Return whether the peer may be sent to.
-
-        A peer that was lost may be tried again when its backoff is over.
-        """
-        peer = self._peers.get(host_id)
-        return peer is None or peer.connected or now >= peer.retry_at
-
-    def contact(self, host_id: str) -> float | None:
-        """Return when the peer was last heard, ``None`` if never."""
-        peer = self._peers.get(host_id)
-        if peer is None or peer.heard_at == float("-inf"):
-            return None
-        return peer.heard_at
-
-    def incarnation(self, host_id: str) -> int:
-        """Return the peer's newest known incarnation, 0 if unknown."""
-        peer = self._peers.get(host_id)
-        return peer.incarnation if peer else 0
-
-    def opened(self, host_id: str, incarnation: int, now: float) -> None:
-        """Note that a stream was opened and the peer introduced itself."""
-        peer = self._peers.setdefault(host_id, _Peer())
-        peer.incarnation = max(peer.incarnation, incarnation)
-        peer.connected = True
-        peer.heard_at = now
-        peer.failures = 0
-        peer.retry_at = float("-inf")
-
-    def heard(self, host_id: str, now: float) -> None:
-        """Note that a message of the peer arrived."""
-        peer = self._peers.setdefault(host_id, _Peer())
-        peer.heard_at = now
-        peer.failures = 0
-        peer.retry_at = float("-inf")
-
-    def lost(self, host_id: str, now: float) -> None:
-        """Note a stream that broke, fell silent or could not be opened."""
-        peer = self._peers.setdefault(host_id, _Peer())
-        peer.connected = False
-        longest = defaults.DIAL_BACKOFF_MIN_S * 2**peer.failures
-        longest = min(longest, defaults.DIAL_BACKOFF_MAX_S)
-        peer.failures = min(peer.failures + 1, 16)
-        peer.retry_at = now + self._random.uniform(longest / 2, longest)
-
-    def closed(self, host_id: str) -> None:
-        """Note a stream that was closed in good order."""
-        peer = self._peers.get(host_id)
-        if peer is not None:
-            peer.connected = False
-
-    def forget(self, present: frozenset[str]) -> None:
-        """Drop peers that are not connected and not listed any more."""
-        for host_id, peer in list(self._peers.items()):
-            if host_id not in present and not peer.connected:
-                del self._peers[host_id]
+    def succeeded(self) -> None:
+        """Note a successful attempt."""
+        self._failures = 0
+        self._ready_at = float("-inf")
--- a/src/savorytally/decisions/membership.py
+++ b/src/savorytally/decisions/membership.py
@@ -13,7 +13,7 @@
 from ..peer import messages
 from ..peer import spread
 from ..world import host
-from . import liveness
+from . import contact
 from . import participant
 from . import relay
 
@@ -72,7 +72,7 @@
         incarnation: int,
         tree: relay.Relay,
         source: random.Random,
-        changed: t.Callable[[], None] = lambda: None,
+        changed: t.Callable[[float], None] = lambda now: None,
     ) -> None:
         self._own = host_id
         self._incarnation = incarnation
@@ -85,7 +85,7 @@
         self._dirty = False
         self._repair_at = 0.0
         self._now = float("-inf")
-        self.liveness = liveness.Liveness(source)
+        self.contacts = contact.PeerContacts(source)
 
     @property
     def leaving(self) -> bool:
@@ -111,21 +111,21 @@
         item = self._hosts.get(host_id)
         if item is None or not item.live or self._is_leaving(host_id):
             return False
-        return self.liveness.reachable(host_id, now)
+        return self.contacts.reachable(host_id, now)
 
     def contact(self, host_id: str) -> float | None:
         """Return when a host was last heard, ``None`` if never."""
-        return self.liveness.contact(host_id)
+        return self.contacts.heard_at(host_id)
 
     def reachable(self, host_id: str) -> bool:
         """Return whether a host was reachable when this node last looked."""
-        return self.liveness.reachable(host_id, self._now)
+        return self.contacts.reachable(host_id, self._now)
 
     def learn_hosts(self, hosts: t.Mapping[str, host.Host]) -> None:
         """Replace the list."""
         self._hosts = hosts
         self._dirty = False
-        self.liveness.forget(frozenset(hosts))
+        self.contacts.forget(frozenset(hosts))
 
     def opened(
         self, host_id: str, incarnation: int, now: float
@@ -135,7 +135,7 @@
         A note of an earlier incarnation no longer counts.
         """
         self._now = max(self._now, now)
-        self.liveness.opened(host_id, incarnation, now)
+        self.contacts.opened(host_id, incarnation, now)
         outgoing = []
         note = self._notes.get(host_id)
         if note is not None and note.incarnation < incarnation:
@@ -151,7 +151,7 @@
         every data centre, which pass it on down their trees.
         """
         self._take(self._own, Note(self._incarnation, True, now))
-        return self._announce(self.liveness.connected)
+        return self._announce(self.contacts.connected)
 
     def receive(
         self, sender: str, message: messages.Message, now: float
@@ -178,7 +178,7 @@
         self._expire(now)
         if self._dirty:
             self._dirty = False
-            self._changed()
+            self._changed(now)
         return self._introduce(now) + self._repeat(now)
 
     def _is_leaving(self, host_id: str) -> bool:
@@ -244,7 +244,7 @@
         if not recent:
             return []
         again = self._own in {item[0] for item in recent} and self.leaving
-        announced = self._announce(self.liveness.connected) if again else []
+        announced = self._announce(self.contacts.connected) if again else []
         count = min(defaults.NOTES_PER_MESSAGE, len(recent))
         notes = spread.HostNotes(tuple(self._random.sample(recent, count)))
         near = [item for item in self._relay.near if self.reachable(item)]
--- a/src/savorytally/decisions/readers.py
+++ b/src/savorytally/decisions/readers.py
@@ -20,7 +20,6 @@
         self._heard: dict[str, float] = {}
         self._short_since: float | None = None
         self._reader_at: float | None = None
-        self._platform_at: float | None = None
         self._started: float | None = None
         self._late_until = float("-inf")
 
@@ -30,19 +29,14 @@
 
     def reader_active(self, at: float) -> None:
         """Note when any reader was last active, reading or trying to."""
-        self._reader_at = _later(self._reader_at, at)
-
-    def platform_read(self, at: float) -> None:
-        """Note when any reader last read the platform."""
-        self._platform_at = _later(self._platform_at, at)
+        if self._reader_at is None or at > self._reader_at:
+            self._reader_at = at
 
     def reader_age_s(self, now: float) -> float | None:
         """Return the time since a reader was active as far as known."""
-        return _age(self._reader_at, now)
-
-    def platform_age_s(self, now: float) -> float | None:
-        """Return the time since the platform was read as far as known."""
-        return _age(self._platform_at, now)
+        if self._reader_at is None:
+            return None
+        return max(now - self._reader_at, 0.0)
 
     def reading(self, now: float) -> bool:
         """Return whether this node is to read the platform."""
@@ -82,11 +76,3 @@
             return False
         self._late_until = now + defaults.READER_LATE_TERM_S
         return True
-
-
-def _later(one: float | None, other: float) -> float:
-    return other if one is None else max(one, other)
-
-
-def _age(at: float | None, now: float) -> float | None:
-    return None if at is None else max(now - at, 0.0)
--- a/src/savorytally/decisions/relay.py
+++ b/src/savorytally/decisions/relay.py
@@ -90,6 +90,18 @@
             self._slot = slot
             self._rank(self._ranks)
 
+    def upstream(self) -> str:
+        """Return whom this node asks how old its host list is.
+
+        The ranks form levels below the readers, so that nobody is asked by
+        more than a bounded number of nodes. Empty for readers.
+        """
+        own = self._own_rank
+        readers = defaults.READERS_PER_DATA_CENTRE
+        if own is None or own < readers:
+            return ""
+        return self._ranks[(own - readers) // defaults.ASK_FAN_OUT]
+
     def far_readers(self) -> list[str]:
         """Return one likely reader of every other data centre."""
         seed = str(self._slot)
--- a/src/savorytally/decisions/shelf.py
+++ b/src/savorytally/decisions/shelf.py
@@ -51,17 +51,18 @@
         """The version that this node has put in force."""
         return self._enforced
 
-    def read_whole(self, version: int, texts: t.Mapping[str, bytes]) -> bool:
+    def read_whole(self, version: int, bodies: t.Mapping[str, bytes]) -> bool:
         """Take in a version read from the platform; return if it is new."""
         if version <= max(self.version, self._refused):
             return False
-        return self._take(self._held.replace(version, texts))
+        return self._take(self._held.replace(version, bodies))
 
     def apply(self, delta: spread.Delta) -> bool:
         """Take in a delta from a peer; return whether it brought news."""
         if delta.version <= max(self.version, self._refused):
             return False
-        offered = self._held.apply(from_message(delta))
+        read = from_message(delta)
+        offered = self._held.apply(read) if read else None
         return offered is not None and self._take(offered)
 
     def since(self, after: int) -> spread.Delta:
@@ -109,21 +110,19 @@
         name=name,
         after=delta.after,
         version=delta.version,
-        sections=tuple(
-            (item.name, item.version, item.digest, item.body)
-            for item in delta.sections
-        ),
+        sections=spread.pack(delta.sections),
         removed=tuple(delta.removed.items()),
     )
 
 
-def from_message(message: spread.Delta) -> publication.Delta:
-    """Return the delta that a message carries."""
-    return publication.Delta(
-        after=message.after,
-        version=message.version,
-        sections=tuple(
-            publication.Section(*item) for item in message.sections
-        ),
-        removed=dict(message.removed),
-    )
+def from_message(message: spread.Delta) -> publication.Delta | None:
+    """Return the delta that a message carries, ``None`` if malformed."""
+    try:
+        return publication.Delta(
+            after=message.after,
+            version=message.version,
+            sections=spread.unpack(message.sections),
+            removed=dict(message.removed),
+        )
+    except (ValueError, TypeError):
+        return None
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -9,9 +9,14 @@
 from . import ports
 from . import settings
 from . import view
+from .decisions import adaptive  # noqa: F401, registers a policy
 from .decisions import admission
+from .decisions import balanced  # noqa: F401, registers a policy
 from .decisions import dissemination
+from .decisions import downstream
+from .decisions import evidence
 from .decisions import fifo  # noqa: F401, registers a policy
+from .decisions import loans  # noqa: F401, registers a policy
 from .decisions import membership
 from .decisions import quota
 from .decisions import relay
@@ -27,6 +32,7 @@
 from .parts import publications
 from .parts import running
 from .parts import watch
+from .peer import identity
 from .peer import links
 from .peer import messages
 from .peer import server as peer_server
@@ -52,23 +58,6 @@
         self.outside = outside
         self.view = current
         self.tokens = running.RunningCalls()
-        self.quota = quota.policies.get(policies.quota)()
-        self.routing = routing.policies.get(policies.routing)(
-            options.place, outside.random
-        )
-        self.dispatcher = dispatch.Dispatcher(outside, self.routing)
-        self.entry = entry.Entry(
-            outside, self.view, self.quota, self.dispatcher
-        )
-        self.egress = egress.Egress(self.view, self.tokens, self.dispatcher)
-        self.gate = gate.Gate(
-            outside,
-            self.view,
-            admission.policies.get(policies.admission)(
-                admission.Capacity(slots=1, connections=1)
-            ),
-            self.tokens,
-        )
         self.relay = relay.Relay(options.host_id, options.place)
         self.membership = membership.Membership(
             options.host_id,
@@ -77,12 +66,44 @@
             outside.random,
             self._working_hosts_changed,
         )
+        self.evidence = evidence.SpreadEvidence(self.membership.contacts)
         self.dissemination = dissemination.Dissemination(
             options.host_id,
             self.relay,
             outside.random,
             publications.Publications(self.view),
             self.membership.reachable,
+            self.evidence,
+        )
+        self.quota = quota.policies.get(policies.quota)(
+            quota.Site(
+                host_id=options.host_id,
+                region_id=options.place.region_id,
+                incarnation=incarnation or int(outside.clock.wall() * 1000),
+                evidence=self.evidence,
+                random=outside.random,
+                fresh=options.fresh_fleet,
+            )
+        )
+        self.routing = routing.policies.get(policies.routing)(
+            options.place, outside.random
+        )
+        self.dispatcher = dispatch.Dispatcher(outside, self.routing)
+        below = downstream.DownstreamLevels(self.routing.service_level)
+        self.entry = entry.Entry(
+            outside, self.view, self.quota, self.dispatcher
+        )
+        self.egress = egress.Egress(
+            outside, self.view, self.tokens, self.dispatcher, below
+        )
+        self.gate = gate.Gate(
+            outside,
+            self.view,
+            admission.policies.get(policies.admission)(
+                admission.Capacity(slots=1, connections=1)
+            ),
+            self.tokens,
+            below,
         )
         self.control = control.Control(
             outside, self.view, self.dissemination, self.membership
@@ -102,6 +123,8 @@
         if version is None:
             return
         self.quota.learn_configuration(version, now)
+        self.routing.learn_configuration(version, now)
+        self.dispatcher.learn_configuration(version)
         service = version.services.get(self.settings.service_id)
         if service is not None:
             self.gate.policy.learn_capacity(
@@ -112,10 +135,11 @@
         """Apply a newer host list."""
         self.relay.learn_hosts(self.view.hosts.hosts)
         self.membership.learn_hosts(self.view.hosts.hosts)
-        self._working_hosts_changed()
+        self.quota.learn_hosts(self.view.hosts, now)
+        self._working_hosts_changed(now)
 
-    def _working_hosts_changed(self) -> None:
-        self.routing.learn_hosts(self.membership.working())
+    def _working_hosts_changed(self, now: float) -> None:
+        self.routing.learn_hosts(self.membership.working(), now)
 
 
 class Daemon:
@@ -127,25 +151,31 @@
     def __init__(self, options: settings.Settings) -> None:
         now = clock.SystemClock()
         current = view.View()
-        identity = links.Identity(options.host_id, int(now.wall() * 1000))
+        source = random.Random(secrets.randbits(64))
+        own = identity.Identity(options.host_id, int(now.wall() * 1000))
         self._settings = options
-        self._links = links.Links(identity, lambda: current.version, self)
+        self._links = links.Links(
+            links.Shared(own, lambda: current.version, self, source)
+        )
         self._upstream = upstream.HttpUpstream(options.upstream_url)
         self._platform = platform.HttpPlatform(options.platform_url)
         outside = ports.Outside(
             clock=now,
-            random=random.Random(secrets.randbits(64)),
+            random=source,
             peers=self._links,
             upstream=self._upstream,
             platform=self._platform,
         )
-        self.node = Node(options, outside, current, identity.incarnation)
+        self.node = Node(options, outside, current, own.incarnation)
         self._peer_server = peer_server.PeerServer(
-            identity,
-            self.node.gate.run,
-            self.node.gate.level,
-            lambda: current.version,
-            self,
+            own,
+            peer_server.Handlers(
+                run=self.node.gate.run,
+                level=self.node.gate.level,
+                version=lambda: current.version,
+                inbox=self,
+                now=now.now,
+            ),
         )
         self._entry_server = server.RequestServer(self.node.entry.handle)
         self._egress_server = server.RequestServer(self.node.egress.handle)
@@ -166,7 +196,7 @@
         """
         address = self._settings.address
         opened = self._settings.ports
-        await self._peer_server.start(address, opened.peer)
+        await self._peer_server.listen(address, opened.peer)
         await self._egress_server.start("127.0.0.1", opened.egress)
         await self._entry_server.start(address, opened.entry)
         self._tasks = [
--- a/src/savorytally/parts/control.py
+++ b/src/savorytally/parts/control.py
@@ -52,7 +52,7 @@
             logging.debug("unhandled %s", type(message).__name__)
             return
         now = self._clock.now()
-        self._members.liveness.heard(sender, now)
+        self._members.contacts.heard(sender, now)
         self.send(handler.receive(sender, message, now))
 
     def behind(self, sender: str, version: int) -> None:
@@ -66,11 +66,11 @@
 
     def lost(self, host_id: str) -> None:
         """Note a stream that broke, fell silent or could not be opened."""
-        self._members.liveness.lost(host_id, self._clock.now())
+        self._members.contacts.lost(host_id, self._clock.now())
 
     def closed(self, host_id: str) -> None:
         """Note a stream that was closed in good order."""
-        self._members.liveness.closed(host_id)
+        self._members.contacts.closed(host_id)
 
     def leave(self) -> None:
         """Tell the peers that this host takes no new work."""
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -8,12 +8,20 @@
 from .. import results
 from .. import view
 from ..decisions import admission
+from ..decisions import downstream
 from ..decisions import retry
 from ..peer import messages
 from ..world import route
 from . import headers
 from . import running
 
+_SERVICE_UNAVAILABLE = 503
+_UPSTREAM_FAULTS = (
+    results.NOT_DISPATCHED,
+    results.UPSTREAM_BROKEN,
+    results.ANSWER_TRUNCATED,
+)
+
 
 class Gate:
     """Runs calls at the local upstream as admission allows.
@@ -22,6 +30,7 @@
     :param current: the configuration in force.
     :param policy: decides which calls run, wait or are refused.
     :param tokens: running calls by call token, shared with the egress.
+    :param below: shed levels of the services called from here.
     """
 
     def __init__(
@@ -30,12 +39,14 @@
         current: view.View,
         policy: admission.Admission,
         tokens: running.RunningCalls,
+        below: downstream.DownstreamLevels,
     ) -> None:
         self._clock = outside.clock
         self._upstream = outside.upstream
         self._view = current
         self._admission = policy
         self._tokens = tokens
+        self._downstream = below
         self._tickets = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[admission.Decision]] = {}
 
@@ -44,9 +55,14 @@
         """The admission policy in use."""
         return self._admission
 
-    def level(self) -> int:
-        """Return the shed level to send with answers."""
-        return self._admission.level(self._clock.now())
+    def level(self, call: messages.Call) -> int:
+        """Return the shed level to send with a call's result.
+
+        It counts in the services that calls on this route have called.
+        """
+        now = self._clock.now()
+        own = self._admission.level(now)
+        return max(own, self._downstream.level(call.route_id, now))
 
     def tick(self) -> None:
         """Let admission remove calls that can't be answered in time."""
@@ -62,16 +78,18 @@
         decision = await self._admit(call, found, ticket, deadline)
         if isinstance(decision, admission.Refuse):
             return outcomes.Failure(
-                decision.code, retry_after_ms=decision.retry_after_ms
+                decision.code,
+                retry_after_ms=decision.retry_after_ms,
+                retries_unused=call.retries,
             )
-        ok = False
+        end = admission.End.WITHDRAWN
         try:
             outcome = await self._execute(call, found, deadline)
-            ok = isinstance(outcome, outcomes.Answer)
+            end = _end(outcome)
             return outcome
         finally:
             now = self._clock.now()
-            self._apply(self._admission.finish(ticket, ok, now))
+            self._apply(self._admission.finish(ticket, end, now))
 
     def _check(self, call: messages.Call) -> route.Route | outcomes.Failure:
         version = self._view.configuration
@@ -105,7 +123,7 @@
             ticket=ticket,
             organisation_id=call.organisation_id,
             weight=holder.contract.weight if holder else 1.0,
-            priority=found.priority,
+            priority=route.Priority(call.priority),
             route_id=call.route_id,
             deadline=deadline,
             alone=call.suspect,
@@ -115,9 +133,12 @@
         self._apply(self._admission.arrive(arrival, self._clock.now()))
         try:
             return await future
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
             self._withdraw(ticket, future)
-            raise
+            failure = outcomes.Failure(
+                results.CANCELLED_BEFORE_START, retries_unused=call.retries
+            )
+            raise ports.Withdrawn(failure) from error
         finally:
             self._waiting.pop(ticket, None)
 
@@ -127,7 +148,8 @@
         now = self._clock.now()
         started = future.done() and not future.cancelled()
         if started and isinstance(future.result(), admission.Start):
-            self._apply(self._admission.finish(ticket, False, now))
+            end = admission.End.WITHDRAWN
+            self._apply(self._admission.finish(ticket, end, now))
             return
         self._apply(self._admission.cancel(ticket, now))
 
@@ -152,11 +174,28 @@
         try:
             request = _upstream_request(call, found, token)
             outcome = await self._upstream.exchange(request, remaining_s)
+        except asyncio.CancelledError as error:
+            failure = outcomes.Failure(
+                results.CANCELLED_AFTER_START, retries_unused=budget.left
+            )
+            raise ports.Withdrawn(failure) from error
         finally:
             self._tokens.end(token)
         return running.with_unused(outcome, budget.left)
 
 
+def _end(outcome: outcomes.Outcome) -> admission.End:
+    if isinstance(outcome, outcomes.Answer):
+        if outcome.status == _SERVICE_UNAVAILABLE:
+            return admission.End.REJECTED
+        return admission.End.ANSWERED
+    if outcome.code in _UPSTREAM_FAULTS:
+        return admission.End.BROKEN
+    if outcome.code is results.DEADLINE_PASSED:
+        return admission.End.LATE
+    return admission.End.WITHDRAWN
+
+
 def _upstream_request(
     call: messages.Call, found: route.Route, token: str
 ) -> ports.UpstreamRequest:
--- a/src/savorytally/parts/publications.py
+++ b/src/savorytally/parts/publications.py
@@ -1,8 +1,6 @@
 """Reads publications and puts them in force in the view."""
 
-import json
 import typing as t
-import zlib
 
 from absl import logging
 
@@ -13,8 +11,11 @@
 from ..world import document
 from ..world import host
 from ..world import hosts
+from ..world import parts
 from ..world import publication
 
+HOSTS_FIELD = "hosts"
+
 
 class Publications:
     """Checks publications and offers them to the view.
@@ -30,9 +31,9 @@
     def check(self, offered: publication.Publication) -> bool:
         """Return whether it is without fault; log every fault if not."""
         try:
-            value = json.loads(publication.joined(offered))
-        except (ValueError, KeyError, zlib.error) as error:
-            fault = fields.Fault("/", f"not JSON: {error}")
+            value = parts.join(offered.bodies())
+        except (ValueError, KeyError, RecursionError) as error:
+            fault = fields.Fault("/", f"not whole: {error}")
             _report(offered, (fault,))
             return False
         if offered.name == dissemination.HOSTS:
@@ -63,7 +64,8 @@
     def _check_hosts(
         self, offered: publication.Publication, value: t.Any
     ) -> bool:
-        read = hosts.read(offered.version, value)
+        listed = value.get(HOSTS_FIELD) if isinstance(value, dict) else value
+        read = hosts.read(offered.version, listed)
         if isinstance(read, list):
             _report(offered, read)
             return False
--- a/src/savorytally/parts/watch.py
+++ b/src/savorytally/parts/watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import typing as t
 
 from absl import logging
@@ -10,15 +11,22 @@
 from .. import ports
 from ..decisions import dissemination
 from ..decisions import participant
-from ..world import publication
+from ..world import parts
+from ..world import sections
+from . import publications
 
 Send = t.Callable[[list[participant.Outgoing]], None]
 
+_WAITS_S = {
+    dissemination.CONFIGURATION: defaults.PLATFORM_WATCH_S,
+    dissemination.HOSTS: defaults.HOST_LIST_WATCH_S,
+}
+
 
 class PlatformWatch:
     """Reads configuration and host list whenever they change.
 
-    :param outside: clock and platform.
+    :param outside: clock, random source and platform.
     :param news: says whether to read and takes what was read.
     :param send: sends the messages that follow.
     """
@@ -30,17 +38,15 @@
         send: Send,
     ) -> None:
         self._clock = outside.clock
-        self._random = outside.random
+        self._random: random.Random = outside.random
         self._platform = outside.platform
         self._news = news
         self._send = send
+        self._bodies: dict[str, bytes] = {}
 
     async def run(self) -> None:
         """Watch both values until cancelled."""
-        await asyncio.gather(
-            self._watch(dissemination.CONFIGURATION),
-            self._watch(dissemination.HOSTS),
-        )
+        await asyncio.gather(*(self._watch(name) for name in _WAITS_S))
 
     async def _watch(self, name: str) -> None:
         after = 0
@@ -48,40 +54,42 @@
         while True:
             if not self._news.reading(name, self._clock.now()):
                 after = 0
+                self._bodies.clear()
                 await asyncio.sleep(defaults.CONTROL_TICK_S)
                 continue
             try:
-                value = await self._read(name, after)
+                after = await self._turn(name, after)
                 failures = 0
             except OSError as error:
                 logging.warning("code=9006 value=%s %s", name, error)
                 self._news.platform_failed()
                 await asyncio.sleep(self._backoff_s(name, failures))
                 failures += 1
-                continue
-            if value is not None:
-                after = max(after, value.version)
-                self._take(value)
 
-    async def _read(self, name: str, after: int) -> ports.Value | None:
+    async def _turn(self, name: str, after: int) -> int:
         begun = self._clock.now()
         confirming = not self._news.freshness.confirmed(begun)
-        wait_s = 0.0 if confirming else defaults.PLATFORM_WATCH_S
+        wait_s = 0.0 if confirming else _WAITS_S[name]
         reading = asyncio.ensure_future(
             self._platform.read(name, after, wait_s)
         )
         try:
-            while not reading.done():
+            while not reading.done() and self._wanted(name, confirming):
                 await asyncio.wait({reading}, timeout=defaults.CONTROL_TICK_S)
-                if not self._wanted(name, confirming):
-                    break
             if not reading.done():
-                return None
+                return after
             value = reading.result()
         finally:
             reading.cancel()
-        self._news.platform_answered(begun, self._clock.now())
-        return value
+        if value is not None:
+            await self._take(value)
+            after = max(after, value.version)
+        self._news.platform_answered(begun)
+        if name == dissemination.HOSTS:
+            self._news.list_confirmed(after, begun)
+        if value is None and not wait_s:
+            await asyncio.sleep(defaults.CONTROL_TICK_S)
+        return after
 
     def _wanted(self, name: str, confirming: bool) -> bool:
         now = self._clock.now()
@@ -90,30 +98,64 @@
         return self._news.reading(name, now)
 
     def _backoff_s(self, name: str, failures: int) -> float:
-        known = name in self._news.versions
-        longest = (
-            defaults.PLATFORM_RETRY_MAX_S
-            if known
-            else defaults.BOOT_RETRY_MAX_S
-        )
-        wait_s = min(
-            defaults.PLATFORM_RETRY_S * 2 ** min(failures, 8), longest
-        )
+        longest = defaults.PLATFORM_RETRY_MAX_S
+        if name not in self._news.versions:
+            longest = defaults.BOOT_RETRY_MAX_S
+        doubled = defaults.PLATFORM_RETRY_S * 2 ** min(failures, 8)
+        wait_s = min(doubled, longest)
         return self._random.uniform(wait_s / 2, wait_s)
 
-    def _take(self, value: ports.Value) -> None:
+    async def _take(self, value: ports.Value) -> None:
         version = value.version
-        if value.name == dissemination.CONFIGURATION:
-            version = _document_version(value.body)
-        texts = publication.whole(value.body)
-        self._send(
-            self._news.published(value.name, version, texts, self._clock.now())
-        )
+        try:
+            document = json.loads(value.body)
+        except (ValueError, RecursionError) as error:
+            logging.error("code=9002 value=%s not JSON: %s", value.name, error)
+            return
+        if value.name == dissemination.HOSTS:
+            document = {publications.HOSTS_FIELD: document}
+        else:
+            document = await self._assemble(document)
+            version = _version(document)
+        if document is None:
+            return
+        if version <= 0:
+            logging.error("code=9002 value=%s /version missing", value.name)
+            return
+        bodies = parts.divide(document)
+        now = self._clock.now()
+        self._send(self._news.published(value.name, version, bodies, now))
+
+    async def _assemble(self, document: t.Any) -> t.Any:
+        head = sections.read_head(document)
+        if isinstance(head, sections.Whole):
+            return head.value
+        if isinstance(head, sections.Head):
+            await self._read_sections(head)
+            whole = sections.assemble(head, self._bodies)
+            if isinstance(whole, sections.Whole):
+                return whole.value
+            if isinstance(whole, sections.Missing):
+                raise OSError("sections differ from the head")
+            head = whole
+        for fault in head.faults:
+            logging.error("code=9002 %s %s", fault.place, fault.text)
+        return None
+
+    async def _read_sections(self, head: sections.Head) -> None:
+        """Read the sections that are not held, and drop those not named."""
+        held = {
+            name: sections.digest_of(body)
+            for name, body in self._bodies.items()
+        }
+        for item in sections.changed(head, held):
+            value = await self._platform.read(item.name, 0, 0.0)
+            if value is not None:
+                self._bodies[item.name] = value.body
+        for name in set(self._bodies) - set(head.sections):
+            del self._bodies[name]
 
 
-def _document_version(body: bytes) -> int:
-    try:
-        version = json.loads(body)["version"]
-    except (ValueError, KeyError, TypeError):
-        return 0
+def _version(document: t.Any) -> int:
+    version = document.get("version") if isinstance(document, dict) else 0
     return version if type(version) is int else 0
--- a/src/savorytally/peer/messages.py
+++ b/src/savorytally/peer/messages.py
@@ -99,6 +99,7 @@
     :param route_id: the route to run.
     :param organisation_id: the caller's organisation, empty if none.
     :param key_id: prefix of the key's digest, empty if none.
+    :param priority: the higher class of its route and of the call above.
     :param tail: what follows the route's path.
     :param query: the query string without the question mark.
     :param headers: end-to-end request headers, free of secrets.
@@ -119,6 +120,7 @@
     route_id: str
     organisation_id: str
     key_id: str
+    priority: int
     tail: str
     query: str
     headers: Pairs
@@ -153,7 +155,8 @@
     :param status: the upstream's HTTP status.
     :param headers: end-to-end response headers.
     :param length: length of the whole body in bytes.
-    :param digest: XXH3 64-bit digest of the whole body.
+    :param digest: XXH3 64-bit digest of the whole body, seeded with the
+        call's identifier.
     :param retries_unused: retries that come back to the caller.
     :param repeated: whether it is a retained answer.
     :param load: the gate's shed level, see ``decisions.shedding``.
@@ -177,10 +180,12 @@
     """Continues the body of an answer.
 
     :param call_id: the call.
+    :param offset: bytes of the body before this piece.
     :param body: the next piece.
     """
 
     call_id: int
+    offset: int
     body: bytes
 
 
@@ -230,3 +235,14 @@
     """
 
     call_id: int
+
+
+@message(17)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settled(Message):
+    """Tells that the sender will not ask about earlier calls any more.
+
+    :param below: calls with a smaller identifier are settled.
+    """
+
+    below: int
--- a/src/savorytally/peer/spread.py
+++ b/src/savorytally/peer/spread.py
@@ -1,9 +1,16 @@
 """Messages that spread publications and notes on hosts between nodes."""
 
 import dataclasses
+import typing as t
+import zlib
 
+import msgpack
+
+from ..world import publication
 from . import messages
 
+SECTIONS_MAX_BYTES = 64 << 20
+
 Versions = tuple[tuple[str, int], ...]
 
 
@@ -43,15 +50,14 @@
     :param name: the publication.
     :param after: the older version.
     :param version: the newer version.
-    :param sections: name, version, digest and compressed body of each
-        section that changed.
+    :param sections: the sections that changed, see :func:`pack`.
     :param removed: name and version of removal of each removed section.
     """
 
     name: str
     after: int
     version: int
-    sections: tuple[tuple[str, int, int, bytes], ...]
+    sections: bytes
     removed: Versions
 
 
@@ -65,8 +71,8 @@
     :param reading: whether the sender reads the platform successfully.
     :param reader_age_ms: time since any reader that the sender knows of was
         active, 0 if it is one itself, -1 if it knows of none.
-    :param platform_age_ms: time since any reader that the sender knows of
-        last read the platform, -1 if it knows of none.
+    :param list_age_ms: time since the sender's host list was confirmed to
+        be the newest, -1 if it never was.
     :param versions: each publication's version, 0 left out.
     """
 
@@ -74,7 +80,7 @@
     reply: bool
     reading: bool
     reader_age_ms: int
-    platform_age_ms: int
+    list_age_ms: int
     versions: Versions
 
 
@@ -104,3 +110,36 @@
     """
 
     notes: tuple[tuple[str, int, bool], ...]
+
+
+def pack(sections: t.Iterable[publication.Section]) -> bytes:
+    """Return the compressed form of sections."""
+    listed = [
+        (item.name, item.version, item.digest, item.body) for item in sections
+    ]
+    return zlib.compress(msgpack.packb(listed), 1)
+
+
+def unpack(packed: bytes) -> tuple[publication.Section, ...]:
+    """Return the sections of a compressed form.
+
+    :raises ValueError: if it is malformed or too long.
+    """
+    reader = zlib.decompressobj()
+    try:
+        text = reader.decompress(packed, SECTIONS_MAX_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"sections: {error}") from error
+    if not reader.eof:
+        raise ValueError("sections are cut off or too long")
+    listed = msgpack.unpackb(text, use_list=False)
+    return tuple(_section(item) for item in listed)
+
+
+def _section(item: t.Any) -> publication.Section:
+    name, version, digest, body = item
+    if type(name) is not str or type(body) is not bytes:
+        raise ValueError("malformed section")
+    if type(version) is not int or type(digest) is not int:
+        raise ValueError("malformed section")
+    return publication.Section(name, version, digest, body)
--- a/src/savorytally/world/publication.py
+++ b/src/savorytally/world/publication.py
@@ -2,13 +2,9 @@
 
 import dataclasses
 import typing as t
-import zlib
 
 import xxhash
 
-_WHOLE = "whole"
-_TEXT_MAX_BYTES = 8 << 20
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Section:
@@ -17,7 +13,7 @@
     :param name: unique within the publication.
     :param version: the publication's version that last changed it.
     :param digest: XXH3 64-bit digest of the body.
-    :param body: its opaque bytes, compressed.
+    :param body: its opaque bytes.
     """
 
     name: str
@@ -30,21 +26,9 @@
         """Whether the body matches the digest."""
         return xxhash.xxh3_64_intdigest(self.body) == self.digest
 
-    def text(self) -> bytes:
-        """Return the body as it was published.
-
-        :raises zlib.error: if it is damaged or too long.
-        """
-        reader = zlib.decompressobj()
-        text = reader.decompress(self.body, _TEXT_MAX_BYTES)
-        if not reader.eof:
-            raise zlib.error("section is damaged or too long")
-        return text
 
-
-def pack(name: str, version: int, text: bytes) -> Section:
+def pack(name: str, version: int, body: bytes) -> Section:
     """Return a section that carries some bytes."""
-    body = zlib.compress(text)
     return Section(name, version, xxhash.xxh3_64_intdigest(body), body)
 
 
@@ -112,39 +96,33 @@
         return Publication(self.name, delta.version, kept, gone)
 
     def replace(
-        self, version: int, texts: t.Mapping[str, bytes]
+        self, version: int, bodies: t.Mapping[str, bytes]
     ) -> "Publication":
         """Return a newer version that was read whole.
 
         Sections whose bytes did not change keep their version.
 
-        :param texts: the bytes of every section by name.
+        :param bodies: the bytes of every section by name.
         """
         sections = {}
-        for name, text in texts.items():
-            packed = pack(name, version, text)
+        for name, body in bodies.items():
             old = self.sections.get(name)
-            same = old is not None and old.digest == packed.digest
-            sections[name] = old if same and old is not None else packed
+            if old is None or old.body != body:
+                old = pack(name, version, body)
+            sections[name] = old
         gone = {
             **self.removed,
-            **dict.fromkeys(set(self.sections) - set(texts), version),
+            **dict.fromkeys(set(self.sections) - set(bodies), version),
         }
-        for name in texts:
+        for name in bodies:
             gone.pop(name, None)
         return Publication(self.name, version, sections, gone)
 
+    def bodies(self) -> dict[str, bytes]:
+        """Return the bytes of every section by name."""
+        return {name: item.body for name, item in self.sections.items()}
+
 
 def empty(name: str) -> Publication:
     """Return the state before the first version."""
     return Publication(name, 0, {}, {})
-
-
-def whole(text: bytes) -> dict[str, bytes]:
-    """Return the sections of a document that is published in one piece."""
-    return {_WHOLE: text}
-
-
-def joined(held: Publication) -> bytes:
-    """Return the bytes of a document that is published in one piece."""
-    return held.sections[_WHOLE].text()
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -7,6 +7,7 @@
 from fakes import transport
 from savorytally import defaults
 from savorytally.decisions import dissemination
+from savorytally.decisions import evidence
 from savorytally.decisions import membership
 from savorytally.decisions import participant
 from savorytally.decisions import relay
@@ -16,6 +17,10 @@
 
 CONFIGURATION = dissemination.CONFIGURATION
 HOSTS = dissemination.HOSTS
+_WAITS_S = {
+    CONFIGURATION: defaults.PLATFORM_WATCH_S,
+    HOSTS: defaults.HOST_LIST_WATCH_S,
+}
 CALM = transport.Weather()
 
 
@@ -65,8 +70,14 @@
         self.membership = membership.Membership(
             host_id, incarnation, self.relay, source
         )
+        self.evidence = evidence.SpreadEvidence(self.membership.contacts)
         self.dissemination = dissemination.Dissemination(
-            host_id, self.relay, source, self, self.membership.reachable
+            host_id,
+            self.relay,
+            source,
+            self,
+            self.membership.reachable,
+            self.evidence,
         )
 
     @property
@@ -79,7 +90,7 @@
         return self.dissemination.shelves[CONFIGURATION].enforced
 
     def check(self, offered: publication.Publication) -> bool:
-        body = publication.joined(offered)
+        body = offered.sections["body"].body
         self._checked[offered.name] = offered
         return not body.startswith(b"faulty")
 
@@ -108,20 +119,22 @@
     def _watch(self, name: str, now: float) -> list[participant.Outgoing]:
         store = self._fleet.store
         began = self._watching.get(name)
-        if began is None or now - began >= defaults.PLATFORM_WATCH_S:
+        if began is None or now - began >= _WAITS_S[name]:
             store.calls += 1
             began = self._watching[name] = now
         if self._host_id in store.down:
             self.dissemination.platform_failed()
             return []
-        self.dissemination.platform_answered(began, now)
+        self.dissemination.platform_answered(began)
         newest = store.newest(name, self._host_id)
+        if name == HOSTS:
+            self.dissemination.list_confirmed(newest, began)
         if newest <= self._read.get(name, 0):
             return []
         store.calls += 1
         self._read[name] = newest
-        texts = publication.whole(store.bodies[name][newest - 1])
-        return self.dissemination.published(name, newest, texts, now)
+        bodies = {"body": store.bodies[name][newest - 1]}
+        return self.dissemination.published(name, newest, bodies, now)
 
 
 class Fleet:
@@ -185,7 +198,7 @@
     def lose_streams(self, host_id: str) -> None:
         """Let the others notice that a host's streams broke."""
         for member in self.members.values():
-            member.membership.liveness.lost(host_id, self.now)
+            member.membership.contacts.lost(host_id, self.now)
 
     def send(self, host_id: str, outgoing: list) -> None:
         """Send what a host's decision returned outside its tick."""
