--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -13,11 +13,14 @@
 from .decisions import adaptive  # noqa: F401, registers a policy
 from .decisions import admission
 from .decisions import balanced  # noqa: F401, registers a policy
+from .decisions import dissemination
 from .decisions import downstream
+from .decisions import evidence
 from .decisions import fifo  # noqa: F401, registers a policy
 from .decisions import loans  # noqa: F401, registers a policy
-from .decisions import ownership
+from .decisions import membership
 from .decisions import quota
+from .decisions import relay
 from .decisions import routing
 from .http import admin
 from .http import platform
@@ -28,6 +31,7 @@
 from .parts import egress
 from .parts import entry
 from .parts import gate
+from .parts import publications
 from .parts import running
 from .parts import watch
 from .peer import identity
@@ -55,6 +59,7 @@
 
     :param options: the node's settings.
     :param outside: clock, random source, peers, upstream and platform.
+    :param incarnation: distinguishes it from earlier nodes of its host.
     """
 
     def __init__(
@@ -62,18 +67,35 @@
         options: settings.Settings,
         outside: ports.Outside,
         current: view.View,
+        incarnation: int = 0,
     ) -> None:
         policies = options.policies
         self.settings = options
         self.outside = outside
         self.view = current
         self.tokens = running.RunningCalls()
-        self.evidence = ownership.ListEvidence()
+        self.relay = relay.Relay(options.host_id, options.place)
+        self.membership = membership.Membership(
+            options.host_id,
+            incarnation,
+            self.relay,
+            outside.random,
+            self._working_hosts_changed,
+        )
+        self.evidence = evidence.SpreadEvidence(self.membership.contacts)
+        self.dissemination = dissemination.Dissemination(
+            options.host_id,
+            self.relay,
+            outside.random,
+            publications.Publications(self.view),
+            self.membership.reachable,
+            self.evidence,
+        )
         self.quota = quota.policies.get(policies.quota)(
             quota.Site(
                 host_id=options.host_id,
                 region_id=options.place.region_id,
-                incarnation=int(outside.clock.wall() * 1000),
+                incarnation=incarnation or int(outside.clock.wall() * 1000),
                 evidence=self.evidence,
                 random=outside.random,
                 fresh=options.fresh_fleet,
@@ -99,12 +121,17 @@
             self.tokens,
             below,
         )
-        self.control = control.Control(outside, self.view)
+        self.control = control.Control(
+            outside, self.view, self.dissemination, self.membership
+        )
+        self.control.add(self.dissemination)
+        self.control.add(self.membership)
         self.control.add(self.quota)
         self.watch = watch.PlatformWatch(
-            outside, self.view, self.evidence.confirm
+            outside, self.dissemination, self.control.send
         )
         self.view.subscribe(self)
+        self.view.confirm_with(self.dissemination.freshness.confirmed)
 
     def configuration_changed(self, now: float) -> None:
         """Apply a newer configuration."""
@@ -122,8 +149,13 @@
 
     def hosts_changed(self, now: float) -> None:
         """Apply a newer host list."""
+        self.relay.learn_hosts(self.view.hosts.hosts)
+        self.membership.learn_hosts(self.view.hosts.hosts)
         self.quota.learn_hosts(self.view.hosts, now)
-        self.routing.learn_hosts(self.view.hosts.hosts, now)
+        self._working_hosts_changed(now)
+
+    def _working_hosts_changed(self, now: float) -> None:
+        self.routing.learn_hosts(self.membership.working(), now)
 
 
 class Daemon:
@@ -150,7 +182,7 @@
             upstream=self._upstream,
             platform=self._platform,
         )
-        self.node = Node(options, outside, current)
+        self.node = Node(options, outside, current, own.incarnation)
         self._peer_server = peer_server.PeerServer(
             own,
             peer_server.Handlers(
