Tick the gate and survive a fault in one participant

Cause: nothing called Gate.tick, so that a queued call past its deadline waited for the next event; an exception in one participant's tick ended the control task for good.

Change: control runs chores with every tick, the gate's among them; a participant's fault is logged and the others go on.

Measured: two new tests, both fail without the change.

--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -127,6 +127,7 @@
         self.control.add(self.dissemination)
         self.control.add(self.membership)
         self.control.add(self.quota)
+        self.control.every_tick(self.gate.tick)
         self.watch = watch.PlatformWatch(
             outside, self.dissemination, self.control.send
         )
--- a/src/savorytally/parts/control.py
+++ b/src/savorytally/parts/control.py
@@ -1,6 +1,7 @@
 """Carries messages between this node's participants and their peers."""
 
 import asyncio
+import typing as t
 
 from absl import logging
 
@@ -35,6 +36,7 @@
         self._news = news
         self._members = members
         self._participants: list[participant.Participant] = []
+        self._chores: list[t.Callable[[], None]] = []
         self._by_message: dict[
             type[messages.Message], participant.Participant
         ] = {}
@@ -45,6 +47,10 @@
         for cls in joined.handles:
             self._by_message[cls] = joined
 
+    def every_tick(self, chore: t.Callable[[], None]) -> None:
+        """Do some work of this node alone with every tick."""
+        self._chores.append(chore)
+
     def deliver(self, sender: str, message: messages.Message) -> None:
         """Hand an incoming message to the participant that handles it."""
         handler = self._by_message.get(type(message))
@@ -77,10 +83,17 @@
         self.send(self._members.leave(self._clock.now()))
 
     def tick(self) -> None:
-        """Let every participant do what is due."""
-        now = self._clock.now()
+        """Let every participant do what is due.
+
+        A fault in one of them is logged and stops none of the others.
+        """
         for item in self._participants:
-            self.send(item.tick(now))
+            try:
+                self.send(item.tick(self._clock.now()))
+            except Exception:
+                logging.exception("tick of %s", type(item).__name__)
+        for chore in self._chores:
+            chore()
 
     async def run(self) -> None:
         """Tick until cancelled."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,5 +1,7 @@
 """Entry, dispatch, gate and egress, composed without ports."""
 
+import asyncio
+
 from fakes import documents
 from fakes import nodes
 import pytest
@@ -7,12 +9,14 @@
 from savorytally import outcomes
 from savorytally import ports
 from savorytally import results
+from savorytally import settings
 from savorytally.decisions import shedding
 from savorytally.parts import context
 from savorytally.parts import headers
 from savorytally.world import hosts
 from savorytally.world import route
 
+ADAPTIVE = settings.Policies(admission="adaptive", quota="local")
 OK = outcomes.Answer(200, (), b"ok")
 
 
@@ -226,3 +230,59 @@
         bound = made.view.configuration.retries.per_root
         assert len(children) - 1 <= bound
         assert codes[-1] is results.RETRIES_SPENT
+
+
+class TestControl:
+    def test_fault_in_one_participant_stops_no_other(self, fleet):
+        class Faulty:
+            handles = ()
+
+            def tick(self, now):
+                raise ValueError("fault")
+
+        class Counting:
+            handles = ()
+            ticks = 0
+
+            def tick(self, now):
+                self.ticks += 1
+                return []
+
+        made = fleet.add("browse-0", answer_ok)
+        counting = Counting()
+        made.control.add(Faulty())
+        made.control.add(counting)
+        made.control.tick()
+        assert counting.ticks == 1
+
+    def test_queued_call_leaves_when_its_deadline_passes(self, run, fleet):
+        async def work():
+            held = asyncio.Event()
+
+            async def wait(request, timeout_s):
+                await held.wait()
+                return OK
+
+            made = fleet.add("browse-0", wait, policies=ADAPTIVE)
+            fleet.add("browse-2", wait, policies=ADAPTIVE)
+            slots = made.view.configuration.services["browse"].slots
+            calls = [
+                asyncio.ensure_future(
+                    made.entry.handle(get("/browse/species"))
+                )
+                for _ in range(4 * slots)
+            ]
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            fleet.clock.advance(10.0)
+            for item in fleet.peers.nodes.values():
+                item.control.tick()
+            await asyncio.sleep(0.01)
+            refused = [call.result() for call in calls if call.done()]
+            held.set()
+            await asyncio.gather(*calls)
+            return refused
+
+        refused = run(work())
+        assert refused
+        assert all(outcome.code.not_run for outcome in refused)
--- a/tools/capacity/probes_calls.py
+++ b/tools/capacity/probes_calls.py
@@ -181,7 +181,7 @@
     )
     listening = server.PeerServer(identity.Identity("server", 1), handlers)
     port = defaults.PEER_PORT + 20_000
-    await listening.start("127.0.0.1", port)
+    await listening.listen("127.0.0.1", port)
     place = region.Place("region-0", "centre-0")
     made = links.Links(
         links.Shared(
