Let nodes talk over mutual TLS and callers over TLS

Cause: the settings named certificates and nothing used them. Change: tls.py makes all contexts. Incoming and outgoing peer streams ask for a certificate of the fleet's authority, TLS 1.3; the entry presents its own and asks for none. Conclusion: hosts are known by IP number, so peers check membership of the fleet and no host name.

--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -8,6 +8,7 @@
 from . import clock
 from . import ports
 from . import settings
+from . import tls
 from . import view
 from .decisions import adaptive  # noqa: F401, registers a policy
 from .decisions import admission
@@ -123,7 +124,13 @@
         own = identity.Identity(options.host_id, int(now.wall() * 1000))
         self._settings = options
         self._links = links.Links(
-            links.Shared(own, lambda: current.version, self, source)
+            links.Shared(
+                own,
+                lambda: current.version,
+                self,
+                source,
+                tls.peer_client(options.peer_tls),
+            )
         )
         self._upstream = upstream.HttpUpstream(options.upstream_url)
         self._platform = platform.HttpPlatform(options.platform_url)
@@ -160,13 +167,18 @@
     async def start(self) -> None:
         """Open the ports and start the background work.
 
-        :raises OSError: if a port is taken.
+        :raises OSError: if a port is taken or a certificate is unreadable.
         """
-        address = self._settings.address
-        opened = self._settings.ports
-        await self._peer_server.listen(address, opened.peer)
+        options = self._settings
+        address = options.address
+        opened = options.ports
+        await self._peer_server.listen(
+            address, opened.peer, tls.peer_server(options.peer_tls)
+        )
         await self._egress_server.start("127.0.0.1", opened.egress)
-        await self._entry_server.start(address, opened.entry)
+        await self._entry_server.start(
+            address, opened.entry, tls.entry(options.entry_tls)
+        )
         self._tasks = [
             asyncio.ensure_future(self.node.watch.run()),
             asyncio.ensure_future(self.node.control.run()),
--- a/tests/fakes/peers.py
+++ b/tests/fakes/peers.py
@@ -7,6 +7,8 @@
 import typing as t
 
 from savorytally import outcomes
+from savorytally import settings
+from savorytally import tls
 from savorytally.peer import identity
 from savorytally.peer import links
 from savorytally.peer import messages
@@ -117,14 +119,22 @@
     )
 
 
-def make_links(inbox: Inbox, incarnation: int = 1) -> links.Links:
+def make_links(
+    inbox: Inbox, certificates: settings.Tls | None = None
+) -> links.Links:
     """Return the links of a calling node."""
-    own = identity.Identity("left", incarnation)
-    return links.Links(links.Shared(own, lambda: 1, inbox, random.Random(1)))
+    own = identity.Identity("left", 1)
+    context = tls.peer_client(certificates)
+    return links.Links(
+        links.Shared(own, lambda: 1, inbox, random.Random(1), context)
+    )
 
 
 async def start(
-    port: int, run: Run | None = None, incarnation: int = 1
+    port: int,
+    run: Run | None = None,
+    serving_tls: settings.Tls | None = None,
+    calling_tls: settings.Tls | None = None,
 ) -> Pair:
     """Start a pair.
 
@@ -133,13 +143,14 @@
     inbox = Inbox()
     gate = Gate()
     serving = server.PeerServer(
-        identity.Identity("right", incarnation),
+        identity.Identity("right", 1),
         handlers(run or gate.run, inbox),
     )
-    await serving.listen("127.0.0.1", port)
-    between = proxy.Proxy(port)
+    await serving.listen("127.0.0.1", port, tls.peer_server(serving_tls))
+    between = proxy.Proxy(port, framed=serving_tls is None)
     await between.start()
-    return Pair(gate, serving, between, make_links(inbox), inbox)
+    calling = make_links(inbox, calling_tls)
+    return Pair(gate, serving, between, calling, inbox)
 
 
 async def until(met: t.Callable[[], bool]) -> None:
--- a/tests/fakes/proxy.py
+++ b/tests/fakes/proxy.py
@@ -38,9 +38,11 @@
     """Forwards connections to a port of loopback.
 
     :param target_port: where frames go.
+    :param framed: whether it sees frames, or bytes under TLS.
     """
 
-    def __init__(self, target_port: int) -> None:
+    def __init__(self, target_port: int, framed: bool = True) -> None:
+        self._framed = framed
         self.connections: list[Connection] = []
         self.copies = 1
         self.shuffle: random.Random | None = None
@@ -101,9 +103,7 @@
         held: list[bytes] = []
         try:
             while True:
-                length = await reader.readexactly(codec.LENGTH.size)
-                size = codec.LENGTH.unpack(length)[0]
-                frame = length + await reader.readexactly(size)
+                frame = await self._read(reader)
                 copies = self.copies if harmed else 1
                 held += [frame] * copies
                 if harmed and self.shuffle and await self._more(reader):
@@ -116,6 +116,16 @@
         except (asyncio.IncompleteReadError, OSError):
             writer.close()
 
+    async def _read(self, reader: asyncio.StreamReader) -> bytes:
+        if not self._framed:
+            data = await reader.read(1 << 16)
+            if not data:
+                raise asyncio.IncompleteReadError(b"", None)
+            return data
+        length = await reader.readexactly(codec.LENGTH.size)
+        size = codec.LENGTH.unpack(length)[0]
+        return length + await reader.readexactly(size)
+
     async def _more(self, reader: asyncio.StreamReader) -> bool:
         """Return whether another frame follows at once."""
         await asyncio.sleep(0.01)
