Note streams opened, closed and lost in the membership

Cause: membership heard of peers only by control messages. Change: links and sessions hand Hello and a local Lost event to the inbox; neighbours for repair lie at doubling distances of the ranks, so that few streams are opened. Conclusion: liveness comes from the streams that are in use anyway.

--- a/src/savorytally/decisions/dissemination.py
+++ b/src/savorytally/decisions/dissemination.py
@@ -386,8 +386,7 @@
         return [Outgoing(peer, self._summary(nonce, False, now))]
 
     def _some(self, count: int) -> list[str]:
-        fit = [item for item in self._relay.near if self._fit(item)]
-        near = fit or self._relay.near
+        near = self._relay.neighbours(self._fit)
         return self._random.sample(near, min(count, len(near)))
 
     def _acknowledged(
--- a/src/savorytally/decisions/membership.py
+++ b/src/savorytally/decisions/membership.py
@@ -62,6 +62,9 @@
     """
 
     handles: tuple[type[messages.Message], ...] = (
+        messages.Hello,
+        messages.Goodbye,
+        messages.Lost,
         spread.HostNote,
         spread.HostNotes,
     )
@@ -127,23 +130,6 @@
         self._dirty = False
         self.contacts.forget(frozenset(hosts))
 
-    def opened(
-        self, host_id: str, incarnation: int, now: float
-    ) -> list[Outgoing]:
-        """Take in that a peer introduced itself on a stream.
-
-        A note of an earlier incarnation no longer counts.
-        """
-        self._now = max(self._now, now)
-        self.contacts.opened(host_id, incarnation, now)
-        outgoing = []
-        note = self._notes.get(host_id)
-        if note is not None and note.incarnation < incarnation:
-            self._take(host_id, Note(incarnation, False, now))
-        if self.leaving:
-            outgoing.append(Outgoing(host_id, self._own_note("")))
-        return outgoing
-
     def leave(self, now: float) -> list[Outgoing]:
         """Announce that this host takes no new work.
 
@@ -161,11 +147,13 @@
         if isinstance(message, spread.HostNote):
             return self._noted(message, now)
         if isinstance(message, spread.HostNotes):
-            outgoing = []
-            for host_id, incarnation, leaving in message.notes:
-                note = spread.HostNote("", host_id, incarnation, leaving)
-                outgoing += self._noted(note, now)
-            return outgoing
+            return self._noted_all(message, now)
+        if isinstance(message, messages.Hello):
+            return self._greeted(sender, message.incarnation, now)
+        if isinstance(message, messages.Goodbye):
+            return self._dismissed(sender, message, now)
+        if isinstance(message, messages.Lost):
+            self.contacts.lost(sender, now)
         return []
 
     def tick(self, now: float) -> list[Outgoing]:
@@ -181,6 +169,40 @@
             self._changed(now)
         return self._introduce(now) + self._repeat(now)
 
+    def _greeted(
+        self, host_id: str, incarnation: int, now: float
+    ) -> list[Outgoing]:
+        """Take in that a peer introduced itself on a stream.
+
+        A note of an earlier incarnation no longer counts.
+        """
+        self.contacts.opened(host_id, incarnation, now)
+        note = self._notes.get(host_id)
+        if note is not None and note.incarnation < incarnation:
+            self._take(host_id, Note(incarnation, False, now))
+        if self.leaving:
+            return [Outgoing(host_id, self._own_note(""))]
+        return []
+
+    def _dismissed(
+        self, host_id: str, message: messages.Goodbye, now: float
+    ) -> list[Outgoing]:
+        incarnation = self.contacts.incarnation(host_id)
+        self.contacts.closed(host_id)
+        if not message.leaving:
+            return []
+        note = spread.HostNote("", host_id, incarnation, True)
+        return self._noted(note, now)
+
+    def _noted_all(
+        self, message: spread.HostNotes, now: float
+    ) -> list[Outgoing]:
+        outgoing = []
+        for host_id, incarnation, leaving in message.notes:
+            note = spread.HostNote("", host_id, incarnation, leaving)
+            outgoing += self._noted(note, now)
+        return outgoing
+
     def _is_leaving(self, host_id: str) -> bool:
         note = self._notes.get(host_id)
         return note is not None and note.leaving
@@ -247,7 +269,7 @@
         announced = self._announce(self.contacts.connected) if again else []
         count = min(defaults.NOTES_PER_MESSAGE, len(recent))
         notes = spread.HostNotes(tuple(self._random.sample(recent, count)))
-        near = [item for item in self._relay.near if self.reachable(item)]
+        near = self._relay.neighbours(self.reachable)
         chosen = self._random.sample(near, min(1, len(near)))
         if self._own in self._relay.candidates and self._relay.far:
             place = self._random.choice(sorted(self._relay.far))
--- a/src/savorytally/decisions/relay.py
+++ b/src/savorytally/decisions/relay.py
@@ -90,6 +90,28 @@
             self._slot = slot
             self._rank(self._ranks)
 
+    def neighbours(self, fit: t.Callable[[str], bool]) -> list[str]:
+        """Return the hosts with which this node compares versions.
+
+        They lie at doubling distances in the order of ranks, so that news
+        reach everyone in few rounds over few streams. A host that the list
+        does not hold uses the candidates.
+        """
+        own = self._own_rank
+        if own is None:
+            return [item for item in self.candidates if fit(item)]
+        count = len(self._ranks)
+        found: dict[str, None] = {}
+        distance = 1
+        while distance < count:
+            for step in range(distance, min(2 * distance, count)):
+                item = self._ranks[(own + step) % count]
+                if fit(item):
+                    found[item] = None
+                    break
+            distance *= 2
+        return list(found)
+
     def upstream(self) -> str:
         """Return whom this node asks how old its host list is.
 
--- a/src/savorytally/parts/control.py
+++ b/src/savorytally/parts/control.py
@@ -19,7 +19,7 @@
     :param outside: clock and peers.
     :param current: the host list in force.
     :param news: takes in that a peer has a newer configuration.
-    :param members: takes in what streams show of the peers.
+    :param members: is told who was heard.
     """
 
     def __init__(
@@ -52,26 +52,14 @@
             logging.debug("unhandled %s", type(message).__name__)
             return
         now = self._clock.now()
-        self._members.contacts.heard(sender, now)
+        if not isinstance(message, messages.Lost):
+            self._members.contacts.heard(sender, now)
         self.send(handler.receive(sender, message, now))
 
     def behind(self, sender: str, version: int) -> None:
         """Note that a peer has a newer configuration than this node."""
         self.send(self._news.behind(sender, version, self._clock.now()))
 
-    def connected(self, host_id: str, incarnation: int) -> None:
-        """Note that a peer introduced itself on a stream."""
-        now = self._clock.now()
-        self.send(self._members.opened(host_id, incarnation, now))
-
-    def lost(self, host_id: str) -> None:
-        """Note a stream that broke, fell silent or could not be opened."""
-        self._members.contacts.lost(host_id, self._clock.now())
-
-    def closed(self, host_id: str) -> None:
-        """Note a stream that was closed in good order."""
-        self._members.contacts.closed(host_id)
-
     def leave(self) -> None:
         """Tell the peers that this host takes no new work."""
         self.send(self._members.leave(self._clock.now()))
--- a/src/savorytally/peer/link.py
+++ b/src/savorytally/peer/link.py
@@ -187,6 +187,7 @@
         self._stream = None
         self._ready = False
         self._leaving = False
+        self._shared.inbox.deliver(self.target.host_id, messages.Lost())
         if self._calls:
             self._lost_at = self._loop.time()
             self._connect()
@@ -286,6 +287,7 @@
         for message in self._control:
             source.send(message)
         self._control.clear()
+        self._shared.inbox.deliver(self.target.host_id, hello)
 
     def _resolve_all(self, source: stream.Stream) -> None:
         for call_id, pending in list(self._calls.items()):
@@ -304,6 +306,7 @@
         now = self._loop.time()
         self._backoff.failed(now)
         text = type(error).__name__
+        self._shared.inbox.deliver(self.target.host_id, messages.Lost())
         for call_id, pending in list(self._calls.items()):
             if pending.incarnation == UNDISPATCHED:
                 failure = outcomes.Failure(results.NOT_DISPATCHED, text)
--- a/src/savorytally/peer/messages.py
+++ b/src/savorytally/peer/messages.py
@@ -89,6 +89,11 @@
     leaving: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost(Message):
+    """Says that no stream to a peer is open; only handed on locally."""
+
+
 @message(10)
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call(Message):
--- a/src/savorytally/peer/session.py
+++ b/src/savorytally/peer/session.py
@@ -100,3 +100,4 @@
         self.sender = resolution.Sender(hello.host_id, hello.incarnation)
         self._server.greeted(self)
         source.send(self._server.identity.hello())
+        self._server.inbox.deliver(hello.host_id, hello)
