--- a/src/savorytally/decisions/dissemination.py
+++ b/src/savorytally/decisions/dissemination.py
@@ -17,12 +17,12 @@
 from . import freshness
 from . import hold
 from . import participant
-from . import readers
 from . import relay
 from . import shelf
+from . import summaries
 
-CONFIGURATION = "configuration"
-HOSTS = "hosts"
+CONFIGURATION = shelf.CONFIGURATION
+HOSTS = shelf.HOSTS
 
 Outgoing = participant.Outgoing
 
@@ -59,17 +59,13 @@
         self._random = source
         self._fit = fit
         self._evidence = known
-        self._role = readers.ReaderRole(tree)
+        self._summaries = summaries.Summaries(
+            host_id, tree, source, fit, known
+        )
         self._boot = boot.Boot(source)
         self._holds: dict[str, hold.Hold] = {}
         self._forwarded: dict[tuple[str, str], int] = {}
         self._waiting: dict[str, set[str]] = {}
-        self._read_ok = False
-        self._was_reading = False
-        self._pulse_at = 0.0
-        self._repair_at = 0.0
-        self._ask_at = 0.0
-        self._asked: dict[int, float] = {}
         self.freshness = freshness.Freshness(source)
         self.shelves = {
             name: shelf.Shelf(name, acceptor)
@@ -90,17 +86,13 @@
             if item.version
         }
 
-    def list_age_s(self, now: float) -> float:
-        """Return the time since the host list was confirmed as newest."""
-        return now - self._evidence.confirmed_at()
-
     def reading(self, name: str, now: float) -> bool:
         """Return whether this node is to read a value of the platform."""
         if not self.shelves[name].version and name == HOSTS:
             return True
         if not self.shelves[name].version and self._boot.alone(now):
             return True
-        return self._role.reading(now)
+        return self._summaries.reading(now)
 
     def published(
         self,
@@ -132,7 +124,7 @@
 
         :param asked_at: when it was begun.
         """
-        self._read_ok = True
+        self._summaries.platform_read(True)
         self.freshness.platform_answered(asked_at)
 
     def list_confirmed(self, version: int, asked_at: float) -> None:
@@ -142,7 +134,7 @@
 
     def platform_failed(self) -> None:
         """Note that the platform could not be read."""
-        self._read_ok = False
+        self._summaries.platform_read(False)
 
     def behind(self, sender: str, version: int, now: float) -> list[Outgoing]:
         """Take in that a frame showed a newer configuration version."""
@@ -167,9 +159,7 @@
         self.freshness.tick(now)
         outgoing = self._confirm(now)
         outgoing += self._start(now)
-        outgoing += self._pulse(now)
-        outgoing += self._repair(now)
-        outgoing += self._ask(now)
+        outgoing += self._summaries.due(self.versions, now)
         for name, item in self.shelves.items():
             source = item.overdue(now)
             if source:
@@ -253,8 +243,7 @@
         self, sender: str, summary: spread.Summary, now: float
     ) -> list[Outgoing]:
         told = dict(summary.versions)
-        self._evidence.heard(sender, told.get(HOSTS, 0), now)
-        self._learn_role(sender, summary, now)
+        self._summaries.heard(sender, summary, now)
         outgoing: list[Outgoing] = []
         for name, item in self.shelves.items():
             version = told.get(name, 0)
@@ -275,40 +264,15 @@
         return self.freshness.confirmed(now)
 
     def _answered(self, sender: str, summary: spread.Summary) -> None:
-        self._learn_list_age(summary)
+        self._summaries.answered(summary, self.shelves[HOSTS].version)
         self._boot.answered(sender, summary)
         asked = self.freshness.inquiry
         if asked is not None and asked.nonce == summary.nonce:
             asked.answer(sender, summary.versions)
             self.freshness.peer_answered(self.versions)
 
-    def _learn_role(
-        self, sender: str, summary: spread.Summary, now: float
-    ) -> None:
-        if summary.reading:
-            self._role.heard(sender, now)
-        if summary.reader_age_ms >= 0:
-            self._role.reader_active(now - summary.reader_age_ms / 1000)
-
-    def _learn_list_age(self, summary: spread.Summary) -> None:
-        asked_at = self._asked.pop(summary.nonce, None)
-        version = dict(summary.versions).get(HOSTS, 0)
-        if asked_at is not None and summary.list_age_ms >= 0:
-            at = asked_at - summary.list_age_ms / 1000
-            self.list_confirmed(version, at)
-
     def _summary(self, nonce: int, reply: bool, now: float) -> spread.Summary:
-        active = self._role.reading(now)
-        if active:
-            self._role.reader_active(now)
-        return spread.Summary(
-            nonce=nonce,
-            reply=reply,
-            reading=active and self._read_ok,
-            reader_age_ms=_milliseconds(self._role.reader_age_s(now)),
-            list_age_ms=_milliseconds(self.list_age_s(now)),
-            versions=tuple(self.versions.items()),
-        )
+        return self._summaries.make(nonce, reply, self.versions, now)
 
     def _confirm(self, now: float) -> list[Outgoing]:
         if self.freshness.confirmed(now):
@@ -317,7 +281,7 @@
         assert asked is not None
         self.freshness.peer_answered(self.versions)
         near = [item for item in self._relay.readers if item != self._own]
-        near += self._some(defaults.CONFIRM_PEERS)
+        near += self._relay.neighbours(self._fit)[: defaults.CONFIRM_PEERS]
         summary = self._summary(asked.nonce, False, now)
         return [Outgoing(peer, summary) for peer in asked.ask(near, now)]
 
@@ -344,51 +308,6 @@
         self._relay.learn_version(self.shelves[CONFIGURATION].version)
         self.freshness.peer_answered(self.versions)
 
-    def _pulse(self, now: float) -> list[Outgoing]:
-        active = self._role.reading(now)
-        begun = active and not self._was_reading
-        self._was_reading = active
-        if not active or (now < self._pulse_at and not begun):
-            return []
-        self._pulse_at = now + defaults.READER_PULSE_S
-        summary = self._summary(0, False, now)
-        return [
-            Outgoing(peer, summary)
-            for peer in self._relay.candidates
-            if peer != self._own
-        ]
-
-    def _repair(self, now: float) -> list[Outgoing]:
-        if now < self._repair_at:
-            return []
-        jitter = self._random.uniform(0.8, 1.2)
-        self._repair_at = now + defaults.REPAIR_PERIOD_S * jitter
-        peers = self._some(1)
-        if self._own in self._relay.candidates and self._relay.far:
-            place = self._random.choice(sorted(self._relay.far))
-            peers.append(self._random.choice(self._relay.far[place]))
-        summary = self._summary(0, False, now)
-        return [Outgoing(peer, summary) for peer in peers]
-
-    def _ask(self, now: float) -> list[Outgoing]:
-        if now < self._ask_at:
-            return []
-        jitter = self._random.uniform(0.8, 1.0)
-        self._ask_at = now + defaults.ASK_PERIOD_S * jitter
-        peer = self._relay.upstream()
-        if not peer or not self._fit(peer) or self._asked:
-            others = set(self._relay.candidates) - {self._own}
-            peer = self._random.choice(sorted(others)) if others else ""
-        if not peer:
-            return []
-        nonce = self._random.getrandbits(32) | 1
-        self._asked = {nonce: now}
-        return [Outgoing(peer, self._summary(nonce, False, now))]
-
-    def _some(self, count: int) -> list[str]:
-        near = self._relay.neighbours(self._fit)
-        return self._random.sample(near, min(count, len(near)))
-
     def _acknowledged(
         self, sender: str, name: str, version: int, now: float
     ) -> None:
@@ -413,9 +332,3 @@
             del self._holds[name]
             self.shelves[name].enforce(now)
             self._learned(now)
-
-
-def _milliseconds(age_s: float | None) -> int:
-    if age_s is None or age_s == float("inf"):
-        return -1
-    return int(age_s * 1000) + 1
--- a/src/savorytally/decisions/shelf.py
+++ b/src/savorytally/decisions/shelf.py
@@ -6,6 +6,9 @@
 from ..peer import spread
 from ..world import publication
 
+CONFIGURATION = "configuration"
+HOSTS = "hosts"
+
 
 class Acceptor(t.Protocol):
     """Checks publications and puts them in force on this node."""
