--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -96,7 +96,9 @@
 
     def enforce(self, name: str, now: float) -> None:
         offered = self._checked[name]
-        self.enforced.append(Enforced(now, name, offered.version))
+        entry = Enforced(now, name, offered.version)
+        self.enforced.append(entry)
+        self._fleet.history.append((self._host_id, entry))
         if name == HOSTS:
             hosts = self._fleet.lists[offered.version - 1]
             self.relay.learn_hosts(hosts)
@@ -160,6 +162,7 @@
         }
         self.lists: list[dict[str, host.Host]] = []
         self.members: dict[str, Member] = {}
+        self.history: list[tuple[str, Enforced]] = []
         self._incarnation = 0
         self.publish_hosts(self.all_hosts)
 
