Keep shed levels by host and route, and the root's priority throughout

Cause: a level that counts in the services below one route was applied to every route of the host, so that reports were shed for an overload of the checklist service; a child with the higher priority of its own route competed with critical requests, and its gate swung between admitting and shedding all browsing.

Change: heard levels by host and route; a call carries its root's priority; the demonstration declares a fresh fleet, so that quota loans may be tried in it.

--- a/src/savorytally/decisions/balanced.py
+++ b/src/savorytally/decisions/balanced.py
@@ -18,6 +18,7 @@
 from ..world import host
 from ..world import region
 from ..world import route
+from . import heardlevels
 from . import hosthealth
 from . import linkbudget
 from . import routing
@@ -59,6 +60,7 @@
         self._regions: dict[str, str] = {}
         self._services: dict[str, _Service] = {}
         self._health: dict[str, hosthealth.HostHealth] = {}
+        self._levels = heardlevels.HeardLevels()
 
     def learn_configuration(
         self, version: configuration.Configuration, now: float
@@ -83,6 +85,7 @@
             for host_id, health in self._health.items()
             if host_id in hosts
         }
+        self._levels.forget(frozenset(hosts))
 
     def choose(self, question: routing.Question, now: float) -> routing.Choice:
         """Return the host to call, or why there is none."""
@@ -95,7 +98,7 @@
         willing = self._willing(inside, question, now)
         if willing:
             near = self._willing(near, question, now)
-            return routing.Chosen(self._draw(near, willing, now))
+            return routing.Chosen(self._draw(near, willing, question, now))
         far = self._fit(service.far, question, now)
         if inside and question.priority < route.Priority.NORMAL:
             far = []
@@ -113,16 +116,21 @@
         else:
             health.failed(now)
         if result.level != routing.LEVEL_UNKNOWN:
-            health.heard_level(result.level, now)
+            self._levels.note(
+                result.host_id, result.route_id, result.level, now
+            )
         where = self._regions.get(result.host_id, self._place.region_id)
         if where != self._place.region_id:
             self._links.charge(where, result.size_bytes, now)
 
-    def service_level(self, service_id: str, now: float) -> int:
+    def route_level(self, called: route.Route, now: float) -> int:
         """Return the lowest shed level among the region's hosts."""
-        service = self._services.get(service_id, _NO_HOSTS)
+        service = self._services.get(called.service_id, _NO_HOSTS)
         hosts = service.region or service.far
-        levels = [self._of(item.host_id).level(now) for item in hosts]
+        levels = (
+            self._levels.level(item.host_id, called.route_id, now)
+            for item in hosts
+        )
         return min(levels, default=0)
 
     def _by_distance(self, live: Hosts) -> _Service:
@@ -158,7 +166,7 @@
         fit = self._willing(self._fit(pair, question, now), question, now)
         if len(fit) < len(pair):
             return None
-        return self._better(first, second, now)
+        return self._better(first, second, question, now)
 
     def _fit(
         self, hosts: Hosts, question: routing.Question, now: float
@@ -176,7 +184,9 @@
         return [
             item
             for item in hosts
-            if question.admits(self._of(item.host_id).level(now))
+            if question.admits(
+                self._levels.level(item.host_id, question.route_id, now)
+            )
         ]
 
     def _choose_far(
@@ -198,7 +208,7 @@
             )
         ]
         if affordable:
-            return routing.Chosen(self._draw([], affordable, now))
+            return routing.Chosen(self._draw([], affordable, question, now))
         if willing:
             return routing.Unavailable(
                 results.LINK_BUDGET_SPENT, LINK_RETRY_AFTER_MS
@@ -209,23 +219,37 @@
             )
         return routing.Unavailable(results.NO_HOST, NO_HOST_RETRY_AFTER_MS)
 
-    def _draw(self, near: Hosts, hosts: Hosts, now: float) -> host.Host:
+    def _draw(
+        self,
+        near: Hosts,
+        hosts: Hosts,
+        question: routing.Question,
+        now: float,
+    ) -> host.Host:
         first = self._source.choice(near or hosts)
         second = self._source.choice(hosts)
-        return self._better(first, second, now)
+        return self._better(first, second, question, now)
 
     def _better(
-        self, first: host.Host, second: host.Host, now: float
+        self,
+        first: host.Host,
+        second: host.Host,
+        question: routing.Question,
+        now: float,
     ) -> host.Host:
         if first is second:
             return first
-        if self._cost(second, now) < self._cost(first, now):
+        other_cost = self._cost(second, question, now)
+        if other_cost < self._cost(first, question, now):
             return second
         return first
 
-    def _cost(self, item: host.Host, now: float) -> float:
+    def _cost(
+        self, item: host.Host, question: routing.Question, now: float
+    ) -> float:
         health = self._of(item.host_id)
         cost = health.in_flight + health.failures(now) * FAILURE_CALLS
         if item.place != self._place:
             cost += DISTANCE_CALLS
-        return cost + shedding.load(health.level(now))
+        level = self._levels.level(item.host_id, question.route_id, now)
+        return cost + shedding.load(level)
--- a/src/savorytally/decisions/downstream.py
+++ b/src/savorytally/decisions/downstream.py
@@ -1,39 +1,49 @@
-"""Shed levels of the services that a route's calls call in turn.
+"""Shed levels of the routes that a route's calls call in turn.
 
 A gate reports the higher of its own level and of what it has seen below, so
 that an overloaded service deep in a chain sheds at the top of the chain.
 """
 
+import dataclasses
 import typing as t
 
+from ..world import route
+
 FORGET_S = 30.0
 
-ServiceLevel = t.Callable[[str, float], int]
+RouteLevel = t.Callable[[route.Route, float], int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Child:
+    route: route.Route
+    at: float
 
 
 class DownstreamLevels:
-    """Remembers which services the calls on each route have called.
+    """Remembers which routes the calls on each route have called.
 
-    :param service_level: returns a service's lowest shed level.
+    :param route_level: returns the lowest shed level for a route.
     """
 
-    def __init__(self, service_level: ServiceLevel) -> None:
-        self._service_level = service_level
-        self._called: dict[str, dict[str, float]] = {}
+    def __init__(self, route_level: RouteLevel) -> None:
+        self._route_level = route_level
+        self._called: dict[str, dict[str, _Child]] = {}
 
-    def called(self, route_id: str, service_id: str, now: float) -> None:
-        """Note that a call on a route has called a service."""
-        self._called.setdefault(route_id, {})[service_id] = now
+    def called(self, route_id: str, child: route.Route, now: float) -> None:
+        """Note that a call on a route has called another route."""
+        children = self._called.setdefault(route_id, {})
+        children[child.route_id] = _Child(child, now)
 
     def level(self, route_id: str, now: float) -> int:
-        """Return the highest level among the services below a route."""
-        services = self._called.get(route_id)
-        if not services:
+        """Return the highest level among the routes below a route."""
+        children = self._called.get(route_id)
+        if not children:
             return 0
         highest = 0
-        for service_id, at in list(services.items()):
-            if now - at > FORGET_S:
-                del services[service_id]
+        for child in list(children.values()):
+            if now - child.at > FORGET_S:
+                del children[child.route.route_id]
                 continue
-            highest = max(highest, self._service_level(service_id, now))
+            highest = max(highest, self._route_level(child.route, now))
         return highest
--- a/src/savorytally/decisions/hosthealth.py
+++ b/src/savorytally/decisions/hosthealth.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 
-from . import shedding
-
 FAILURE_HALF_LIFE_S = 2.0
 FAILURES_TO_OPEN = 3.0
 OPEN_MIN_S = 0.5
@@ -12,25 +10,19 @@
 
 @dataclasses.dataclass(slots=True)
 class HostHealth:
-    """One host's calls in flight, failures and shed level.
+    """One host's calls in flight and failures.
 
     The host is avoided while its circuit breaker is open. After that one
     call probes it; further ones wait until the probe has succeeded.
     """
 
     in_flight: int = 0
-    _level: int = 0
-    _level_at: float = 0.0
     _failures: float = 0.0
     _failures_at: float = 0.0
     _open_until: float = 0.0
     _open_s: float = OPEN_MIN_S
     _probing: bool = False
 
-    def level(self, now: float) -> int:
-        """Return the shed level, which fades when nothing is heard."""
-        return shedding.faded(self._level, now - self._level_at)
-
     def failures(self, now: float) -> float:
         """Return recent failures; their weight halves with time."""
         passed = (now - self._failures_at) / FAILURE_HALF_LIFE_S
@@ -65,8 +57,3 @@
         if self._probing or self._failures >= FAILURES_TO_OPEN:
             self._open_until = now + self._open_s
             self._probing = False
-
-    def heard_level(self, level: int, now: float) -> None:
-        """Note the shed level that came with a result."""
-        self._level = level
-        self._level_at = now
--- a/src/savorytally/decisions/routing.py
+++ b/src/savorytally/decisions/routing.py
@@ -24,13 +24,15 @@
     """What routing needs to know of a call.
 
     :param service_id: the service to be called.
-    :param priority: the class of its route.
+    :param route_id: the route to run.
+    :param priority: the class of the root request's route.
     :param admits: returns whether a shed level admits the call.
     :param size_bytes: what it is expected to move over a link.
     :param tried: hosts of earlier attempts at this call.
     """
 
     service_id: str
+    route_id: str
     priority: route.Priority
     admits: t.Callable[[int], bool] = admits_all
     size_bytes: int = 0
@@ -64,6 +66,7 @@
     """What became of a call.
 
     :param host_id: the host that was called.
+    :param route_id: the route that was to run.
     :param ok: whether it gave an answer or a true refusal.
     :param level: the shed level that came with it, or ``LEVEL_UNKNOWN``.
     :param took_s: time from sending to the result.
@@ -71,6 +74,7 @@
     """
 
     host_id: str
+    route_id: str
     ok: bool
     level: int
     took_s: float
@@ -99,8 +103,8 @@
     def done(self, result: Result, now: float) -> None:
         """Note the end of a call."""
 
-    def service_level(self, service_id: str, now: float) -> int:
-        """Return the lowest shed level among the service's hosts."""
+    def route_level(self, called: route.Route, now: float) -> int:
+        """Return the lowest shed level for a route among its hosts."""
 
 
 RoutingFactory = t.Callable[[region.Place, random.Random], Routing]
@@ -161,6 +165,6 @@
     def done(self, result: Result, now: float) -> None:
         """Do nothing."""
 
-    def service_level(self, service_id: str, now: float) -> int:
+    def route_level(self, called: route.Route, now: float) -> int:
         """Return 0; the baseline keeps no levels."""
         return 0
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -106,7 +106,7 @@
             options.place, outside.random
         )
         self.dispatcher = dispatch.Dispatcher(outside, self.routing)
-        below = downstream.DownstreamLevels(self.routing.service_level)
+        below = downstream.DownstreamLevels(self.routing.route_level)
         self.entry = entry.Entry(
             outside, self.view, self.quota, self.dispatcher
         )
--- a/src/savorytally/parts/context.py
+++ b/src/savorytally/parts/context.py
@@ -14,7 +14,7 @@
     :param root_id: identifies the root request.
     :param organisation_id: the caller's organisation, empty if none.
     :param key_id: prefix of the key's digest, empty if none.
-    :param priority: the higher class of the route and of the call above.
+    :param priority: the class of the root request's route.
     :param deadline: when the answer is no longer wanted, node clock.
     :param budget: retries left to this call and its children.
     :param depth: calls above this one.
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -103,6 +103,7 @@
         hashed = root_hash(job.context.root_id)
         question = routing.Question(
             service_id=job.route.service_id,
+            route_id=route_id,
             priority=job.context.priority,
             admits=lambda level: self._shares.admits(
                 level,
@@ -176,6 +177,7 @@
         self._routing.done(
             routing.Result(
                 host_id=target.host_id,
+                route_id=job.route.route_id,
                 ok=_host_works(outcome),
                 level=result.level if result else routing.LEVEL_UNKNOWN,
                 took_s=took_s,
--- a/src/savorytally/parts/egress.py
+++ b/src/savorytally/parts/egress.py
@@ -49,7 +49,7 @@
         if isinstance(job, outcomes.Failure):
             return job
         self._downstream.called(
-            parent.call.route_id, job.route.service_id, self._clock.now()
+            parent.call.route_id, job.route, self._clock.now()
         )
         return await self._run(job, parent)
 
@@ -81,7 +81,7 @@
             route=found.route,
             tail=found.tail,
             request=request,
-            context=_child_context(found.route, parent),
+            context=_child_context(parent),
             idempotency_key=request.header(headers.IDEMPOTENCY_KEY),
         )
 
@@ -97,15 +97,13 @@
     return holder is not None and found.route_id in holder.contract.routes
 
 
-def _child_context(
-    found: route.Route, parent: running.RunningCall
-) -> context.Context:
+def _child_context(parent: running.RunningCall) -> context.Context:
     call = parent.call
     return context.Context(
         root_id=call.root_id,
         organisation_id=call.organisation_id,
         key_id=call.key_id,
-        priority=max(found.priority, route.Priority(call.priority)),
+        priority=route.Priority(call.priority),
         deadline=parent.deadline,
         budget=parent.budget,
         depth=call.depth + 1,
--- a/src/savorytally/peer/messages.py
+++ b/src/savorytally/peer/messages.py
@@ -104,7 +104,7 @@
     :param route_id: the route to run.
     :param organisation_id: the caller's organisation, empty if none.
     :param key_id: prefix of the key's digest, empty if none.
-    :param priority: the higher class of its route and of the call above.
+    :param priority: the class of the root request's route.
     :param tail: what follows the route's path.
     :param query: the query string without the question mark.
     :param headers: end-to-end request headers, free of secrets.
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -19,6 +19,9 @@
 HERE = region.Place("bagmati", "kirtipur")
 BROWSING = route.Priority.BROWSING
 CRITICAL = route.Priority.CRITICAL
+ROUTE = route.Route(
+    "r", "browse", {}, "GET", "/", BROWSING, True, False, 1_000
+)
 
 
 def hosts_of(count: int, service: str = "browse"):
@@ -41,11 +44,11 @@
     def admits(level):
         return shedding.admits(level, priority, 0)
 
-    return routing.Question("browse", priority, admits, **fields)
+    return routing.Question("browse", "r", priority, admits, **fields)
 
 
 def report(host_id, ok=True, level=0, size_bytes=0):
-    return routing.Result(host_id, ok, level, 0.01, size_bytes)
+    return routing.Result(host_id, "r", ok, level, 0.01, size_bytes)
 
 
 def send_all(router, count, question, now=1.0):
@@ -115,8 +118,16 @@
     def test_level_of_a_silent_gate_fades(self, router):
         for host_id in ("h0", "h2", "h4", "h6"):
             router.done(report(host_id, level=shedding.LEVEL_MAX), 1.0)
-        assert router.service_level("browse", 1.0) == shedding.LEVEL_MAX
-        assert router.service_level("browse", 10.0) == 0
+        assert router.route_level(ROUTE, 1.0) == shedding.LEVEL_MAX
+        assert router.route_level(ROUTE, 10.0) == 0
+
+    def test_level_of_one_route_leaves_another_alone(self, router):
+        for host_id in ("h0", "h2", "h4", "h6"):
+            router.done(report(host_id, level=shedding.LEVEL_MAX), 1.0)
+        other = routing.Question(
+            "browse", "other", BROWSING, lambda level: level == 0
+        )
+        assert isinstance(router.choose(other, 1.0), routing.Chosen)
 
 
 class TestLinkBudget:
--- a/tools/capacity/probes_calls.py
+++ b/tools/capacity/probes_calls.py
@@ -109,12 +109,12 @@
     }
     made = balanced.BalancedRouting(place, random.Random(1))
     made.learn_hosts(hosts, 0.0)
-    question = routing.Question("s", route.Priority.NORMAL)
+    question = routing.Question("s", "r", route.Priority.NORMAL)
 
     def choose() -> None:
         chosen = made.choose(question, 1.0).host.host_id
         made.sent(chosen, 1.0)
-        made.done(routing.Result(chosen, True, 0, 0.01), 1.0)
+        made.done(routing.Result(chosen, "r", True, 0, 0.01), 1.0)
 
     return meter.cpu_us(choose, ROUNDS)
 
--- a/tools/mesh.py
+++ b/tools/mesh.py
@@ -145,6 +145,7 @@
         "upstream_url": f"http://127.0.0.1:{ports['upstream']}",
         "platform_url": platform_url,
         "ports": {name: ports[name] for name in PORTS[:4]},
+        "fresh_fleet": True,
     }
 
 
