Let shed levels fade within a second of silence

Change: hold 0.3 s, then fade 512 a second (was 1 s and 256). A chain of four whole nodes on a virtual loop, tests/fakes/chain.py, shows levels along the chain under the load of bin/demo.

--- a/src/savorytally/decisions/shedding.py
+++ b/src/savorytally/decisions/shedding.py
@@ -12,8 +12,8 @@
 
 STEPS = 128
 LEVEL_MAX = (route.Priority.CRITICAL + 1) * STEPS - STEPS // 8
-HOLD_S = 1.0
-FADE_PER_S = 2.0 * STEPS
+HOLD_S = 0.3
+FADE_PER_S = 4.0 * STEPS
 
 
 def rank(priority: route.Priority, root_hash: int) -> int:
