Replay generated traces and tune admission against them

Cause: the policy was untried under load; the trial runs of the first traces showed a level that followed noise, shares that depended on luck and work begun for chains that were then refused.

Root requests carry an evenly spread number in their identifier, so that any few in a row are cut evenly; the level keeps a short queue at the gate instead of a fixed headroom; demand is averaged by the number of calls seen; an organisation that had nothing waiting may catch up for a second; a call below the entry is refused only where its whole class is. A limit trial ends early when lost.

Conclusion: kept. test_twofold_demand_is_cut_to_slightly_above_capacity asked for a fixed surplus, which the level no longer aims at; its successor bounds the mean over a second, with a lower upper bound.

--- a/src/savorytally/decisions/adaptive.py
+++ b/src/savorytally/decisions/adaptive.py
@@ -19,7 +19,7 @@
 from . import service_time
 
 BURST_WAIT_S = 0.5
-OVERLOAD_WAIT_S = 0.05
+OVERLOAD_WAIT_TARGETS = 2.5
 OVERLOAD_AFTER_S = 0.1
 SERVICE_UNKNOWN_S = 0.01
 RETRY_AFTER_MIN_MS = 50
@@ -74,6 +74,8 @@
         self._deadlines: list[tuple[float, int]] = []
         self._busy_since: float | None = None
         self._answered_at = float("-inf")
+        self._used_s = 0.0
+        self._used_at = 0.0
 
     @property
     def running(self) -> int:
@@ -114,7 +116,9 @@
         if arrival.alone:
             self._alone[arrival.ticket] = arrival
         else:
-            self._queue.push(fairness.Waiting(arrival, cost_s, now))
+            self._queue.push(
+                fairness.Waiting(arrival, cost_s, now), self.limit
+            )
         decisions = self._start(now)
         decisions += self._trim(now)
         return decisions
@@ -123,6 +127,7 @@
         self, ticket: int, end: admission.End, now: float
     ) -> list[admission.Decision]:
         """Learn from the end of a started call and start others."""
+        self._count_use(now)
         ended = self._running.pop(ticket, None)
         if ended is None:
             return []
@@ -141,16 +146,31 @@
         """Remove calls that can no longer be answered in time."""
         decisions = self._start(now)
         decisions += self._trim(now)
-        self._levels.update(self.limit, self._overloaded(now), now)
+        self._update_level(now)
         return decisions
 
     def level(self, now: float) -> int:
         """Return the shed level to publish."""
         if not self._options.levels:
             return 0
-        self._levels.update(self.limit, self._overloaded(now), now)
+        self._update_level(now)
         return self._levels.level
 
+    def _update_level(self, now: float) -> None:
+        self._count_use(now)
+        observed = level.Observed(
+            limit=self.limit,
+            used_s=self._used_s,
+            wait_s=self._queue.work_s / self.limit,
+            service_s=self._times.overall_s,
+            overloaded=self._overloaded(now),
+        )
+        self._levels.update(observed, now)
+
+    def _count_use(self, now: float) -> None:
+        self._used_s += len(self._running) * (now - self._used_at)
+        self._used_at = now
+
     def _learn(self, ended: _Running, end: admission.End, now: float) -> None:
         service_s = now - ended.since
         route_id = ended.arrival.route_id
@@ -164,7 +184,7 @@
             mean_s = self._times.mean(route_id, now)
             self._times.observe(route_id, max(service_s, mean_s), now)
             return
-        if end is admission.End.WITHDRAWN or ended.arrival.alone:
+        if end is not admission.End.ANSWERED or ended.arrival.alone:
             return
         self._answered_at = now
         self._times.observe(route_id, service_s, now)
@@ -176,6 +196,7 @@
         self._limiter.answered(sample, now)
 
     def _start(self, now: float) -> list[admission.Decision]:
+        self._count_use(now)
         decisions = self._expire(now)
         while True:
             alone = self._next_alone(now)
@@ -282,10 +303,13 @@
         return refused
 
     def _bound_s(self, now: float) -> float:
+        service_s = self._times.overall_s
         wait_s = BURST_WAIT_S
-        if self._overloaded(now):
-            wait_s = OVERLOAD_WAIT_S
-        return self.limit * max(wait_s, self._times.overall_s)
+        lowest = self._queue.lowest()
+        if self._overloaded(now) and lowest is not route.Priority.CRITICAL:
+            target_s = level.wait_target_s(self.limit, service_s)
+            wait_s = OVERLOAD_WAIT_TARGETS * target_s
+        return self.limit * max(wait_s, service_s)
 
     def _overloaded(self, now: float) -> bool:
         since = self._busy_since
--- a/src/savorytally/decisions/admission.py
+++ b/src/savorytally/decisions/admission.py
@@ -17,6 +17,7 @@
     """How a started call ended."""
 
     ANSWERED = "answered"
+    FAILED = "failed"
     LATE = "late"
     REJECTED = "rejected"
     BROKEN = "broken"
@@ -84,10 +85,11 @@
     def finish(self, ticket: int, end: End, now: float) -> list[Decision]:
         """Note the end of a started call.
 
-        :param end: ``ANSWERED`` with a whole answer in time, ``LATE`` if
-            the deadline passed, ``REJECTED`` if the upstream shed it itself,
-            ``BROKEN`` if the upstream failed or could not be reached,
-            ``WITHDRAWN`` if the caller gave up.
+        :param end: ``ANSWERED`` with a whole answer in time, ``FAILED`` if
+            that reports an error, ``LATE`` if the deadline passed,
+            ``REJECTED`` if the upstream shed it itself, ``BROKEN`` if the
+            upstream failed or could not be reached, ``WITHDRAWN`` if the
+            caller gave up.
         """
 
     def cancel(self, ticket: int, now: float) -> list[Decision]:
--- a/src/savorytally/decisions/concurrency.py
+++ b/src/savorytally/decisions/concurrency.py
@@ -15,14 +15,17 @@
 CUT_REJECTED = 0.9
 WINDOW_S = 0.25
 WINDOW_CALLS_PER_SLOT = 2
+WINDOW_CALLS_MIN = 64
+EARLY_CALLS = 24
+EARLY_LOSS = 0.9
 SLOW_RATIO = 1.5
 NORMAL_RATIO = 1.2
 RATIO_GAIN = 0.05
 TRIAL_SHARE = 0.8
 TRIAL_KEEPS = 0.97
 TRIAL_GAINS = 1.03
-TRIAL_SPACING_S = 2.0
-TRIAL_SPACING_MAX_S = 30.0
+TRIAL_SPACING_S = 10.0
+TRIAL_SPACING_MAX_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +74,7 @@
         self._ramp = max(1.0, self._ceiling * COLD_SHARE)
         self._target = float(self._ceiling)
         self._ratio = 1.0
+        self._slow_since: float | None = None
         self._cut_at = float("-inf")
         self._window: _Window | None = None
         self._trial: _Trial | None = None
@@ -102,6 +106,10 @@
         if sample.work_s > 0:
             ratio = sample.service_s / sample.work_s
             self._ratio += RATIO_GAIN * (ratio - self._ratio)
+        if self._ratio <= SLOW_RATIO:
+            self._slow_since = None
+        elif self._slow_since is None:
+            self._slow_since = now
         if sample.saturated and self._ramp < self._ceiling:
             self._ramp = min(self._ramp + 1.0, self._ceiling)
             return
@@ -140,10 +148,23 @@
             return
         window.work_s += sample.work_s
         window.calls += 1
-        enough = window.calls >= WINDOW_CALLS_PER_SLOT * self.limit
-        if enough and now - window.start >= WINDOW_S:
+        if self._lost(window, now):
+            self._close(window.work_s / (now - window.start), sample, now)
+            return
+        enough = max(WINDOW_CALLS_PER_SLOT * self.limit, WINDOW_CALLS_MIN)
+        if window.calls >= enough and now - window.start >= WINDOW_S:
             self._close(window.work_s / (now - window.start), sample, now)
 
+    def _lost(self, window: _Window, now: float) -> bool:
+        """Return whether a trial of a lower limit has failed already."""
+        trial = self._trial
+        if trial is None or self._target > trial.previous:
+            return False
+        if window.calls < EARLY_CALLS:
+            return False
+        rate = window.work_s / (now - window.start)
+        return rate < EARLY_LOSS * trial.rate
+
     def _close(self, rate: float, sample: Sample, now: float) -> None:
         if self._trial is not None:
             self._judge(self._trial, rate, now)
@@ -163,10 +184,13 @@
             return
         if self._target < self._ceiling:
             self._begin(min(self._target / TRIAL_SHARE, self._ceiling), rate)
-        elif self._ratio > SLOW_RATIO or self._doubted:
+        elif self._doubted or self._slow_for(now) > TRIAL_SPACING_S:
             self._begin(self._target * TRIAL_SHARE, rate)
         self._doubted = False
 
+    def _slow_for(self, now: float) -> float:
+        return now - self._slow_since if self._slow_since is not None else 0.0
+
     def _begin(self, target: float, rate: float) -> None:
         self._trial = _Trial(self._target, rate)
         self._target = max(target, self._floor())
--- a/src/savorytally/decisions/fairness.py
+++ b/src/savorytally/decisions/fairness.py
@@ -14,6 +14,7 @@
 from . import admission
 
 HEAP_SLACK = 64
+CREDIT_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,15 +63,23 @@
     def __len__(self) -> int:
         return self._length
 
-    def push(self, organisation_id: str, waiting: Waiting) -> None:
-        """Add a call to an organisation's line."""
+    def push(
+        self, organisation_id: str, waiting: Waiting, credit: float
+    ) -> None:
+        """Add a call to an organisation's line.
+
+        :param credit: slot time that an organisation which had nothing
+            waiting may make up for, over all organisations.
+        """
         weight = max(waiting.arrival.weight, 1e-6)
         line = self._lines.get(organisation_id)
         if line is None:
-            line = self._lines[organisation_id] = _Line(weight)
+            line = _Line(weight, start=self._virtual)
+            self._lines[organisation_id] = line
         line.weight = weight
         if not line.calls:
-            line.start = max(line.start, self._virtual)
+            earliest = self._virtual - credit / len(self._lines)
+            line.start = max(line.start, earliest)
             heapq.heappush(self._by_start, (line.start, organisation_id))
         line.calls[waiting.arrival.ticket] = waiting
         self._length += 1
@@ -89,7 +98,7 @@
         calls = line.calls
         ticket = next(reversed(calls)) if newest_first else next(iter(calls))
         waiting = calls[ticket]
-        self._virtual = start
+        self._virtual = max(self._virtual, start)
         line.start = start + waiting.cost_s / line.weight
         self.remove(name, ticket)
         if calls:
@@ -131,7 +140,7 @@
         self._lines = {
             name: line
             for name, line in self._lines.items()
-            if line.calls or line.start > self._virtual
+            if line.calls or line.start > self._virtual - CREDIT_S
         }
         active = [item for item in self._lines.items() if item[1].calls]
         self._by_start = [(line.start, name) for name, line in active]
@@ -173,13 +182,23 @@
                 return priority
         return None
 
-    def push(self, waiting: Waiting) -> None:
-        """Add a call."""
+    def lowest(self) -> route.Priority | None:
+        """Return the lowest class in which a call waits."""
+        for priority in reversed(self._descending):
+            if self._classes[priority]:
+                return priority
+        return None
+
+    def push(self, waiting: Waiting, slots: int = 1) -> None:
+        """Add a call.
+
+        :param slots: how many calls may run at once.
+        """
         arrival = waiting.arrival
         priority = arrival.priority if self._strict else route.Priority.NORMAL
         name = arrival.organisation_id if self._fair else ""
         self._places[arrival.ticket] = (priority, name)
-        self._classes[priority].push(name, waiting)
+        self._classes[priority].push(name, waiting, slots * CREDIT_S)
         self._work_s += waiting.cost_s
 
     def pop(self, newest_first: bool) -> Waiting | None:
@@ -191,10 +210,10 @@
 
     def evict(self) -> Waiting | None:
         """Take out the call that is to be shed first, if any waits."""
-        for priority in reversed(self._descending):
-            if self._classes[priority]:
-                return self._forget(self._classes[priority].evict())
-        return None
+        lowest = self.lowest()
+        if lowest is None:
+            return None
+        return self._forget(self._classes[lowest].evict())
 
     def remove(self, ticket: int) -> Waiting | None:
         """Take out one call, if it waits."""
--- a/src/savorytally/decisions/service_time.py
+++ b/src/savorytally/decisions/service_time.py
@@ -7,6 +7,7 @@
 STALE_HALF_LIFE_S = 1.0
 BASELINE_RISE_S = 60.0
 HIGH_DEVIATIONS = 2.0
+BASELINE_CALLS = 30
 
 
 @dataclasses.dataclass(slots=True)
@@ -17,6 +18,7 @@
     deviation_s: float
     baseline_s: float
     at: float
+    calls: int = 1
 
 
 class ServiceTimes:
@@ -44,10 +46,14 @@
             self._by_route[route_id] = _Estimate(seconds, 0.0, seconds, now)
             return
         error = seconds - known.mean_s
-        known.mean_s += GAIN * error
-        known.deviation_s += GAIN * (abs(error) - known.deviation_s)
+        gain = max(GAIN, 1.0 / (known.calls + 1))
+        known.mean_s += gain * error
+        known.deviation_s += gain * (abs(error) - known.deviation_s)
+        known.calls += 1
         rise = 1.0 + (now - known.at) / BASELINE_RISE_S
         known.baseline_s = min(known.baseline_s * rise, known.mean_s)
+        if known.calls < BASELINE_CALLS:
+            known.baseline_s = known.mean_s
         known.at = now
 
     def mean(self, route_id: str, now: float) -> float:
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -13,6 +13,7 @@
 from ..decisions import retry
 from ..decisions import routing
 from ..decisions import shares
+from ..decisions import shedding
 from ..peer import messages
 from ..world import configuration
 from ..world import host
@@ -100,16 +101,10 @@
     def _choose(self, job: Job, tried: set[str]) -> routing.Choice:
         route_id = job.route.route_id
         request_bytes = len(job.request.body)
-        hashed = root_hash(job.context.root_id)
         question = routing.Question(
             service_id=job.route.service_id,
             priority=job.context.priority,
-            admits=lambda level: self._shares.admits(
-                level,
-                job.context.priority,
-                job.context.organisation_id,
-                hashed,
-            ),
+            admits=lambda level: self._admits(job.context, level),
             size_bytes=max(
                 request_bytes, int(self._answers.size_bytes(route_id))
             ),
@@ -117,6 +112,18 @@
         )
         return self._routing.choose(question, self._clock.now())
 
+    def _admits(self, above: context.Context, level: int) -> bool:
+        if above.depth:
+            # The entry has judged the root request; a second judgement
+            # by other shares would leave the chain half done.
+            return shedding.admitted(level, above.priority) > 0.0
+        return self._shares.admits(
+            level,
+            above.priority,
+            above.organisation_id,
+            shedding.root_number(above.root_id),
+        )
+
     def _note_demand(self, above: context.Context) -> None:
         self._shares.note(
             above.priority,
@@ -210,11 +217,6 @@
         )
 
 
-def root_hash(root_id: str) -> int:
-    """Return an evenly spread number of a root request, 32 bits."""
-    return xxhash.xxh32_intdigest(root_id.encode())
-
-
 def _remaining_ms(remaining_s: float) -> int:
     """Return the time that a gate is given, so that its word arrives."""
     remaining_ms = int(remaining_s * 1000)
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -10,6 +10,7 @@
 from .. import view
 from ..decisions import quota
 from ..decisions import retry
+from ..decisions import shedding
 from ..world import configuration
 from ..world import route
 from . import context
@@ -53,6 +54,7 @@
         self._view = current
         self._quota = limits
         self._dispatcher = dispatcher
+        self._numbers = shedding.RootNumbers()
 
     async def handle(self, request: context.Request) -> outcomes.Outcome:
         """Return the outcome of a caller's request."""
@@ -97,7 +99,7 @@
             tail=found.tail,
             request=request,
             context=context.Context(
-                root_id=f"{self._random.getrandbits(64):016x}",
+                root_id=self._root_id(found.route, caller),
                 organisation_id=caller.organisation_id,
                 key_id=caller.key_id,
                 priority=found.route.priority,
@@ -109,6 +111,10 @@
             idempotency_key=idempotency_key,
         )
 
+    def _root_id(self, called: route.Route, caller: Caller) -> str:
+        number = self._numbers.next(called.priority, caller.organisation_id)
+        return shedding.root_id(self._random, number)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Found:
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -15,6 +15,7 @@
 from . import headers
 from . import running
 
+_SERVER_ERROR = 500
 _SERVICE_UNAVAILABLE = 503
 _UPSTREAM_FAULTS = (
     results.NOT_DISPATCHED,
@@ -189,6 +190,8 @@
     if isinstance(outcome, outcomes.Answer):
         if outcome.status == _SERVICE_UNAVAILABLE:
             return admission.End.REJECTED
+        if outcome.status >= _SERVER_ERROR:
+            return admission.End.FAILED
         return admission.End.ANSWERED
     if outcome.code in _UPSTREAM_FAULTS:
         return admission.End.BROKEN
--- /dev/null
+++ b/src/savorytally/replay/command.py
@@ -0,0 +1,57 @@
+"""The replay of trace files, as the command line runs it."""
+
+import pathlib
+import sys
+import typing as t
+
+from .. import results
+from . import figures
+from . import player
+from . import report
+from . import trace
+from . import variants
+
+EXIT_OK = 0
+EXIT_UNMET = 1
+EXIT_MALFORMED = 2
+
+
+def run(paths: t.Sequence[pathlib.Path], compare: bool) -> int:
+    """Replay traces, print their figures and return the exit code.
+
+    :param compare: whether to replay each variant for comparison; stated
+        outcomes are always judged with all policies on.
+    """
+    code = EXIT_OK
+    for path in paths:
+        read = trace.load(path)
+        if isinstance(read, trace.Malformed):
+            number = results.TRACE_FAULT.number
+            print(
+                f"{number} {path}: line {read.line}: {read.text}",
+                file=sys.stderr,
+            )
+            return EXIT_MALFORMED
+        if not _replay(read, compare):
+            code = EXIT_UNMET
+    return code
+
+
+def _replay(read: trace.Trace, compare: bool) -> bool:
+    header = read.header
+    print(f"{header.name} ({header.source}, {header.commit})")
+    print(report.heading())
+    full = _measure(read, variants.FULL)
+    print(report.line(variants.FULL, full))
+    if compare:
+        for name in variants.variants.names():
+            if name != variants.FULL:
+                print(report.line(name, _measure(read, name)))
+    judged = list(figures.judge(header, full))
+    print("\n".join(report.verdicts(judged)))
+    return all(item.met for item in judged)
+
+
+def _measure(read: trace.Trace, name: str) -> figures.Figures:
+    variant = variants.variants.get(name)
+    return figures.measure(read, player.Player(read, variant).play())
--- /dev/null
+++ b/src/savorytally/replay/figures.py
@@ -0,0 +1,232 @@
+"""Figures of a replay and their comparison with the stated outcomes."""
+
+import dataclasses
+import itertools
+import typing as t
+
+from ..decisions import shares
+from ..world import route
+from . import calls
+from . import player
+from . import trace
+
+BUCKET_S = 0.25
+RECOVERED_SHARE = 0.99
+STEP_S = 0.01
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Figures:
+    """What is measured of a replay.
+
+    :param goodput_share: work of whole answers over the lesser of offered
+        work and capacity of the bottleneck, in the measured span.
+    :param recovery_s: time from the end of the trigger until requests are
+        answered as often as before it, for good.
+    :param worst_share: the least of an organisation's answered work over
+        its max-min fair share, by class.
+    :param in_rate_refused: fraction of unanswered requests among
+        organisations within their rate.
+    :param inversions: refusals of a class while a lower one was served.
+    :param thrown_away_share: slot time of requests without an answer over
+        the slot time of the bottleneck.
+    :param calls_per_request: calls at gates for each request.
+    :param calls_per_root_max: most calls at gates for one root request.
+    """
+
+    goodput_share: float
+    recovery_s: float
+    worst_share: float
+    in_rate_refused: float
+    inversions: float
+    thrown_away_share: float
+    calls_per_request: float
+    calls_per_root_max: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether one stated outcome is met.
+
+    :param stated: the outcome.
+    :param value: the figure.
+    """
+
+    stated: trace.Stated
+    value: float
+
+    @property
+    def met(self) -> bool:
+        """Whether the figure lies within what is stated."""
+        low, high = self.stated.at_least, self.stated.at_most
+        if low is not None and self.value < low:
+            return False
+        return high is None or self.value <= high
+
+
+def judge(header: trace.Header, figures: Figures) -> t.Iterator[Verdict]:
+    """Yield a verdict for each stated outcome.
+
+    :raises AttributeError: if an outcome names no figure.
+    """
+    for stated in header.outcomes:
+        yield Verdict(stated, float(getattr(figures, stated.figure)))
+
+
+def measure(played: trace.Trace, done: player.Played) -> Figures:
+    """Return the figures of a replay."""
+    header = played.header
+    span = header.measure
+    whole = trace.Span(0.0, max(played.arrivals[-1].at_s, span.until_s))
+    kept = [item for item in done.requests if not item.hung_up]
+    requests = max(len(done.requests), 1)
+    return Figures(
+        goodput_share=_goodput_share(header, kept),
+        recovery_s=_recovery_s(header, kept),
+        worst_share=_worst_share(header, kept),
+        in_rate_refused=_in_rate_refused(header, kept),
+        inversions=done.inversions,
+        thrown_away_share=done.thrown_away_s / _slot_time_s(header, whole),
+        calls_per_request=sum(x.calls for x in done.requests) / requests,
+        calls_per_root_max=max(x.calls_max for x in done.requests),
+    )
+
+
+def _work_s(header: trace.Header, request: calls.Request) -> float:
+    arrival = request.arrival
+    if header.bottleneck not in arrival.route.services:
+        return 0.0
+    hop = arrival.route.services.index(header.bottleneck)
+    return arrival.service_s[hop]
+
+
+def _slot_time_s(header: trace.Header, span: trace.Span) -> float:
+    return span.length_s * sum(
+        item.slots
+        for item in header.gates.values()
+        if item.service_id == header.bottleneck
+    )
+
+
+def _capacity_s(header: trace.Header, span: trace.Span) -> float:
+    steps = int(span.length_s / STEP_S)
+    total_s = 0.0
+    for item in header.gates.values():
+        if item.service_id != header.bottleneck:
+            continue
+        befalls = [x for x in header.conditions if x.gate_id == item.gate_id]
+        for step in range(steps):
+            at_s = span.from_s + step * STEP_S
+            total_s += item.slots * STEP_S * _speed(befalls, at_s)
+    return total_s
+
+
+def _speed(conditions: t.Iterable[trace.Condition], at_s: float) -> float:
+    speed = 1.0
+    for item in conditions:
+        if not item.from_s <= at_s < item.until_s:
+            continue
+        if item.kind == "down":
+            return 0.0
+        if item.kind == "slow":
+            speed /= item.factor
+        if item.kind == "cold":
+            left = (item.until_s - at_s) / (item.until_s - item.from_s)
+            speed /= 1.0 + (item.factor - 1.0) * left
+    return speed
+
+
+def _arrived(
+    requests: t.Iterable[calls.Request], span: trace.Span
+) -> list[calls.Request]:
+    return [
+        item
+        for item in requests
+        if span.from_s <= item.arrival.at_s < span.until_s
+    ]
+
+
+def _goodput_share(
+    header: trace.Header, requests: list[calls.Request]
+) -> float:
+    span = header.measure
+    offered_s = sum(_work_s(header, x) for x in _arrived(requests, span))
+    answered_s = sum(
+        _work_s(header, item)
+        for item in requests
+        if item.answered_at is not None
+        and span.from_s <= item.answered_at < span.until_s
+    )
+    bound_s = min(offered_s, _capacity_s(header, span))
+    return answered_s / max(bound_s, STEP_S)
+
+
+def _answered_share(requests: list[calls.Request]) -> float:
+    if not requests:
+        return 1.0
+    good = sum(item.answered_at is not None for item in requests)
+    return good / len(requests)
+
+
+def _recovery_s(header: trace.Header, requests: list[calls.Request]) -> float:
+    trigger = header.trigger
+    before = trace.Span(0.0, max(trigger.from_s, BUCKET_S))
+    wanted = RECOVERED_SHARE * _answered_share(_arrived(requests, before))
+    last_s = max(item.arrival.at_s for item in requests)
+    recovery_s = 0.0
+    for number in itertools.count():
+        from_s = trigger.until_s + number * BUCKET_S
+        if from_s >= last_s:
+            return recovery_s
+        bucket = trace.Span(from_s, from_s + BUCKET_S)
+        if _answered_share(_arrived(requests, bucket)) < wanted:
+            recovery_s = (number + 1) * BUCKET_S
+    raise AssertionError("unreachable")
+
+
+def _worst_share(header: trace.Header, requests: list[calls.Request]) -> float:
+    left_s = _capacity_s(header, header.measure)
+    arrived = _arrived(requests, header.measure)
+    worst = 1.0
+    for priority in sorted(route.Priority, reverse=True):
+        mine = [x for x in arrived if x.arrival.route.priority is priority]
+        demands = _by_organisation(header, mine)
+        good = [item for item in mine if item.answered_at is not None]
+        answered = _by_organisation(header, good)
+        if left_s <= STEP_S:
+            break
+        weights = header.organisations
+        unit_s = shares.water_fill(
+            [(x, weights[name].weight) for name, x in demands.items()],
+            left_s,
+        )
+        for name, demand_s in demands.items():
+            fair_s = min(demand_s, unit_s * weights[name].weight)
+            worst = min(worst, answered.get(name, 0.0) / fair_s)
+        left_s -= sum(demands.values())
+    return worst
+
+
+def _by_organisation(
+    header: trace.Header, requests: t.Iterable[calls.Request]
+) -> dict[str, float]:
+    work: dict[str, float] = {}
+    for item in requests:
+        work_s = _work_s(header, item)
+        if work_s > 0:
+            name = item.arrival.organisation_id
+            work[name] = work.get(name, 0.0) + work_s
+    return work
+
+
+def _in_rate_refused(
+    header: trace.Header, requests: list[calls.Request]
+) -> float:
+    span = header.measure
+    counted: list[calls.Request] = []
+    arrived = _arrived(requests, span)
+    for name, item in header.organisations.items():
+        mine = [x for x in arrived if x.arrival.organisation_id == name]
+        if len(mine) <= item.rate_per_s * span.length_s:
+            counted += mine
+    return 1.0 - _answered_share(counted)
--- /dev/null
+++ b/src/savorytally/replay/timeline.py
@@ -0,0 +1,32 @@
+"""Work in order of time on a virtual clock."""
+
+import heapq
+import itertools
+import typing as t
+
+Work = t.Callable[[], None]
+
+
+class Timeline:
+    """Runs scheduled work; equal times keep the order of scheduling."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._order = itertools.count()
+        self._due: list[tuple[float, int, Work]] = []
+
+    def at(self, when: float, work: Work) -> None:
+        """Do some work at a time, at once if it has passed."""
+        when = max(when, self.now)
+        heapq.heappush(self._due, (when, next(self._order), work))
+
+    def after(self, delay_s: float, work: Work) -> None:
+        """Do some work after a delay."""
+        self.at(self.now + delay_s, work)
+
+    def run(self, until_s: float) -> None:
+        """Do all work that is due until then."""
+        while self._due and self._due[0][0] <= until_s:
+            self.now, _, work = heapq.heappop(self._due)
+            work()
+        self.now = until_s
--- /dev/null
+++ b/src/savorytally/replay/variants.py
@@ -0,0 +1,58 @@
+"""The policies that a trace is replayed with."""
+
+import dataclasses
+
+from .. import registry
+from ..decisions import adaptive
+from ..decisions import admission
+from ..decisions import fifo
+
+FULL = "all on"
+NAIVE_RETRIES = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Variant:
+    """Which mechanisms a replay uses.
+
+    :param name: as printed.
+    :param options: mechanisms of the gate's admission, ``None`` for the
+        baseline with a fixed limit and first-in first-out order.
+    :param shares: whether shed levels spare organisations below their
+        fair share.
+    :param budget: whether attempts are bounded over the call tree; if not,
+        each hop retries by itself.
+    :param cancels: whether deadlines and hang-ups go down the chain.
+    """
+
+    name: str
+    options: adaptive.Options | None = adaptive.Options()
+    shares: bool = True
+    budget: bool = True
+    cancels: bool = True
+
+    def admission(self, capacity: admission.Capacity) -> admission.Admission:
+        """Return a new admission policy for a gate."""
+        if self.options is None:
+            return fifo.FifoAdmission(capacity)
+        return adaptive.AdaptiveAdmission(capacity, self.options)
+
+
+variants: registry.Registry[Variant] = registry.Registry("variant")
+
+
+def _add(variant: Variant) -> None:
+    variants.register(variant.name)(variant)
+
+
+_add(Variant(FULL))
+_add(Variant("fixed limit", adaptive.Options(concurrency=False)))
+_add(Variant("no deadline check", adaptive.Options(deadlines=False)))
+_add(Variant("no classes", adaptive.Options(priority=False)))
+_add(Variant("no fair queueing", adaptive.Options(fairness=False)))
+_add(Variant("oldest first", adaptive.Options(newest_first=False)))
+_add(Variant("no shed levels", adaptive.Options(levels=False)))
+_add(Variant("no shares in levels", shares=False))
+_add(Variant("naive retries", budget=False))
+_add(Variant("no cancellation", cancels=False))
+_add(Variant("baseline", None, shares=False, budget=False, cancels=False))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,6 +1,8 @@
 """Shed levels, their control, and the share of each organisation."""
 
+import math
 import random
+import statistics
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -58,27 +60,53 @@
         ]
 
 
+class TestRootNumbers:
+    @given(st.integers(1, 200), st.floats(0.0, 1.0))
+    def test_a_few_in_a_row_are_cut_evenly(self, count, fraction):
+        numbers = shedding.RootNumbers()
+        level_at = shedding.level_for(BROWSING, fraction)
+        kept = sum(
+            shedding.admits(level_at, BROWSING, numbers.next(BROWSING, "a"))
+            for _ in range(count)
+        )
+        assert abs(kept - fraction * count) <= 2 + math.log(count)
+
+    def test_identifier_carries_the_number(self):
+        source = random.Random(1)
+        for number in (0, 1, shedding.STEPS - 1):
+            identifier = shedding.root_id(source, number)
+            assert shedding.root_number(identifier) == number
+
+
 class TestLevelControl:
     @staticmethod
     def converge(demand, limit=10, seconds=5.0, control=None, now=0.0):
         """Offer browsing of ``demand`` slots to callers that obey."""
         control = control or level.LevelControl()
-        source = random.Random(1)
-        admitted = 0
+        numbers = shedding.RootNumbers()
+        history = []
+        waiting = 0.0
+        used_s = 0.0
         for _ in range(int(seconds / level.INTERVAL_S)):
             now += level.INTERVAL_S
             admitted = 0
             for _ in range(int(demand * 10)):
-                root = source.getrandbits(32)
-                if shedding.admits(control.level, BROWSING, root):
+                number = numbers.next(BROWSING, "org0")
+                if shedding.admits(control.level, BROWSING, number):
                     admitted += 1
                     control.offered(BROWSING, level.INTERVAL_S / 10)
-            control.update(limit, admitted > limit * 10, now)
-        return control, admitted / 10
+            busy = admitted > limit * 10
+            used_s += min(admitted / 10, limit) * level.INTERVAL_S
+            waiting += max(admitted / 10 - limit, -waiting)
+            wait_s = waiting * level.INTERVAL_S / limit
+            seen = level.Observed(limit, used_s, wait_s, 0.05, busy)
+            control.update(seen, now)
+            history.append(admitted / 10)
+        return control, statistics.mean(history[-10:])
 
-    def test_twofold_demand_is_cut_to_slightly_above_capacity(self):
+    def test_twofold_demand_is_cut_to_the_capacity(self):
         _, admitted = self.converge(demand=20)
-        assert 10.0 <= admitted <= 13.0
+        assert 9.8 <= admitted <= 11.0
 
     def test_no_overload_means_no_level(self):
         control, _ = self.converge(demand=8)
@@ -95,6 +123,7 @@
         for tick in range(50):
             control.offered(CRITICAL, 0.5)
             control.offered(BROWSING, 2.0)
-            control.update(10, True, tick * 0.1)
+            seen = level.Observed(10, tick * 1.0, 0.1, 0.05, True)
+            control.update(seen, tick * 0.1)
         assert shedding.admitted(control.level, CRITICAL) == 1.0
         assert shedding.admitted(control.level, BROWSING) < 0.5
