--- a/src/savorytally/parts/control.py
+++ b/src/savorytally/parts/control.py
@@ -1,12 +1,15 @@
 """Carries messages between this node's participants and their peers."""
 
 import asyncio
+import typing as t
 
 from absl import logging
 
 from .. import defaults
 from .. import ports
 from .. import view
+from ..decisions import dissemination
+from ..decisions import membership
 from ..decisions import participant
 from ..peer import messages
 
@@ -16,13 +19,24 @@
 
     :param outside: clock and peers.
     :param current: the host list in force.
+    :param news: takes in that a peer has a newer configuration.
+    :param members: is told who was heard.
     """
 
-    def __init__(self, outside: ports.Outside, current: view.View) -> None:
+    def __init__(
+        self,
+        outside: ports.Outside,
+        current: view.View,
+        news: dissemination.Dissemination,
+        members: membership.Membership,
+    ) -> None:
         self._clock = outside.clock
         self._peers = outside.peers
         self._view = current
+        self._news = news
+        self._members = members
         self._participants: list[participant.Participant] = []
+        self._chores: list[t.Callable[[], None]] = []
         self._by_message: dict[
             type[messages.Message], participant.Participant
         ] = {}
@@ -33,6 +47,10 @@
         for cls in joined.handles:
             self._by_message[cls] = joined
 
+    def every_tick(self, chore: t.Callable[[], None]) -> None:
+        """Do some work of this node alone with every tick."""
+        self._chores.append(chore)
+
     def deliver(self, sender: str, message: messages.Message) -> None:
         """Hand an incoming message to the participant that handles it."""
         handler = self._by_message.get(type(message))
@@ -40,17 +58,30 @@
             logging.debug("unhandled %s", type(message).__name__)
             return
         now = self._clock.now()
-        self._send(handler.receive(sender, message, now))
+        if not isinstance(message, messages.Lost):
+            self._members.contacts.heard(sender, now)
+        self.send(handler.receive(sender, message, now))
 
     def behind(self, sender: str, version: int) -> None:
         """Note that a peer has a newer configuration than this node."""
-        logging.debug("peer=%s has version %d", sender, version)
+        self.send(self._news.behind(sender, version, self._clock.now()))
+
+    def leave(self) -> None:
+        """Tell the peers that this host takes no new work."""
+        self.send(self._members.leave(self._clock.now()))
 
     def tick(self) -> None:
-        """Let every participant do what is due."""
-        now = self._clock.now()
+        """Let every participant do what is due.
+
+        A fault in one of them is logged and stops none of the others.
+        """
         for item in self._participants:
-            self._send(item.tick(now))
+            try:
+                self.send(item.tick(self._clock.now()))
+            except Exception:
+                logging.exception("tick of %s", type(item).__name__)
+        for chore in self._chores:
+            chore()
 
     async def run(self) -> None:
         """Tick until cancelled."""
@@ -58,7 +89,8 @@
             self.tick()
             await asyncio.sleep(defaults.CONTROL_TICK_S)
 
-    def _send(self, outgoing: list[participant.Outgoing]) -> None:
+    def send(self, outgoing: list[participant.Outgoing]) -> None:
+        """Send messages to listed hosts."""
         hosts = self._view.hosts.hosts
         for item in outgoing:
             target = hosts.get(item.host_id)
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -107,11 +107,8 @@
         if not call.organisation_id:
             return True
         version = self._view.configuration
-        holder = version and version.organisations.get(call.organisation_id)
-        if not holder:
-            return False
-        return any(
-            digest.startswith(call.key_id) for digest in holder.key_digests
+        return version is not None and version.granted(
+            call.organisation_id, call.key_id
         )
 
     async def _admit(
@@ -166,6 +163,8 @@
     async def _execute(
         self, call: messages.Call, found: route.Route, deadline: float
     ) -> outcomes.Outcome:
+        if not self._view.confirmed(self._clock.now()):
+            return outcomes.Failure(results.STALE_VIEW)
         if not self._granted(call):
             return outcomes.Failure(results.KEY_REJECTED)
         remaining_s = deadline - self._clock.now()
@@ -207,6 +206,8 @@
     if call.tail:
         path = f"{path.rstrip('/')}/{call.tail}"
     extra = [(headers.CALL_TOKEN, token), (headers.REQUEST_ID, call.root_id)]
+    if call.organisation_id:
+        extra.append((headers.ORGANISATION, call.organisation_id))
     return ports.UpstreamRequest(
         method=found.method,
         path=path,
