--- /dev/null
+++ b/src/savorytally/commands/replay.py
@@ -0,0 +1,32 @@
+"""``savorytally replay``: replay recorded traces."""
+
+import argparse
+import pathlib
+
+from . import base
+
+
+@base.commands.register("replay")
+class ReplayCommand:
+    """Replay traces to the decisions and check their stated outcomes."""
+
+    def arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the traces."""
+        parser.add_argument(
+            "traces",
+            nargs="+",
+            type=pathlib.Path,
+            metavar="TRACE",
+            help="trace, JSON lines",
+        )
+        parser.add_argument(
+            "--compare",
+            action="store_true",
+            help="also replay with each policy off and the baseline",
+        )
+
+    def run(self, given: argparse.Namespace) -> int:
+        """Replay them; the exit code is 0 if all outcomes are met."""
+        from ..replay import command
+
+        return command.run(given.traces, given.compare)
--- a/src/savorytally/replay/calls.py
+++ b/src/savorytally/replay/calls.py
@@ -16,14 +16,14 @@
     :param ok: whether a whole, good answer came.
     :param code: the result code; an error of the upstream itself is an
         answer that is not ``ok``.
-    :param level: the gate's shed level.
     :param retry_after_ms: when the caller may come back.
+    :param level: the gate's shed level.
     """
 
     ok: bool
     code: results.ResultCode
-    level: int = 0
     retry_after_ms: int = 0
+    level: int = 0
 
 
 Done = t.Callable[[Reply], None]
--- a/src/savorytally/replay/gate.py
+++ b/src/savorytally/replay/gate.py
@@ -6,16 +6,13 @@
 from .. import defaults
 from .. import results
 from ..decisions import admission
-from ..decisions import shedding
 from ..world import route
 from ..world import upstream
 from . import calls
+from . import sender
 from . import stand_in
 from . import timeline
 from . import trace
-from . import variants
-
-StartChild = t.Callable[[calls.Call, calls.Done], t.Any]
 
 _MISREPORT_FACTOR = 10
 
@@ -23,37 +20,28 @@
 class Gate:
     """Feeds calls to an admission policy and does what it decides.
 
-    :param line: the virtual clock.
     :param given: its slots.
-    :param header: of the trace.
-    :param variant: the mechanisms in use.
-    :param start_child: sends a call to the next service of the chain.
+    :param below: sends the upstream's own calls.
     """
 
-    def __init__(
-        self,
-        line: timeline.Timeline,
-        given: trace.Gate,
-        header: trace.Header,
-        variant: variants.Variant,
-        start_child: StartChild,
-    ) -> None:
+    def __init__(self, given: trace.Gate, below: sender.Sender) -> None:
         self.given = given
         self.inversions = 0
         self.thrown_away_s = 0.0
-        self._line = line
-        self._header = header
-        self._variant = variant
-        self._start_child = start_child
-        self._policy = variant.admission(
+        self._below = below
+        self._line = below.line
+        self._header = below.header
+        self._variant = below.variant
+        self._policy = self._variant.admission(
             admission.Capacity(given.slots, given.connections)
         )
-        self._upstream = stand_in.Upstream(line, given, header.conditions)
+        self._upstream = stand_in.Upstream(
+            self._line, given, self._header.conditions
+        )
         self._tickets = itertools.count(1)
         self._calls: dict[int, calls.Call] = {}
         self._waiting = {item: 0 for item in route.Priority}
         self._started_at = {item: -1.0 for item in route.Priority}
-        self._below: dict[str, tuple[int, float]] = {}
 
     def arrive(self, call: calls.Call) -> None:
         """Take in a call."""
@@ -103,8 +91,9 @@
     def level(self, call: calls.Call) -> int:
         """Return the level to send with a call's reply."""
         now = self._line.now
-        level, at = self._below.get(call.route.route_id, (0, now))
-        return max(self._policy.level(now), shedding.faded(level, now - at))
+        own = self._policy.level(now)
+        below = self._below.downstream.level(call.route.route_id, now)
+        return max(own, below)
 
     def _report(self) -> upstream.LoadReport:
         false = self._upstream.misleading()
@@ -131,8 +120,8 @@
             calls.Reply(
                 False,
                 decision.code,
-                self.level(call),
                 decision.retry_after_ms,
+                self.level(call),
             )
         )
 
@@ -161,12 +150,14 @@
         if call.last:
             self._end(call, True)
             return
-        call.child = self._start_child(
-            call, lambda reply: self._answered_below(call, reply)
+        call.child = self._below.send(
+            call.root,
+            call.hop + 1,
+            call.budget,
+            lambda reply: self._answered_below(call, reply),
         )
 
     def _answered_below(self, call: calls.Call, reply: calls.Reply) -> None:
-        self._below[call.route.route_id] = (reply.level, self._line.now)
         if not call.ended:
             self._end(call, reply.ok)
 
@@ -197,7 +188,7 @@
         self._apply(self._policy.finish(call.ticket, end, now))
         call.done(
             calls.Reply(
-                reply.ok, reply.code, self.level(call), reply.retry_after_ms
+                reply.ok, reply.code, reply.retry_after_ms, self.level(call)
             )
         )
 
--- /dev/null
+++ b/src/savorytally/replay/sender.py
@@ -0,0 +1,253 @@
+"""The calling side of a node in a replay: routing, shedding and retries."""
+
+import random
+import typing as t
+
+from .. import outcomes
+from .. import results
+from ..decisions import downstream
+from ..decisions import retry
+from ..decisions import routing
+from ..decisions import shares
+from ..decisions import shedding
+from ..world import configuration
+from ..world import host
+from ..world import region
+from . import calls
+from . import timeline
+from . import trace
+from . import variants
+
+PLACE = region.Place("region", "data-centre")
+
+_HOST_FAILURES = (results.NOT_DISPATCHED, results.UPSTREAM_BROKEN)
+
+
+class Receiver(t.Protocol):
+    """The gate of a host."""
+
+    def arrive(self, call: calls.Call) -> None:
+        """Take in a call."""
+
+    def cancel(self, call: calls.Call) -> None:
+        """Withdraw a call."""
+
+
+Receivers = t.Mapping[str, Receiver]
+
+
+class Sender:
+    """Sends the calls of one node.
+
+    :param line: the virtual clock.
+    :param header: of the trace.
+    :param variant: the mechanisms in use.
+    :param receivers: all gates by host; filled before the first call.
+    :param seed: of the node's random choices.
+    """
+
+    def __init__(
+        self,
+        line: timeline.Timeline,
+        header: trace.Header,
+        variant: variants.Variant,
+        receivers: Receivers,
+        seed: int,
+    ) -> None:
+        self.line = line
+        self.header = header
+        self.variant = variant
+        self.receivers = receivers
+        self.routing = routing.policies.get(variant.routing)(
+            PLACE, random.Random(seed)
+        )
+        self.routing.learn_hosts(_hosts(header), line.now)
+        self.ratio = retry.RetryRatio(configuration.RetryPolicy().ratio)
+        self.downstream = downstream.DownstreamLevels(
+            self.routing.service_level
+        )
+        self._shares = shares.Shares()
+
+    def send(
+        self,
+        root: calls.Root,
+        hop: int,
+        budget: retry.RetryBudget,
+        done: calls.Done,
+    ) -> "Job":
+        """Send a call and return it as a job that can be cancelled."""
+        now = self.line.now
+        arrival = root.request.arrival
+        name = arrival.organisation_id
+        weight = self.header.organisations[name].weight
+        self._shares.note(arrival.route.priority, name, weight, now)
+        self.downstream.called(
+            arrival.route.route_id, arrival.route.services[hop], now
+        )
+        self.ratio.first_attempt()
+        job = Job(self, root, hop, budget, done)
+        job.start()
+        return job
+
+    def later(self, work: timeline.Work) -> None:
+        """Do some work after the one-way delay."""
+        self.line.after(self.header.delay_s, work)
+
+    def admits(self, root: calls.Root, hop: int, level: int) -> bool:
+        """Return whether a shed level admits a call."""
+        arrival = root.request.arrival
+        priority = arrival.route.priority
+        if hop > 0:
+            return shedding.admitted(level, priority) > 0.0
+        if not self.variant.shares:
+            return shedding.admits(level, priority, root.number)
+        return self._shares.admits(
+            level, priority, arrival.organisation_id, root.number
+        )
+
+
+class Job:
+    """One call of a chain over all its attempts.
+
+    :param sender: the calling node.
+    :param root: the root request.
+    :param hop: index of the service to be called.
+    :param budget: retries that it may use.
+    :param done: told of the last reply.
+    """
+
+    def __init__(
+        self,
+        sender: Sender,
+        root: calls.Root,
+        hop: int,
+        budget: retry.RetryBudget,
+        done: calls.Done,
+    ) -> None:
+        self._sender = sender
+        self._root = root
+        self._hop = hop
+        self._budget = budget
+        self._done = done
+        self._tried: set[str] = set()
+        self._attempts = 0
+        self._call: calls.Call | None = None
+        self._host_id = ""
+        self._ended = False
+
+    def start(self) -> None:
+        """Send the first attempt, or end if there is no host."""
+        choice = self._choose()
+        if isinstance(choice, routing.Unavailable):
+            after_ms = choice.retry_after_ms
+            self._end(calls.Reply(False, choice.code, after_ms))
+            return
+        self._send(choice.host.host_id)
+
+    def cancel(self) -> None:
+        """Withdraw the call in progress."""
+        if self._ended:
+            return
+        self._ended = True
+        if self._call is None or not self._sender.variant.cancels:
+            return
+        call, receiver = self._call, self._sender.receivers[self._host_id]
+        self._sender.later(lambda: receiver.cancel(call))
+        self._note(None)
+
+    def _choose(self) -> routing.Choice:
+        sender = self._sender
+        route = self._root.request.arrival.route
+        question = routing.Question(
+            service_id=route.services[self._hop],
+            priority=route.priority,
+            admits=lambda level: sender.admits(self._root, self._hop, level),
+            tried=frozenset(self._tried),
+        )
+        return sender.routing.choose(question, sender.line.now)
+
+    def _send(self, host_id: str) -> None:
+        sender = self._sender
+        self._attempts += 1
+        self._host_id = host_id
+        if sender.variant.budget:
+            self._tried.add(host_id)
+        lent = self._budget.lend()
+        call = calls.Call(
+            root=self._root,
+            hop=self._hop,
+            budget=retry.RetryBudget(lent),
+            done=lambda reply: sender.later(
+                lambda: self._replied(call, reply, lent)
+            ),
+        )
+        self._call = call
+        sender.routing.sent(host_id, sender.line.now)
+        sender.later(lambda: sender.receivers[host_id].arrive(call))
+
+    def _replied(
+        self, call: calls.Call, reply: calls.Reply, lent: int
+    ) -> None:
+        if self._ended:
+            return
+        self._note(reply)
+        unused = lent if reply.code.not_run else call.budget.left
+        self._budget.give_back(unused, lent)
+        self._call = None
+        if reply.ok or not self._again(reply):
+            self._end(reply)
+
+    def _note(self, reply: calls.Reply | None) -> None:
+        result = routing.Result(
+            host_id=self._host_id,
+            ok=reply is None or reply.code not in _HOST_FAILURES,
+            level=reply.level if reply else routing.LEVEL_UNKNOWN,
+            took_s=0.0,
+        )
+        self._sender.routing.done(result, self._sender.line.now)
+
+    def _again(self, reply: calls.Reply) -> bool:
+        """Send another attempt if one is permitted; return whether."""
+        sender = self._sender
+        if sender.variant.budget and not self._worthwhile(reply):
+            return False
+        if self._attempts > variants.NAIVE_RETRIES:
+            return False
+        choice = self._choose()
+        if isinstance(choice, routing.Unavailable):
+            return False
+        if sender.variant.budget and not self._spend():
+            return False
+        self._send(choice.host.host_id)
+        return True
+
+    def _worthwhile(self, reply: calls.Reply) -> bool:
+        if reply.code is results.ANSWERED:
+            return False
+        attempt = retry.Attempt(
+            idempotent=self._root.request.arrival.route.idempotent,
+            remaining_s=self._root.deadline - self._sender.line.now,
+        )
+        return retry.worthwhile(outcomes.Failure(reply.code), attempt)
+
+    def _spend(self) -> bool:
+        if self._budget.left == 0:
+            return False
+        return self._sender.ratio.spend() and self._budget.spend()
+
+    def _end(self, reply: calls.Reply) -> None:
+        self._ended = True
+        self._done(reply)
+
+
+def _hosts(header: trace.Header) -> dict[str, host.Host]:
+    return {
+        item.gate_id: host.Host(
+            host_id=item.gate_id,
+            service_id=item.service_id,
+            place=PLACE,
+            address="127.0.0.1",
+            peer_port=1,
+        )
+        for item in header.gates.values()
+    }
--- a/src/savorytally/replay/variants.py
+++ b/src/savorytally/replay/variants.py
@@ -5,9 +5,11 @@
 from .. import registry
 from ..decisions import adaptive
 from ..decisions import admission
+from ..decisions import balanced  # noqa: F401, registers a policy
 from ..decisions import fifo
 
 FULL = "all on"
+BASELINE = "baseline"
 NAIVE_RETRIES = 3
 
 
@@ -22,6 +24,7 @@
         fair share.
     :param budget: whether attempts are bounded over the call tree; if not,
         each hop retries by itself.
+    :param routing: name of the routing policy.
     :param cancels: whether deadlines and hang-ups go down the chain.
     """
 
@@ -29,6 +32,7 @@
     options: adaptive.Options | None = adaptive.Options()
     shares: bool = True
     budget: bool = True
+    routing: str = "balanced"
     cancels: bool = True
 
     def admission(self, capacity: admission.Capacity) -> admission.Admission:
@@ -54,5 +58,15 @@
 _add(Variant("no shed levels", adaptive.Options(levels=False)))
 _add(Variant("no shares in levels", shares=False))
 _add(Variant("naive retries", budget=False))
+_add(Variant("random routing", routing="random"))
 _add(Variant("no cancellation", cancels=False))
-_add(Variant("baseline", None, shares=False, budget=False, cancels=False))
+_add(
+    Variant(
+        name=BASELINE,
+        options=None,
+        shares=False,
+        budget=False,
+        routing="random",
+        cancels=False,
+    )
+)
