Let the chain's stand-in upstream pass on a child's failure

Cause: it answered 200 over a child's 502, so that useful work seemed to exceed executed work. Change: a child's answer other than 200 fails the parent.

--- a/tests/fakes/chain.py
+++ b/tests/fakes/chain.py
@@ -11,6 +11,7 @@
 from savorytally import node
 from savorytally import outcomes
 from savorytally import ports
+from savorytally import results
 from savorytally import settings
 from savorytally import view
 from savorytally.parts import context
@@ -103,13 +104,9 @@
             async with asyncio.timeout(timeout_s):
                 return await self._serve(request)
         except TimeoutError:
-            from savorytally import results
-
             return outcomes.Failure(results.DEADLINE_PASSED)
 
-    async def _serve(
-        self, request: ports.UpstreamRequest
-    ) -> outcomes.Outcome:
+    async def _serve(self, request: ports.UpstreamRequest) -> outcomes.Outcome:
         async with self._slots:
             spread = self._random.uniform(0.5, 1.5)
             await asyncio.sleep(self._service_s * spread * self.factor)
@@ -122,7 +119,7 @@
                     "GET", child, "", ((headers.CALL_TOKEN, token),), b""
                 )
             )
-            if isinstance(below, outcomes.Failure):
+            if isinstance(below, outcomes.Failure) or below.status != 200:
                 return outcomes.Answer(502, (), b"")
         return outcomes.Answer(200, (), b"ok")
 
