--- a/src/savorytally/decisions/bucket.py
+++ b/src/savorytally/decisions/bucket.py
@@ -17,13 +17,13 @@
 SHARE_RENEW_S = SHARE_USE_S / 2
 SHARE_RESERVE = 0.05
 SHARE_HEADROOM = 1.25
-SHARE_GROWTH = 1.5
+LENDER_HEADROOM = 1.15
 RENEWED_PART = 0.5
-LACKING_PART = 0.1
+LACKING_PART = 0.02
 IDLE_PER_S = 0.01
-GRANT_PART = 0.5
+GRANT_PART = 1.0
 GRANT_MIN_TOKENS = 1.0
-WAIT_MIN_MS = 100
+WAIT_MIN_MS = 50
 WAIT_MAX_MS = 60_000
 
 Borrower = tuple[str, int]
@@ -86,10 +86,10 @@
         self._lent: dict[Borrower, _ShareLoan] = {}
         self._extra: dict[str, tuple[float, float]] = {}
         self._asked = 0.0
-        self._unserved = 0.0
+        self._refused = 0
         self._spent = 0.0
         self._spent_per_s = 0.0
-        self._lacking = False
+        self._refused_per_s = 0.0
         self._turn = 0
         self._measured_at = now
 
@@ -105,8 +105,8 @@
 
     @property
     def lacking(self) -> bool:
-        """Whether requests for tokens lately went unserved."""
-        return self._lacking
+        """Whether borrowers had to refuse requests lately."""
+        return self._refused_per_s > LACKING_PART * self._spent_per_s
 
     @property
     def idle(self) -> bool:
@@ -174,11 +174,13 @@
         sequence: int,
         account: tuple[float, float],
         wanted: float,
+        refused: int,
         now: float,
     ) -> Grant | None:
         """Account for a borrower's tokens and lend it more.
 
         :param account: tokens that it holds and that it gives back.
+        :param refused: requests that it refused since it last asked.
         :return: ``None`` if a later request was seen already.
         """
         self.settle(now)
@@ -199,7 +201,7 @@
         self._stored -= tokens
         loan.tokens += tokens
         self._asked += wanted
-        self._unserved += wanted - tokens
+        self._refused += refused
         self._spent += known - held - returned
         wait_ms = self._wait_ms(wanted - tokens, now)
         return Grant(min(held, max(room, 0.0)), tokens, wait_ms)
@@ -218,7 +220,7 @@
             return None
         loan.sequence = sequence
         offer = loan.deducted(now) + self._surplus(now)
-        if self._lacking:
+        if self.lacking:
             offer *= RENEWED_PART
         share = min(max(wanted, 0.0), offer)
         until = now + SHARE_LOAN_S + ownership.CLOCK_MARGIN_S
@@ -264,11 +266,13 @@
         """Return the fraction to be borrowed from other places in all."""
         if not self._rate:
             return 0.0
-        needed = self._spent_per_s * SHARE_HEADROOM / self._rate
-        if self._lacking:
-            needed = max(needed, self._share_now(now) * SHARE_GROWTH)
+        demand_per_s = self._spent_per_s
+        if self.lacking:
+            demand_per_s += self._refused_per_s
+        needed = demand_per_s * SHARE_HEADROOM / self._rate
         own = self._share - self.share_lent(now)
-        return max(min(needed, 1.0) - own, 0.0)
+        extra = max(min(needed, 1.0) - own, 0.0)
+        return extra if self._extra or self.lacking else 0.0
 
     def share_lent(self, now: float) -> float:
         """Return the fraction that other places may still use."""
@@ -285,9 +289,9 @@
         """
         if not self._rate or not self._burst:
             return 0.0
-        if self._lacking:
+        if self.lacking:
             return 0.0
-        needed = self._spent_per_s * SHARE_HEADROOM / self._rate
+        needed = self._spent_per_s * LENDER_HEADROOM / self._rate
         bound = self.outstanding / self._burst
         kept = max(needed, bound, SHARE_RESERVE * self._share)
         return max(self._share - self.share_lent(now) - kept, 0.0)
@@ -327,8 +331,9 @@
             return
         latest = self._spent / elapsed_s
         self._spent_per_s += DEMAND_WEIGHT * (latest - self._spent_per_s)
-        self._lacking = self._unserved > LACKING_PART * self._asked
+        latest = self._refused / elapsed_s
+        self._refused_per_s += DEMAND_WEIGHT * (latest - self._refused_per_s)
         self._spent = 0.0
         self._asked = 0.0
-        self._unserved = 0.0
+        self._refused = 0
         self._measured_at = now
--- a/src/savorytally/decisions/loans.py
+++ b/src/savorytally/decisions/loans.py
@@ -109,6 +109,7 @@
             loans.Release: self._release,
             loans.NotOwner: self._not_owner,
         }
+        self._urgent: set[str] = set()
         self._outbox: list[participant.Outgoing] = []
 
     def usage(self) -> tuple[quota.Usage, ...]:
@@ -152,17 +153,32 @@
         }
 
     def take(
-        self, organisation_id: str, now: float
-    ) -> quota.Taken | quota.OverRate:
-        """Take one token for a request that arrives now."""
+        self, organisation_id: str, now: float, final: bool = False
+    ) -> quota.Taken | quota.Pending | quota.OverRate:
+        """Take one token for a request that arrives now.
+
+        :param final: whether the request can't wait any longer.
+        """
         item = self._accounts.get(organisation_id)
         if item is None:
             item = self._open(organisation_id, now)
             if item is None:
                 return quota.OverRate(UNKNOWN_WAIT_MS)
-        if item.take(now):
+        taken = item.take(now)
+        if item.low:
+            self._urge(organisation_id)
+        if taken:
             return quota.TAKEN
-        return quota.OverRate(item.wait_ms(now))
+        if not final and item.pending(now):
+            return quota.Pending(account.PENDING_WAIT_MS)
+        return quota.OverRate(item.refuse(now))
+
+    def poll(self, now: float) -> list[participant.Outgoing]:
+        """Ask for tokens for the accounts that have run low."""
+        urgent, self._urgent = self._urgent, set()
+        for name in sorted(urgent & self._accounts.keys()):
+            self._request(name, self._accounts[name].poll(now), now)
+        return self._flush()
 
     def receive(
         self, sender: str, message: messages.Message, now: float
@@ -177,9 +193,7 @@
         if self._share.tick(now):
             self._refit(now)
         for name, item in list(self._accounts.items()):
-            for index, request in item.tick(now):
-                owner = self._ownership.owner(self._shard(name, index))
-                self._send(owner, request, now)
+            self._request(name, item.tick(now), now)
             if item.idle:
                 self._close(name)
         if now - self._buckets_at >= BUCKET_PERIOD_S:
@@ -187,6 +201,21 @@
             self._tend_buckets(now)
         return self._flush()
 
+    def _urge(self, organisation_id: str) -> None:
+        if not self._urgent:
+            self._site.wake()
+        self._urgent.add(organisation_id)
+
+    def _request(
+        self,
+        organisation_id: str,
+        requests: t.Iterable[tuple[int, loans.Borrow]],
+        now: float,
+    ) -> None:
+        for index, request in list(requests):
+            shard = self._shard(organisation_id, index)
+            self._send(self._ownership.owner(shard), request, now)
+
     def _open(
         self, organisation_id: str, now: float
     ) -> account.Account | None:
@@ -270,6 +299,7 @@
             asked.sequence,
             (asked.held, asked.returned),
             asked.wanted,
+            asked.refused,
             now,
         )
         if grant is None:
--- a/src/savorytally/decisions/quota.py
+++ b/src/savorytally/decisions/quota.py
@@ -27,6 +27,16 @@
     retry_after_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """No token is at hand, but one may arrive within moments.
+
+    :param wait_ms: when to ask again.
+    """
+
+    wait_ms: int
+
+
 TAKEN = Taken()
 
 
@@ -55,6 +65,7 @@
     :param incarnation: distinguishes a restarted node from its predecessor.
     :param evidence: age of the host list and signs of life of peers.
     :param random: seeded random source.
+    :param wake: called when :meth:`Quota.poll` should be called soon.
     :param fresh: whether the operator declares that no earlier node of the
         fleet can still be running.
     """
@@ -64,6 +75,7 @@
     incarnation: int
     evidence: ownership.Evidence
     random: random.Random
+    wake: t.Callable[[], None]
     fresh: bool = False
 
 
@@ -120,8 +132,16 @@
     def usage(self) -> tuple[Usage, ...]:
         """Return what this node admitted and refused so far."""
 
-    def take(self, organisation_id: str, now: float) -> Taken | OverRate:
-        """Take one token for a request that arrives now."""
+    def take(
+        self, organisation_id: str, now: float, final: bool = False
+    ) -> Taken | Pending | OverRate:
+        """Take one token for a request that arrives now.
+
+        :param final: whether the request can't wait any longer.
+        """
+
+    def poll(self, now: float) -> list[participant.Outgoing]:
+        """Return what is to be sent at once, see :attr:`Site.wake`."""
 
 
 policies: registry.Registry[t.Callable[[Site], Quota]] = registry.Registry(
@@ -163,7 +183,13 @@
         """Return nothing; the baseline counts nothing."""
         return ()
 
-    def take(self, organisation_id: str, now: float) -> Taken | OverRate:
+    def poll(self, now: float) -> list[participant.Outgoing]:
+        """Do nothing."""
+        return []
+
+    def take(
+        self, organisation_id: str, now: float, final: bool = False
+    ) -> Taken | Pending | OverRate:
         """Take one token from this node's part of the bucket."""
         rate, burst = self._rates.get(organisation_id, (0.0, 0.0))
         tokens, at = self._tokens.get(organisation_id, (burst, now))
--- a/src/savorytally/parts/control.py
+++ b/src/savorytally/parts/control.py
@@ -58,6 +58,10 @@
             self.tick()
             await asyncio.sleep(defaults.CONTROL_TICK_S)
 
+    def send(self, outgoing: list[participant.Outgoing]) -> None:
+        """Send what a participant has to send between two ticks."""
+        self._send(outgoing)
+
     def _send(self, outgoing: list[participant.Outgoing]) -> None:
         hosts = self._view.hosts.hosts
         for item in outgoing:
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -1,5 +1,6 @@
 """The entry: takes callers' requests and answers them."""
 
+import asyncio
 import dataclasses
 import hashlib
 
@@ -59,8 +60,30 @@
         job = self._prepare(request)
         if isinstance(job, outcomes.Failure):
             return job
+        over = await self._take(job.context)
+        if over is not None:
+            return over
         return await self._dispatcher.run(job)
 
+    async def _take(self, called: context.Context) -> outcomes.Failure | None:
+        """Take from the rate; wait a moment for a token that may arrive."""
+        if not called.organisation_id:
+            return None
+        now = self._clock.now()
+        until = min(now + defaults.QUOTA_WAIT_MAX_S, called.deadline)
+        while True:
+            taken = self._quota.take(
+                called.organisation_id, now, final=now >= until
+            )
+            if isinstance(taken, quota.Taken):
+                return None
+            if isinstance(taken, quota.OverRate):
+                return outcomes.Failure(
+                    results.OVER_RATE, retry_after_ms=taken.retry_after_ms
+                )
+            await asyncio.sleep(taken.wait_ms / 1000)
+            now = self._clock.now()
+
     def _prepare(
         self, request: context.Request
     ) -> dispatch.Job | outcomes.Failure:
@@ -85,13 +108,6 @@
                 results.MALFORMED_REQUEST, headers.TIMEOUT_MS
             )
         now = self._clock.now()
-        if caller.organisation_id:
-            taken = self._quota.take(caller.organisation_id, now)
-            if isinstance(taken, quota.OverRate):
-                return outcomes.Failure(
-                    results.OVER_RATE,
-                    retry_after_ms=taken.retry_after_ms,
-                )
         return dispatch.Job(
             route=found.route,
             tail=found.tail,
@@ -100,6 +116,7 @@
                 root_id=f"{self._random.getrandbits(64):016x}",
                 organisation_id=caller.organisation_id,
                 key_id=caller.key_id,
+                priority=found.route.priority,
                 deadline=now + timeout_s,
                 budget=retry.RetryBudget(version.retries.per_root),
                 depth=0,
--- a/src/savorytally/peer/loans.py
+++ b/src/savorytally/peer/loans.py
@@ -19,6 +19,7 @@
     :param held: unspent tokens of this shard that the sender holds.
     :param returned: tokens that it gives back unspent.
     :param wanted: tokens that it asks for.
+    :param refused: requests that it refused since its last request.
     """
 
     organisation_id: str
@@ -28,6 +29,7 @@
     held: float
     returned: float
     wanted: float
+    refused: int
 
 
 @messages.message(41)
