Test quota against generated schedules of faults

Conservation of tokens must hold under churn, lag and partition. Schedules by hypothesis over the transport fake; the entry waits a moment for a token that is on its way; accounts and buckets tuned.

--- a/src/savorytally/decisions/account.py
+++ b/src/savorytally/decisions/account.py
@@ -107,6 +107,11 @@
         self.low = self.tokens < self._low
         return True
 
+    def unspent(self, now: float) -> float:
+        """Return the tokens that may still be spent."""
+        self._settle(now)
+        return self.tokens
+
     def refuse(self, now: float) -> int:
         """Count a refusal and return when a token may be available."""
         self.refused += 1
@@ -258,6 +263,8 @@
     def _settle(self, now: float) -> None:
         """Charge spent tokens to holdings and drop what has expired."""
         spent = self._settled - self.tokens
+        if not spent and now < self.expires_at:
+            return
         order = sorted(self._holdings, key=lambda item: item.expires_at)
         for item in order:
             part = min(item.tokens, spent)
--- a/src/savorytally/decisions/loans.py
+++ b/src/savorytally/decisions/loans.py
@@ -117,6 +117,18 @@
         names = sorted(set(self._totals) | set(self._accounts))
         return tuple(self._usage(name) for name in names)
 
+    def unspent(self, organisation_id: str, now: float) -> float:
+        """Return the tokens that this node stores and may spend or lend."""
+        item = self._accounts.get(organisation_id)
+        held = item.unspent(now) if item else 0.0
+        stored = sum(
+            kept.stored
+            for key, kept in self._buckets.items()
+            if key[0] == organisation_id
+            and self._ownership.acts(self._shard(*key), now)
+        )
+        return held + stored
+
     def learn_configuration(
         self, version: configuration.Configuration, now: float
     ) -> None:
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -69,20 +69,19 @@
         """Take from the rate; wait a moment for a token that may arrive."""
         if not called.organisation_id:
             return None
-        now = self._clock.now()
-        until = min(now + defaults.QUOTA_WAIT_MAX_S, called.deadline)
+        left_s = defaults.QUOTA_WAIT_MAX_S
         while True:
-            taken = self._quota.take(
-                called.organisation_id, now, final=now >= until
-            )
+            now = self._clock.now()
+            final = left_s <= 0.0 or now >= called.deadline
+            taken = self._quota.take(called.organisation_id, now, final)
             if isinstance(taken, quota.Taken):
                 return None
             if isinstance(taken, quota.OverRate):
                 return outcomes.Failure(
                     results.OVER_RATE, retry_after_ms=taken.retry_after_ms
                 )
+            left_s -= taken.wait_ms / 1000
             await asyncio.sleep(taken.wait_ms / 1000)
-            now = self._clock.now()
 
     def _prepare(
         self, request: context.Request
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,7 +16,9 @@
 hypothesis.settings.register_profile(
     "ci", derandomize=True, max_examples=200, deadline=None
 )
-hypothesis.settings.register_profile("long", max_examples=5_000, deadline=None)
+hypothesis.settings.register_profile(
+    "long", max_examples=10_000, deadline=None
+)
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
--- a/tests/fakes/lenders.py
+++ b/tests/fakes/lenders.py
@@ -18,7 +18,9 @@
 
 BEACON_PERIOD_S = 1.0
 POLL_PERIOD_S = 1.0
+CONFIGURE_MAX_S = 3.0
 PENDING_MAX_S = 0.2
+CALM = transport.Weather()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,20 +91,26 @@
         if fresh:
             self._read(world.clock.now() + offset_s)
 
+    def now(self) -> float:
+        """Return the time on this node's clock."""
+        return self.world.clock.now() + self.offset_s
+
     def take(
         self, organisation_id: str, final: bool
     ) -> quota.Taken | quota.Pending | quota.OverRate:
         """Attempt one request."""
-        now = self.world.clock.now() + self.offset_s
-        return self.quota.take(organisation_id, now, final)
+        return self.quota.take(organisation_id, self.now(), final)
+
+    def configure(self, version: configuration.Configuration) -> None:
+        """Put a configuration in force."""
+        self.quota.learn_configuration(version, self.now())
 
     def _wake(self) -> None:
         self.world.net.at(0.0, self._poll)
 
     def _poll(self) -> None:
         if self.world.members.get(self.host_id) is self:
-            now = self.world.clock.now() + self.offset_s
-            self.world.net.send(self.host_id, self.quota.poll(now))
+            self.world.net.send(self.host_id, self.quota.poll(self.now()))
 
     def receive(
         self, sender: str, message: messages.Message, now: float
@@ -156,7 +164,7 @@
         version: configuration.Configuration,
         names: dict[str, list[str]],
         seed: int,
-        weather: transport.Weather = transport.Weather(),
+        weather: transport.Weather = CALM,
         fresh: bool = True,
         lag_s: float = 0.0,
     ) -> None:
@@ -165,6 +173,7 @@
         self.net = transport.Transport(self.random, weather)
         self.clock = self.net.clock
         self.lives = 0
+        self.patience_s = PENDING_MAX_S
         self.lag_s = lag_s
         self.members: dict[str, Member] = {}
         self.admitted: dict[str, list[float]] = {}
@@ -206,6 +215,13 @@
         item = host.HostList(len(self._lists) + 1, hosts)
         self._lists.append((self.clock.now(), item))
 
+    def configure(self, version: configuration.Configuration) -> None:
+        """Let every node learn a configuration, each with some delay."""
+        self.version = version
+        for member in self.members.values():
+            delay_s = self.random.uniform(0.0, CONFIGURE_MAX_S)
+            self.net.at(delay_s, functools.partial(member.configure, version))
+
     def start(self, host_id: str, fresh: bool = False) -> None:
         """Start a node, again if it ran before."""
         member = Member(
@@ -232,7 +248,12 @@
 
     def remove(self, host_id: str) -> None:
         """Take a host out of the list."""
-        self.states.pop(host_id, None)
+        if self.states.pop(host_id, None) is not None:
+            self.publish()
+
+    def relist(self, host_id: str) -> None:
+        """List a host as live, again if it was removed."""
+        self.states[host_id] = host.HostState.LIVE
         self.publish()
 
     def leave(self, host_id: str) -> None:
@@ -256,7 +277,7 @@
             return
         if self.net.is_paused(member.host_id):
             return
-        final = self.clock.now() - began_at > PENDING_MAX_S
+        final = self.clock.now() - began_at >= self.patience_s
         taken = member.take(organisation_id, final)
         if isinstance(taken, quota.Pending):
             again = functools.partial(
