--- /dev/null
+++ b/src/savorytally/decisions/keytime.py
@@ -0,0 +1,36 @@
+"""Reads the time of creation from time-ordered idempotency keys."""
+
+import re
+import uuid
+
+UUID_VERSION = 7
+ULID = re.compile(r"[0-7][0-9A-HJKMNP-TV-Z]{25}")
+ULID_ALPHABET = "0123456789ABCDEFGHJKMNPQRSTVWXYZ"
+ULID_TIME_DIGITS = 10
+UUID_TIME_SHIFT = 80
+
+
+def made_at(key: str) -> float | None:
+    """Return when a key was made, ``None`` if it does not tell.
+
+    UUIDs of version 7 and ULIDs begin with a time in milliseconds.
+
+    :return: seconds since the Unix epoch.
+    """
+    text = key.strip()
+    if ULID.fullmatch(text.upper()):
+        return _ulid_ms(text.upper()) / 1000
+    try:
+        value = uuid.UUID(text)
+    except ValueError:
+        return None
+    if value.version != UUID_VERSION:
+        return None
+    return (value.int >> UUID_TIME_SHIFT) / 1000
+
+
+def _ulid_ms(text: str) -> int:
+    value = 0
+    for digit in text[:ULID_TIME_DIGITS]:
+        value = value * len(ULID_ALPHABET) + ULID_ALPHABET.index(digit)
+    return value
--- a/src/savorytally/decisions/loans.py
+++ b/src/savorytally/decisions/loans.py
@@ -86,7 +86,10 @@
     def __init__(self, site: quota.Site) -> None:
         self._site = site
         self._ownership = ownership.Ownership(
-            site.host_id, site.region_id, site.evidence, site.fresh
+            site.host_id,
+            lambda item: item.place.region_id == site.region_id,
+            site.evidence,
+            site.fresh,
         )
         self._contracts: dict[str, organisation.Contract] = {}
         self._regions: tuple[str, ...] = ()
--- a/src/savorytally/decisions/ownership.py
+++ b/src/savorytally/decisions/ownership.py
@@ -142,10 +142,11 @@
 
 
 class Ownership:
-    """Tells whether this host may act as owner of a shard of its place.
+    """Tells whether this host may act as owner of a shard.
 
     :param host_id: this host.
-    :param region_id: its place.
+    :param belongs: tells whether a host is one of those among which the
+        shards are divided, here called the place.
     :param evidence: age of the host list and signs of life.
     :param fresh: whether the operator declares that no earlier node of the
         place can still be running, so that nothing has to be waited for.
@@ -154,12 +155,12 @@
     def __init__(
         self,
         host_id: str,
-        region_id: str,
+        belongs: t.Callable[[host.Host], bool],
         evidence: Evidence,
         fresh: bool = False,
     ) -> None:
         self._host_id = host_id
-        self._region_id = region_id
+        self._belongs = belongs
         self._evidence = evidence
         self._fresh = fresh
         self._eras: collections.deque[_Era] = collections.deque()
@@ -196,7 +197,7 @@
         live = frozenset(
             item.host_id
             for item in hosts.hosts.values()
-            if item.live and item.place.region_id == self._region_id
+            if item.live and self._belongs(item)
         )
         if not self._eras:
             known_at = -math.inf if self._fresh else math.inf
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,7 +17,9 @@
     "ci", derandomize=True, max_examples=200, deadline=None
 )
 hypothesis.settings.register_profile(
-    "long", max_examples=10_000, deadline=None
+    "long",
+    max_examples=int(os.environ.get("HYPOTHESIS_EXAMPLES", "10000")),
+    deadline=None,
 )
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
