--- a/src/savorytally/decisions/loans.py
+++ b/src/savorytally/decisions/loans.py
@@ -22,6 +22,7 @@
 from . import ownership
 from . import participant
 from . import quota
+from . import usage
 
 SHARDS_PER_PLACE = 4
 CLAIM_PERIOD_S = 0.3
@@ -89,6 +90,7 @@
             site.host_id,
             lambda item: item.place.region_id == site.region_id,
             site.evidence,
+            site.witnesses,
             site.fresh,
         )
         self._contracts: dict[str, organisation.Contract] = {}
@@ -115,10 +117,10 @@
         self._urgent: set[str] = set()
         self._outbox: list[participant.Outgoing] = []
 
-    def usage(self) -> tuple[quota.Usage, ...]:
-        """Return what this node admitted and refused so far."""
+    def usage(self, now: float) -> list[usage.Usage]:
+        """Return the use of each organisation that sent requests here."""
         names = sorted(set(self._totals) | set(self._accounts))
-        return tuple(self._usage(name) for name in names)
+        return [self._usage(name) for name in names]
 
     def unspent(self, organisation_id: str, now: float) -> float:
         """Return the tokens that this node stores and may spend or lend."""
@@ -255,10 +257,10 @@
         del self._accounts[organisation_id]
         self._totals[organisation_id] = (used.admitted, used.refused)
 
-    def _usage(self, organisation_id: str) -> quota.Usage:
+    def _usage(self, organisation_id: str) -> "usage.Usage":
         admitted, refused = self._totals.get(organisation_id, (0, 0))
         item = self._accounts.get(organisation_id)
-        return quota.Usage(
+        return usage.Usage(
             organisation_id=organisation_id,
             admitted=admitted + (item.admitted if item else 0),
             refused=refused + (item.refused if item else 0),
--- a/src/savorytally/decisions/quota.py
+++ b/src/savorytally/decisions/quota.py
@@ -10,6 +10,8 @@
 from ..world import host
 from . import ownership
 from . import participant
+from . import usage
+from . import witness
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,22 +42,6 @@
 TAKEN = Taken()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Usage:
-    """What one node admitted of one organisation since its start.
-
-    :param organisation_id: the organisation.
-    :param admitted: requests that were within rate and burst.
-    :param refused: requests that were refused.
-    :param tokens: borrowed tokens that are not spent.
-    """
-
-    organisation_id: str
-    admitted: int
-    refused: int
-    tokens: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Site:
     """What a quota policy knows of its node.
@@ -63,7 +49,8 @@
     :param host_id: the node's host.
     :param region_id: its place.
     :param incarnation: distinguishes a restarted node from its predecessor.
-    :param evidence: age of the host list and signs of life of peers.
+    :param evidence: age of the host list.
+    :param witnesses: what peers say of their host lists.
     :param random: seeded random source.
     :param wake: called when :meth:`Quota.poll` should be called soon.
     :param fresh: whether the operator declares that no earlier node of the
@@ -74,6 +61,7 @@
     region_id: str
     incarnation: int
     evidence: ownership.Evidence
+    witnesses: witness.Witnesses
     random: random.Random
     wake: t.Callable[[], None]
     fresh: bool = False
@@ -129,8 +117,8 @@
     def learn_hosts(self, hosts: host.HostList, now: float) -> None:
         """Apply a newer host list."""
 
-    def usage(self) -> tuple[Usage, ...]:
-        """Return what this node admitted and refused so far."""
+    def usage(self, now: float) -> list[usage.Usage]:
+        """Return the use of each organisation that sent requests here."""
 
     def take(
         self, organisation_id: str, now: float, final: bool = False
@@ -179,9 +167,9 @@
     def learn_hosts(self, hosts: host.HostList, now: float) -> None:
         """Do nothing."""
 
-    def usage(self) -> tuple[Usage, ...]:
+    def usage(self, now: float) -> list[usage.Usage]:
         """Return nothing; the baseline counts nothing."""
-        return ()
+        return []
 
     def poll(self, now: float) -> list[participant.Outgoing]:
         """Do nothing."""
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -6,17 +6,25 @@
 import signal
 
 from . import clock
+from . import fields
 from . import ports
 from . import settings
+from . import tls
 from . import view
+from .decisions import adaptive  # noqa: F401, registers a policy
 from .decisions import admission
 from .decisions import balanced  # noqa: F401, registers a policy
+from .decisions import dissemination
 from .decisions import downstream
+from .decisions import evidence
 from .decisions import fifo  # noqa: F401, registers a policy
 from .decisions import loans  # noqa: F401, registers a policy
-from .decisions import ownership
+from .decisions import membership
 from .decisions import quota
+from .decisions import relay
 from .decisions import routing
+from .decisions import witness
+from .http import admin
 from .http import platform
 from .http import server
 from .http import upstream
@@ -25,18 +33,35 @@
 from .parts import egress
 from .parts import entry
 from .parts import gate
+from .parts import publications
 from .parts import running
 from .parts import watch
+from .peer import identity
 from .peer import links
 from .peer import messages
 from .peer import server as peer_server
 
 
+def check_policies(chosen: settings.Policies) -> list[fields.Fault]:
+    """Return a fault for each policy that is not registered."""
+    known = {
+        "admission": admission.policies.names(),
+        "routing": routing.policies.names(),
+        "quota": quota.policies.names(),
+    }
+    return [
+        fields.Fault(f"/policies/{kind}", f"must be one of {', '.join(names)}")
+        for kind, names in known.items()
+        if getattr(chosen, kind) not in names
+    ]
+
+
 class Node:
     """The parts of one node, composed behind the seam to the outside.
 
     :param options: the node's settings.
     :param outside: clock, random source, peers, upstream and platform.
+    :param incarnation: distinguishes it from earlier nodes of its host.
     """
 
     def __init__(
@@ -44,19 +69,38 @@
         options: settings.Settings,
         outside: ports.Outside,
         current: view.View,
+        incarnation: int = 0,
     ) -> None:
         policies = options.policies
         self.settings = options
         self.outside = outside
         self.view = current
         self.tokens = running.RunningCalls()
-        self.evidence = ownership.ListEvidence()
+        self.relay = relay.Relay(options.host_id, options.place)
+        self.membership = membership.Membership(
+            options.host_id,
+            incarnation,
+            self.relay,
+            outside.random,
+            self._working_hosts_changed,
+        )
+        self.evidence = evidence.SpreadEvidence(self.membership.contacts)
+        self.dissemination = dissemination.Dissemination(
+            options.host_id,
+            self.relay,
+            outside.random,
+            publications.Publications(self.view),
+            self.membership.reachable,
+            self.evidence,
+        )
+        self.witnesses = witness.Witnesses(outside.random)
         self.quota = quota.policies.get(policies.quota)(
             quota.Site(
                 host_id=options.host_id,
                 region_id=options.place.region_id,
-                incarnation=int(outside.clock.wall() * 1000),
+                incarnation=incarnation or int(outside.clock.wall() * 1000),
                 evidence=self.evidence,
+                witnesses=self.witnesses,
                 random=outside.random,
                 wake=self._wake_quota,
                 fresh=options.fresh_fleet,
@@ -82,12 +126,19 @@
             self.tokens,
             below,
         )
-        self.control = control.Control(outside, self.view)
+        self.control = control.Control(
+            outside, self.view, self.dissemination, self.membership
+        )
+        self.control.add(self.dissemination)
+        self.control.add(self.membership)
         self.control.add(self.quota)
+        self.control.add(self.witnesses)
+        self.control.every_tick(self.gate.tick)
         self.watch = watch.PlatformWatch(
-            outside, self.view, self.evidence.confirm
+            outside, self.dissemination, self.control.send
         )
         self.view.subscribe(self)
+        self.view.confirm_with(self.dissemination.freshness.confirmed)
 
     def configuration_changed(self, now: float) -> None:
         """Apply a newer configuration."""
@@ -105,8 +156,14 @@
 
     def hosts_changed(self, now: float) -> None:
         """Apply a newer host list."""
+        self.relay.learn_hosts(self.view.hosts.hosts)
+        self.membership.learn_hosts(self.view.hosts.hosts)
+        self.witnesses.learn(self.view.hosts.version, now)
         self.quota.learn_hosts(self.view.hosts, now)
-        self.routing.learn_hosts(self.view.hosts.hosts, now)
+        self._working_hosts_changed(now)
+
+    def _working_hosts_changed(self, now: float) -> None:
+        self.routing.learn_hosts(self.membership.working(), now)
 
     def _wake_quota(self) -> None:
         asyncio.get_running_loop().call_soon(self._poll_quota)
@@ -125,30 +182,62 @@
     def __init__(self, options: settings.Settings) -> None:
         now = clock.SystemClock()
         current = view.View()
-        identity = links.Identity(options.host_id, int(now.wall() * 1000))
+        source = random.Random(secrets.randbits(64))
+        own = identity.Identity(options.host_id, int(now.wall() * 1000))
         self._settings = options
-        self._links = links.Links(identity, lambda: current.version, self)
+        self._links = links.Links(
+            links.Shared(
+                own,
+                lambda: current.version,
+                self,
+                source,
+                tls.peer_client(options.peer_tls),
+            )
+        )
         self._upstream = upstream.HttpUpstream(options.upstream_url)
         self._platform = platform.HttpPlatform(options.platform_url)
         outside = ports.Outside(
             clock=now,
-            random=random.Random(secrets.randbits(64)),
+            random=source,
             peers=self._links,
             upstream=self._upstream,
             platform=self._platform,
         )
-        self.node = Node(options, outside, current)
+        self.node = Node(options, outside, current, own.incarnation)
         self._peer_server = peer_server.PeerServer(
-            identity,
-            self.node.gate.run,
-            self.node.gate.level,
-            lambda: current.version,
-            self,
+            own,
+            peer_server.Handlers(
+                run=self.node.gate.run,
+                level=self.node.gate.level,
+                version=lambda: current.version,
+                inbox=self,
+                now=now.now,
+            ),
         )
         self._entry_server = server.RequestServer(self.node.entry.handle)
         self._egress_server = server.RequestServer(self.node.egress.handle)
+        self.admin = admin.AdminServer(
+            options,
+            admin.Subject(
+                outside=outside,
+                current=current,
+                limits=self.node.quota,
+                admitted=self.node.gate.policy,
+                drain=self,
+            ),
+        )
+        self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def draining(self) -> bool:
+        """Whether the node takes no new work."""
+        return self._stopping.is_set()
+
+    def drain(self) -> None:
+        """Begin a graceful stop and return at once."""
+        self._stopping.set()
+
     def deliver(self, sender: str, message: messages.Message) -> None:
         """Hand a peer's control message to the participants."""
         self.node.control.deliver(sender, message)
@@ -160,13 +249,19 @@
     async def start(self) -> None:
         """Open the ports and start the background work.
 
-        :raises OSError: if a port is taken.
+        :raises OSError: if a port is taken or a certificate is unreadable.
         """
-        address = self._settings.address
-        opened = self._settings.ports
-        await self._peer_server.start(address, opened.peer)
+        options = self._settings
+        address = options.address
+        opened = options.ports
+        await self._peer_server.listen(
+            address, opened.peer, tls.peer_server(options.peer_tls)
+        )
         await self._egress_server.start("127.0.0.1", opened.egress)
-        await self._entry_server.start(address, opened.entry)
+        await self._entry_server.start(
+            address, opened.entry, tls.entry(options.entry_tls)
+        )
+        await self.admin.start()
         self._tasks = [
             asyncio.ensure_future(self.node.watch.run()),
             asyncio.ensure_future(self.node.control.run()),
@@ -182,13 +277,13 @@
         self._links.close()
         await self._upstream.close()
         await self._platform.close()
+        await self.admin.stop()
 
     async def run(self) -> None:
         """Serve until the process is told to stop."""
         loop = asyncio.get_running_loop()
-        stopping = asyncio.Event()
         for number in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(number, stopping.set)
+            loop.add_signal_handler(number, self.drain)
         await self.start()
-        await stopping.wait()
+        await self._stopping.wait()
         await self.stop()
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -12,6 +12,7 @@
 from ..decisions import estimates
 from ..decisions import retry
 from ..decisions import routing
+from ..decisions import shares
 from ..peer import messages
 from ..world import configuration
 from ..world import host
@@ -62,12 +63,18 @@
         self._routing = choice
         self._ratio = retry.RetryRatio(configuration.RetryPolicy().ratio)
         self._answers = estimates.Estimates()
+        self._shares = shares.Shares()
+        self._weights: dict[str, float] = {}
         self._ids = itertools.count(1)
 
     def learn_configuration(
         self, version: configuration.Configuration
     ) -> None:
-        """Apply the retry ratio of a newer configuration."""
+        """Apply the retry ratio and weights of a newer configuration."""
+        self._weights = {
+            identifier: item.contract.weight
+            for identifier, item in version.organisations.items()
+        }
         self._ratio.learn_ratio(version.retries.ratio)
 
     async def run(self, job: Job) -> outcomes.Outcome:
@@ -75,6 +82,7 @@
         tried: set[str] = set()
         last: outcomes.Outcome | None = None
         self._ratio.first_attempt()
+        self._note_demand(job.context)
         for attempt in itertools.count():
             choice = self._choose(job, tried)
             if isinstance(choice, routing.Unavailable):
@@ -92,10 +100,16 @@
     def _choose(self, job: Job, tried: set[str]) -> routing.Choice:
         route_id = job.route.route_id
         request_bytes = len(job.request.body)
+        hashed = root_hash(job.context.root_id)
         question = routing.Question(
             service_id=job.route.service_id,
             priority=job.context.priority,
-            root_hash=root_hash(job.context.root_id),
+            admits=lambda level: self._shares.admits(
+                level,
+                job.context.priority,
+                job.context.organisation_id,
+                hashed,
+            ),
             size_bytes=max(
                 request_bytes, int(self._answers.size_bytes(route_id))
             ),
@@ -103,6 +117,14 @@
         )
         return self._routing.choose(question, self._clock.now())
 
+    def _note_demand(self, above: context.Context) -> None:
+        self._shares.note(
+            above.priority,
+            above.organisation_id,
+            self._weights.get(above.organisation_id, 1.0),
+            self._clock.now(),
+        )
+
     def _prospect(self, job: Job) -> retry.Attempt:
         return retry.Attempt(
             idempotent=job.route.idempotent,
@@ -126,14 +148,15 @@
         call = self._call(job, attempt, remaining_s, lent)
         self._routing.sent(target.host_id, started)
         result: ports.CallResult | None = None
+
+        def give_back(ended: ports.CallResult) -> None:
+            job.context.budget.give_back(_unused(ended.outcome, lent), lent)
+
         try:
-            result = await self._peers.call(target, call)
+            result = await self._peers.call(target, call, give_back)
         finally:
             self._done(job, target, result, started)
-        unused = result.outcome.retries_unused
-        if _not_run(result.outcome):
-            unused = lent
-        job.context.budget.give_back(unused, lent)
+        give_back(result)
         return result.outcome
 
     def _done(
@@ -199,8 +222,11 @@
     return max(remaining_ms - margin_ms, 1)
 
 
-def _not_run(outcome: outcomes.Outcome) -> bool:
-    return isinstance(outcome, outcomes.Failure) and outcome.code.not_run
+def _unused(outcome: outcomes.Outcome, lent: int) -> int:
+    """Return how many of the lent retries come back."""
+    if isinstance(outcome, outcomes.Failure) and outcome.code.not_run:
+        return lent
+    return outcome.retries_unused
 
 
 def _host_works(outcome: outcomes.Outcome | None) -> bool:
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -15,6 +15,13 @@
 from . import headers
 from . import running
 
+_SERVICE_UNAVAILABLE = 503
+_UPSTREAM_FAULTS = (
+    results.NOT_DISPATCHED,
+    results.UPSTREAM_BROKEN,
+    results.ANSWER_TRUNCATED,
+)
+
 
 class Gate:
     """Runs calls at the local upstream as admission allows.
@@ -71,16 +78,18 @@
         decision = await self._admit(call, found, ticket, deadline)
         if isinstance(decision, admission.Refuse):
             return outcomes.Failure(
-                decision.code, retry_after_ms=decision.retry_after_ms
+                decision.code,
+                retry_after_ms=decision.retry_after_ms,
+                retries_unused=call.retries,
             )
-        ok = False
+        end = admission.End.WITHDRAWN
         try:
             outcome = await self._execute(call, found, deadline)
-            ok = isinstance(outcome, outcomes.Answer)
+            end = _end(outcome)
             return outcome
         finally:
             now = self._clock.now()
-            self._apply(self._admission.finish(ticket, ok, now))
+            self._apply(self._admission.finish(ticket, end, now))
 
     def _check(self, call: messages.Call) -> route.Route | outcomes.Failure:
         version = self._view.configuration
@@ -97,11 +106,8 @@
         if not call.organisation_id:
             return True
         version = self._view.configuration
-        holder = version and version.organisations.get(call.organisation_id)
-        if not holder:
-            return False
-        return any(
-            digest.startswith(call.key_id) for digest in holder.key_digests
+        return version is not None and version.granted(
+            call.organisation_id, call.key_id
         )
 
     async def _admit(
@@ -127,9 +133,12 @@
         self._apply(self._admission.arrive(arrival, self._clock.now()))
         try:
             return await future
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
             self._withdraw(ticket, future)
-            raise
+            failure = outcomes.Failure(
+                results.CANCELLED_BEFORE_START, retries_unused=call.retries
+            )
+            raise ports.Withdrawn(failure) from error
         finally:
             self._waiting.pop(ticket, None)
 
@@ -139,7 +148,8 @@
         now = self._clock.now()
         started = future.done() and not future.cancelled()
         if started and isinstance(future.result(), admission.Start):
-            self._apply(self._admission.finish(ticket, False, now))
+            end = admission.End.WITHDRAWN
+            self._apply(self._admission.finish(ticket, end, now))
             return
         self._apply(self._admission.cancel(ticket, now))
 
@@ -152,6 +162,8 @@
     async def _execute(
         self, call: messages.Call, found: route.Route, deadline: float
     ) -> outcomes.Outcome:
+        if not self._view.confirmed(self._clock.now()):
+            return outcomes.Failure(results.STALE_VIEW)
         if not self._granted(call):
             return outcomes.Failure(results.KEY_REJECTED)
         remaining_s = deadline - self._clock.now()
@@ -162,11 +174,28 @@
         try:
             request = _upstream_request(call, found, token)
             outcome = await self._upstream.exchange(request, remaining_s)
+        except asyncio.CancelledError as error:
+            failure = outcomes.Failure(
+                results.CANCELLED_AFTER_START, retries_unused=budget.left
+            )
+            raise ports.Withdrawn(failure) from error
         finally:
             self._tokens.end(token)
         return running.with_unused(outcome, budget.left)
 
 
+def _end(outcome: outcomes.Outcome) -> admission.End:
+    if isinstance(outcome, outcomes.Answer):
+        if outcome.status == _SERVICE_UNAVAILABLE:
+            return admission.End.REJECTED
+        return admission.End.ANSWERED
+    if outcome.code in _UPSTREAM_FAULTS:
+        return admission.End.BROKEN
+    if outcome.code is results.DEADLINE_PASSED:
+        return admission.End.LATE
+    return admission.End.WITHDRAWN
+
+
 def _upstream_request(
     call: messages.Call, found: route.Route, token: str
 ) -> ports.UpstreamRequest:
@@ -174,6 +203,8 @@
     if call.tail:
         path = f"{path.rstrip('/')}/{call.tail}"
     extra = [(headers.CALL_TOKEN, token), (headers.REQUEST_ID, call.root_id)]
+    if call.organisation_id:
+        extra.append((headers.ORGANISATION, call.organisation_id))
     return ports.UpstreamRequest(
         method=found.method,
         path=path,
--- a/tests/fakes/lenders.py
+++ b/tests/fakes/lenders.py
@@ -1,6 +1,5 @@
 """Quota decisions of several nodes, each with its own clock and list."""
 
-import dataclasses
 import functools
 import math
 import random
@@ -8,41 +7,29 @@
 
 from fakes import transport
 from savorytally.decisions import loans
-from savorytally.decisions import ownership
 from savorytally.decisions import participant
 from savorytally.decisions import quota
+from savorytally.decisions import witness
 from savorytally.peer import messages
 from savorytally.world import configuration
 from savorytally.world import host
 from savorytally.world import region
 
-BEACON_PERIOD_S = 1.0
 POLL_PERIOD_S = 1.0
 CONFIGURE_MAX_S = 3.0
 PENDING_MAX_S = 0.2
 CALM = transport.Weather()
 
 
-@dataclasses.dataclass(frozen=True)
-class Beacon(messages.Message):
-    """A sign of life with the sender's host list version."""
-
-    list_version: int
-
-
-class Signs:
-    """Evidence from the platform and from beacons."""
+class Readings:
+    """Evidence from the platform."""
 
     def __init__(self) -> None:
         self.confirmed = -math.inf
-        self.contacts: dict[str, ownership.Contact] = {}
 
     def confirmed_at(self) -> float:
         return self.confirmed
 
-    def contact(self, host_id: str) -> ownership.Contact | None:
-        return self.contacts.get(host_id)
-
 
 class Member:
     """One node's quota decisions behind a clock of its own.
@@ -53,7 +40,7 @@
     :param lag_s: how old the lists are that it reads.
     """
 
-    handles = (*loans.LoanQuota.handles, Beacon)
+    handles = (*loans.LoanQuota.handles, *witness.Witnesses.handles)
 
     def __init__(
         self,
@@ -68,15 +55,17 @@
         self.offset_s = offset_s
         self.lag_s = lag_s
         self.reads = True
-        self.signs = Signs()
+        self.readings = Readings()
         self.region_id = world.region_of(host_id)
         world.lives += 1
+        self.witnesses = witness.Witnesses(random.Random(world.lives))
         self.quota = loans.LoanQuota(
             quota.Site(
                 host_id=host_id,
                 region_id=self.region_id,
                 incarnation=world.lives,
-                evidence=self.signs,
+                evidence=self.readings,
+                witnesses=self.witnesses,
                 random=random.Random(world.lives),
                 wake=self._wake,
                 fresh=fresh,
@@ -84,7 +73,6 @@
         )
         self._list = host.EMPTY
         self._polled_at = -math.inf
-        self._beacon_at = -math.inf
         self.quota.learn_configuration(
             world.version, world.clock.now() + offset_s
         )
@@ -116,36 +104,25 @@
         self, sender: str, message: messages.Message, now: float
     ) -> list[participant.Outgoing]:
         local = now + self.offset_s
-        if isinstance(message, Beacon):
-            self.signs.contacts[sender] = ownership.Contact(
-                local, message.list_version
-            )
-            return []
+        if isinstance(message, witness.Witnesses.handles):
+            return self.witnesses.receive(sender, message, local)
         return self.quota.receive(sender, message, local)
 
     def tick(self, now: float) -> list[participant.Outgoing]:
         local = now + self.offset_s
         if self.reads and local - self._polled_at >= POLL_PERIOD_S:
             self._read(local)
-        sent = self.quota.tick(local)
-        if local - self._beacon_at >= BEACON_PERIOD_S:
-            self._beacon_at = local
-            sent += [
-                participant.Outgoing(item.host_id, Beacon(self._list.version))
-                for item in self._list.hosts.values()
-                if item.place.region_id == self.region_id
-                and item.host_id != self.host_id
-            ]
-        return sent
+        return self.quota.tick(local) + self.witnesses.tick(local)
 
     def _read(self, local: float) -> None:
         self._polled_at = local
         read = self.world.list_at(self.world.clock.now() - self.lag_s)
         if read.version > self._list.version:
             self._list = read
+            self.witnesses.learn(read.version, local)
             self.quota.learn_hosts(read, local)
         if read.version == self._list.version:
-            self.signs.confirmed = local
+            self.readings.confirmed = local
 
 
 class World:
