--- a/src/savorytally/decisions/account.py
+++ b/src/savorytally/decisions/account.py
@@ -7,25 +7,34 @@
 from ..world import organisation
 from . import bucket
 
-CUSHION_TOKENS = 3.0
-HORIZON_MIN_S = 0.2
+CUSHION_TOKENS = 1.0
+LOW_TOKENS = 0.5
+ROUND_TRIP_S = 0.05
+HORIZON_MIN_S = 0.1
 HORIZON_MAX_S = 1.0
-HORIZON_PER_BURST = 0.3
+HORIZON_PER_BURST = 0.1
 SURPLUS_FACTOR = 2.0
-LOW_PART = 0.6
-REPLY_TIMEOUT_S = 0.6
+REPLY_TIMEOUT_S = 0.15
+SILENT_WAIT_S = 1.0
 RENEW_S = bucket.LOAN_S / 2
-IDLE_S = 2.0
+REPORT_TOKENS = 1.0
+IDLE_S = 6.0
 DEMAND_WEIGHT = 0.2
-EMPTY_WAIT_S = 0.2
-NOT_OWNER_WAIT_S = 0.5
+EMPTY_WAIT_S = 0.05
+NOT_OWNER_WAIT_S = 1.0
+PENDING_WAIT_MS = 10
 
 
 @dataclasses.dataclass(slots=True)
 class _Holding:
-    """Tokens borrowed from one shard and the request under way."""
+    """Tokens borrowed from one shard and the request under way.
+
+    ``counted`` is what the owner counts as not spent.
+    """
 
     tokens: float = 0.0
+    counted: float = 0.0
+    wanted: float = 0.0
     expires_at: float = 0.0
     sequence: int = 0
     asked_at: float = 0.0
@@ -63,11 +72,14 @@
         self._holdings = [_Holding() for _ in range(shards)]
         self._next = home
         self._settled = 0.0
+        self._reported = 0
         self._attempts = 0
         self._demand_per_s = 0.0
         self._used_at = now
         self._ticked_at = now
         self._horizon_s = HORIZON_MIN_S
+        self._low = LOW_TOKENS
+        self.low = False
 
     @property
     def idle(self) -> bool:
@@ -88,32 +100,52 @@
         if now >= self.expires_at:
             self._settle(now)
         if self.tokens < 1.0:
-            self.refused += 1
+            self.low = True
             return False
         self.tokens -= 1.0
         self.admitted += 1
+        self.low = self.tokens < self._low
         return True
 
-    def wait_ms(self, now: float) -> int:
-        """Return when a token may be available."""
-        if any(item.waiting for item in self._holdings):
-            return bucket.WAIT_MIN_MS
+    def unspent(self, now: float) -> float:
+        """Return the tokens that may still be spent."""
+        self._settle(now)
+        return self.tokens
+
+    def refuse(self, now: float) -> int:
+        """Count a refusal and return when a token may be available."""
+        self.refused += 1
+        self._used_at = now
         times = [item.empty_until - now for item in self._holdings]
         return max(int(min(times) * 1000), bucket.WAIT_MIN_MS)
 
+    def pending(self, now: float) -> bool:
+        """Return whether an owner may lend a token within moments."""
+        return any(
+            item.empty_until <= now or (item.waiting and item.wanted)
+            for item in self._holdings
+        )
+
     def tick(self, now: float) -> t.Iterator[tuple[int, loans.Borrow]]:
         """Yield requests to the owners of shards."""
         self._settle(now)
         self._measure(now)
-        self._give_up(now)
         if now - self._used_at > IDLE_S:
             self._demand_per_s = 0.0
             yield from self._return_all(now)
             return
-        target = self._demand_per_s * self._horizon_s + CUSHION_TOKENS
-        if self.tokens < target * LOW_PART:
-            yield from self._ask(target - self.tokens, now)
-        yield from self._renew(target, now)
+        yield from self.poll(now)
+        yield from self._renew(now)
+
+    def poll(self, now: float) -> t.Iterator[tuple[int, loans.Borrow]]:
+        """Yield a request if the tokens left do not cover demand."""
+        self._settle(now)
+        self._give_up(now)
+        self.low = False
+        self._low = max(self._demand_per_s * ROUND_TRIP_S, LOW_TOKENS)
+        wanted = self._target() - self.tokens
+        if self.tokens < self._low + LOW_TOKENS and wanted > 0.0:
+            yield from self._ask(wanted, now)
 
     def lent(self, message: loans.Lend, now: float) -> None:
         """Add what an owner lent in answer to the latest request."""
@@ -125,6 +157,7 @@
         self._settle(now)
         item.waiting = False
         item.tokens = min(item.tokens, message.kept) + message.tokens
+        item.counted += message.tokens
         item.expires_at = item.asked_at + bucket.LOAN_S
         if message.wait_ms:
             item.empty_until = now + max(message.wait_ms / 1000, EMPTY_WAIT_S)
@@ -155,14 +188,19 @@
         weight = min(DEMAND_WEIGHT * elapsed_s / 0.1, 1.0)
         self._demand_per_s += weight * (latest - self._demand_per_s)
 
-    def _renew(
-        self, target: float, now: float
-    ) -> t.Iterator[tuple[int, loans.Borrow]]:
-        """Prolong loans and give back what demand no longer needs."""
+    def _target(self) -> float:
+        return self._demand_per_s * self._horizon_s + CUSHION_TOKENS
+
+    def _renew(self, now: float) -> t.Iterator[tuple[int, loans.Borrow]]:
+        """Report what was spent, prolong loans and give back surplus."""
+        target = self._target()
         surplus = max(self.tokens - target * SURPLUS_FACTOR, 0.0)
         for index, item in enumerate(self._holdings):
-            old = now - item.asked_at > RENEW_S
-            if item.tokens <= 0.0 or not old or item.waiting:
+            if item.waiting or not item.counted:
+                continue
+            spent = item.counted - item.tokens >= REPORT_TOKENS
+            period_s = self._horizon_s / 2 if spent else RENEW_S
+            if now - item.asked_at < period_s:
                 continue
             returned = min(surplus, item.tokens)
             surplus -= returned
@@ -173,12 +211,13 @@
     def _ask(
         self, wanted: float, now: float
     ) -> t.Iterator[tuple[int, loans.Borrow]]:
-        if any(item.waiting for item in self._holdings):
+        if any(item.waiting and item.wanted for item in self._holdings):
             return
         count = len(self._holdings)
         for step in range(count):
             index = (self._next + step) % count
-            if self._holdings[index].empty_until <= now:
+            item = self._holdings[index]
+            if item.empty_until <= now and not item.waiting:
                 yield index, self._borrow(index, 0.0, wanted, now)
                 return
 
@@ -187,7 +226,7 @@
         for index, item in enumerate(self._holdings):
             if item.waiting and now - item.asked_at > REPLY_TIMEOUT_S:
                 item.waiting = False
-                item.empty_until = now + EMPTY_WAIT_S
+                item.empty_until = now + SILENT_WAIT_S
                 self._next = (index + 1) % len(self._holdings)
 
     def _return_all(self, now: float) -> t.Iterator[tuple[int, loans.Borrow]]:
@@ -207,6 +246,9 @@
         item.sequence = next(self._sequences)
         item.asked_at = now
         item.waiting = True
+        item.counted = item.tokens
+        item.wanted = wanted
+        refused, self._reported = self.refused - self._reported, self.refused
         return loans.Borrow(
             organisation_id=self._organisation_id,
             index=index,
@@ -215,11 +257,14 @@
             held=item.tokens,
             returned=returned,
             wanted=wanted,
+            refused=refused,
         )
 
     def _settle(self, now: float) -> None:
         """Charge spent tokens to holdings and drop what has expired."""
         spent = self._settled - self.tokens
+        if not spent and now < self.expires_at:
+            return
         order = sorted(self._holdings, key=lambda item: item.expires_at)
         for item in order:
             part = min(item.tokens, spent)
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -23,6 +23,7 @@
 from .decisions import quota
 from .decisions import relay
 from .decisions import routing
+from .decisions import witness
 from .http import admin
 from .http import platform
 from .http import server
@@ -92,13 +93,16 @@
             self.membership.reachable,
             self.evidence,
         )
+        self.witnesses = witness.Witnesses(outside.random)
         self.quota = quota.policies.get(policies.quota)(
             quota.Site(
                 host_id=options.host_id,
                 region_id=options.place.region_id,
                 incarnation=incarnation or int(outside.clock.wall() * 1000),
                 evidence=self.evidence,
+                witnesses=self.witnesses,
                 random=outside.random,
+                wake=self._wake_quota,
                 fresh=options.fresh_fleet,
             )
         )
@@ -128,6 +132,7 @@
         self.control.add(self.dissemination)
         self.control.add(self.membership)
         self.control.add(self.quota)
+        self.control.add(self.witnesses)
         self.control.every_tick(self.gate.tick)
         self.watch = watch.PlatformWatch(
             outside, self.dissemination, self.control.send
@@ -153,12 +158,20 @@
         """Apply a newer host list."""
         self.relay.learn_hosts(self.view.hosts.hosts)
         self.membership.learn_hosts(self.view.hosts.hosts)
+        self.witnesses.learn(self.view.hosts.version, now)
         self.quota.learn_hosts(self.view.hosts, now)
         self._working_hosts_changed(now)
 
     def _working_hosts_changed(self, now: float) -> None:
         self.routing.learn_hosts(self.membership.working(), now)
 
+    def _wake_quota(self) -> None:
+        asyncio.get_running_loop().call_soon(self._poll_quota)
+
+    def _poll_quota(self) -> None:
+        now = self.outside.clock.now()
+        self.control.send(self.quota.poll(now))
+
 
 class Daemon:
     """A node on its ports.
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -1,5 +1,6 @@
 """The entry: takes callers' requests and answers them."""
 
+import asyncio
 import dataclasses
 import hashlib
 
@@ -61,8 +62,29 @@
         job = self._prepare(request)
         if isinstance(job, outcomes.Failure):
             return job
+        over = await self._take(job.context)
+        if over is not None:
+            return over
         return await self._dispatcher.run(job)
 
+    async def _take(self, called: context.Context) -> outcomes.Failure | None:
+        """Take from the rate; wait a moment for a token that may arrive."""
+        if not called.organisation_id:
+            return None
+        left_s = defaults.QUOTA_WAIT_MAX_S
+        while True:
+            now = self._clock.now()
+            final = left_s <= 0.0 or now >= called.deadline
+            taken = self._quota.take(called.organisation_id, now, final)
+            if isinstance(taken, quota.Taken):
+                return None
+            if isinstance(taken, quota.OverRate):
+                return outcomes.Failure(
+                    results.OVER_RATE, retry_after_ms=taken.retry_after_ms
+                )
+            left_s -= taken.wait_ms / 1000
+            await asyncio.sleep(taken.wait_ms / 1000)
+
     def _prepare(
         self, request: context.Request
     ) -> dispatch.Job | outcomes.Failure:
@@ -93,13 +115,6 @@
                 results.MALFORMED_REQUEST, headers.TIMEOUT_MS
             )
         now = self._clock.now()
-        if caller.organisation_id:
-            taken = self._quota.take(caller.organisation_id, now)
-            if isinstance(taken, quota.OverRate):
-                return outcomes.Failure(
-                    results.OVER_RATE,
-                    retry_after_ms=taken.retry_after_ms,
-                )
         return dispatch.Job(
             route=found.route,
             tail=found.tail,
--- a/tests/fakes/transport.py
+++ b/tests/fakes/transport.py
@@ -70,6 +70,10 @@
         """Stop a host; what arrives meanwhile waits for it."""
         self._paused.setdefault(host_id, [])
 
+    def is_paused(self, host_id: str) -> bool:
+        """Return whether a host is paused."""
+        return host_id in self._paused
+
     def resume(self, host_id: str) -> None:
         """Let a paused host go on with what has waited for it."""
         for work in self._paused.pop(host_id, []):
