Describe and test the administration API

The API had no description and no test of its refusals, and a published value that is no object was blamed on the patch's version. Change. docs/openapi.json, held equal to the registered routes by a test; tests of tokens, pages, shortened digests, dry runs over whole and divided documents, an unreadable platform and drain.

--- a/src/savorytally/parts/published.py
+++ b/src/savorytally/parts/published.py
@@ -36,7 +36,7 @@
         return Unavailable(fields.Fault("", "no document is published"))
     head = sections.read_head(json.loads(value.body))
     if isinstance(head, sections.Whole):
-        return head
+        return _as_object(head)
     if isinstance(head, sections.Refused):
         return Unavailable(head.faults[0])
     bodies = {}
@@ -53,3 +53,9 @@
     if isinstance(document, sections.Refused):
         return Unavailable(document.faults[0])
     return document
+
+
+def _as_object(document: sections.Whole) -> sections.Whole | Unavailable:
+    if isinstance(document.value, dict):
+        return document
+    return Unavailable(fields.Fault("", "must be an object"))
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,316 @@
+"""The administration API against its description, and its refusals."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import random
+import re
+
+import aiohttp
+from aiohttp import web
+from fakes import documents
+import pytest
+
+from savorytally import clock
+from savorytally import ports
+from savorytally import settings
+from savorytally import view
+from savorytally.decisions import admission
+from savorytally.decisions import fifo
+from savorytally.decisions import quota
+from savorytally.decisions import usage
+from savorytally.http import admin
+from savorytally.world import hosts
+from savorytally.world import region
+from savorytally.world import sections
+
+TOKEN = "sesame-open-0123"
+DESCRIPTION = pathlib.Path(__file__).parent.parent / "docs/openapi.json"
+RATE = "/organisations/org1/rate_per_s"
+
+
+OPTIONS = settings.Settings(
+    host_id="browse-0",
+    service_id="browse",
+    place=region.Place("bagmati", "kirtipur"),
+    address="127.0.0.1",
+    upstream_url="",
+    platform_url="",
+)
+
+
+class Platform:
+    """Holds values; a name that is absent in it is not published."""
+
+    def __init__(self):
+        self.values = {}
+
+    async def read(self, name, after, wait_s):
+        body = self.values.get(name)
+        if isinstance(body, OSError):
+            raise body
+        return None if body is None else ports.Value(name, 1, body)
+
+
+class Quota(quota.LocalQuota):
+    """A quota policy that reports usage."""
+
+    def usage(self, now):
+        return [usage.Usage("org1", 3.5, 7, 2)]
+
+
+class Drain:
+    """Notes that a drain was asked for."""
+
+    draining = False
+
+    def drain(self):
+        self.draining = True
+
+
+def subject_of(current, platform=None, drain=None):
+    """Return what a server observes and steers."""
+    return admin.Subject(
+        outside=ports.Outside(
+            clock.VirtualClock(), random.Random(1), None, None, platform
+        ),
+        current=current,
+        limits=Quota(),
+        admitted=fifo.FifoAdmission(admission.Capacity(1, 1)),
+        drain=drain,
+    )
+
+
+async def answer_nothing(request):
+    """Stand for a mounted handler."""
+    return web.Response()
+
+
+@dataclasses.dataclass
+class Served:
+    """A server with everything that it observes."""
+
+    server: admin.AdminServer
+    url: str
+    platform: Platform
+    drain: Drain
+    loop: asyncio.Runner
+
+    def ask(self, method, path, token=TOKEN, body=None):
+        """Return the status and the value of an answer."""
+        return self.loop.run(self._ask(method, path, token, body))
+
+    async def _ask(self, method, path, token, body):
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        async with aiohttp.ClientSession(headers=headers) as session:
+            async with session.request(
+                method, self.url + path, data=body
+            ) as response:
+                text = await response.text()
+        return response.status, json.loads(text)
+
+
+@pytest.fixture
+def serve(himali, free_port):
+    """Start servers over the Himali deployment."""
+    loop = asyncio.Runner()
+    started = []
+
+    def server(token=TOKEN, configured=True):
+        port = free_port()
+        current = view.View()
+        if configured:
+            current.offer_configuration(himali, 0.0)
+        listed = {
+            f"browse-{n}": documents.host("browse", n, 7000) for n in range(3)
+        }
+        current.offer_hosts(hosts.read(1, listed), 0.0)
+        platform, drain = Platform(), Drain()
+        body = json.dumps(documents.himali()).encode()
+        platform.values["configuration"] = body
+        subject = subject_of(current, platform, drain)
+        options = dataclasses.replace(
+            OPTIONS,
+            ports=settings.Ports(admin=port),
+            admin=settings.Admin(token=token),
+        )
+        made = admin.AdminServer(options, subject)
+        loop.run(made.start())
+        started.append(made)
+        url = f"http://127.0.0.1:{port}"
+        return Served(made, url, platform, drain, loop)
+
+    yield server
+    for made in started:
+        loop.run(made.stop())
+    loop.close()
+
+
+def patch_of(against, value):
+    """Return the text of a patch that changes a rate."""
+    operation = {"op": "replace", "path": RATE, "value": value}
+    return json.dumps({"against": against, "operations": [operation]})
+
+
+class TestDescription:
+    def test_describes_exactly_the_routes(self):
+        server = admin.AdminServer(OPTIONS, subject_of(None))
+        server.mount("/metrics", answer_nothing)
+        served = {
+            (resource.canonical, route.method.lower())
+            for resource in server.app.router.resources()
+            for route in resource
+            if route.method != "HEAD"
+        }
+        paths = json.loads(DESCRIPTION.read_text())["paths"]
+        described = {
+            (path, method) for path, item in paths.items() for method in item
+        }
+        assert described == served
+
+    def test_parameters_in_paths_are_declared(self):
+        paths = json.loads(DESCRIPTION.read_text())["paths"]
+        for path, item in paths.items():
+            for operation in item.values():
+                declared = {
+                    given["name"]
+                    for given in operation.get("parameters", ())
+                    if given["in"] == "path"
+                }
+                assert declared == set(re.findall(r"{(\w+)}", path))
+
+
+class TestToken:
+    @pytest.mark.parametrize("token", ["", "wrong", TOKEN + "x", "\u00e9"])
+    def test_a_wrong_token_is_refused(self, serve, token):
+        status, value = serve().ask("GET", "/v1/status", token)
+        assert (status, value["code"]) == (401, 9008)
+
+    def test_without_a_token_in_the_settings_the_api_is_closed(self, serve):
+        served = serve(token="")
+        for token in ("", TOKEN):
+            status, value = served.ask("POST", "/v1/drain", token)
+            assert (status, value["code"]) == (403, 9009)
+        assert not served.drain.draining
+
+    def test_health_needs_none(self, serve):
+        assert serve().ask("GET", "/health", "") == (200, {"state": "serving"})
+        status, value = serve(configured=False).ask("GET", "/health", "")
+        assert (status, value) == (503, {"state": "starting"})
+
+
+class TestViews:
+    def test_status(self, serve):
+        status, value = serve().ask("GET", "/v1/status")
+        assert status == 200
+        assert value["configuration_version"] == 1
+        assert value["hosts"] == 3
+        assert value["upstream"] == {"running": 0, "waiting": 0, "level": 0}
+
+    def test_key_digests_are_shortened(self, serve):
+        digest = documents.digest_of("org1")
+        for path in ("", "/organisations", "/organisations/org1"):
+            _, value = serve().ask("GET", f"/v1/configuration{path}")
+            assert digest not in json.dumps(value)
+        assert value["key_digests"] == [digest[:8]]
+
+    @pytest.mark.parametrize(
+        "kind", ["organisations", "services", "routes", "regions", "links"]
+    )
+    def test_every_section_is_shown(self, serve, kind):
+        status, value = serve().ask("GET", f"/v1/configuration/{kind}")
+        assert status == 200
+        assert len(value["members"]) == len(documents.himali()[kind])
+
+    def test_pages_follow_each_other(self, serve):
+        found, after = [], ""
+        while after is not None:
+            path = f"/v1/limits?limit=3&after={after}"
+            _, value = serve().ask("GET", path)
+            found += value["members"]
+            after = value["next"]
+        assert found == sorted(documents.himali()["organisations"])
+
+    @pytest.mark.parametrize("limit", ["0", "1001", "x", "9" * 5000])
+    def test_a_malformed_page_is_refused(self, serve, limit):
+        status, value = serve().ask("GET", f"/v1/hosts?limit={limit}")
+        assert (status, value["code"]) == (400, 9011)
+        assert value["faults"][0]["place"] == "/limit"
+
+    def test_usage_comes_from_the_quota_policy(self, serve):
+        _, value = serve().ask("GET", "/v1/limits/org1")
+        assert value["rate_per_s"] == 400
+        assert value["usage"] == {"tokens": 3.5, "admitted": 7, "refused": 2}
+        _, value = serve().ask("GET", "/v1/limits/org2")
+        assert value["usage"] is None
+
+    @pytest.mark.parametrize(
+        "path",
+        [
+            "/v1/configuration/colours",
+            "/v1/configuration/routes/absent",
+            "/v1/limits/absent",
+            "/v1/drain",
+            "/absent",
+        ],
+    )
+    def test_what_is_absent_is_not_found(self, serve, path):
+        status, value = serve().ask("GET", path)
+        assert (status, value["code"]) == (404, 9010)
+
+
+class TestDryRun:
+    def test_returns_the_next_document(self, serve):
+        served = serve()
+        path = "/v1/configuration/dry-run"
+        status, value = served.ask("POST", path, body=patch_of(1, 5))
+        assert status == 200
+        assert value["version"] == value["document"]["version"] == 2
+        assert value["document"]["organisations"]["org1"]["rate_per_s"] == 5
+
+    def test_reads_a_divided_document(self, serve):
+        served = serve()
+        split = sections.split(documents.himali())
+        body = sections.write_head(split.head)
+        served.platform.values["configuration"] = body
+        path = "/v1/configuration/dry-run"
+        status, value = served.ask("POST", path, body=patch_of(1, 5))
+        assert (status, value["code"]) == (503, 9006)
+        for name, body in split.bodies.items():
+            served.platform.values[f"configuration/{name}"] = body
+        status, value = served.ask("POST", path, body=patch_of(1, 5))
+        assert (status, value["version"]) == (200, 2)
+
+    @pytest.mark.parametrize(
+        ("body", "status", "code", "place"),
+        [
+            (patch_of(2, 5), 409, 9003, "/against"),
+            (patch_of(1, "x"), 422, 9002, RATE),
+            ('{"against": 1}', 422, 9004, "/operations"),
+            ("{", 422, 9004, ""),
+            (b"\xff", 422, 9004, ""),
+            (b" " * (2 << 20), 400, 9011, ""),
+        ],
+    )
+    def test_refusals(self, serve, body, status, code, place):
+        answer = serve().ask("POST", "/v1/configuration/dry-run", body=body)
+        assert (answer[0], answer[1]["code"]) == (status, code)
+        assert answer[1]["faults"][0]["place"] == place
+
+    @pytest.mark.parametrize("body", [None, OSError("down"), b"{", b"[1]"])
+    def test_an_unreadable_platform_is_said_so(self, serve, body):
+        served = serve()
+        served.platform.values["configuration"] = body
+        path = "/v1/configuration/dry-run"
+        status, value = served.ask("POST", path, body=patch_of(1, 5))
+        assert (status, value["code"]) == (503, 9006)
+
+
+class TestDrain:
+    def test_begins_a_graceful_stop(self, serve):
+        served = serve()
+        answer = served.ask("POST", "/v1/drain")
+        assert answer == (202, {"state": "draining"})
+        assert served.drain.draining
+        assert served.ask("GET", "/health", "")[0] == 503
