--- /dev/null
+++ b/src/savorytally/decisions/contact.py
@@ -0,0 +1,107 @@
+"""What this node knows of its peers from its own streams."""
+
+import dataclasses
+import random
+
+from . import liveness
+
+_NEVER = float("-inf")
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """What is known of one peer."""
+
+    backoff: liveness.Backoff
+    incarnation: int = 0
+    connected: bool = False
+    heard_at: float = _NEVER
+    list_version: int = 0
+
+
+class PeerContacts:
+    """Contact with peers, and when a lost one may be tried again.
+
+    :param source: seeded random source for the jitter of the backoff.
+    """
+
+    def __init__(self, source: random.Random) -> None:
+        self._random = source
+        self._peers: dict[str, _Peer] = {}
+
+    @property
+    def connected(self) -> list[str]:
+        """Hosts that a stream is open with, either way."""
+        return sorted(
+            host_id for host_id, peer in self._peers.items() if peer.connected
+        )
+
+    def reachable(self, host_id: str, now: float) -> bool:
+        """Return whether the peer may be sent to.
+
+        A peer that was lost may be tried again when its backoff is over.
+        """
+        peer = self._peers.get(host_id)
+        if peer is None or peer.connected:
+            return True
+        return peer.backoff.ready(now)
+
+    def heard_at(self, host_id: str) -> float | None:
+        """Return when the peer was last heard, ``None`` if never."""
+        peer = self._peers.get(host_id)
+        if peer is None or peer.heard_at == _NEVER:
+            return None
+        return peer.heard_at
+
+    def list_version(self, host_id: str) -> int:
+        """Return the host list that the peer last said it holds."""
+        peer = self._peers.get(host_id)
+        return peer.list_version if peer else 0
+
+    def incarnation(self, host_id: str) -> int:
+        """Return the peer's newest known incarnation, 0 if unknown."""
+        peer = self._peers.get(host_id)
+        return peer.incarnation if peer else 0
+
+    def opened(self, host_id: str, incarnation: int, now: float) -> None:
+        """Note that a stream was opened and the peer introduced itself."""
+        peer = self._peer(host_id)
+        peer.incarnation = max(peer.incarnation, incarnation)
+        peer.connected = True
+        peer.heard_at = now
+        peer.backoff.succeeded()
+
+    def heard(self, host_id: str, now: float) -> None:
+        """Note that a message of the peer arrived."""
+        peer = self._peer(host_id)
+        peer.heard_at = now
+        peer.backoff.succeeded()
+
+    def holds(self, host_id: str, list_version: int) -> None:
+        """Note the host list that the peer says it holds."""
+        self._peer(host_id).list_version = list_version
+
+    def lost(self, host_id: str, now: float) -> None:
+        """Note a stream that broke, fell silent or could not be opened."""
+        peer = self._peer(host_id)
+        peer.connected = False
+        peer.backoff.failed(now)
+
+    def closed(self, host_id: str) -> None:
+        """Note a stream that was closed in good order."""
+        peer = self._peers.get(host_id)
+        if peer is not None:
+            peer.connected = False
+
+    def forget(self, present: frozenset[str]) -> None:
+        """Drop peers that are not connected and not listed any more."""
+        for host_id, peer in list(self._peers.items()):
+            if host_id not in present and not peer.connected:
+                del self._peers[host_id]
+
+    def _peer(self, host_id: str) -> _Peer:
+        peer = self._peers.get(host_id)
+        if peer is None:
+            peer = _Peer(liveness.Backoff(self._random))
+            self._peers[host_id] = peer
+        return peer
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -10,11 +10,17 @@
 from . import ports
 from . import settings
 from . import view
+from .decisions import adaptive  # noqa: F401, registers a policy
 from .decisions import admission
 from .decisions import balanced  # noqa: F401, registers a policy
+from .decisions import dissemination
 from .decisions import downstream
+from .decisions import evidence
 from .decisions import fifo  # noqa: F401, registers a policy
+from .decisions import loans  # noqa: F401, registers a policy
+from .decisions import membership
 from .decisions import quota
+from .decisions import relay
 from .decisions import routing
 from .http import admin
 from .http import platform
@@ -25,8 +31,10 @@
 from .parts import egress
 from .parts import entry
 from .parts import gate
+from .parts import publications
 from .parts import running
 from .parts import watch
+from .peer import identity
 from .peer import links
 from .peer import messages
 from .peer import server as peer_server
@@ -51,6 +59,7 @@
 
     :param options: the node's settings.
     :param outside: clock, random source, peers, upstream and platform.
+    :param incarnation: distinguishes it from earlier nodes of its host.
     """
 
     def __init__(
@@ -58,13 +67,40 @@
         options: settings.Settings,
         outside: ports.Outside,
         current: view.View,
+        incarnation: int = 0,
     ) -> None:
         policies = options.policies
         self.settings = options
         self.outside = outside
         self.view = current
         self.tokens = running.RunningCalls()
-        self.quota = quota.policies.get(policies.quota)()
+        self.relay = relay.Relay(options.host_id, options.place)
+        self.membership = membership.Membership(
+            options.host_id,
+            incarnation,
+            self.relay,
+            outside.random,
+            self._working_hosts_changed,
+        )
+        self.evidence = evidence.SpreadEvidence(self.membership.contacts)
+        self.dissemination = dissemination.Dissemination(
+            options.host_id,
+            self.relay,
+            outside.random,
+            publications.Publications(self.view),
+            self.membership.reachable,
+            self.evidence,
+        )
+        self.quota = quota.policies.get(policies.quota)(
+            quota.Site(
+                host_id=options.host_id,
+                region_id=options.place.region_id,
+                incarnation=incarnation or int(outside.clock.wall() * 1000),
+                evidence=self.evidence,
+                random=outside.random,
+                fresh=options.fresh_fleet,
+            )
+        )
         self.routing = routing.policies.get(policies.routing)(
             options.place, outside.random
         )
@@ -85,10 +121,17 @@
             self.tokens,
             below,
         )
-        self.control = control.Control(outside, self.view)
+        self.control = control.Control(
+            outside, self.view, self.dissemination, self.membership
+        )
+        self.control.add(self.dissemination)
+        self.control.add(self.membership)
         self.control.add(self.quota)
-        self.watch = watch.PlatformWatch(outside, self.view)
+        self.watch = watch.PlatformWatch(
+            outside, self.dissemination, self.control.send
+        )
         self.view.subscribe(self)
+        self.view.confirm_with(self.dissemination.freshness.confirmed)
 
     def configuration_changed(self, now: float) -> None:
         """Apply a newer configuration."""
@@ -106,7 +149,13 @@
 
     def hosts_changed(self, now: float) -> None:
         """Apply a newer host list."""
-        self.routing.learn_hosts(self.view.hosts.hosts, now)
+        self.relay.learn_hosts(self.view.hosts.hosts)
+        self.membership.learn_hosts(self.view.hosts.hosts)
+        self.quota.learn_hosts(self.view.hosts, now)
+        self._working_hosts_changed(now)
+
+    def _working_hosts_changed(self, now: float) -> None:
+        self.routing.learn_hosts(self.membership.working(), now)
 
 
 class Daemon:
@@ -118,25 +167,31 @@
     def __init__(self, options: settings.Settings) -> None:
         now = clock.SystemClock()
         current = view.View()
-        identity = links.Identity(options.host_id, int(now.wall() * 1000))
+        source = random.Random(secrets.randbits(64))
+        own = identity.Identity(options.host_id, int(now.wall() * 1000))
         self._settings = options
-        self._links = links.Links(identity, lambda: current.version, self)
+        self._links = links.Links(
+            links.Shared(own, lambda: current.version, self, source)
+        )
         self._upstream = upstream.HttpUpstream(options.upstream_url)
         self._platform = platform.HttpPlatform(options.platform_url)
         outside = ports.Outside(
             clock=now,
-            random=random.Random(secrets.randbits(64)),
+            random=source,
             peers=self._links,
             upstream=self._upstream,
             platform=self._platform,
         )
-        self.node = Node(options, outside, current)
+        self.node = Node(options, outside, current, own.incarnation)
         self._peer_server = peer_server.PeerServer(
-            identity,
-            self.node.gate.run,
-            self.node.gate.level,
-            lambda: current.version,
-            self,
+            own,
+            peer_server.Handlers(
+                run=self.node.gate.run,
+                level=self.node.gate.level,
+                version=lambda: current.version,
+                inbox=self,
+                now=now.now,
+            ),
         )
         self._entry_server = server.RequestServer(self.node.entry.handle)
         self._egress_server = server.RequestServer(self.node.egress.handle)
@@ -177,7 +232,7 @@
         """
         address = self._settings.address
         opened = self._settings.ports
-        await self._peer_server.start(address, opened.peer)
+        await self._peer_server.listen(address, opened.peer)
         await self._egress_server.start("127.0.0.1", opened.egress)
         await self._entry_server.start(address, opened.entry)
         await self.admin.start()
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -16,7 +16,7 @@
 from . import dispatch
 from . import headers
 
-KEY_ID_LENGTH = 16
+KEY_ID_LENGTH = configuration.KEY_ID_LENGTH
 _BEARER = "bearer "
 
 
@@ -67,6 +67,8 @@
         version = self._view.configuration
         if version is None:
             return outcomes.Failure(results.NOT_CONFIGURED)
+        if not self._view.confirmed(self._clock.now()):
+            return outcomes.Failure(results.STALE_VIEW)
         found = find_route(version, request)
         if found is None:
             return outcomes.Failure(results.UNKNOWN_ROUTE)
@@ -74,6 +76,10 @@
         caller = _identify(version, found.route, key)
         if isinstance(caller, outcomes.Failure):
             return caller
+        if not _same_organisation(version, request, caller):
+            return outcomes.Failure(
+                results.NOT_PERMITTED, headers.ORGANISATION
+            )
         if key and _repeats_key(request, key):
             return outcomes.Failure(results.KEY_MISPLACED)
         idempotency_key = request.header(headers.IDEMPOTENCY_KEY)
@@ -164,6 +170,19 @@
     return Caller(holder.organisation_id, digest[:KEY_ID_LENGTH])
 
 
+def _same_organisation(
+    version: configuration.Configuration,
+    request: context.Request,
+    caller: Caller,
+) -> bool:
+    """Return whether an organisation that is named is the key's own."""
+    named = request.header(headers.ORGANISATION)
+    if not named:
+        return True
+    resolved = version.organisation_names.resolve(named)
+    return resolved == caller.organisation_id
+
+
 def _repeats_key(request: context.Request, key: str) -> bool:
     if key in request.path or key in request.query:
         return True
--- a/src/savorytally/settings.py
+++ b/src/savorytally/settings.py
@@ -88,6 +88,8 @@
     :param entry_tls: TLS towards callers, ``None`` for plain HTTP.
     :param policies: names of the policies in use.
     :param trace_sample: fraction of root requests that are traced.
+    :param fresh_fleet: whether no node of an earlier fleet can still be
+        running, so that nothing is waited for at the start.
     :param log_level: the least severe level of the logs.
     """
 
@@ -103,6 +105,7 @@
     entry_tls: Tls | None = None
     policies: Policies = Policies()
     trace_sample: float = 0.0
+    fresh_fleet: bool = False
     log_level: str = "info"
 
 
@@ -148,6 +151,7 @@
         entry_tls=_read_tls(root, "entry_tls", mutual=False),
         policies=_read_policies(root.child("policies")),
         trace_sample=root.number("trace_sample", float, 0.0, 1.0, 0.0),
+        fresh_fleet=root.take("fresh_fleet", bool, False),
         log_level=root.choice("log_level", _LOG_LEVELS, "info"),
     )
     root.finish()
