--- a/src/savorytally/http/admin.py
+++ b/src/savorytally/http/admin.py
@@ -21,7 +21,6 @@
 from .. import view
 from ..decisions import admission
 from ..decisions import quota
-from ..decisions import usage
 from ..parts import published
 from ..world import patch
 from . import admin_views
@@ -214,12 +213,10 @@
         shown = admin_views.show_limits(found, self._usage().get(wanted))
         return web.json_response(shown)
 
-    def _usage(self) -> dict[str, usage.Usage]:
-        limits = self._subject.limits
-        if not isinstance(limits, usage.Reporter):
-            return {}
-        now = self._subject.outside.clock.now()
-        return {item.organisation_id: item for item in limits.usage(now)}
+    def _usage(self) -> dict[str, quota.Usage]:
+        return {
+            item.organisation_id: item for item in self._subject.limits.usage()
+        }
 
     async def _dry_run(self, request: web.Request) -> web.Response:
         loaded = files.parse(_as_text(await request.read()))
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -19,7 +19,6 @@
 from savorytally.decisions import admission
 from savorytally.decisions import fifo
 from savorytally.decisions import quota
-from savorytally.decisions import usage
 from savorytally.http import admin
 from savorytally.world import hosts
 from savorytally.world import region
@@ -53,11 +52,11 @@
         return None if body is None else ports.Value(name, 1, body)
 
 
-class Quota(quota.LocalQuota):
-    """A quota policy that reports usage."""
+class Quota:
+    """A quota policy that knows the use of one organisation."""
 
-    def usage(self, now):
-        return [usage.Usage("org1", 3.5, 7, 2)]
+    def usage(self):
+        return (quota.Usage("org1", admitted=7, refused=2, tokens=3.5),)
 
 
 class Drain:
