Judge broken exchanges by how far they came

Cause: aiohttp sends some methods again by itself when a kept connection breaks, so an upstream could run a request twice; a deadline that passed while waiting for a connection was called run; the library's own 400 had no code; the decoded path went to upstreams unencoded, so %0d%0a and dot segments reached them; a key in another header than Authorization was forwarded; headers named by Connection were forwarded. Change: a client middleware keeps the library from sending again; the connector notes when an exchange has its connection, and only before that a failure is "not run". Malformed requests of any kind are answered with 1001 and the place; paths stay percent-encoded and may not leave their route; headers that hold the key stay at the entry. Conclusion: an upstream that closes a kept connection at the moment of use leaves the outcome unknown (3002); idle connections are dropped after 4 s, before upstreams commonly close them.

--- a/src/savorytally/http/server.py
+++ b/src/savorytally/http/server.py
@@ -1,9 +1,14 @@
 """HTTP servers for requests: the entry's and the egress's."""
 
+import asyncio
 import json
 import ssl
 import typing as t
+import urllib.parse
 
+from absl import logging
+import aiohttp
+from aiohttp import http_exceptions
 from aiohttp import web
 
 from .. import defaults
@@ -14,6 +19,44 @@
 
 Handle = t.Callable[[context.Request], t.Awaitable[outcomes.Outcome]]
 
+_BODY_FAULTS = (
+    web.RequestPayloadError,
+    http_exceptions.PayloadEncodingError,
+    aiohttp.ClientPayloadError,
+)
+
+
+class _Connection(web.RequestHandler):
+    """Answers what the library refuses with a numbered result."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        if request.writer.output_size > 0:
+            raise ConnectionError("an answer has been begun")
+        if status < 500:
+            # The message may quote a header, and so the caller's key.
+            name = type(exc).__name__
+            failure = outcomes.Failure(results.MALFORMED_REQUEST, name)
+        else:
+            logging.error("code=3001 handler failed", exc_info=exc)
+            failure = outcomes.Failure(results.OUTCOME_UNKNOWN, "internal")
+        response = respond(failure)
+        response.force_close()
+        return response
+
+
+class _Server(web.Server):
+    """Makes connections of this module's kind."""
+
+    def __call__(self) -> web.RequestHandler:
+        loop = asyncio.get_running_loop()
+        return _Connection(self, loop=loop, access_log=None)
+
 
 class RequestServer:
     """Serves requests on one port.
@@ -32,9 +75,7 @@
 
         :raises OSError: if the port is taken.
         """
-        server = web.Server(
-            self._serve, access_log=None, handler_cancellation=True
-        )
+        server = _Server(self._serve, handler_cancellation=True)
         self._runner = web.ServerRunner(server)
         await self._runner.setup()
         site = web.TCPSite(
@@ -48,12 +89,15 @@
             await self._runner.cleanup()
 
     async def _serve(self, incoming: web.BaseRequest) -> web.Response:
+        path = incoming.rel_url.raw_path
+        if not is_plain_path(path):
+            return _close(outcomes.Failure(results.MALFORMED_REQUEST, "path"))
         body = await read_body(incoming)
-        if body is None:
-            return respond(outcomes.Failure(results.BODY_TOO_LARGE))
+        if isinstance(body, outcomes.Failure):
+            return _close(body)
         request = context.Request(
             method=incoming.method,
-            path=incoming.path,
+            path=path,
             query=incoming.rel_url.raw_query_string,
             headers=tuple(incoming.headers.items()),
             body=body,
@@ -61,35 +105,58 @@
         return respond(await self._handle(request))
 
 
-async def read_body(incoming: web.BaseRequest) -> bytes | None:
-    """Return the whole body, ``None`` if it exceeds the limit."""
+def is_plain_path(path: str) -> bool:
+    """Return whether a path stays below the route that it names.
+
+    :param path: as received, with percent-encoding.
+    """
+    if path.isascii() and "." not in path and "%" not in path:
+        return True
+    decoded = urllib.parse.unquote(path).replace("\\", "/")
+    if not decoded.isprintable():
+        return False
+    return not {".", ".."} & set(decoded.split("/"))
+
+
+async def read_body(incoming: web.BaseRequest) -> bytes | outcomes.Failure:
+    """Return the whole body, or why it can't be taken."""
     if not incoming.body_exists:
         return b""
     if (incoming.content_length or 0) > defaults.BODY_MAX_BYTES:
-        return None
+        return outcomes.Failure(results.BODY_TOO_LARGE)
     pieces = bytearray()
-    async for piece in incoming.content.iter_any():
-        pieces += piece
-        if len(pieces) > defaults.BODY_MAX_BYTES:
-            return None
+    try:
+        async with asyncio.timeout(defaults.BODY_TIMEOUT_S):
+            async for piece in incoming.content.iter_any():
+                pieces += piece
+                if len(pieces) > defaults.BODY_MAX_BYTES:
+                    return outcomes.Failure(results.BODY_TOO_LARGE)
+    except (TimeoutError, *_BODY_FAULTS):
+        return outcomes.Failure(results.MALFORMED_REQUEST, "body")
     return bytes(pieces)
 
 
 def respond(outcome: outcomes.Outcome) -> web.Response:
     """Turn an outcome into a response."""
-    code = str(outcome.code.number)
-    if isinstance(outcome, outcomes.Answer):
-        response = web.Response(status=outcome.status, body=outcome.body)
-        for name, value in headers.end_to_end(outcome.headers):
-            if name.lower() == "content-type":
-                response.headers[name] = value
-            else:
-                response.headers.add(name, value)
-        response.headers[headers.RESULT_CODE] = code
-        if outcome.repeated:
-            response.headers[headers.REPEATED] = "true"
-        return response
-    return _respond_failure(outcome)
+    if isinstance(outcome, outcomes.Failure):
+        return _respond_failure(outcome)
+    response = web.Response(status=outcome.status, body=outcome.body)
+    for name, value in headers.end_to_end(outcome.headers):
+        if name.lower() == "content-type":
+            response.headers[name] = value
+        else:
+            response.headers.add(name, value)
+    response.headers[headers.RESULT_CODE] = str(outcome.code.number)
+    if outcome.repeated:
+        response.headers[headers.REPEATED] = "true"
+    return response
+
+
+def _close(failure: outcomes.Failure) -> web.Response:
+    """Refuse a request whose rest is not read."""
+    response = _respond_failure(failure)
+    response.force_close()
+    return response
 
 
 def _respond_failure(failure: outcomes.Failure) -> web.Response:
--- a/src/savorytally/http/upstream.py
+++ b/src/savorytally/http/upstream.py
@@ -1,7 +1,11 @@
 """The HTTP client of the local upstream."""
 
 import asyncio
+import contextvars
+import dataclasses
+import typing as t
 
+from absl import logging
 import aiohttp
 import yarl
 
@@ -11,12 +15,62 @@
 from .. import results
 from ..parts import headers
 
+# Upstreams commonly close idle connections after five seconds or more; a
+# request on a connection that is just being closed has an unknown outcome.
+_KEEP_ALIVE_S = 4.0
+
+_NOT_ADDED = frozenset({"Accept", "Accept-Encoding", "User-Agent"})
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How far an exchange has come.
+
+    :param connected: whether bytes may have left for the upstream.
+    :param answered: whether the upstream has begun to answer.
+    """
+
+    connected: bool = False
+    answered: bool = False
+
+
+_progress: contextvars.ContextVar[_Progress] = contextvars.ContextVar(
+    "progress"
+)
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Notes when an exchange receives its connection."""
+
+    async def connect(self, *args: t.Any, **kwargs: t.Any) -> t.Any:
+        connection = await super().connect(*args, **kwargs)
+        _progress.get().connected = True
+        return connection
+
+
+class _Broken(aiohttp.ClientError):
+    """A connection failed; stands in for what would be sent again."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: t.Any
+) -> aiohttp.ClientResponse:
+    """Keep the library from repeating a request on a new connection.
+
+    It does so for some methods when a kept connection breaks, although the
+    upstream may have run the request.
+    """
+    try:
+        return await handler(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _Broken(type(error).__name__) from error
+
 
 class HttpUpstream:
     """Sends requests to the local upstream over lasting connections.
 
     :param base_url: where the upstream listens.
-    :param connections: how many connections it accepts.
+    :param connections: how many connections it accepts, 0 for any.
     """
 
     def __init__(self, base_url: str, connections: int = 0) -> None:
@@ -32,25 +86,24 @@
     async def exchange(
         self, request: ports.UpstreamRequest, timeout_s: float
     ) -> outcomes.Outcome:
-        """Send a request and return its whole answer or a failure."""
+        """Send a request and return its whole answer or a failure.
+
+        A failure says *not run* only if no byte can have left.
+        """
+        progress = _Progress()
+        _progress.set(progress)
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._exchange(request)
-        except aiohttp.ClientConnectorError as error:
-            return outcomes.Failure(
-                results.NOT_DISPATCHED, type(error).__name__
-            )
+                return await self._exchange(request, progress)
         except TimeoutError:
+            if not progress.connected:
+                return outcomes.Failure(results.DEADLINE_TOO_SHORT)
             return outcomes.Failure(results.DEADLINE_PASSED)
-        except aiohttp.ClientPayloadError:
-            return outcomes.Failure(results.ANSWER_TRUNCATED)
-        except (aiohttp.ClientError, OSError) as error:
-            return outcomes.Failure(
-                results.UPSTREAM_BROKEN, type(error).__name__
-            )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return _failure(error, progress)
 
     async def _exchange(
-        self, request: ports.UpstreamRequest
+        self, request: ports.UpstreamRequest, progress: _Progress
     ) -> outcomes.Outcome:
         session = self._open_session()
         async with session.request(
@@ -60,6 +113,7 @@
             data=request.body or None,
             allow_redirects=False,
         ) as response:
+            progress.answered = True
             if (response.content_length or 0) > defaults.ANSWER_MAX_BYTES:
                 response.close()
                 return outcomes.Failure(results.ANSWER_TOO_LARGE)
@@ -81,11 +135,26 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=self._connections)
+            connector = _Connector(
+                limit=self._connections, keepalive_timeout=_KEEP_ALIVE_S
+            )
             self._session = aiohttp.ClientSession(
                 connector=connector,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
+                middlewares=(_send_once,),
+                skip_auto_headers=_NOT_ADDED,
                 timeout=aiohttp.ClientTimeout(total=None),
             )
         return self._session
+
+
+def _failure(error: Exception, progress: _Progress) -> outcomes.Failure:
+    """Judge an exchange that broke by how far it had come."""
+    text = str(error) if isinstance(error, _Broken) else type(error).__name__
+    if not progress.connected:
+        return outcomes.Failure(results.NOT_DISPATCHED, text)
+    if progress.answered:
+        return outcomes.Failure(results.ANSWER_TRUNCATED, text)
+    logging.info("code=3002 upstream broke an exchange: %s", text)
+    return outcomes.Failure(results.UPSTREAM_BROKEN, text)
--- a/src/savorytally/parts/context.py
+++ b/src/savorytally/parts/context.py
@@ -36,7 +36,7 @@
     """One request as it reaches the entry or the egress.
 
     :param method: the HTTP method.
-    :param path: the decoded path.
+    :param path: the path as received, with percent-encoding.
     :param query: the query string without the question mark.
     :param headers: pairs as received.
     :param body: the whole body.
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import urllib.parse
 
 from .. import defaults
 from .. import outcomes
@@ -82,6 +83,10 @@
             )
         if key and _repeats_key(request, key):
             return outcomes.Failure(results.KEY_MISPLACED)
+        if key:
+            request = dataclasses.replace(
+                request, headers=headers.without_secret(request.headers, key)
+            )
         idempotency_key = request.header(headers.IDEMPOTENCY_KEY)
         if not found.route.idempotent and not idempotency_key:
             return outcomes.Failure(results.IDEMPOTENCY_KEY_MISSING)
@@ -135,7 +140,8 @@
     parts = request.path.split("/", 3)
     if len(parts) < 3 or parts[0]:
         return None
-    found = version.find_route(parts[1], parts[2])
+    service, name = map(urllib.parse.unquote, parts[1:3])
+    found = version.find_route(service, name)
     if found is None or found.method != request.method:
         return None
     return Found(found, parts[3] if len(parts) > 3 else "")
@@ -184,8 +190,9 @@
 
 
 def _repeats_key(request: context.Request, key: str) -> bool:
-    if key in request.path or key in request.query:
-        return True
+    for text in (request.path, request.query):
+        if key in text or key in urllib.parse.unquote_plus(text):
+            return True
     return key.encode() in request.body
 
 
--- a/src/savorytally/parts/headers.py
+++ b/src/savorytally/parts/headers.py
@@ -39,18 +39,39 @@
         API_KEY.lower(),
         CALL_TOKEN.lower(),
         ORGANISATION.lower(),
+        REQUEST_ID.lower(),
     }
 )
 
+_LEFT_OUT = _HOP_BY_HOP | _REMOVED
+_CONNECTION = "connection"
+
 
 def end_to_end(headers: outcomes.Headers) -> outcomes.Headers:
     """Return the headers that travel to the other end.
 
-    Hop-by-hop headers are left out, those that carry secrets, and the
-    organisation, which a gate states anew.
+    Hop-by-hop headers are left out, also those that ``Connection`` names,
+    those that carry secrets, and what a gate states anew.
     """
+    named = _named_by_connection(headers)
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if (lower := name.lower()) not in _LEFT_OUT and lower not in named
+    )
+
+
+def without_secret(headers: outcomes.Headers, secret: str) -> outcomes.Headers:
+    """Return the headers that do not hold a secret."""
     return tuple(
         (name, value)
         for name, value in headers
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in _REMOVED
+        if secret not in value and secret.lower() not in name.lower()
     )
+
+
+def _named_by_connection(headers: outcomes.Headers) -> set[str]:
+    values = [value for name, value in headers if name.lower() == _CONNECTION]
+    return {
+        token.strip().lower() for value in values for token in value.split(",")
+    }
--- /dev/null
+++ b/tests/fakes/meshes.py
@@ -0,0 +1,89 @@
+"""Nodes on their ports, with stand-ins for platform and upstreams."""
+
+import asyncio
+import dataclasses
+import json
+import typing as t
+
+from savorytally import node
+from savorytally import settings
+from savorytally.world import region
+
+from . import documents
+from . import platform
+from . import upstream
+
+
+@dataclasses.dataclass
+class Mesh:
+    """A stand-in platform, upstreams and nodes, all on loopback."""
+
+    platform: platform.Platform
+    upstreams: dict[str, upstream.Upstream]
+    nodes: dict[str, node.Daemon]
+    entry_urls: dict[str, str]
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for item in self.nodes.values():
+            await item.stop()
+        for item in self.upstreams.values():
+            await item.stop()
+        await self.platform.stop()
+
+
+async def start(
+    free_port: t.Callable[[], int],
+    services: list[str],
+    children: dict[str, str] | None = None,
+    **fields: t.Any,
+) -> Mesh:
+    """Start a node and an upstream for each of the services.
+
+    :param children: paths that the upstreams of services call first.
+    :param fields: further settings of all nodes.
+    """
+    below = children or {}
+    mesh = Mesh(platform.Platform(), {}, {}, {})
+    hosts = {}
+    platform_port = free_port()
+    for number, service in enumerate(services):
+        host_id = f"{service}-{number}"
+        opened = settings.Ports(*(free_port() for _ in range(4)))
+        hosts[host_id] = documents.host(service, number, opened.peer)
+        upstream_port = free_port()
+        child = below.get(service, "")
+        if child:
+            child = f"http://127.0.0.1:{opened.egress}{child}"
+        mesh.upstreams[host_id] = upstream.Upstream(child=child)
+        await mesh.upstreams[host_id].start("127.0.0.1", upstream_port)
+        place = documents.PLACES[number % len(documents.PLACES)]
+        mesh.nodes[host_id] = node.Daemon(
+            settings.Settings(
+                host_id=host_id,
+                service_id=service,
+                place=region.Place(*place),
+                address="127.0.0.1",
+                upstream_url=f"http://127.0.0.1:{upstream_port}",
+                platform_url=f"http://127.0.0.1:{platform_port}",
+                ports=opened,
+                **fields,
+            )
+        )
+        mesh.entry_urls[host_id] = f"http://127.0.0.1:{opened.entry}"
+    document = json.dumps(documents.himali()).encode()
+    await mesh.platform.publish("configuration", 1, document)
+    await mesh.platform.publish("hosts", 1, json.dumps(hosts).encode())
+    await mesh.platform.start("127.0.0.1", platform_port)
+    for item in mesh.nodes.values():
+        await item.start()
+    for item in mesh.nodes.values():
+        await wait_until_configured(item)
+    return mesh
+
+
+async def wait_until_configured(daemon: node.Daemon) -> None:
+    """Wait until a node has a configuration and a host list."""
+    view = daemon.node.view
+    while view.configuration is None or not view.hosts.hosts:
+        await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,184 @@
+"""What is known of an exchange when the upstream's connection fails."""
+
+import asyncio
+
+import pytest
+
+from savorytally import defaults
+from savorytally import outcomes
+from savorytally import ports
+from savorytally import results
+from savorytally.http import upstream
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+
+
+class Script:
+    """An upstream that plays one step for each request it receives.
+
+    A step is the bytes to send, and whether the connection stays open.
+    """
+
+    def __init__(self, *steps):
+        self.received = 0
+        self.connections = 0
+        self._steps = list(steps)
+        self._writers = []
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return f"http://127.0.0.1:{port}"
+
+    async def stop(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _accept(self, reader, writer):
+        self.connections += 1
+        self._writers.append(writer)
+        while True:
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                return
+            self.received += 1
+            data, then = self._steps.pop(0)
+            writer.write(data)
+            if then == "reset":
+                writer.transport.abort()
+                return
+            if then == "close":
+                writer.close()
+                return
+
+
+def request(method="GET", **fields):
+    given = {"path": "/species", "query": "", "headers": (), "body": b""}
+    return ports.UpstreamRequest(method, **{**given, **fields})
+
+
+async def exchanges(script, count=1, timeout_s=5.0, **fields):
+    """Return the outcomes of exchanges made one after the other."""
+    client = upstream.HttpUpstream(await script.start())
+    found = [
+        await client.exchange(request(**fields), timeout_s)
+        for _ in range(count)
+    ]
+    await client.close()
+    await script.stop()
+    return found
+
+
+class TestOneExchange:
+    @pytest.mark.parametrize(
+        ("data", "then", "code"),
+        [
+            (b"", "close", results.UPSTREAM_BROKEN),
+            (b"", "reset", results.UPSTREAM_BROKEN),
+            (b"HTTP/1.1 200", "close", results.UPSTREAM_BROKEN),
+            (b"no protocol\r\n\r\n", "close", results.UPSTREAM_BROKEN),
+            (ANSWER[:-1], "close", results.ANSWER_TRUNCATED),
+            (ANSWER[:-1], "reset", results.ANSWER_TRUNCATED),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"5\r\nwhole\r\n",
+                "close",
+                results.ANSWER_TRUNCATED,
+            ),
+            (
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                % (defaults.ANSWER_MAX_BYTES + 1),
+                "open",
+                results.ANSWER_TOO_LARGE,
+            ),
+        ],
+    )
+    def test_failure_tells_how_far_it_came(self, run, data, then, code):
+        script = Script((data, then))
+        (outcome,) = run(exchanges(script))
+        assert outcome.code is code
+        assert script.received == 1
+
+    def test_refused_connection_is_not_run(self, run, free_port):
+        async def work():
+            url = f"http://127.0.0.1:{free_port()}"
+            client = upstream.HttpUpstream(url)
+            outcome = await client.exchange(request(), 5.0)
+            await client.close()
+            return outcome
+
+        assert run(work()).code is results.NOT_DISPATCHED
+
+    def test_passed_deadline_counts_as_run(self, run):
+        script = Script((b"", "open"))
+        (outcome,) = run(exchanges(script, timeout_s=0.1))
+        assert outcome.code is results.DEADLINE_PASSED
+
+    def test_deadline_without_a_connection_is_not_run(self, run):
+        async def work():
+            script = Script((b"", "open"))
+            client = upstream.HttpUpstream(await script.start(), 1)
+            first = asyncio.ensure_future(client.exchange(request(), 0.3))
+            await asyncio.sleep(0.05)
+            second = await client.exchange(request(), 0.1)
+            await first
+            await client.close()
+            await script.stop()
+            return second, script.received
+
+        outcome, received = run(work())
+        assert outcome.code is results.DEADLINE_TOO_SHORT
+        assert received == 1
+
+
+class TestKeptConnection:
+    @pytest.mark.parametrize("method", ["GET", "PUT", "POST"])
+    @pytest.mark.parametrize("then", ["close", "reset"])
+    def test_broken_one_is_not_used_again_by_the_library(
+        self, run, method, then
+    ):
+        script = Script((ANSWER, "open"), (b"", then), (ANSWER, "open"))
+        found = run(exchanges(script, count=2, method=method))
+        assert isinstance(found[0], outcomes.Answer)
+        assert found[1].code is results.UPSTREAM_BROKEN
+        assert script.received == 2
+        assert script.connections == 1
+
+    def test_closed_one_is_replaced(self, run):
+        script = Script((ANSWER, "close"), (ANSWER, "open"))
+
+        async def work():
+            client = upstream.HttpUpstream(await script.start())
+            first = await client.exchange(request(), 5.0)
+            await asyncio.sleep(0.05)
+            second = await client.exchange(request(), 5.0)
+            await client.close()
+            await script.stop()
+            return first, second
+
+        first, second = run(work())
+        assert first.body == second.body == b"whole"
+        assert script.connections == 2
+
+
+class TestWithdrawn:
+    def test_cancelled_exchange_hangs_up(self, run):
+        async def work():
+            script = Script((b"", "open"))
+            client = upstream.HttpUpstream(await script.start())
+            task = asyncio.ensure_future(client.exchange(request(), 5.0))
+            while not script.received:
+                await asyncio.sleep(0.01)
+            (writer,) = script._writers
+            task.cancel()
+            await asyncio.wait([task])
+            while not writer.is_closing():
+                await asyncio.sleep(0.01)
+                writer.write(b" ")
+            await client.close()
+            await script.stop()
+            return task.cancelled()
+
+        assert run(work())
