--- a/src/savorytally/parts/control.py
+++ b/src/savorytally/parts/control.py
@@ -1,6 +1,7 @@
 """Carries messages between this node's participants and their peers."""
 
 import asyncio
+import typing as t
 
 from absl import logging
 
@@ -19,7 +20,7 @@
     :param outside: clock and peers.
     :param current: the host list in force.
     :param news: takes in that a peer has a newer configuration.
-    :param members: takes in what streams show of the peers.
+    :param members: is told who was heard.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         self._news = news
         self._members = members
         self._participants: list[participant.Participant] = []
+        self._chores: list[t.Callable[[], None]] = []
         self._by_message: dict[
             type[messages.Message], participant.Participant
         ] = {}
@@ -45,6 +47,10 @@
         for cls in joined.handles:
             self._by_message[cls] = joined
 
+    def every_tick(self, chore: t.Callable[[], None]) -> None:
+        """Do some work of this node alone with every tick."""
+        self._chores.append(chore)
+
     def deliver(self, sender: str, message: messages.Message) -> None:
         """Hand an incoming message to the participant that handles it."""
         handler = self._by_message.get(type(message))
@@ -52,35 +58,30 @@
             logging.debug("unhandled %s", type(message).__name__)
             return
         now = self._clock.now()
-        self._members.contacts.heard(sender, now)
+        if not isinstance(message, messages.Lost):
+            self._members.contacts.heard(sender, now)
         self.send(handler.receive(sender, message, now))
 
     def behind(self, sender: str, version: int) -> None:
         """Note that a peer has a newer configuration than this node."""
         self.send(self._news.behind(sender, version, self._clock.now()))
 
-    def connected(self, host_id: str, incarnation: int) -> None:
-        """Note that a peer introduced itself on a stream."""
-        now = self._clock.now()
-        self.send(self._members.opened(host_id, incarnation, now))
-
-    def lost(self, host_id: str) -> None:
-        """Note a stream that broke, fell silent or could not be opened."""
-        self._members.contacts.lost(host_id, self._clock.now())
-
-    def closed(self, host_id: str) -> None:
-        """Note a stream that was closed in good order."""
-        self._members.contacts.closed(host_id)
-
     def leave(self) -> None:
         """Tell the peers that this host takes no new work."""
         self.send(self._members.leave(self._clock.now()))
 
     def tick(self) -> None:
-        """Let every participant do what is due."""
-        now = self._clock.now()
+        """Let every participant do what is due.
+
+        A fault in one of them is logged and stops none of the others.
+        """
         for item in self._participants:
-            self.send(item.tick(now))
+            try:
+                self.send(item.tick(self._clock.now()))
+            except Exception:
+                logging.exception("tick of %s", type(item).__name__)
+        for chore in self._chores:
+            chore()
 
     async def run(self) -> None:
         """Tick until cancelled."""
