Count requests and serve metrics to Prometheus

Cause: a node showed nothing of what it did. Change: metrics.py counts requests by code, organisation and priority class in plain numbers and hands them to aioprometheus when asked; latency histograms by class; gauges of the configuration version, the gate, peers, streams and calls. Mounted at /metrics of the admin port.

--- a/src/savorytally/decisions/admission.py
+++ b/src/savorytally/decisions/admission.py
@@ -107,6 +107,10 @@
     def waiting(self) -> int:
         """Calls that wait."""
 
+    @property
+    def limit(self) -> int:
+        """Calls that may run at once."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Capacity:
--- a/src/savorytally/decisions/fifo.py
+++ b/src/savorytally/decisions/fifo.py
@@ -32,6 +32,11 @@
         """Calls that wait."""
         return len(self._queue)
 
+    @property
+    def limit(self) -> int:
+        """Calls that may run at once."""
+        return self._slots
+
     def learn_capacity(self, capacity: admission.Capacity) -> None:
         """Apply the published slots."""
         self._slots = capacity.slots
--- /dev/null
+++ b/src/savorytally/http/metrics_endpoint.py
@@ -0,0 +1,20 @@
+"""Serves a node's metrics to Prometheus."""
+
+import typing as t
+
+from aiohttp import web
+
+from .. import metrics
+
+Handler = t.Callable[[web.Request], t.Awaitable[web.StreamResponse]]
+
+
+def handler(rendered: metrics.Metrics) -> Handler:
+    """Return the handler of ``GET /metrics``."""
+
+    async def serve(request: web.Request) -> web.Response:
+        accept = request.headers.getall("Accept", [])
+        body, content_type = rendered.render(accept)
+        return web.Response(body=body, headers={"Content-Type": content_type})
+
+    return serve
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -5,8 +5,11 @@
 import secrets
 import signal
 
+import aioprometheus
+
 from . import clock
 from . import fields
+from . import metrics
 from . import ports
 from . import settings
 from . import tls
@@ -24,6 +27,7 @@
 from .decisions import relay
 from .decisions import routing
 from .http import admin
+from .http import metrics_endpoint
 from .http import platform
 from .http import server
 from .http import upstream
@@ -74,6 +78,7 @@
         self.settings = options
         self.outside = outside
         self.view = current
+        self.metrics = metrics.Metrics(aioprometheus.Registry())
         self.tokens = running.RunningCalls()
         self.relay = relay.Relay(options.host_id, options.place)
         self.membership = membership.Membership(
@@ -108,7 +113,7 @@
         self.dispatcher = dispatch.Dispatcher(outside, self.routing)
         below = downstream.DownstreamLevels(self.routing.service_level)
         self.entry = entry.Entry(
-            outside, self.view, self.quota, self.dispatcher
+            outside, self.view, self.quota, self.dispatcher, self.metrics
         )
         self.egress = egress.Egress(
             outside, self.view, self.tokens, self.dispatcher, below
@@ -132,6 +137,7 @@
         self.watch = watch.PlatformWatch(
             outside, self.dissemination, self.control.send
         )
+        self._add_gauges()
         self.view.subscribe(self)
         self.view.confirm_with(self.dissemination.freshness.confirmed)
 
@@ -156,6 +162,35 @@
         self.quota.learn_hosts(self.view.hosts, now)
         self._working_hosts_changed(now)
 
+    def _add_gauges(self) -> None:
+        policy = self.gate.policy
+        add = self.metrics.add_gauge
+        add(
+            "configuration_version",
+            "Version of the configuration in force.",
+            lambda: self.view.version,
+        )
+        add(
+            "gate_running",
+            "Requests that the upstream works on.",
+            lambda: policy.running,
+        )
+        add(
+            "gate_waiting",
+            "Requests in the gate's queue.",
+            lambda: policy.waiting,
+        )
+        add(
+            "gate_limit",
+            "Requests that the gate lets run at once.",
+            lambda: policy.limit,
+        )
+        add(
+            "hosts",
+            "Hosts in the host list in force.",
+            lambda: len(self.view.hosts.hosts),
+        )
+
     def _working_hosts_changed(self, now: float) -> None:
         self.routing.learn_hosts(self.membership.working(), now)
 
@@ -213,6 +248,10 @@
                 drain=self,
             ),
         )
+        self.admin.mount(
+            "/metrics", metrics_endpoint.handler(self.node.metrics)
+        )
+        self._add_gauges()
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -225,6 +264,29 @@
         """Begin a graceful stop and return at once."""
         self._stopping.set()
 
+    def _add_gauges(self) -> None:
+        add = self.node.metrics.add_gauge
+        add(
+            "peers",
+            "Peers that this node sends to.",
+            lambda: len(self._links),
+        )
+        add(
+            "peer_streams",
+            "Streams that peers have opened to this node.",
+            lambda: self._peer_server.streams,
+        )
+        add(
+            "calls_outstanding",
+            "Calls to peers whose results have not arrived.",
+            lambda: self._links.outstanding,
+        )
+        add(
+            "calls_served",
+            "Calls of peers that wait or run here.",
+            lambda: self._peer_server.outstanding,
+        )
+
     def deliver(self, sender: str, message: messages.Message) -> None:
         """Hand a peer's control message to the participants."""
         self.node.control.deliver(sender, message)
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -5,6 +5,7 @@
 import urllib.parse
 
 from .. import defaults
+from .. import metrics
 from .. import outcomes
 from .. import ports
 from .. import results
@@ -40,6 +41,7 @@
     :param current: the configuration in force.
     :param limits: admits requests against the organisations' rates.
     :param dispatcher: sends calls.
+    :param counts: counts the requests.
     """
 
     def __init__(
@@ -48,22 +50,34 @@
         current: view.View,
         limits: quota.Quota,
         dispatcher: dispatch.Dispatcher,
+        counts: metrics.Metrics,
     ) -> None:
         self._clock = outside.clock
         self._random = outside.random
         self._view = current
         self._quota = limits
         self._dispatcher = dispatcher
+        self._metrics = counts
 
     async def handle(self, request: context.Request) -> outcomes.Outcome:
         """Return the outcome of a caller's request."""
-        job = self._prepare(request)
+        started = self._clock.now()
+        labels = metrics.Labels()
+        outcome = await self._run(request, labels)
+        taken_s = self._clock.now() - started
+        self._metrics.ended(labels, outcome.code, taken_s)
+        return outcome
+
+    async def _run(
+        self, request: context.Request, labels: metrics.Labels
+    ) -> outcomes.Outcome:
+        job = self._prepare(request, labels)
         if isinstance(job, outcomes.Failure):
             return job
         return await self._dispatcher.run(job)
 
     def _prepare(
-        self, request: context.Request
+        self, request: context.Request, labels: metrics.Labels
     ) -> dispatch.Job | outcomes.Failure:
         version = self._view.configuration
         if version is None:
@@ -73,10 +87,12 @@
         found = find_route(version, request)
         if found is None:
             return outcomes.Failure(results.UNKNOWN_ROUTE)
+        labels.route_class = found.route.priority.name.lower()
         key = presented_key(request)
         caller = _identify(version, found.route, key)
         if isinstance(caller, outcomes.Failure):
             return caller
+        labels.organisation_id = caller.organisation_id
         if not _same_organisation(version, request, caller):
             return outcomes.Failure(
                 results.NOT_PERMITTED, headers.ORGANISATION
