Trace requests with a span for each hop

Cause: a request could not be followed over the services of its chain. W3C trace context is accepted from callers and from upstreams, checked and passed on; an upstream that does not pass it on is joined by its call token.

--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -13,6 +13,7 @@
 from . import ports
 from . import settings
 from . import tls
+from . import tracing
 from . import view
 from .decisions import adaptive  # noqa: F401, registers a policy
 from .decisions import admission
@@ -218,26 +219,34 @@
         )
         self._upstream = upstream.HttpUpstream(options.upstream_url)
         self._platform = platform.HttpPlatform(options.platform_url)
+        spans = tracing.make(options, source)
         outside = ports.Outside(
             clock=now,
             random=source,
-            peers=self._links,
-            upstream=self._upstream,
+            peers=spans.peers(self._links) if spans else self._links,
+            upstream=spans.upstream(self._upstream)
+            if spans
+            else self._upstream,
             platform=self._platform,
         )
         self.node = Node(options, outside, current, own.incarnation)
+        run = self.node.gate.run
+        handle, handle_child = self.node.entry.handle, self.node.egress.handle
+        if spans is not None:
+            handle = spans.entry(handle)
+            handle_child = spans.egress(handle_child, self.node.tokens)
         self._peer_server = peer_server.PeerServer(
             own,
             peer_server.Handlers(
-                run=self.node.gate.run,
+                run=spans.gate(run) if spans else run,
                 level=self.node.gate.level,
                 version=lambda: current.version,
                 inbox=self,
                 now=now.now,
             ),
         )
-        self._entry_server = server.RequestServer(self.node.entry.handle)
-        self._egress_server = server.RequestServer(self.node.egress.handle)
+        self._entry_server = server.RequestServer(handle)
+        self._egress_server = server.RequestServer(handle_child)
         self.admin = admin.AdminServer(
             options,
             admin.Subject(
--- a/src/savorytally/parts/egress.py
+++ b/src/savorytally/parts/egress.py
@@ -81,7 +81,7 @@
             route=found.route,
             tail=found.tail,
             request=request,
-            context=_child_context(parent),
+            context=_child_context(parent, request),
             idempotency_key=request.header(headers.IDEMPOTENCY_KEY),
         )
 
@@ -97,8 +97,11 @@
     return holder is not None and found.route_id in holder.contract.routes
 
 
-def _child_context(parent: running.RunningCall) -> context.Context:
+def _child_context(
+    parent: running.RunningCall, request: context.Request
+) -> context.Context:
     call = parent.call
+    above = headers.traceparent(request.headers)
     return context.Context(
         root_id=call.root_id,
         organisation_id=call.organisation_id,
@@ -107,5 +110,5 @@
         deadline=parent.deadline,
         budget=parent.budget,
         depth=call.depth + 1,
-        traceparent=call.traceparent,
+        traceparent=above or call.traceparent,
     )
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -131,7 +131,7 @@
                 deadline=now + timeout_s,
                 budget=retry.RetryBudget(version.retries.per_root),
                 depth=0,
-                traceparent=request.header(headers.TRACEPARENT),
+                traceparent=headers.traceparent(request.headers),
             ),
             idempotency_key=idempotency_key,
         )
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -205,6 +205,8 @@
     extra = [(headers.CALL_TOKEN, token), (headers.REQUEST_ID, call.root_id)]
     if call.organisation_id:
         extra.append((headers.ORGANISATION, call.organisation_id))
+    if call.traceparent:
+        extra.append((headers.TRACEPARENT, call.traceparent))
     return ports.UpstreamRequest(
         method=found.method,
         path=path,
--- a/src/savorytally/parts/headers.py
+++ b/src/savorytally/parts/headers.py
@@ -1,5 +1,7 @@
 """HTTP headers that the system reads, sets or removes."""
 
+import re
+
 from .. import outcomes
 
 AUTHORIZATION = "Authorization"
@@ -40,9 +42,12 @@
         CALL_TOKEN.lower(),
         ORGANISATION.lower(),
         REQUEST_ID.lower(),
+        TRACEPARENT.lower(),
     }
 )
 
+_TRACEPARENT = re.compile("00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+
 _LEFT_OUT = _HOP_BY_HOP | _REMOVED
 _CONNECTION = "connection"
 
@@ -70,6 +75,20 @@
     )
 
 
+def traceparent(headers: outcomes.Headers) -> str:
+    """Return the W3C trace context, empty if there is none or it is bad."""
+    wanted = TRACEPARENT.lower()
+    for name, value in headers:
+        if name.lower() == wanted:
+            return value if is_traceparent(value) else ""
+    return ""
+
+
+def is_traceparent(value: str) -> bool:
+    """Return whether a value is a W3C trace context."""
+    return _TRACEPARENT.fullmatch(value) is not None
+
+
 def _named_by_connection(headers: outcomes.Headers) -> set[str]:
     values = [value for name, value in headers if name.lower() == _CONNECTION]
     return {
