Re-check keys at the gate and answer hosts that are not listed

Cause: a host that the list does not hold yet got no answers, and a gate behind its caller called a newly granted key rejected. Change: replies go back on the incoming stream; a gate that knows it lags says stale_view, which did not run and may be tried elsewhere.

--- a/src/savorytally/decisions/dissemination.py
+++ b/src/savorytally/decisions/dissemination.py
@@ -86,6 +86,11 @@
             if item.version
         }
 
+    @property
+    def lagging(self) -> bool:
+        """Whether a configuration is known of that is not in force."""
+        return self.shelves[CONFIGURATION].lagging
+
     def reading(self, name: str, now: float) -> bool:
         """Return whether this node is to read a value of the platform."""
         if not self.shelves[name].version and name == HOSTS:
--- a/src/savorytally/decisions/shelf.py
+++ b/src/savorytally/decisions/shelf.py
@@ -54,6 +54,11 @@
         """The version that this node has put in force."""
         return self._enforced
 
+    @property
+    def lagging(self) -> bool:
+        """Whether a version is known of that is not in force."""
+        return self._known > max(self._enforced, self._refused)
+
     def read_whole(self, version: int, bodies: t.Mapping[str, bytes]) -> bool:
         """Take in a version read from the platform; return if it is new."""
         if version <= max(self.version, self._refused):
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -133,6 +133,7 @@
         )
         self.view.subscribe(self)
         self.view.confirm_with(self.dissemination.freshness.confirmed)
+        self.view.compare_with(lambda: self.dissemination.lagging)
 
     def configuration_changed(self, now: float) -> None:
         """Apply a newer configuration."""
@@ -194,6 +195,7 @@
                 now=now.now,
             ),
         )
+        self.node.control.reply_with(self._peer_server.reply)
         self._entry_server = server.RequestServer(self.node.entry.handle)
         self._egress_server = server.RequestServer(self.node.egress.handle)
         self.admin = admin.AdminServer(
--- a/src/savorytally/parts/control.py
+++ b/src/savorytally/parts/control.py
@@ -13,6 +13,8 @@
 from ..decisions import participant
 from ..peer import messages
 
+Reply = t.Callable[[str, messages.Message], None]
+
 
 class Control:
     """Delivers control messages and ticks the participants.
@@ -37,6 +39,7 @@
         self._members = members
         self._participants: list[participant.Participant] = []
         self._chores: list[t.Callable[[], None]] = []
+        self._reply: Reply = lambda host_id, message: None
         self._by_message: dict[
             type[messages.Message], participant.Participant
         ] = {}
@@ -51,6 +54,10 @@
         """Do some work of this node alone with every tick."""
         self._chores.append(chore)
 
+    def reply_with(self, reply: Reply) -> None:
+        """Send to hosts that the list does not hold with ``reply``."""
+        self._reply = reply
+
     def deliver(self, sender: str, message: messages.Message) -> None:
         """Hand an incoming message to the participant that handles it."""
         handler = self._by_message.get(type(message))
@@ -90,9 +97,11 @@
             await asyncio.sleep(defaults.CONTROL_TICK_S)
 
     def send(self, outgoing: list[participant.Outgoing]) -> None:
-        """Send messages to listed hosts."""
+        """Send messages; a host that is not listed gets them as replies."""
         hosts = self._view.hosts.hosts
         for item in outgoing:
             target = hosts.get(item.host_id)
             if target is not None:
                 self._peers.send(target, item.message)
+            else:
+                self._reply(item.host_id, item.message)
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -97,11 +97,21 @@
             return outcomes.Failure(results.NOT_CONFIGURED)
         found = version.routes.get(call.route_id)
         if found is None:
-            return outcomes.Failure(results.UNKNOWN_ROUTE)
+            return self._unknown(results.UNKNOWN_ROUTE)
         if not self._granted(call):
-            return outcomes.Failure(results.KEY_REJECTED)
+            return self._unknown(results.KEY_REJECTED)
         return found
 
+    def _unknown(self, code: results.ResultCode) -> outcomes.Failure:
+        """Refuse what this node's version does not know.
+
+        A newer version, by which the sender may have judged, may know it;
+        the call is then better run elsewhere.
+        """
+        return outcomes.Failure(
+            results.STALE_VIEW if self._view.lagging else code
+        )
+
     def _granted(self, call: messages.Call) -> bool:
         if not call.organisation_id:
             return True
--- a/src/savorytally/peer/server.py
+++ b/src/savorytally/peer/server.py
@@ -108,6 +108,15 @@
         for item in self._newest.values():
             item.send(message)
 
+    def reply(self, host_id: str, message: messages.Message) -> None:
+        """Send a message on the incoming stream of a host, if there is one.
+
+        It reaches hosts that the host list does not hold yet.
+        """
+        for sender, item in self._newest.items():
+            if sender.host_id == host_id:
+                item.send(message)
+
     async def stop(self) -> None:
         """Stop listening and close all streams."""
         if self._timer is not None:
--- a/src/savorytally/view.py
+++ b/src/savorytally/view.py
@@ -29,6 +29,7 @@
         self._hosts = host.EMPTY
         self._listeners: list[Listener] = []
         self._confirm: t.Callable[[float], bool] = lambda now: True
+        self._compare: t.Callable[[], bool] = lambda: False
 
     @property
     def configuration(self) -> Configuration | None:
@@ -57,6 +58,15 @@
         """
         return self._confirm(now)
 
+    def compare_with(self, compare: t.Callable[[], bool]) -> None:
+        """Ask ``compare`` whether a newer configuration is known of."""
+        self._compare = compare
+
+    @property
+    def lagging(self) -> bool:
+        """Whether a newer configuration exists that is not here yet."""
+        return self._compare()
+
     def subscribe(self, listener: Listener) -> None:
         """Tell the listener of later changes."""
         self._listeners.append(listener)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,187 @@
+"""Leaving hosts, incarnations, backoff and the age of the host list."""
+
+import random
+
+from fakes import fleet
+from fakes import transport
+import pytest
+
+from savorytally import defaults
+from savorytally.decisions import contact
+from savorytally.decisions import evidence
+from savorytally.decisions import ownership
+from savorytally.peer import messages
+from savorytally.peer import spread
+from savorytally.world import host
+
+PLACES = {("bagmati", "kirtipur"): 12, ("gandaki", "pokhara"): 8}
+LEAVING_S = 2.0
+
+
+@pytest.fixture
+def made() -> fleet.Fleet:
+    """Two data centres under loss."""
+    fleet_ = fleet.Fleet(PLACES, weather=transport.Weather(lose=0.1))
+    fleet_.publish()
+    fleet_.start_all()
+    return fleet_
+
+
+def leave(made: fleet.Fleet, host_id: str) -> None:
+    """Let a host announce that it is leaving."""
+    member = made.members[host_id].membership
+    made.send(host_id, member.leave(made.now))
+
+
+def choosing(made: fleet.Fleet, host_id: str) -> list[str]:
+    """Return the nodes that would give a host new work."""
+    return [
+        name
+        for name, item in made.members.items()
+        if item.membership.fit(host_id, made.now)
+    ]
+
+
+class TestLeaving:
+    def test_no_node_chooses_it_after_2_s(self, made):
+        leave(made, "kirtipur-3")
+        made.transport.run(LEAVING_S)
+        assert choosing(made, "kirtipur-3") == []
+
+    def test_peer_with_an_open_stream_is_told_directly(self, made):
+        member = made.members["kirtipur-3"].membership
+        hello = messages.Hello(1, "pokhara-5", 7)
+        member.receive("pokhara-5", hello, made.now)
+        told = {item.host_id for item in member.leave(made.now)}
+        assert "pokhara-5" in told
+
+    def test_peer_that_connects_later_is_told(self, made):
+        leave(made, "kirtipur-3")
+        member = made.members["kirtipur-3"].membership
+        hello = messages.Hello(1, "pokhara-5", 7)
+        sent = member.receive("pokhara-5", hello, made.now)
+        assert [item.host_id for item in sent] == ["pokhara-5"]
+        assert sent[0].message.leaving
+
+    def test_goodbye_of_a_leaving_host_counts(self, made):
+        member = made.members["kirtipur-3"].membership
+        now = made.now
+        member.receive("pokhara-5", messages.Hello(1, "pokhara-5", 999), now)
+        member.receive("pokhara-5", messages.Goodbye(True), now)
+        assert not member.fit("pokhara-5", now)
+
+    def test_list_confirms_it(self, made):
+        hosts = dict(made.all_hosts)
+        del hosts["kirtipur-3"]
+        made.crash("kirtipur-3")
+        made.publish_hosts(hosts)
+        made.transport.run(3.0)
+        assert choosing(made, "kirtipur-3") == []
+
+    def test_host_that_the_list_calls_leaving_is_not_chosen(self, made):
+        hosts = dict(made.all_hosts)
+        old = hosts["kirtipur-3"]
+        hosts["kirtipur-3"] = host.Host(
+            old.host_id,
+            old.service_id,
+            old.place,
+            old.address,
+            old.peer_port,
+            host.HostState.LEAVING,
+        )
+        made.publish_hosts(hosts)
+        made.transport.run(3.0)
+        assert choosing(made, "kirtipur-3") == []
+
+
+class TestIncarnation:
+    def test_new_incarnation_overrides_the_note_of_the_former(self, made):
+        member = made.members["kirtipur-3"].membership
+        note = spread.HostNote("", "pokhara-5", 100, True)
+        member.receive("pokhara-5", note, made.now)
+        assert not member.fit("pokhara-5", made.now)
+        later = messages.Hello(1, "pokhara-5", 101)
+        member.receive("pokhara-5", later, made.now)
+        assert member.fit("pokhara-5", made.now)
+
+    def test_late_note_of_a_former_incarnation_is_ignored(self, made):
+        member = made.members["kirtipur-3"].membership
+        now = made.now
+        back = spread.HostNote("", "pokhara-5", 101, False)
+        member.receive("pokhara-5", back, now)
+        late = spread.HostNote("", "pokhara-5", 100, True)
+        member.receive("pokhara-1", late, now)
+        assert member.fit("pokhara-5", now)
+
+    def test_working_host_refutes_a_false_note(self, made):
+        host_id = "kirtipur-3"
+        number = made.members[host_id].membership.incarnation
+        false = spread.HostNote("", host_id, number + 50, True)
+        for item in made.members.values():
+            item.membership.receive("kirtipur-1", false, made.now)
+        made.transport.run(8.0)
+        others = set(made.members) - {host_id}
+        assert set(choosing(made, host_id)) >= others
+
+
+class TestBackoff:
+    def test_lost_peer_is_not_chosen_until_the_backoff_is_over(self, made):
+        member = made.members["kirtipur-3"].membership
+        now = made.now
+        for _ in range(8):
+            member.receive("pokhara-5", messages.Lost(), now)
+        assert not member.fit("pokhara-5", now)
+        assert member.fit("pokhara-5", now + defaults.RECONNECT_MAX_S)
+
+    def test_reconnects_of_many_are_spread_out(self):
+        ready = set()
+        for seed in range(50):
+            known = contact.PeerContacts(random.Random(seed))
+            for _ in range(8):
+                known.lost("peer", 0.0)
+            longest = defaults.RECONNECT_MAX_S
+            steps = [longest * part / 100 for part in range(101)]
+            ready.add(next(x for x in steps if known.reachable("peer", x)))
+        assert min(ready) >= defaults.RECONNECT_MAX_S / 2
+        assert len(ready) > 10
+
+
+class TestEvidence:
+    def test_list_age_counts_from_the_question(self, made):
+        known = evidence.SpreadEvidence(contact.PeerContacts(made.random))
+        known.confirm(4, 10.0)
+        known.confirm(4, 8.0)
+        assert known.confirmed_at() == 10.0
+
+    def test_list_is_confirmed_on_every_node_in_time(self, made):
+        made.transport.run(10.0)
+        ages = {
+            name: made.now - item.evidence.confirmed_at()
+            for name, item in made.members.items()
+        }
+        assert max(ages.values()) <= ownership.LIST_CONFIRM_MAX_S
+
+    def test_list_is_not_confirmed_while_the_platform_is_down(self, made):
+        made.store.down = set(made.all_hosts)
+        began = made.now
+        made.transport.run(10.0)
+        for item in made.members.values():
+            assert item.evidence.confirmed_at() <= began
+
+    def test_host_heard_later_counts_by_itself(self, made):
+        contacts = contact.PeerContacts(made.random)
+        known = evidence.SpreadEvidence(contacts)
+        known.confirm(4, 10.0)
+        known.heard("peer", 3, 11.0)
+        assert known.contact("peer") == ownership.Contact(11.0, 3)
+        assert known.contact("other") == ownership.Contact(10.0, 4)
+
+
+class TestUnlistedStart:
+    def test_restarted_host_learns_all_while_the_platform_is_down(self, made):
+        made.store.down = set(made.all_hosts)
+        made.crash("kirtipur-3")
+        made.transport.run(1.0)
+        made.start("kirtipur-3")
+        made.transport.run(15.0)
+        assert made.members["kirtipur-3"].version == 1
