--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import types
 import typing as t
 
 from fakes import transport
@@ -31,11 +32,16 @@
         self.calls = 0
         self.down: set[str] = set()
         self.stale: dict[str, int] = {}
-        self.bodies: dict[str, list[bytes]] = {CONFIGURATION: [], HOSTS: []}
+        self.bodies: dict[str, list[t.Mapping[str, bytes]]] = {
+            CONFIGURATION: [],
+            HOSTS: [],
+        }
 
-    def publish(self, name: str, body: bytes) -> int:
+    def publish(
+        self, name: str, body: bytes, others: t.Mapping[str, bytes]
+    ) -> int:
         """Append a version and return its number."""
-        self.bodies[name].append(body)
+        self.bodies[name].append({**others, "body": body})
         return len(self.bodies[name])
 
     def newest(self, name: str, reader: str) -> int:
@@ -135,7 +141,7 @@
             return []
         store.calls += 1
         self._read[name] = newest
-        bodies = {"body": store.bodies[name][newest - 1]}
+        bodies = store.bodies[name][newest - 1]
         return self.dissemination.published(name, newest, bodies, now)
 
 
@@ -170,14 +176,21 @@
     def now(self) -> float:
         return self.transport.clock.now()
 
-    def publish(self, body: bytes = b"good") -> int:
-        """Publish a configuration and return its version."""
-        return self.store.publish(CONFIGURATION, body)
+    def publish(
+        self,
+        body: bytes = b"good",
+        others: t.Mapping[str, bytes] = types.MappingProxyType({}),
+    ) -> int:
+        """Publish a configuration and return its version.
+
+        :param others: its sections beside the one that may be faulty.
+        """
+        return self.store.publish(CONFIGURATION, body, others)
 
     def publish_hosts(self, hosts: t.Mapping[str, host.Host]) -> None:
         """Publish a host list."""
         self.lists.append(dict(hosts))
-        self.store.publish(HOSTS, b"%d" % len(self.lists))
+        self.store.publish(HOSTS, b"%d" % len(self.lists), {})
 
     def start(self, host_id: str) -> Member:
         """Start a node; an earlier one of the host has forgotten all."""
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -119,6 +119,14 @@
         two.transport.run(IN_FORCE_S)
         assert behind(two, version) == {}
 
+    def test_in_a_place_of_many_hosts(self):
+        made = fleet.Fleet({("bagmati", "kirtipur"): 250})
+        made.publish()
+        made.start_all()
+        version = made.publish()
+        made.transport.run(IN_FORCE_S)
+        assert behind(made, version) == {}
+
     def test_with_all_readers_of_a_place_killed(self, one):
         for reader in one.readers():
             one.crash(reader)
--- a/tests/test_spread_properties.py
+++ b/tests/test_spread_properties.py
@@ -15,13 +15,16 @@
 hosts = st.integers(0, sum(PLACES.values()) - 1)
 weathers = st.builds(
     transport.Weather,
-    delay_max_s=st.sampled_from([0.002, 0.05, 0.2]),
+    delay_min_s=st.sampled_from([0.001, 0.15]),
+    delay_max_s=st.sampled_from([0.15, 0.25]),
     lose=st.sampled_from([0.0, 0.05, 0.1]),
     double=st.sampled_from([0.0, 0.2]),
 )
 single_faults = st.tuples(
     st.floats(0.5, 2.0),
-    st.sampled_from(["publish", "restart", "pause", "stale", "cut", "heal"]),
+    st.sampled_from(
+        ["publish", "restart", "restart stale", "pause", "cut", "heal"]
+    ),
     hosts,
     st.floats(0.3, 3.0),
 )
@@ -57,8 +60,9 @@
         made.publish()
     elif action == "faulty":
         made.publish(b"faulty")
-    elif action == "restart":
+    elif action.startswith("restart"):
         made.crash(host_id)
+        made.store.stale[host_id] = int(action == "restart stale")
         made.transport.run(span_s)
         made.start(host_id)
     elif action == "pause":
