--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -146,6 +146,7 @@
         self._add_gauges()
         self.view.subscribe(self)
         self.view.confirm_with(self.dissemination.freshness.confirmed)
+        self.view.compare_with(lambda: self.dissemination.lagging)
 
     def configuration_changed(self, now: float) -> None:
         """Apply a newer configuration."""
@@ -258,6 +259,7 @@
                 now=now.now,
             ),
         )
+        self.node.control.reply_with(self._peer_server.reply)
         self._entry_server = server.RequestServer(handle)
         self._egress_server = server.RequestServer(handle_child)
         self.admin = admin.AdminServer(
