--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,6 +10,7 @@
 from savorytally.decisions import contact
 from savorytally.decisions import evidence
 from savorytally.decisions import ownership
+from savorytally.decisions import witness
 from savorytally.peer import messages
 from savorytally.peer import spread
 from savorytally.world import host
@@ -173,8 +174,8 @@
         known = evidence.SpreadEvidence(contacts)
         known.confirm(4, 10.0)
         known.heard("peer", 3, 11.0)
-        assert known.contact("peer") == ownership.Contact(11.0, 3)
-        assert known.contact("other") == ownership.Contact(10.0, 4)
+        assert known.contact("peer") == witness.Contact(11.0, 3)
+        assert known.contact("other") == witness.Contact(10.0, 4)
 
 
 class TestUnlistedStart:
