--- a/src/savorytally/world/organisation.py
+++ b/src/savorytally/world/organisation.py
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Organisation:
-    """One tenant of the system.
+    """One organisation that calls services.
 
     :param organisation_id: the identifier used by the nodes.
     :param names: its name in each naming scheme.
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -11,6 +11,8 @@
 from savorytally import fields
 from savorytally.world import configuration
 from savorytally.world import document
+from savorytally.world import host
+from savorytally.world import hosts
 
 
 def faults_of(value: t.Any) -> dict[str, str]:
@@ -181,6 +183,13 @@
             for name in item.names.values():
                 assert read.service_names.resolve(name) == identifier
 
+    @hypothesis.given(json_values.ANY, json_values.ANY)
+    def test_any_host_list_is_whole_or_refused(self, value, one):
+        listed = documents.host("browse", 0, 7000)
+        for given in (value, {"a": value}, {"a": {**listed, "state": one}}):
+            read = hosts.read(1, given)
+            assert isinstance(read, host.HostList) or read
+
     @hypothesis.given(json_values.spoiled_documents())
     def test_text_and_value_are_read_alike(self, value):
         body = json.dumps(value).encode()
