--- a/src/savorytally/http/admin.py
+++ b/src/savorytally/http/admin.py
@@ -21,6 +21,7 @@
 from .. import view
 from ..decisions import admission
 from ..decisions import quota
+from ..decisions import usage
 from ..parts import published
 from ..world import patch
 from . import admin_views
@@ -213,10 +214,10 @@
         shown = admin_views.show_limits(found, self._usage().get(wanted))
         return web.json_response(shown)
 
-    def _usage(self) -> dict[str, quota.Usage]:
-        return {
-            item.organisation_id: item for item in self._subject.limits.usage()
-        }
+    def _usage(self) -> dict[str, usage.Usage]:
+        now = self._subject.outside.clock.now()
+        found = self._subject.limits.usage(now)
+        return {item.organisation_id: item for item in found}
 
     async def _dry_run(self, request: web.Request) -> web.Response:
         loaded = files.parse(_as_text(await request.read()))
--- a/src/savorytally/http/admin_views.py
+++ b/src/savorytally/http/admin_views.py
@@ -5,7 +5,7 @@
 from .. import __version__
 from .. import fields
 from .. import results
-from ..decisions import quota
+from ..decisions import usage
 from ..world import configuration
 from ..world import host
 from ..world import organisation
@@ -80,7 +80,7 @@
 
 
 def show_limits(
-    item: organisation.Organisation, used: quota.Usage | None
+    item: organisation.Organisation, used: usage.Usage | None
 ) -> Json:
     """Show an organisation's limits and their use at this node."""
     shown: Json = {
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -18,7 +18,7 @@
 from savorytally import view
 from savorytally.decisions import admission
 from savorytally.decisions import fifo
-from savorytally.decisions import quota
+from savorytally.decisions import usage
 from savorytally.http import admin
 from savorytally.world import hosts
 from savorytally.world import region
@@ -55,8 +55,8 @@
 class Quota:
     """A quota policy that knows the use of one organisation."""
 
-    def usage(self):
-        return (quota.Usage("org1", admitted=7, refused=2, tokens=3.5),)
+    def usage(self, now):
+        return [usage.Usage("org1", admitted=7, refused=2, tokens=3.5)]
 
 
 class Drain:
