Run non-idempotent calls at the owner of their key

At most once needs one gate per key that remembers it. Dispatch sends such calls to the shard's owner; the gate asks the record before admission and again just before the upstream; what admission refused is released; a started run goes on when its sender gives up.

--- a/src/savorytally/decisions/record.py
+++ b/src/savorytally/decisions/record.py
@@ -12,6 +12,7 @@
 from .. import defaults
 from .. import outcomes
 from .. import results
+from ..world import host
 from . import keytime
 from . import owners
 from . import ownership
@@ -70,6 +71,15 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def learn_hosts(self, hosts: host.HostList, now: float) -> None:
+        """Apply a newer host list."""
+        self._ownership.learn_hosts(hosts, now)
+
+    def tick(self, now: float) -> None:
+        """Forget what no longer matters."""
+        self._ownership.tick(now)
+        self.expire(now)
+
     def begin(
         self, key: Key, now: float, wall: float
     ) -> Run | outcomes.Outcome:
@@ -101,6 +111,11 @@
         self._entries[key].started = True
         return None
 
+    def started(self, key: Key) -> bool:
+        """Return whether a request was sent to the upstream."""
+        entry = self._entries.get(key)
+        return entry is not None and entry.started
+
     def finish(
         self, key: Key, outcome: outcomes.Outcome | None, now: float
     ) -> None:
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -6,6 +6,7 @@
 import signal
 
 from . import clock
+from . import defaults
 from . import fields
 from . import ports
 from . import settings
@@ -20,7 +21,9 @@
 from .decisions import fifo  # noqa: F401, registers a policy
 from .decisions import loans  # noqa: F401, registers a policy
 from .decisions import membership
+from .decisions import ownership
 from .decisions import quota
+from .decisions import record
 from .decisions import relay
 from .decisions import routing
 from .decisions import witness
@@ -93,6 +96,8 @@
             self.membership.reachable,
             self.evidence,
         )
+        started_s = outside.clock.wall() - options.fleet_started_s
+        fresh = 0.0 <= started_s < defaults.FLEET_START_WINDOW_S
         self.witnesses = witness.Witnesses(outside.random)
         self.quota = quota.policies.get(policies.quota)(
             quota.Site(
@@ -103,7 +108,7 @@
                 witnesses=self.witnesses,
                 random=outside.random,
                 wake=self._wake_quota,
-                fresh=options.fresh_fleet,
+                fresh=fresh,
             )
         )
         self.routing = routing.policies.get(policies.routing)(
@@ -117,6 +122,16 @@
         self.egress = egress.Egress(
             outside, self.view, self.tokens, self.dispatcher, below
         )
+        self.record = record.ExecutionRecord(
+            options.service_id,
+            ownership.Ownership(
+                options.host_id,
+                lambda item: item.service_id == options.service_id,
+                self.evidence,
+                self.witnesses,
+                fresh,
+            ),
+        )
         self.gate = gate.Gate(
             outside,
             self.view,
@@ -125,6 +140,7 @@
             ),
             self.tokens,
             below,
+            self.record,
         )
         self.control = control.Control(
             outside, self.view, self.dissemination, self.membership
@@ -134,6 +150,7 @@
         self.control.add(self.quota)
         self.control.add(self.witnesses)
         self.control.every_tick(self.gate.tick)
+        self.control.every_tick(self._tick_record)
         self.watch = watch.PlatformWatch(
             outside, self.dissemination, self.control.send
         )
@@ -160,11 +177,16 @@
         self.membership.learn_hosts(self.view.hosts.hosts)
         self.witnesses.learn(self.view.hosts.version, now)
         self.quota.learn_hosts(self.view.hosts, now)
+        self.record.learn_hosts(self.view.hosts, now)
+        self.dispatcher.learn_hosts(self.view.hosts.hosts)
         self._working_hosts_changed(now)
 
     def _working_hosts_changed(self, now: float) -> None:
         self.routing.learn_hosts(self.membership.working(), now)
 
+    def _tick_record(self) -> None:
+        self.record.tick(self.outside.clock.now())
+
     def _wake_quota(self) -> None:
         asyncio.get_running_loop().call_soon(self._poll_quota)
 
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import typing as t
 
 import xxhash
 
@@ -10,6 +11,8 @@
 from .. import ports
 from .. import results
 from ..decisions import estimates
+from ..decisions import owners
+from ..decisions import record
 from ..decisions import retry
 from ..decisions import routing
 from ..decisions import shares
@@ -65,6 +68,7 @@
         self._answers = estimates.Estimates()
         self._shares = shares.Shares()
         self._weights: dict[str, float] = {}
+        self._owners = owners.RecordOwners()
         self._ids = itertools.count(1)
 
     def learn_configuration(
@@ -77,6 +81,10 @@
         }
         self._ratio.learn_ratio(version.retries.ratio)
 
+    def learn_hosts(self, hosts: t.Mapping[str, host.Host]) -> None:
+        """Apply a newer host list."""
+        self._owners.learn_hosts(hosts)
+
     async def run(self, job: Job) -> outcomes.Outcome:
         """Return the outcome of the job, over all its attempts."""
         tried: set[str] = set()
@@ -98,6 +106,8 @@
         raise AssertionError("unreachable")
 
     def _choose(self, job: Job, tried: set[str]) -> routing.Choice:
+        if not job.route.idempotent and job.idempotency_key:
+            return self._choose_owner(job, tried)
         route_id = job.route.route_id
         request_bytes = len(job.request.body)
         hashed = root_hash(job.context.root_id)
@@ -117,6 +127,16 @@
         )
         return self._routing.choose(question, self._clock.now())
 
+    def _choose_owner(self, job: Job, tried: set[str]) -> routing.Choice:
+        """Return the only host that may run a request once."""
+        key = record.Key(job.context.organisation_id, job.idempotency_key)
+        owner = self._owners.owner_of(job.route.service_id, key)
+        if owner is None or owner.host_id in tried:
+            return routing.Unavailable(
+                results.NO_HOST, defaults.RETRY_AFTER_MS
+            )
+        return routing.Chosen(owner)
+
     def _note_demand(self, above: context.Context) -> None:
         self._shares.note(
             above.priority,
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -9,6 +9,7 @@
 from .. import view
 from ..decisions import admission
 from ..decisions import downstream
+from ..decisions import record
 from ..decisions import retry
 from ..peer import messages
 from ..world import route
@@ -31,6 +32,7 @@
     :param policy: decides which calls run, wait or are refused.
     :param tokens: running calls by call token, shared with the egress.
     :param below: shed levels of the services called from here.
+    :param executions: what became of requests that run at most once.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         policy: admission.Admission,
         tokens: running.RunningCalls,
         below: downstream.DownstreamLevels,
+        executions: record.ExecutionRecord,
     ) -> None:
         self._clock = outside.clock
         self._upstream = outside.upstream
@@ -47,6 +50,8 @@
         self._admission = policy
         self._tokens = tokens
         self._downstream = below
+        self._record = executions
+        self._recorded: set[asyncio.Task[outcomes.Outcome]] = set()
         self._tickets = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[admission.Decision]] = {}
 
@@ -73,6 +78,55 @@
         found = self._check(call)
         if isinstance(found, outcomes.Failure):
             return found
+        if found.idempotent or not call.idempotency_key:
+            return await self._run(call, found, None)
+        return await self._run_once(call, found)
+
+    async def _run_once(
+        self, call: messages.Call, found: route.Route
+    ) -> outcomes.Outcome:
+        """Run a call unless it ran before; its end is always recorded.
+
+        Once it has been sent to the upstream it goes on although its sender
+        gives up, so that a resend finds the answer.
+        """
+        key = record.Key(call.organisation_id, call.idempotency_key)
+        now = self._clock.now()
+        known = self._record.begin(key, now, self._clock.wall())
+        if not isinstance(known, record.Run):
+            return running.with_unused(known, call.retries)
+        task = asyncio.ensure_future(self._run_recorded(call, found, key))
+        self._recorded.add(task)
+        task.add_done_callback(self._recorded.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError as error:
+            if self._record.started(key):
+                failure = outcomes.Failure(results.CANCELLED_AFTER_START)
+                raise ports.Withdrawn(failure) from error
+            task.cancel()
+            raise ports.Withdrawn(
+                outcomes.Failure(
+                    results.CANCELLED_BEFORE_START,
+                    retries_unused=call.retries,
+                )
+            ) from error
+
+    async def _run_recorded(
+        self, call: messages.Call, found: route.Route, key: record.Key
+    ) -> outcomes.Outcome:
+        outcome: outcomes.Outcome | None = None
+        try:
+            outcome = await self._run(call, found, key)
+            return outcome
+        except ports.Withdrawn as withdrawn:
+            return withdrawn.outcome
+        finally:
+            self._record.finish(key, outcome, self._clock.now())
+
+    async def _run(
+        self, call: messages.Call, found: route.Route, key: record.Key | None
+    ) -> outcomes.Outcome:
         deadline = self._clock.now() + call.remaining_ms / 1000
         ticket = next(self._tickets)
         decision = await self._admit(call, found, ticket, deadline)
@@ -84,7 +138,7 @@
             )
         end = admission.End.WITHDRAWN
         try:
-            outcome = await self._execute(call, found, deadline)
+            outcome = await self._execute(call, found, deadline, key)
             end = _end(outcome)
             return outcome
         finally:
@@ -160,7 +214,11 @@
                 future.set_result(decision)
 
     async def _execute(
-        self, call: messages.Call, found: route.Route, deadline: float
+        self,
+        call: messages.Call,
+        found: route.Route,
+        deadline: float,
+        key: record.Key | None,
     ) -> outcomes.Outcome:
         if not self._view.confirmed(self._clock.now()):
             return outcomes.Failure(results.STALE_VIEW)
@@ -169,6 +227,10 @@
         remaining_s = deadline - self._clock.now()
         if remaining_s <= 0:
             return outcomes.Failure(results.DEADLINE_TOO_SHORT)
+        if key is not None:
+            refusal = self._record.start(key, self._clock.now())
+            if refusal is not None:
+                return refusal
         budget = retry.RetryBudget(call.retries)
         token = self._tokens.begin(call, deadline, budget)
         try:
--- a/src/savorytally/settings.py
+++ b/src/savorytally/settings.py
@@ -88,8 +88,9 @@
     :param entry_tls: TLS towards callers, ``None`` for plain HTTP.
     :param policies: names of the policies in use.
     :param trace_sample: fraction of root requests that are traced.
-    :param fresh_fleet: whether no node of an earlier fleet can still be
-        running, so that nothing is waited for at the start.
+    :param fleet_started_s: when the whole fleet was started for the first
+        time, seconds since the Unix epoch. A node that starts within
+        ``defaults.FLEET_START_WINDOW_S`` of it waits for no predecessor.
     :param log_level: the least severe level of the logs.
     """
 
@@ -105,7 +106,7 @@
     entry_tls: Tls | None = None
     policies: Policies = Policies()
     trace_sample: float = 0.0
-    fresh_fleet: bool = False
+    fleet_started_s: float = 0.0
     log_level: str = "info"
 
 
@@ -151,7 +152,7 @@
         entry_tls=_read_tls(root, "entry_tls", mutual=False),
         policies=_read_policies(root.child("policies")),
         trace_sample=root.number("trace_sample", float, 0.0, 1.0, 0.0),
-        fresh_fleet=root.take("fresh_fleet", bool, False),
+        fleet_started_s=root.number("fleet_started_s", float, 0.0, 1e11, 0.0),
         log_level=root.choice("log_level", _LOG_LEVELS, "info"),
     )
     root.finish()
--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -1,6 +1,7 @@
 """Nodes composed without ports, joined by direct calls."""
 
 import dataclasses
+import math
 import random
 import typing as t
 
@@ -104,6 +105,7 @@
                 address=item.address,
                 upstream_url="",
                 platform_url="",
+                fleet_started_s=self.clock.wall(),
                 **fields,
             ),
             ports.Outside(
@@ -118,5 +120,6 @@
         now = self.clock.now()
         made.view.offer_configuration(self._version, now)
         made.view.offer_hosts(self._hosts, now)
+        made.evidence.confirm(self._hosts.version, math.inf)
         self.peers.nodes[host_id] = made
         return made
