--- a/src/savorytally/decisions/ownership.py
+++ b/src/savorytally/decisions/ownership.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import heapq
 import math
 import typing as t
 
@@ -15,31 +16,23 @@
 
 from .. import defaults
 from ..world import host
+from . import witness
 
 LIST_CONFIRM_MAX_S = 5.0
 CONTACT_MAX_S = 3.0
 CLOCK_MARGIN_S = 1.0
 SHARD_LOAN_MAX_S = 8.0
-COUNT_PERIOD_S = 0.5
+WITNESSES = 5
+WITNESS_GROUPS = 64
+ERAS_MAX = 64
+ERA_RETENTION_S = 600.0
 PREDECESSORS_MAX = 3
 LIST_AGE_MAX_S = defaults.HOST_LIST_LAG_MAX_S + LIST_CONFIRM_MAX_S
 TAKEOVER_WAIT_S = 2 * LIST_AGE_MAX_S + SHARD_LOAN_MAX_S + CLOCK_MARGIN_S
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Contact:
-    """The last sign of life of a peer.
-
-    :param at: when it was received, on this node's clock.
-    :param list_version: the host list that the peer had in force.
-    """
-
-    at: float
-    list_version: int
-
-
 class Evidence(t.Protocol):
-    """What a node knows about the age of its host list and its peers."""
+    """What a node knows about the age of its host list."""
 
     def confirmed_at(self) -> float:
         """Return when the list in force was last confirmed as the newest.
@@ -48,40 +41,17 @@
         on together with its age.
         """
 
-    def contact(self, host_id: str) -> Contact | None:
-        """Return the last sign of life of a peer, if there was one."""
-
-
-class ListEvidence:
-    """Evidence from the platform's host list alone.
-
-    Every listed host counts as heard when the list was confirmed, so that a
-    node acts as owner only while it can read the platform.
-    """
-
-    def __init__(self) -> None:
-        self._confirmed_at = -math.inf
-        self._version = 0
-
-    def confirm(self, version: int, now: float) -> None:
-        """Note that the platform's newest list has this version."""
-        self._version = version
-        self._confirmed_at = now
-
-    def confirmed_at(self) -> float:
-        """Return when the platform was last read."""
-        return self._confirmed_at
-
-    def contact(self, host_id: str) -> Contact | None:
-        """Return the time of the last reading for every host."""
-        return Contact(self._confirmed_at, self._version)
-
 
 def weight(shard: str, host_id: str) -> int:
     """Return the rendezvous weight of a host for a shard."""
     return xxhash.xxh3_64_intdigest(f"{shard}\0{host_id}".encode())
 
 
+def witness_group(shard: str) -> str:
+    """Return the group of shards that share their witnesses."""
+    return f"witness/{weight(shard, '') % WITNESS_GROUPS}"
+
+
 class Ranking:
     """Owners of shards among the live hosts of one place in one list.
 
@@ -91,6 +61,7 @@
     def __init__(self, hosts: frozenset[str]) -> None:
         self.hosts = hosts
         self._owners: dict[str, str] = {}
+        self._witnesses: dict[str, frozenset[str]] = {}
 
     def owner(self, shard: str) -> str:
         """Return the owner of a shard, empty if the place has no host."""
@@ -104,6 +75,16 @@
             self._owners[shard] = owner
         return owner
 
+    def witnesses(self, group: str) -> frozenset[str]:
+        """Return the hosts that witness a group of shards."""
+        found = self._witnesses.get(group)
+        if found is None:
+            best = heapq.nlargest(
+                WITNESSES, self.hosts, key=lambda item: weight(group, item)
+            )
+            found = self._witnesses[group] = frozenset(best)
+        return found
+
     def derive(self, hosts: frozenset[str]) -> "Ranking":
         """Return the ranking of a newer list.
 
@@ -120,17 +101,13 @@
         return derived
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Era:
-    """A host list that was in force here.
-
-    ``known_at`` is when most of the place was first seen to know it.
-    """
+    """A host list and since when it was in force here."""
 
     since: float
     version: int
     ranking: Ranking
-    known_at: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,11 +119,13 @@
 
 
 class Ownership:
-    """Tells whether this host may act as owner of a shard of its place.
+    """Tells whether this host may act as owner of a shard.
 
     :param host_id: this host.
-    :param region_id: its place.
-    :param evidence: age of the host list and signs of life.
+    :param belongs: tells whether a host is one of those among which the
+        shards are divided, here called the place.
+    :param evidence: age of the host list.
+    :param witnesses: what peers say of their host lists.
     :param fresh: whether the operator declares that no earlier node of the
         place can still be running, so that nothing has to be waited for.
     """
@@ -154,21 +133,21 @@
     def __init__(
         self,
         host_id: str,
-        region_id: str,
+        belongs: t.Callable[[host.Host], bool],
         evidence: Evidence,
+        witnesses: witness.Witnesses,
         fresh: bool = False,
     ) -> None:
         self._host_id = host_id
-        self._region_id = region_id
+        self._belongs = belongs
         self._evidence = evidence
+        self._witnesses = witnesses
         self._fresh = fresh
         self._eras: collections.deque[_Era] = collections.deque()
         self._settled: dict[str, float] = {}
         self._stopped: dict[str, _Stop] = {}
         self._released: dict[str, float] = {}
-        self._fresh_at = -math.inf
-        self._agreed_at = -math.inf
-        self._count_at = -math.inf
+        self._agreed: dict[str, float] = {}
 
     @property
     def list_version(self) -> int:
@@ -196,47 +175,40 @@
         live = frozenset(
             item.host_id
             for item in hosts.hosts.values()
-            if item.live and item.place.region_id == self._region_id
+            if item.live and self._belongs(item)
         )
         if not self._eras:
-            known_at = -math.inf if self._fresh else math.inf
-            ranking = Ranking(live)
-            self._eras.append(_Era(now, hosts.version, ranking, known_at))
-            self._fresh_at = now
+            since = -math.inf if self._fresh else now
+            self._eras.append(_Era(since, hosts.version, Ranking(live)))
             return
         if hosts.version <= self.list_version:
             return
         ranking = self._eras[-1].ranking.derive(live)
-        if now - self._fresh_at > LIST_CONFIRM_MAX_S:
+        if not self._confirmed(now):
             self._eras.clear()
-            self._settled.clear()
-            self._stopped.clear()
-        self._fresh_at = now
-        self._agreed_at = -math.inf
+            self._drop_unwitnessed(now)
+        self._agreed.clear()
         self._eras.append(_Era(now, hosts.version, ranking))
         self._move_away(ranking, now)
         self._forget(now)
 
     def tick(self, now: float) -> None:
-        """Note which lists most of the place knows by now."""
-        if not self._unfenced(now) or now < self._count_at:
-            return
-        self._count_at = now + COUNT_PERIOD_S
+        """Forget what no longer matters."""
         self._forget(now)
-        if not self._confirmed(now):
-            return
-        for era in self._eras:
-            if era.known_at == math.inf and self._most_know(era, now):
-                era.known_at = now
 
     def acts(self, shard: str, now: float) -> bool:
         """Return whether this host may act as the shard's owner now."""
-        if not self._unfenced(now) or self.owner(shard) != self._host_id:
+        if (
+            not self._unfenced(shard, now)
+            or self.owner(shard) != self._host_id
+        ):
             return False
         if shard in self._settled:
             return True
-        ready_at = self._ready_at(shard, self._eras)
-        if now < ready_at or not self._confirmed(now):
+        if not self._confirmed(now):
+            return False
+        ready_at = self._ready_at(shard, self._eras, now)
+        if now < ready_at:
             return False
         self._settled[shard] = ready_at
         return True
@@ -265,11 +237,12 @@
         :return: when this host could first act for it, ``None`` if it was
             not the last to act or has released the shard already.
         """
-        if self.owner(shard) != heir or not self._unfenced(now):
+        if self.owner(shard) != heir or not self._unfenced(shard, now):
             return None
         if shard in self._released:
             return None
-        stop = self._stopped.pop(shard, None) or self._last_stop(shard, heir)
+        stop = self._stopped.pop(shard, None)
+        stop = stop or self._last_stop(shard, heir, now)
         if stop.since > stop.at or now - stop.at > LIST_AGE_MAX_S:
             return None
         self._released[shard] = now
@@ -277,7 +250,10 @@
 
     def accept(self, shard: str, now: float) -> bool:
         """Act as owner from now on, released by the predecessor."""
-        if not self._unfenced(now) or self.owner(shard) != self._host_id:
+        if (
+            not self._unfenced(shard, now)
+            or self.owner(shard) != self._host_id
+        ):
             return False
         self._settled[shard] = now
         self._released.pop(shard, None)
@@ -289,18 +265,29 @@
                 since = self._settled.pop(shard)
                 self._stopped[shard] = _Stop(since, now)
 
-    def _last_stop(self, shard: str, heir: str) -> _Stop:
+    def _last_stop(self, shard: str, heir: str, now: float) -> _Stop:
         """Return when this host stopped to be the heir's predecessor."""
         earlier = list(self._eras)
         stopped_at = math.inf
         while earlier and earlier[-1].ranking.owner(shard) == heir:
             stopped_at = earlier.pop().since
-        return _Stop(self._ready_at(shard, earlier), stopped_at)
+        return _Stop(self._ready_at(shard, earlier, now), stopped_at)
+
+    def _drop_unwitnessed(self, now: float) -> None:
+        """Stop acting for shards whose owner may have changed unseen."""
+        limit = now - CONTACT_MAX_S
+        for shard in list(self._settled):
+            if self._agreed.get(witness_group(shard), -math.inf) < limit:
+                del self._settled[shard]
+        self._stopped.clear()
 
     def _forget(self, now: float) -> None:
-        limit = now - TAKEOVER_WAIT_S
-        while len(self._eras) > 1 and self._eras[1].known_at <= limit:
+        limit = now - ERA_RETENTION_S
+        while len(self._eras) > 1 and self._eras[1].since <= limit:
+            self._eras.popleft()
+        while len(self._eras) > ERAS_MAX:
             self._eras.popleft()
+        limit = now - TAKEOVER_WAIT_S
         for shard, released_at in list(self._released.items()):
             if released_at <= limit:
                 del self._released[shard]
@@ -308,52 +295,65 @@
             if now - stop.at > LIST_AGE_MAX_S:
                 del self._stopped[shard]
 
-    def _ready_at(self, shard: str, eras: t.Iterable[_Era]) -> float:
+    def _ready_at(
+        self, shard: str, eras: t.Iterable[_Era], now: float
+    ) -> float:
         """Return when the last predecessor must have stopped by itself."""
-        ready_at = math.inf
+        first: _Era | None = None
         for era in reversed(list(eras)):
             if era.ranking.owner(shard) != self._host_id:
                 break
-            ready_at = min(ready_at, era.known_at + TAKEOVER_WAIT_S)
-        return ready_at
+            first = era
+        if first is None:
+            return math.inf
+        known_at = self._known_at(shard, first, now)
+        return known_at + TAKEOVER_WAIT_S
+
+    def _known_at(self, shard: str, era: _Era, now: float) -> float:
+        """Return since when most witnesses have known a list."""
+        if era.since == -math.inf:
+            return -math.inf
+        hosts = self._witnesses_of(shard)
+        times = [era.since] if self._host_id in hosts else []
+        others = hosts - {self._host_id}
+        for host_id in others:
+            since = self._witnesses.known_since(host_id, era.version)
+            if since is not None:
+                times.append(since)
+        needed = len(hosts) // 2 + 1
+        if len(times) < needed:
+            self._witnesses.ask(others, era.version, now)
+            return math.inf
+        return max(sorted(times)[needed - 1], era.since)
+
+    def _witnesses_of(self, shard: str) -> frozenset[str]:
+        return self._eras[-1].ranking.witnesses(witness_group(shard))
 
     def _confirmed(self, now: float) -> bool:
         return now - self._evidence.confirmed_at() <= LIST_CONFIRM_MAX_S
 
-    def _unfenced(self, now: float) -> bool:
-        if not self._confirmed(now) and not self._most_agree(now):
-            return False
-        self._fresh_at = now
-        return True
-
-    def _most_agree(self, now: float) -> bool:
-        """Return whether most of the place has no newer list.
-
-        The count is repeated once in ``COUNT_PERIOD_S``.
-        """
-        if now - self._agreed_at <= COUNT_PERIOD_S:
+    def _unfenced(self, shard: str, now: float) -> bool:
+        age_s = now - self._evidence.confirmed_at()
+        if age_s <= LIST_CONFIRM_MAX_S / 2:
             return True
+        agreed = self._most_agree(shard, now)
+        return age_s <= LIST_CONFIRM_MAX_S or agreed
+
+    def _most_agree(self, shard: str, now: float) -> bool:
+        """Return whether most witnesses have no newer list."""
         if not self._eras:
             return False
+        hosts = self._witnesses_of(shard)
+        others = hosts - {self._host_id}
         version = self.list_version
-        hosts = self._eras[-1].ranking.hosts
-        heard = self._heard(hosts, now)
-        agreed = sum(item.list_version <= version for item in heard)
-        if (agreed + (self._host_id in hosts)) * 2 <= len(hosts):
+        self._witnesses.ask(others, version, now)
+        agreed = int(self._host_id in hosts)
+        for host_id in others:
+            contact = self._witnesses.contact(host_id)
+            if contact is None or now - contact.at > CONTACT_MAX_S:
+                continue
+            agreed += contact.list_version <= version
+        if agreed * 2 <= len(hosts):
             return False
-        self._agreed_at = now
+        self._agreed[witness_group(shard)] = now
         return True
-
-    def _most_know(self, era: _Era, now: float) -> bool:
-        hosts = self._eras[-1].ranking.hosts
-        heard = self._heard(hosts, now)
-        known = sum(item.list_version >= era.version for item in heard)
-        return (known + (self._host_id in hosts)) * 2 > len(hosts)
-
-    def _heard(self, hosts: frozenset[str], now: float) -> list[Contact]:
-        contacts = map(self._evidence.contact, hosts - {self._host_id})
-        return [
-            item
-            for item in contacts
-            if item is not None and now - item.at <= CONTACT_MAX_S
-        ]
--- a/src/savorytally/decisions/quota.py
+++ b/src/savorytally/decisions/quota.py
@@ -10,6 +10,8 @@
 from ..world import host
 from . import ownership
 from . import participant
+from . import usage
+from . import witness
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,23 +29,17 @@
     retry_after_ms: int
 
 
-TAKEN = Taken()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
-class Usage:
-    """What one node admitted of one organisation since its start.
+class Pending:
+    """No token is at hand, but one may arrive within moments.
 
-    :param organisation_id: the organisation.
-    :param admitted: requests that were within rate and burst.
-    :param refused: requests that were refused.
-    :param tokens: borrowed tokens that are not spent.
+    :param wait_ms: when to ask again.
     """
 
-    organisation_id: str
-    admitted: int
-    refused: int
-    tokens: float
+    wait_ms: int
+
+
+TAKEN = Taken()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,8 +49,10 @@
     :param host_id: the node's host.
     :param region_id: its place.
     :param incarnation: distinguishes a restarted node from its predecessor.
-    :param evidence: age of the host list and signs of life of peers.
+    :param evidence: age of the host list.
+    :param witnesses: what peers say of their host lists.
     :param random: seeded random source.
+    :param wake: called when :meth:`Quota.poll` should be called soon.
     :param fresh: whether the operator declares that no earlier node of the
         fleet can still be running.
     """
@@ -63,7 +61,9 @@
     region_id: str
     incarnation: int
     evidence: ownership.Evidence
+    witnesses: witness.Witnesses
     random: random.Random
+    wake: t.Callable[[], None]
     fresh: bool = False
 
 
@@ -117,11 +117,19 @@
     def learn_hosts(self, hosts: host.HostList, now: float) -> None:
         """Apply a newer host list."""
 
-    def usage(self) -> tuple[Usage, ...]:
-        """Return what this node admitted and refused so far."""
+    def usage(self, now: float) -> list[usage.Usage]:
+        """Return the use of each organisation that sent requests here."""
 
-    def take(self, organisation_id: str, now: float) -> Taken | OverRate:
-        """Take one token for a request that arrives now."""
+    def take(
+        self, organisation_id: str, now: float, final: bool = False
+    ) -> Taken | Pending | OverRate:
+        """Take one token for a request that arrives now.
+
+        :param final: whether the request can't wait any longer.
+        """
+
+    def poll(self, now: float) -> list[participant.Outgoing]:
+        """Return what is to be sent at once, see :attr:`Site.wake`."""
 
 
 policies: registry.Registry[t.Callable[[Site], Quota]] = registry.Registry(
@@ -159,11 +167,17 @@
     def learn_hosts(self, hosts: host.HostList, now: float) -> None:
         """Do nothing."""
 
-    def usage(self) -> tuple[Usage, ...]:
+    def usage(self, now: float) -> list[usage.Usage]:
         """Return nothing; the baseline counts nothing."""
-        return ()
+        return []
+
+    def poll(self, now: float) -> list[participant.Outgoing]:
+        """Do nothing."""
+        return []
 
-    def take(self, organisation_id: str, now: float) -> Taken | OverRate:
+    def take(
+        self, organisation_id: str, now: float, final: bool = False
+    ) -> Taken | Pending | OverRate:
         """Take one token from this node's part of the bucket."""
         rate, burst = self._rates.get(organisation_id, (0.0, 0.0))
         tokens, at = self._tokens.get(organisation_id, (burst, now))
--- a/src/savorytally/parts/context.py
+++ b/src/savorytally/parts/context.py
@@ -14,7 +14,7 @@
     :param root_id: identifies the root request.
     :param organisation_id: the caller's organisation, empty if none.
     :param key_id: prefix of the key's digest, empty if none.
-    :param priority: the higher class of the route and of the call above.
+    :param priority: the class of the root request's route.
     :param deadline: when the answer is no longer wanted, node clock.
     :param budget: retries left to this call and its children.
     :param depth: calls above this one.
@@ -36,7 +36,7 @@
     """One request as it reaches the entry or the egress.
 
     :param method: the HTTP method.
-    :param path: the decoded path.
+    :param path: the path as received, with percent-encoding.
     :param query: the query string without the question mark.
     :param headers: pairs as received.
     :param body: the whole body.
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -15,6 +15,7 @@
 from . import headers
 from . import running
 
+_SERVER_ERROR = 500
 _SERVICE_UNAVAILABLE = 503
 _UPSTREAM_FAULTS = (
     results.NOT_DISPATCHED,
@@ -198,6 +199,8 @@
     if isinstance(outcome, outcomes.Answer):
         if outcome.status == _SERVICE_UNAVAILABLE:
             return admission.End.REJECTED
+        if outcome.status >= _SERVER_ERROR:
+            return admission.End.FAILED
         return admission.End.ANSWERED
     if outcome.code in _UPSTREAM_FAULTS:
         return admission.End.BROKEN
@@ -215,6 +218,8 @@
     extra = [(headers.CALL_TOKEN, token), (headers.REQUEST_ID, call.root_id)]
     if call.organisation_id:
         extra.append((headers.ORGANISATION, call.organisation_id))
+    if call.traceparent:
+        extra.append((headers.TRACEPARENT, call.traceparent))
     return ports.UpstreamRequest(
         method=found.method,
         path=path,
--- a/src/savorytally/parts/headers.py
+++ b/src/savorytally/parts/headers.py
@@ -1,5 +1,7 @@
 """HTTP headers that the system reads, sets or removes."""
 
+import re
+
 from .. import outcomes
 
 AUTHORIZATION = "Authorization"
@@ -39,18 +41,56 @@
         API_KEY.lower(),
         CALL_TOKEN.lower(),
         ORGANISATION.lower(),
+        REQUEST_ID.lower(),
+        TRACEPARENT.lower(),
     }
 )
 
+_TRACEPARENT = re.compile("00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+
+_LEFT_OUT = _HOP_BY_HOP | _REMOVED
+_CONNECTION = "connection"
+
 
 def end_to_end(headers: outcomes.Headers) -> outcomes.Headers:
     """Return the headers that travel to the other end.
 
-    Hop-by-hop headers are left out, those that carry secrets, and the
-    organisation, which a gate states anew.
+    Hop-by-hop headers are left out, also those that ``Connection`` names,
+    those that carry secrets, and what a gate states anew.
     """
+    named = _named_by_connection(headers)
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if (lower := name.lower()) not in _LEFT_OUT and lower not in named
+    )
+
+
+def without_secret(headers: outcomes.Headers, secret: str) -> outcomes.Headers:
+    """Return the headers that do not hold a secret."""
     return tuple(
         (name, value)
         for name, value in headers
-        if name.lower() not in _HOP_BY_HOP and name.lower() not in _REMOVED
+        if secret not in value and secret.lower() not in name.lower()
     )
+
+
+def traceparent(headers: outcomes.Headers) -> str:
+    """Return the W3C trace context, empty if there is none or it is bad."""
+    wanted = TRACEPARENT.lower()
+    for name, value in headers:
+        if name.lower() == wanted:
+            return value if is_traceparent(value) else ""
+    return ""
+
+
+def is_traceparent(value: str) -> bool:
+    """Return whether a value is a W3C trace context."""
+    return _TRACEPARENT.fullmatch(value) is not None
+
+
+def _named_by_connection(headers: outcomes.Headers) -> set[str]:
+    values = [value for name, value in headers if name.lower() == _CONNECTION]
+    return {
+        token.strip().lower() for value in values for token in value.split(",")
+    }
