--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -86,18 +86,23 @@
         """Apply a newer host list."""
         self._owners.learn_hosts(hosts)
 
+    def refusal(self, job: Job) -> outcomes.Failure | None:
+        """Count a root request and return why it can't be sent, if so."""
+        self._note_demand(job.context)
+        choice = self._choose(job, set())
+        if isinstance(choice, routing.Chosen):
+            return None
+        return _unavailable(choice)
+
     async def run(self, job: Job) -> outcomes.Outcome:
         """Return the outcome of the job, over all its attempts."""
         tried: set[str] = set()
         last: outcomes.Outcome | None = None
         self._ratio.first_attempt()
-        self._note_demand(job.context)
         for attempt in itertools.count():
             choice = self._choose(job, tried)
             if isinstance(choice, routing.Unavailable):
-                return last or outcomes.Failure(
-                    choice.code, retry_after_ms=choice.retry_after_ms
-                )
+                return last or _unavailable(choice)
             if last is not None and not self._spend(job):
                 return last
             tried.add(choice.host.host_id)
@@ -239,6 +244,10 @@
         )
 
 
+def _unavailable(choice: routing.Unavailable) -> outcomes.Failure:
+    return outcomes.Failure(choice.code, retry_after_ms=choice.retry_after_ms)
+
+
 def _remaining_ms(remaining_s: float) -> int:
     """Return the time that a gate is given, so that its word arrives."""
     remaining_ms = int(remaining_s * 1000)
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -77,6 +77,10 @@
         job = self._prepare(request, labels)
         if isinstance(job, outcomes.Failure):
             return job
+        refusal = self._dispatcher.refusal(job)
+        if refusal is not None:
+            # Shed before the rate is charged for it.
+            return refusal
         over = await self._take(job.context)
         if over is not None:
             return over
