Keep the pages of settings and policies equal to the code

A renamed setting and the policies' defaults were not in the configuration page; the page test named the first.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -10,9 +10,13 @@
 
 from savorytally import cli
 from savorytally import files
+from savorytally import node  # noqa: F401, registers the policies
 from savorytally import settings
 from savorytally.commands import base
 from savorytally.commands import config
+from savorytally.decisions import admission
+from savorytally.decisions import quota
+from savorytally.decisions import routing
 from savorytally.world import host
 from savorytally.world import hosts
 
@@ -50,6 +54,20 @@
         listed = set(re.findall(r"^\| `([\w.]+)` \|", section, re.MULTILINE))
         assert listed == settings_fields()
 
+    @pytest.mark.parametrize(
+        ("kind", "known"),
+        [
+            ("admission", admission.policies),
+            ("routing", routing.policies),
+            ("quota", quota.policies),
+        ],
+    )
+    def test_lists_policies_with_the_default(self, kind, known):
+        default = getattr(settings.Policies(), kind)
+        names = ", ".join(known.names())
+        row = f"| `policies.{kind}` | {names} | {default} |"
+        assert row in (DOCS / "configuration.md").read_text()
+
     def test_names_every_field_of_a_document(self):
         text = (DOCS / "configuration.md").read_text()
         example = files.load(ROOT / "examples/configuration.jsonc").value
