Log codes as fields and requests that lost their answer

Codes stood inside the text of messages, so that no log search could use them, and a request whose answer was lost left no line. Codes, places and values are fields of the JSON line; the entry logs a request's id and code when it ends without an answer, refusals at debug level only, since they are many under overload. Measured: 36 passed (pytest tests/test_logs.py tests/test_parts.py tests/test_path.py).

--- a/src/savorytally/http/server.py
+++ b/src/savorytally/http/server.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from .. import defaults
+from .. import logs
 from .. import outcomes
 from .. import results
 from ..parts import context
@@ -43,7 +44,11 @@
             name = type(exc).__name__
             failure = outcomes.Failure(results.MALFORMED_REQUEST, name)
         else:
-            logging.error("code=3001 handler failed", exc_info=exc)
+            logging.error(
+                "handler failed",
+                exc_info=exc,
+                extra=logs.fields(code=results.OUTCOME_UNKNOWN.number),
+            )
             failure = outcomes.Failure(results.OUTCOME_UNKNOWN, "internal")
         response = respond(failure)
         response.force_close()
--- a/src/savorytally/http/upstream.py
+++ b/src/savorytally/http/upstream.py
@@ -10,6 +10,7 @@
 import yarl
 
 from .. import defaults
+from .. import logs
 from .. import outcomes
 from .. import ports
 from .. import results
@@ -156,5 +157,9 @@
         return outcomes.Failure(results.NOT_DISPATCHED, text)
     if progress.answered:
         return outcomes.Failure(results.ANSWER_TRUNCATED, text)
-    logging.info("code=3002 upstream broke an exchange: %s", text)
+    logging.info(
+        "upstream broke an exchange: %s",
+        text,
+        extra=logs.fields(code=results.UPSTREAM_BROKEN.number),
+    )
     return outcomes.Failure(results.UPSTREAM_BROKEN, text)
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -5,7 +5,10 @@
 import hashlib
 import urllib.parse
 
+from absl import logging
+
 from .. import defaults
+from .. import logs
 from .. import metrics
 from .. import outcomes
 from .. import ports
@@ -80,7 +83,10 @@
         over = await self._take(job.context)
         if over is not None:
             return over
-        return await self._dispatcher.run(job)
+        outcome = await self._dispatcher.run(job)
+        if isinstance(outcome, outcomes.Failure):
+            _log(outcome, job.context.root_id)
+        return outcome
 
     async def _take(self, called: context.Context) -> outcomes.Failure | None:
         """Take from the rate; wait a moment for a token that may arrive."""
@@ -241,3 +247,10 @@
         return None
     asked_ms = min(int(text), defaults.CALL_TIMEOUT_MAX_MS)
     return min(asked_ms, found.timeout_ms) / 1000
+
+
+def _log(failure: outcomes.Failure, root_id: str) -> None:
+    # Refusals are many under overload, and counted by the metrics.
+    level = logging.DEBUG if failure.code.not_run else logging.INFO
+    fields = logs.fields(root_id, failure.code.number)
+    logging.log(level, "no answer: %s", failure.detail, extra=fields)
--- a/src/savorytally/parts/publications.py
+++ b/src/savorytally/parts/publications.py
@@ -5,6 +5,8 @@
 from absl import logging
 
 from .. import fields
+from .. import logs
+from .. import results
 from .. import view
 from ..decisions import dissemination
 from ..world import configuration
@@ -78,9 +80,12 @@
 ) -> None:
     for fault in faults:
         logging.error(
-            "code=9002 value=%s version=%d %s %s",
-            offered.name,
-            offered.version,
-            fault.place,
+            "%s",
             fault.text,
+            extra=logs.fields(
+                code=results.CONFIGURATION_FAULT.number,
+                value=offered.name,
+                version=offered.version,
+                place=fault.place,
+            ),
         )
--- a/src/savorytally/parts/watch.py
+++ b/src/savorytally/parts/watch.py
@@ -8,7 +8,9 @@
 from absl import logging
 
 from .. import defaults
+from .. import logs
 from .. import ports
+from .. import results
 from ..decisions import dissemination
 from ..decisions import participant
 from ..world import parts
@@ -61,7 +63,7 @@
                 after = await self._turn(name, after)
                 failures = 0
             except OSError as error:
-                logging.warning("code=9006 value=%s %s", name, error)
+                logging.warning("%s", error, extra=_unreadable(name))
                 self._news.platform_failed()
                 await asyncio.sleep(self._backoff_s(name, failures))
                 failures += 1
@@ -110,7 +112,7 @@
         try:
             document = json.loads(value.body)
         except (ValueError, RecursionError) as error:
-            logging.error("code=9002 value=%s not JSON: %s", value.name, error)
+            logging.error("not JSON: %s", error, extra=_faulty(value.name))
             return
         if value.name == dissemination.HOSTS:
             document = {publications.HOSTS_FIELD: document}
@@ -120,7 +122,7 @@
         if document is None:
             return
         if version <= 0:
-            logging.error("code=9002 value=%s /version missing", value.name)
+            logging.error("is missing", extra=_faulty(value.name, "/version"))
             return
         bodies = parts.divide(document)
         now = self._clock.now()
@@ -139,7 +141,9 @@
                 raise OSError("sections differ from the head")
             head = whole
         for fault in head.faults:
-            logging.error("code=9002 %s %s", fault.place, fault.text)
+            logging.error(
+                "%s", fault.text, extra=_faulty(sections.HEAD, fault.place)
+            )
         return None
 
     async def _read_sections(self, head: sections.Head) -> None:
@@ -159,3 +163,12 @@
 def _version(document: t.Any) -> int:
     version = document.get("version") if isinstance(document, dict) else 0
     return version if type(version) is int else 0
+
+
+def _unreadable(name: str) -> dict[str, t.Any]:
+    return logs.fields(code=results.PLATFORM_FAULT.number, value=name)
+
+
+def _faulty(name: str, place: str = "") -> dict[str, t.Any]:
+    code = results.CONFIGURATION_FAULT.number
+    return logs.fields(code=code, value=name, place=place)
--- a/src/savorytally/peer/stream.py
+++ b/src/savorytally/peer/stream.py
@@ -7,6 +7,8 @@
 from absl import logging
 
 from .. import defaults
+from .. import logs
+from .. import results
 from . import codec
 from . import messages
 
@@ -84,7 +86,13 @@
             for frame in self._splitter.feed(data):
                 self._take(frame)
         except codec.FrameError as error:
-            logging.warning("code=9005 peer=%s %s", self.host_id, error)
+            logging.warning(
+                "%s",
+                error,
+                extra=logs.fields(
+                    code=results.FRAME_FAULT.number, peer=self.host_id
+                ),
+            )
             self.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,11 +3,17 @@
 import json
 import logging as standard
 
+from fakes import documents
+from fakes import nodes
 import hypothesis
 from hypothesis import strategies as st
 import pytest
 
 from savorytally import logs
+from savorytally import outcomes
+from savorytally import results
+from savorytally.parts import context
+from savorytally.world import hosts
 
 KEY = "key-org1-0123456789abcdef"
 
@@ -75,3 +81,26 @@
         line = logs.JsonFormatter("h1").format(record)
         assert "ValueError" in line
         assert KEY not in line
+
+
+class TestRequests:
+    def test_a_lost_answer_is_logged_with_request_and_code(
+        self, run, himali, caplog
+    ):
+        async def break_off(request, timeout_s):
+            return outcomes.Failure(results.UPSTREAM_BROKEN, "reset")
+
+        listed = {"sightings-0": documents.host("sightings", 0, 1)}
+        fleet = nodes.Fleet(himali, hosts.read(1, listed))
+        made = fleet.add("sightings-0", break_off)
+        key = documents.key_of("org1")
+        pairs = (("Authorization", f"Bearer {key}"), ("Idempotency-Key", "a"))
+        request = context.Request("POST", "/sightings/report", "", pairs, b"")
+        with caplog.at_level(standard.DEBUG, "absl"):
+            outcome = run(made.entry.handle(request))
+        formatter = logs.JsonFormatter("h1")
+        lines = [formatter.format(record) for record in caplog.records]
+        values = [json.loads(line) for line in lines]
+        coded = [item for item in values if "request_id" in item]
+        assert [item["code"] for item in coded] == [outcome.code.number]
+        assert all(key not in line for line in lines)
