Stop a node without cutting off a request

Cause: a stop closed the ports at once: calls that ran were lost, calls that waited and callers' requests were cut. Change: a stopping node refuses new requests with 1016, tells its peers, refuses what waits at its gate, and closes its ports when nothing is in progress any more. Peers answer the goodbye behind their last call, so that no call can be on the way when a stream closes. Streams close after their last answers, the upstream's connections last. The daemon has a module of its own. Measured: tests/test_stop.py: 250 requests/s at a host with a queue; stopping the host or the entry cut none, ran none twice, and every refusal was "not run" (1016) and had not run. Conclusion: a request that arrives on a kept HTTP connection at the very end of a stop finds it closed; answering for another second with "Connection: close" makes that rare.

--- a/src/savorytally/commands/node.py
+++ b/src/savorytally/commands/node.py
@@ -42,6 +42,7 @@
 
     import uvloop
 
+    from .. import daemon
     from .. import logs
     from .. import node
 
@@ -51,7 +52,7 @@
     logs.start(options.host_id, options.log_level)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(node.Daemon(options).run())
+            runner.run(daemon.Daemon(options).run())
     except OSError as error:
         print(f"savorytally: can't serve: {error}", file=sys.stderr)
         return base.EXIT_PORT
--- /dev/null
+++ b/src/savorytally/daemon.py
@@ -0,0 +1,219 @@
+"""A node on its ports: start, service and graceful stop."""
+
+import asyncio
+import random
+import secrets
+import signal
+import typing as t
+
+from absl import logging
+
+from . import clock
+from . import defaults
+from . import node
+from . import ports
+from . import settings
+from . import tls
+from . import tracing
+from . import view
+from .http import admin
+from .http import metrics_endpoint
+from .http import platform
+from .http import server
+from .http import upstream
+from .peer import identity
+from .peer import links
+from .peer import messages
+from .peer import server as peer_server
+
+_POLL_S = 0.02
+
+
+class Daemon:
+    """A node on its ports.
+
+    :param options: the node's settings.
+    """
+
+    def __init__(self, options: settings.Settings) -> None:
+        now = clock.SystemClock()
+        current = view.View()
+        source = random.Random(secrets.randbits(64))
+        own = identity.Identity(options.host_id, int(now.wall() * 1000))
+        self._settings = options
+        self._links = links.Links(
+            links.Shared(
+                own,
+                lambda: current.version,
+                self,
+                source,
+                tls.peer_client(options.peer_tls),
+            )
+        )
+        self._upstream = upstream.HttpUpstream(options.upstream_url)
+        self._platform = platform.HttpPlatform(options.platform_url)
+        spans = tracing.make(options, source)
+        outside = ports.Outside(
+            clock=now,
+            random=source,
+            peers=spans.peers(self._links) if spans else self._links,
+            upstream=(
+                spans.upstream(self._upstream) if spans else self._upstream
+            ),
+            platform=self._platform,
+        )
+        self.node = node.Node(options, outside, current, own.incarnation)
+        run = self.node.gate.run
+        handle, handle_child = self.node.entry.handle, self.node.egress.handle
+        if spans is not None:
+            run = spans.gate(run)
+            handle = spans.entry(handle)
+            handle_child = spans.egress(handle_child, self.node.tokens)
+        self._peer_server = peer_server.PeerServer(
+            own,
+            peer_server.Handlers(
+                run=run,
+                level=self.node.gate.level,
+                version=lambda: current.version,
+                inbox=self,
+                now=now.now,
+            ),
+        )
+        self._entry_server = server.RequestServer(handle)
+        self._egress_server = server.RequestServer(handle_child)
+        self.admin = admin.AdminServer(
+            options,
+            admin.Subject(
+                outside=outside,
+                current=current,
+                limits=self.node.quota,
+                admitted=self.node.gate.policy,
+                drain=self,
+            ),
+        )
+        self.admin.mount(
+            "/metrics", metrics_endpoint.handler(self.node.metrics)
+        )
+        self._add_gauges()
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def draining(self) -> bool:
+        """Whether the node takes no new work."""
+        return self._stopping.is_set()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is in progress in any part."""
+        return not (
+            self._entry_server.active
+            or self._egress_server.active
+            or self._peer_server.outstanding
+            or self._links.outstanding
+        )
+
+    def drain(self) -> None:
+        """Begin a graceful stop and return at once."""
+        self._stopping.set()
+
+    def deliver(self, sender: str, message: messages.Message) -> None:
+        """Hand a peer's control message to the participants."""
+        self.node.control.deliver(sender, message)
+
+    def behind(self, sender: str, version: int) -> None:
+        """Note that a peer has a newer configuration than this node."""
+        self.node.control.behind(sender, version)
+
+    async def start(self) -> None:
+        """Open the ports and start the background work.
+
+        :raises OSError: if a port is taken or a certificate is unreadable.
+        """
+        options = self._settings
+        address = options.address
+        opened = options.ports
+        await self._peer_server.listen(
+            address, opened.peer, tls.peer_server(options.peer_tls)
+        )
+        await self._egress_server.start("127.0.0.1", opened.egress)
+        await self._entry_server.start(
+            address, opened.entry, tls.entry(options.entry_tls)
+        )
+        await self.admin.start()
+        self._tasks = [
+            asyncio.ensure_future(self.node.watch.run()),
+            asyncio.ensure_future(self.node.control.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Refuse new work, finish what is in progress, close the ports.
+
+        Calls that wait at the gate are refused, so that their callers take
+        them to other hosts. The upstream's connections are closed last.
+        """
+        self.drain()
+        self.node.control.leave()
+        self.node.gate.leave()
+        self._entry_server.leave()
+        self._peer_server.leave()
+        if not await self._until(self._finished, defaults.STOP_TIMEOUT_S):
+            logging.warning("stopped with requests in progress")
+        await self._entry_server.stop()
+        await self._egress_server.stop()
+        await self._peer_server.stop()
+        for task in self._tasks:
+            task.cancel()
+        self._links.close()
+        await self._platform.close()
+        await self.admin.stop()
+        await self._upstream.close()
+
+    async def run(self) -> None:
+        """Serve until the process is told to stop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, self.drain)
+        await self.start()
+        await self._stopping.wait()
+        await self.stop()
+
+    def _finished(self) -> bool:
+        return (
+            self.idle
+            and self._entry_server.dismissed
+            and self._peer_server.dismissed
+        )
+
+    async def _until(self, met: t.Callable[[], bool], seconds: float) -> bool:
+        """Return whether a condition was met in time."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while not met():
+            if loop.time() > end:
+                return False
+            await asyncio.sleep(_POLL_S)
+        return True
+
+    def _add_gauges(self) -> None:
+        add = self.node.metrics.add_gauge
+        add(
+            "peers",
+            "Peers that this node sends to.",
+            lambda: len(self._links),
+        )
+        add(
+            "peer_streams",
+            "Streams that peers have opened to this node.",
+            lambda: self._peer_server.streams,
+        )
+        add(
+            "calls_outstanding",
+            "Calls to peers whose results have not arrived.",
+            lambda: self._links.outstanding,
+        )
+        add(
+            "calls_served",
+            "Calls of peers that wait or run here.",
+            lambda: self._peer_server.outstanding,
+        )
--- a/src/savorytally/http/server.py
+++ b/src/savorytally/http/server.py
@@ -66,7 +66,29 @@
 
     def __init__(self, handle: Handle) -> None:
         self._handle = handle
+        self._server: _Server | None = None
         self._runner: web.ServerRunner | None = None
+        self._active = 0
+        self._notice_ends_at: float | None = None
+
+    @property
+    def active(self) -> int:
+        """Requests in progress."""
+        return self._active
+
+    @property
+    def dismissed(self) -> bool:
+        """Whether callers have had time to learn that the host leaves."""
+        if self._server is None or not self._server.connections:
+            return True
+        now = asyncio.get_running_loop().time()
+        ends_at = self._notice_ends_at
+        return ends_at is not None and now >= ends_at
+
+    def leave(self) -> None:
+        """Refuse all later requests."""
+        now = asyncio.get_running_loop().time()
+        self._notice_ends_at = now + defaults.LEAVE_NOTICE_S
 
     async def start(
         self, address: str, port: int, tls: ssl.SSLContext | None = None
@@ -75,8 +97,8 @@
 
         :raises OSError: if the port is taken.
         """
-        server = _Server(self._serve, handler_cancellation=True)
-        self._runner = web.ServerRunner(server)
+        self._server = _Server(self._serve, handler_cancellation=True)
+        self._runner = web.ServerRunner(self._server)
         await self._runner.setup()
         site = web.TCPSite(
             self._runner, address, port, ssl_context=tls, backlog=1024
@@ -89,6 +111,15 @@
             await self._runner.cleanup()
 
     async def _serve(self, incoming: web.BaseRequest) -> web.Response:
+        if self._notice_ends_at is not None:
+            return _close(outcomes.Failure(results.HOST_LEAVING))
+        self._active += 1
+        try:
+            return await self._respond(incoming)
+        finally:
+            self._active -= 1
+
+    async def _respond(self, incoming: web.BaseRequest) -> web.Response:
         path = incoming.rel_url.raw_path
         if not is_plain_path(path):
             return _close(outcomes.Failure(results.MALFORMED_REQUEST, "path"))
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -1,19 +1,11 @@
-"""A node: the composition of its parts, with and without ports."""
-
-import asyncio
-import random
-import secrets
-import signal
+"""A node: the composition of its parts behind the seam to the outside."""
 
 import aioprometheus
 
-from . import clock
 from . import fields
 from . import metrics
 from . import ports
 from . import settings
-from . import tls
-from . import tracing
 from . import view
 from .decisions import adaptive  # noqa: F401, registers a policy
 from .decisions import admission
@@ -27,11 +19,6 @@
 from .decisions import quota
 from .decisions import relay
 from .decisions import routing
-from .http import admin
-from .http import metrics_endpoint
-from .http import platform
-from .http import server
-from .http import upstream
 from .parts import control
 from .parts import dispatch
 from .parts import egress
@@ -40,10 +27,6 @@
 from .parts import publications
 from .parts import running
 from .parts import watch
-from .peer import identity
-from .peer import links
-from .peer import messages
-from .peer import server as peer_server
 
 
 def check_policies(chosen: settings.Policies) -> list[fields.Fault]:
@@ -194,154 +177,3 @@
 
     def _working_hosts_changed(self, now: float) -> None:
         self.routing.learn_hosts(self.membership.working(), now)
-
-
-class Daemon:
-    """A node on its ports.
-
-    :param options: the node's settings.
-    """
-
-    def __init__(self, options: settings.Settings) -> None:
-        now = clock.SystemClock()
-        current = view.View()
-        source = random.Random(secrets.randbits(64))
-        own = identity.Identity(options.host_id, int(now.wall() * 1000))
-        self._settings = options
-        self._links = links.Links(
-            links.Shared(
-                own,
-                lambda: current.version,
-                self,
-                source,
-                tls.peer_client(options.peer_tls),
-            )
-        )
-        self._upstream = upstream.HttpUpstream(options.upstream_url)
-        self._platform = platform.HttpPlatform(options.platform_url)
-        spans = tracing.make(options, source)
-        outside = ports.Outside(
-            clock=now,
-            random=source,
-            peers=spans.peers(self._links) if spans else self._links,
-            upstream=spans.upstream(self._upstream)
-            if spans
-            else self._upstream,
-            platform=self._platform,
-        )
-        self.node = Node(options, outside, current, own.incarnation)
-        run = self.node.gate.run
-        handle, handle_child = self.node.entry.handle, self.node.egress.handle
-        if spans is not None:
-            handle = spans.entry(handle)
-            handle_child = spans.egress(handle_child, self.node.tokens)
-        self._peer_server = peer_server.PeerServer(
-            own,
-            peer_server.Handlers(
-                run=spans.gate(run) if spans else run,
-                level=self.node.gate.level,
-                version=lambda: current.version,
-                inbox=self,
-                now=now.now,
-            ),
-        )
-        self._entry_server = server.RequestServer(handle)
-        self._egress_server = server.RequestServer(handle_child)
-        self.admin = admin.AdminServer(
-            options,
-            admin.Subject(
-                outside=outside,
-                current=current,
-                limits=self.node.quota,
-                admitted=self.node.gate.policy,
-                drain=self,
-            ),
-        )
-        self.admin.mount(
-            "/metrics", metrics_endpoint.handler(self.node.metrics)
-        )
-        self._add_gauges()
-        self._stopping = asyncio.Event()
-        self._tasks: list[asyncio.Task[None]] = []
-
-    @property
-    def draining(self) -> bool:
-        """Whether the node takes no new work."""
-        return self._stopping.is_set()
-
-    def drain(self) -> None:
-        """Begin a graceful stop and return at once."""
-        self._stopping.set()
-
-    def _add_gauges(self) -> None:
-        add = self.node.metrics.add_gauge
-        add(
-            "peers",
-            "Peers that this node sends to.",
-            lambda: len(self._links),
-        )
-        add(
-            "peer_streams",
-            "Streams that peers have opened to this node.",
-            lambda: self._peer_server.streams,
-        )
-        add(
-            "calls_outstanding",
-            "Calls to peers whose results have not arrived.",
-            lambda: self._links.outstanding,
-        )
-        add(
-            "calls_served",
-            "Calls of peers that wait or run here.",
-            lambda: self._peer_server.outstanding,
-        )
-
-    def deliver(self, sender: str, message: messages.Message) -> None:
-        """Hand a peer's control message to the participants."""
-        self.node.control.deliver(sender, message)
-
-    def behind(self, sender: str, version: int) -> None:
-        """Note that a peer has a newer configuration than this node."""
-        self.node.control.behind(sender, version)
-
-    async def start(self) -> None:
-        """Open the ports and start the background work.
-
-        :raises OSError: if a port is taken or a certificate is unreadable.
-        """
-        options = self._settings
-        address = options.address
-        opened = options.ports
-        await self._peer_server.listen(
-            address, opened.peer, tls.peer_server(options.peer_tls)
-        )
-        await self._egress_server.start("127.0.0.1", opened.egress)
-        await self._entry_server.start(
-            address, opened.entry, tls.entry(options.entry_tls)
-        )
-        await self.admin.start()
-        self._tasks = [
-            asyncio.ensure_future(self.node.watch.run()),
-            asyncio.ensure_future(self.node.control.run()),
-        ]
-
-    async def stop(self) -> None:
-        """Finish the requests in progress and close the ports."""
-        await self._entry_server.stop()
-        await self._egress_server.stop()
-        await self._peer_server.stop()
-        for task in self._tasks:
-            task.cancel()
-        self._links.close()
-        await self._upstream.close()
-        await self._platform.close()
-        await self.admin.stop()
-
-    async def run(self) -> None:
-        """Serve until the process is told to stop."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(number, self.drain)
-        await self.start()
-        await self._stopping.wait()
-        await self.stop()
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -49,6 +49,7 @@
         self._tokens = tokens
         self._downstream = below
         self._tickets = itertools.count(1)
+        self._leaving = False
         self._waiting: dict[int, asyncio.Future[admission.Decision]] = {}
 
     @property
@@ -69,6 +70,14 @@
         """Let admission remove calls that can't be answered in time."""
         self._apply(self._admission.tick(self._clock.now()))
 
+    def leave(self) -> None:
+        """Refuse the calls that wait and all later ones."""
+        self._leaving = True
+        now = self._clock.now()
+        for ticket in list(self._waiting):
+            refused = admission.Refuse(ticket, results.HOST_LEAVING, 0)
+            self._apply([refused, *self._admission.cancel(ticket, now)])
+
     async def run(self, call: messages.Call) -> outcomes.Outcome:
         """Run a call when admission starts it and return its outcome."""
         found = self._check(call)
@@ -93,6 +102,10 @@
             self._apply(self._admission.finish(ticket, end, now))
 
     def _check(self, call: messages.Call) -> route.Route | outcomes.Failure:
+        if self._leaving:
+            return outcomes.Failure(
+                results.HOST_LEAVING, retries_unused=call.retries
+            )
         version = self._view.configuration
         if version is None:
             return outcomes.Failure(results.NOT_CONFIGURED)
--- a/src/savorytally/peer/link.py
+++ b/src/savorytally/peer/link.py
@@ -165,7 +165,7 @@
         elif isinstance(message, messages.Hello):
             self._greeted(source, message)
         elif isinstance(message, messages.Goodbye):
-            self._leaving = message.leaving
+            self._dismissed(source, message)
             self._shared.inbox.deliver(self.target.host_id, message)
         elif not isinstance(
             message, (messages.StillRunning, messages.Heartbeat)
@@ -192,6 +192,14 @@
             self._lost_at = self._loop.time()
             self._connect()
 
+    def _dismissed(
+        self, source: stream.Stream, goodbye: messages.Goodbye
+    ) -> None:
+        """Send no more calls, and say so behind the last one."""
+        if goodbye.leaving and not self._leaving:
+            self._leaving = True
+            source.send(messages.Goodbye(leaving=False))
+
     def _refusal(self) -> outcomes.Failure | None:
         if self._leaving:
             return outcomes.Failure(results.HOST_LEAVING)
--- a/src/savorytally/peer/messages.py
+++ b/src/savorytally/peer/messages.py
@@ -81,7 +81,10 @@
 @message(3)
 @dataclasses.dataclass(frozen=True, slots=True)
 class Goodbye(Message):
-    """Last message on a stream that is closed in good order.
+    """Ends the calls on a stream in good order.
+
+    A caller sends no call after it. A serving node that is leaving sends it
+    first, is answered with one and goes on to answer the calls before that.
 
     :param leaving: whether the sender's host takes no new work.
     """
--- a/src/savorytally/peer/server.py
+++ b/src/savorytally/peer/server.py
@@ -20,6 +20,8 @@
 
 EXPIRY_PERIOD_S = 1.0
 
+_POLL_S = 0.01
+
 _UNKNOWN = {
     resolution.State.OUTCOME_DROPPED: results.ANSWER_LOST,
     resolution.State.NEVER_RUN: results.RESOLVED_NOT_RUN,
@@ -67,6 +69,8 @@
         self._tasks: dict[
             resolution.Sender, dict[int, asyncio.Task[outcomes.Outcome]]
         ] = {}
+        self._leaving = False
+        self._notice_ends_at = float("inf")
         self._listener: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -103,19 +107,40 @@
         )
         self._expire()
 
-    def announce(self, message: messages.Message) -> None:
-        """Send a message on every incoming stream."""
+    @property
+    def dismissed(self) -> bool:
+        """Whether no peer will send another call."""
+        loop = asyncio.get_running_loop()
+        if loop.time() >= self._notice_ends_at:
+            return True
+        return all(item.dismissed for item in self._sessions)
+
+    def leave(self) -> None:
+        """Ask all peers to send no more calls.
+
+        Each answers with its own goodbye, after which no call of it can be
+        on the way any more.
+        """
+        loop = asyncio.get_running_loop()
+        self._leaving = True
+        self._notice_ends_at = loop.time() + defaults.LEAVE_NOTICE_S
         for item in self._newest.values():
-            item.send(message)
+            item.send(messages.Goodbye(leaving=True))
 
     async def stop(self) -> None:
-        """Stop listening and close all streams."""
+        """Stop listening and close all streams after their last answers."""
         if self._timer is not None:
             self._timer.cancel()
         if self._listener is not None:
             self._listener.close()
         for item in list(self._sessions):
             item.close()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + defaults.LEAVE_NOTICE_S
+        while self._sessions and loop.time() < end:
+            await asyncio.sleep(_POLL_S)
+        for item in list(self._sessions):
+            item.abort()
 
     def opened(self, opened: session.Session) -> None:
         """Note a stream; it is closed if no introduction follows."""
@@ -130,6 +155,11 @@
         if former is not None:
             former.abort()
 
+    def introduced(self, greeted: session.Session) -> None:
+        """Dismiss a peer that comes while the host is leaving."""
+        if self._leaving:
+            greeted.send(messages.Goodbye(leaving=True))
+
     def closed(self, closed: session.Session) -> None:
         """Forget a stream; its sender may come back on another one."""
         self._sessions.discard(closed)
@@ -137,7 +167,7 @@
         if sender is None or self._newest.get(sender) is not closed:
             return
         del self._newest[sender]
-        if closed.dismissed:
+        if closed.dismissed and not self._leaving:
             self._cancel_orphans(sender)
             return
         asyncio.get_running_loop().call_later(
--- a/src/savorytally/peer/session.py
+++ b/src/savorytally/peer/session.py
@@ -100,4 +100,5 @@
         self.sender = resolution.Sender(hello.host_id, hello.incarnation)
         self._server.greeted(self)
         source.send(self._server.identity.hello())
+        self._server.introduced(self)
         self._server.inbox.deliver(hello.host_id, hello)
--- a/tests/fakes/chain.py
+++ b/tests/fakes/chain.py
@@ -107,9 +107,7 @@
 
             return outcomes.Failure(results.DEADLINE_PASSED)
 
-    async def _serve(
-        self, request: ports.UpstreamRequest
-    ) -> outcomes.Outcome:
+    async def _serve(self, request: ports.UpstreamRequest) -> outcomes.Outcome:
         async with self._slots:
             spread = self._random.uniform(0.5, 1.5)
             await asyncio.sleep(self._service_s * spread * self.factor)
--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -5,7 +5,7 @@
 import json
 import typing as t
 
-from savorytally import node
+from savorytally import daemon
 from savorytally import settings
 from savorytally.world import region
 
@@ -20,7 +20,7 @@
 
     platform: platform.Platform
     upstreams: dict[str, upstream.Upstream]
-    nodes: dict[str, node.Daemon]
+    nodes: dict[str, daemon.Daemon]
     entry_urls: dict[str, str]
 
     async def stop(self) -> None:
@@ -36,11 +36,13 @@
     free_port: t.Callable[[], int],
     services: list[str],
     children: dict[str, str] | None = None,
+    upstream_slots: int = 8,
     **fields: t.Any,
 ) -> Mesh:
     """Start a node and an upstream for each of the services.
 
     :param children: paths that the upstreams of services call first.
+    :param upstream_slots: requests that each upstream works on at once.
     :param fields: further settings of all nodes.
     """
     below = children or {}
@@ -55,10 +57,12 @@
         child = below.get(service, "")
         if child:
             child = f"http://127.0.0.1:{opened.egress}{child}"
-        mesh.upstreams[host_id] = upstream.Upstream(child=child)
+        mesh.upstreams[host_id] = upstream.Upstream(
+            slots=upstream_slots, child=child
+        )
         await mesh.upstreams[host_id].start("127.0.0.1", upstream_port)
         place = documents.PLACES[number % len(documents.PLACES)]
-        mesh.nodes[host_id] = node.Daemon(
+        mesh.nodes[host_id] = daemon.Daemon(
             settings.Settings(
                 host_id=host_id,
                 service_id=service,
@@ -82,8 +86,8 @@
     return mesh
 
 
-async def wait_until_configured(daemon: node.Daemon) -> None:
+async def wait_until_configured(started: daemon.Daemon) -> None:
     """Wait until a node has a configuration and a host list."""
-    view = daemon.node.view
+    view = started.node.view
     while view.configuration is None or not view.hosts.hosts:
         await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,122 @@
+"""A planned stop under load cuts off no request."""
+
+import asyncio
+import collections
+
+import aiohttp
+from fakes import documents
+from fakes import meshes
+from fakes import peers
+
+from savorytally import results
+
+ANSWERED = results.ANSWERED.number
+LEAVING = results.HOST_LEAVING.number
+RATE_S = 0.004
+
+
+class Load:
+    """Sends reports one after the other and keeps what came of each.
+
+    :param url: an entry.
+    """
+
+    def __init__(self, url):
+        self.codes = collections.Counter()
+        self.answered = []
+        self.refused = []
+        self.cut = []
+        self._url = url
+        self._tasks = set()
+        self._stopped = False
+
+    async def run(self):
+        """Send until stopped, then wait for the last results."""
+        number = 0
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session:
+            while not self._stopped:
+                number += 1
+                task = asyncio.ensure_future(self._send(session, number))
+                self._tasks.add(task)
+                await asyncio.sleep(RATE_S)
+            await asyncio.gather(*self._tasks)
+
+    def stop(self):
+        """Send no more."""
+        self._stopped = True
+
+    async def _send(self, session, number):
+        organisation = f"org{number % 8}"
+        sent = {
+            "Authorization": f"Bearer {documents.key_of(organisation)}",
+            "Idempotency-Key": f"k{number}",
+        }
+        url = f"{self._url}/sightings/report/{number}"
+        try:
+            async with session.post(url, headers=sent) as response:
+                code = int(response.headers["Savorytally-Result-Code"])
+                whole = await response.text()
+        except aiohttp.ClientConnectorError:
+            return
+        except aiohttp.ClientError:
+            self.cut.append(number)
+            return
+        self.codes[code] += 1
+        if code == ANSWERED:
+            assert whole.startswith(f"POST /report/{number} ")
+            self.answered.append(number)
+        elif code // 1000 == 1:
+            self.refused.append(number)
+        else:
+            self.cut.append(number)
+
+
+def executions(mesh):
+    """Return how often each report reached an upstream."""
+    return collections.Counter(
+        int(request.path.rsplit("/", 1)[1])
+        for item in mesh.upstreams.values()
+        for request in item.seen
+    )
+
+
+async def stop_under_load(free_port, stopped, entry):
+    """Stop a host in the midst of a load and return what came of it."""
+    mesh = await meshes.start(
+        free_port, ["browse", "sightings", "sightings"], upstream_slots=100
+    )
+    for item in mesh.upstreams.values():
+        item.service_s = 0.4
+    load = Load(mesh.entry_urls[entry])
+    running = asyncio.ensure_future(load.run())
+    near = mesh.nodes["sightings-2"].node.gate.policy
+    async with asyncio.timeout(20):
+        await peers.until(lambda: load.answered and near.waiting > 5)
+    await mesh.nodes.pop(stopped).stop()
+    load.stop()
+    await running
+    ran = executions(mesh)
+    await mesh.stop()
+    return load, ran
+
+
+class TestStop:
+    def test_gate_finishes_what_runs_and_refuses_what_waits(
+        self, run, free_port
+    ):
+        load, ran = run(stop_under_load(free_port, "sightings-2", "browse-0"))
+        assert load.cut == []
+        assert set(load.answered) == set(ran)
+        assert max(ran.values()) == 1
+        assert not set(load.refused) & set(ran)
+        assert set(load.codes) <= {ANSWERED, LEAVING}
+
+    def test_entry_answers_what_it_took_in(self, run, free_port):
+        load, ran = run(stop_under_load(free_port, "browse-0", "browse-0"))
+        assert load.cut == []
+        assert set(load.answered) == set(ran)
+        assert max(ran.values()) == 1
+        assert load.codes[LEAVING] > 0
+        assert set(load.codes) <= {ANSWERED, LEAVING}
