Serve short queues in order and let organisations catch up

Cause: newest first starved the oldest calls of a queue that the level kept short; they held slots above until their deadline. The thrown-away figure left out roots that ran into their deadline. A failing host's low level hid its neighbour's overload from the levels from below.

Change: newest first only where the queue is longer than the level keeps it; refuse a waiting call once its service time no longer fits; shares let an organisation make up for what it did not send; service_level counts hosts that may be called; the figure counts such roots.

--- a/src/savorytally/decisions/adaptive.py
+++ b/src/savorytally/decisions/adaptive.py
@@ -20,6 +20,7 @@
 
 BURST_WAIT_S = 0.5
 OVERLOAD_WAIT_TARGETS = 2.5
+NEWEST_FIRST_TARGETS = 1.5
 OVERLOAD_AFTER_S = 0.1
 SERVICE_UNKNOWN_S = 0.01
 RETRY_AFTER_MIN_MS = 50
@@ -112,7 +113,7 @@
         self._levels.offered(arrival.priority, cost_s)
         if self._hopeless(arrival, now, cost_s):
             return [self._refuse(arrival, results.DEADLINE_TOO_SHORT)]
-        heapq.heappush(self._deadlines, (arrival.deadline, arrival.ticket))
+        self._watch_deadline(arrival, cost_s, now)
         if arrival.alone:
             self._alone[arrival.ticket] = arrival
         else:
@@ -206,14 +207,26 @@
                 break
             if self._isolated() or len(self._running) >= self.limit:
                 break
-            newest = self._options.newest_first and self._overloaded(now)
-            waiting = self._queue.pop(newest)
+            waiting = self._queue.pop(self._newest_first(now))
             if waiting is None:
                 break
             decisions.append(self._run_or_refuse(waiting, now))
         self._note_waiting(now)
         return decisions
 
+    def _newest_first(self, now: float) -> bool:
+        """Return whether the queue is longer than the level keeps it.
+
+        A short queue is served in order, so that no call waits in vain.
+        """
+        if not self._options.newest_first or not self._overloaded(now):
+            return False
+        bound_s = NEWEST_FIRST_TARGETS * self._target_s()
+        return self._queue.work_s > self.limit * bound_s
+
+    def _target_s(self) -> float:
+        return level.wait_target_s(self.limit, self._times.overall_s)
+
     def _run_or_refuse(
         self, waiting: fairness.Waiting, now: float
     ) -> admission.Decision:
@@ -261,6 +274,15 @@
         self._running[arrival.ticket] = _Running(arrival, now)
         return admission.Start(arrival.ticket)
 
+    def _watch_deadline(
+        self, arrival: admission.Arrival, cost_s: float, now: float
+    ) -> None:
+        """Have a call refused when it can't be answered any more."""
+        last_start = arrival.deadline
+        if self._options.deadlines and last_start - cost_s > now:
+            last_start -= cost_s
+        heapq.heappush(self._deadlines, (last_start, arrival.ticket))
+
     def _expire(self, now: float) -> list[admission.Decision]:
         refused: list[admission.Decision] = []
         while self._deadlines and self._deadlines[0][0] <= now:
@@ -307,8 +329,7 @@
         wait_s = BURST_WAIT_S
         lowest = self._queue.lowest()
         if self._overloaded(now) and lowest is not route.Priority.CRITICAL:
-            target_s = level.wait_target_s(self.limit, service_s)
-            wait_s = OVERLOAD_WAIT_TARGETS * target_s
+            wait_s = OVERLOAD_WAIT_TARGETS * self._target_s()
         return self.limit * max(wait_s, service_s)
 
     def _overloaded(self, now: float) -> bool:
--- a/src/savorytally/decisions/balanced.py
+++ b/src/savorytally/decisions/balanced.py
@@ -119,10 +119,14 @@
             self._links.charge(where, result.size_bytes, now)
 
     def service_level(self, service_id: str, now: float) -> int:
-        """Return the lowest shed level among the region's hosts."""
+        """Return the lowest shed level among the region's hosts.
+
+        A host that may not be called takes no work, so it does not count.
+        """
         service = self._services.get(service_id, _NO_HOSTS)
         hosts = service.region or service.far
-        levels = [self._of(item.host_id).level(now) for item in hosts]
+        known = [self._of(item.host_id) for item in hosts]
+        levels = [item.level(now) for item in known if item.available(now)]
         return min(levels, default=0)
 
     def _by_distance(self, live: Hosts) -> _Service:
--- a/src/savorytally/decisions/fairness.py
+++ b/src/savorytally/decisions/fairness.py
@@ -14,7 +14,7 @@
 from . import admission
 
 HEAP_SLACK = 64
-CREDIT_S = 1.0
+CREDIT_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/savorytally/decisions/shares.py
+++ b/src/savorytally/decisions/shares.py
@@ -1,7 +1,8 @@
 """Divides what a shed level admits of a class among organisations.
 
 Measured at the entry: an organisation below its max-min fair share keeps
-all its requests, and one above it is cut down to that share.
+all its requests, and one above it is cut down to that share. What it has
+sent less than its share in the last seconds it may send on top.
 """
 
 import dataclasses
@@ -13,6 +14,8 @@
 INTERVAL_S = 0.2
 GAIN = 0.3
 LEAST = 1e-3
+CREDIT_INTERVALS = 10
+CREDIT_SPENT = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,6 +25,7 @@
     weight: float
     rate: float = 0.0
     count: int = 0
+    credit: float = 0.0
 
 
 def water_fill(
@@ -49,6 +53,7 @@
     def __init__(self) -> None:
         self._demands: dict[tuple[route.Priority, str], _Demand] = {}
         self._allotments: dict[tuple[route.Priority, int], float] = {}
+        self._latest: dict[route.Priority, float] = {}
         self._until = float("-inf")
 
     def note(
@@ -81,7 +86,10 @@
         key = (priority, level)
         if key not in self._allotments:
             self._allotments[key] = self._allot(part, priority)
-        return min(1.0, self._allotments[key] * demand.weight / demand.rate)
+            self._latest[priority] = self._allotments[key]
+        allotted = self._allotments[key] * demand.weight
+        allotted += CREDIT_SPENT * demand.credit
+        return min(1.0, allotted / demand.rate)
 
     def admits(
         self,
@@ -107,8 +115,19 @@
         self._until = now + INTERVAL_S
         self._allotments.clear()
         for key, item in list(self._demands.items()):
+            _save(item, self._latest.get(key[0], 0.0))
             gain = GAIN if item.rate else 1.0
             item.rate += gain * (item.count - item.rate)
             item.count = 0
             if item.rate < LEAST:
                 del self._demands[key]
+        self._latest.clear()
+
+
+def _save(item: _Demand, allotment: float) -> None:
+    """Let an organisation make up for having sent less than its share."""
+    allotted = allotment * item.weight
+    if allotted == float("inf"):
+        return
+    credit = item.credit + allotted - item.count
+    item.credit = min(max(credit, 0.0), CREDIT_INTERVALS * allotted)
--- a/src/savorytally/replay/calls.py
+++ b/src/savorytally/replay/calls.py
@@ -62,7 +62,7 @@
     worked_s: float = 0.0
     ended: bool = False
     ok: bool = False
-    hung_up_at: float = float("inf")
+    hung_up_at: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/savorytally/replay/gate.py
+++ b/src/savorytally/replay/gate.py
@@ -199,7 +199,7 @@
         worked_s = self._upstream.release(execution)
         root = call.root
         excused_s = 0.0
-        if execution.started is not None:
+        if execution.started is not None and root.hung_up_at is not None:
             excused_s = max(0.0, root.hung_up_at - execution.started)
         if root.ended and not root.ok:
             self.thrown_away_s += max(0.0, worked_s - excused_s)
--- a/tools/traces.py
+++ b/tools/traces.py
@@ -92,18 +92,18 @@
 }
 
 
-def himali_gates(checklists: int = 1) -> Json:
-    """Return gates in the shape of the Chara Bird List Mesh."""
-    gates = {
-        f"checklist-{number}": {
-            "service": "checklist",
-            "slots": 10,
-            "connections": 150,
-        }
-        for number in range(checklists)
-    }
+def himali_gates(hosts: int = 1) -> Json:
+    """Return gates in the shape of the Chara Bird List Mesh.
+
+    :param hosts: hosts of each service.
+    """
     browse = {"service": "browse", "slots": 35, "connections": 300}
-    return {"browse-0": browse, **gates}
+    checklist = {"service": "checklist", "slots": 10, "connections": 150}
+    numbers = range(hosts)
+    return {
+        **{f"browse-{number}": browse for number in numbers},
+        **{f"checklist-{number}": checklist for number in numbers},
+    }
 
 
 def himali_routes() -> Json:
@@ -213,7 +213,7 @@
         name="himali-cold-start",
         seed=14,
         bottleneck="checklist",
-        gates=himali_gates(checklists=2),
+        gates=himali_gates(hosts=2),
         routes=himali_routes(),
         flows=(
             Flow("species", (20.0, 40.0), 280.0),
