--- a/src/savorytally/decisions/evidence.py
+++ b/src/savorytally/decisions/evidence.py
@@ -3,7 +3,7 @@
 import math
 
 from . import contact
-from . import ownership
+from . import witness
 
 
 class SpreadEvidence:
@@ -31,13 +31,13 @@
         """Return when the list in force was last confirmed as newest."""
         return self._confirmed_at
 
-    def contact(self, host_id: str) -> ownership.Contact | None:
+    def contact(self, host_id: str) -> witness.Contact | None:
         """Return the last sign of life of a peer."""
         heard_at = self._contacts.heard_at(host_id)
         if heard_at is None or heard_at < self._confirmed_at:
-            return ownership.Contact(self._confirmed_at, self._version)
+            return witness.Contact(self._confirmed_at, self._version)
         version = self._contacts.list_version(host_id)
-        return ownership.Contact(heard_at, version)
+        return witness.Contact(heard_at, version)
 
     def heard(self, host_id: str, list_version: int, now: float) -> None:
         """Note a summary of a peer, with the host list that it holds."""
--- a/src/savorytally/decisions/usage.py
+++ b/src/savorytally/decisions/usage.py
@@ -1,7 +1,6 @@
 """What operators see of the organisations' use of their rates."""
 
 import dataclasses
-import typing as t
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,11 +17,3 @@
     tokens: float
     admitted: int
     refused: int
-
-
-@t.runtime_checkable
-class Reporter(t.Protocol):
-    """A quota policy that can tell the use of rates."""
-
-    def usage(self, now: float) -> list[Usage]:
-        """Return the use of each organisation that sent requests here."""
--- a/src/savorytally/http/admin.py
+++ b/src/savorytally/http/admin.py
@@ -215,11 +215,8 @@
         return web.json_response(shown)
 
     def _usage(self) -> dict[str, usage.Usage]:
-        limits = self._subject.limits
-        if not isinstance(limits, usage.Reporter):
-            return {}
-        now = self._subject.outside.clock.now()
-        return {item.organisation_id: item for item in limits.usage(now)}
+        used = self._subject.limits.usage(self._subject.outside.clock.now())
+        return {item.organisation_id: item for item in used}
 
     async def _dry_run(self, request: web.Request) -> web.Response:
         loaded = files.parse(_as_text(await request.read()))
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -5,11 +5,15 @@
 import secrets
 import signal
 
+import aioprometheus
+
 from . import clock
 from . import fields
+from . import metrics
 from . import ports
 from . import settings
 from . import tls
+from . import tracing
 from . import view
 from .decisions import adaptive  # noqa: F401, registers a policy
 from .decisions import admission
@@ -23,7 +27,9 @@
 from .decisions import quota
 from .decisions import relay
 from .decisions import routing
+from .decisions import witness
 from .http import admin
+from .http import metrics_endpoint
 from .http import platform
 from .http import server
 from .http import upstream
@@ -74,6 +80,7 @@
         self.settings = options
         self.outside = outside
         self.view = current
+        self.metrics = metrics.Metrics(aioprometheus.Registry())
         self.tokens = running.RunningCalls()
         self.relay = relay.Relay(options.host_id, options.place)
         self.membership = membership.Membership(
@@ -92,13 +99,16 @@
             self.membership.reachable,
             self.evidence,
         )
+        self.witnesses = witness.Witnesses(outside.random)
         self.quota = quota.policies.get(policies.quota)(
             quota.Site(
                 host_id=options.host_id,
                 region_id=options.place.region_id,
                 incarnation=incarnation or int(outside.clock.wall() * 1000),
                 evidence=self.evidence,
+                witnesses=self.witnesses,
                 random=outside.random,
+                wake=self._wake_quota,
                 fresh=options.fresh_fleet,
             )
         )
@@ -106,9 +116,9 @@
             options.place, outside.random
         )
         self.dispatcher = dispatch.Dispatcher(outside, self.routing)
-        below = downstream.DownstreamLevels(self.routing.service_level)
+        below = downstream.DownstreamLevels(self.routing.route_level)
         self.entry = entry.Entry(
-            outside, self.view, self.quota, self.dispatcher
+            outside, self.view, self.quota, self.dispatcher, self.metrics
         )
         self.egress = egress.Egress(
             outside, self.view, self.tokens, self.dispatcher, below
@@ -128,12 +138,15 @@
         self.control.add(self.dissemination)
         self.control.add(self.membership)
         self.control.add(self.quota)
+        self.control.add(self.witnesses)
         self.control.every_tick(self.gate.tick)
         self.watch = watch.PlatformWatch(
             outside, self.dissemination, self.control.send
         )
+        self._add_gauges()
         self.view.subscribe(self)
         self.view.confirm_with(self.dissemination.freshness.confirmed)
+        self.view.compare_with(lambda: self.dissemination.lagging)
 
     def configuration_changed(self, now: float) -> None:
         """Apply a newer configuration."""
@@ -153,12 +166,49 @@
         """Apply a newer host list."""
         self.relay.learn_hosts(self.view.hosts.hosts)
         self.membership.learn_hosts(self.view.hosts.hosts)
+        self.witnesses.learn(self.view.hosts.version, now)
         self.quota.learn_hosts(self.view.hosts, now)
         self._working_hosts_changed(now)
 
+    def _add_gauges(self) -> None:
+        policy = self.gate.policy
+        add = self.metrics.add_gauge
+        add(
+            "configuration_version",
+            "Version of the configuration in force.",
+            lambda: self.view.version,
+        )
+        add(
+            "gate_running",
+            "Requests that the upstream works on.",
+            lambda: policy.running,
+        )
+        add(
+            "gate_waiting",
+            "Requests in the gate's queue.",
+            lambda: policy.waiting,
+        )
+        add(
+            "gate_limit",
+            "Requests that the gate lets run at once.",
+            lambda: policy.limit,
+        )
+        add(
+            "hosts",
+            "Hosts in the host list in force.",
+            lambda: len(self.view.hosts.hosts),
+        )
+
     def _working_hosts_changed(self, now: float) -> None:
         self.routing.learn_hosts(self.membership.working(), now)
 
+    def _wake_quota(self) -> None:
+        asyncio.get_running_loop().call_soon(self._poll_quota)
+
+    def _poll_quota(self) -> None:
+        now = self.outside.clock.now()
+        self.control.send(self.quota.poll(now))
+
 
 class Daemon:
     """A node on its ports.
@@ -183,26 +233,35 @@
         )
         self._upstream = upstream.HttpUpstream(options.upstream_url)
         self._platform = platform.HttpPlatform(options.platform_url)
+        spans = tracing.make(options, source)
         outside = ports.Outside(
             clock=now,
             random=source,
-            peers=self._links,
-            upstream=self._upstream,
+            peers=spans.peers(self._links) if spans else self._links,
+            upstream=spans.upstream(self._upstream)
+            if spans
+            else self._upstream,
             platform=self._platform,
         )
         self.node = Node(options, outside, current, own.incarnation)
+        run = self.node.gate.run
+        handle, handle_child = self.node.entry.handle, self.node.egress.handle
+        if spans is not None:
+            handle = spans.entry(handle)
+            handle_child = spans.egress(handle_child, self.node.tokens)
         self._peer_server = peer_server.PeerServer(
             own,
             peer_server.Handlers(
-                run=self.node.gate.run,
+                run=spans.gate(run) if spans else run,
                 level=self.node.gate.level,
                 version=lambda: current.version,
                 inbox=self,
                 now=now.now,
             ),
         )
-        self._entry_server = server.RequestServer(self.node.entry.handle)
-        self._egress_server = server.RequestServer(self.node.egress.handle)
+        self.node.control.reply_with(self._peer_server.reply)
+        self._entry_server = server.RequestServer(handle)
+        self._egress_server = server.RequestServer(handle_child)
         self.admin = admin.AdminServer(
             options,
             admin.Subject(
@@ -213,6 +272,10 @@
                 drain=self,
             ),
         )
+        self.admin.mount(
+            "/metrics", metrics_endpoint.handler(self.node.metrics)
+        )
+        self._add_gauges()
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -225,6 +288,29 @@
         """Begin a graceful stop and return at once."""
         self._stopping.set()
 
+    def _add_gauges(self) -> None:
+        add = self.node.metrics.add_gauge
+        add(
+            "peers",
+            "Peers that this node sends to.",
+            lambda: len(self._links),
+        )
+        add(
+            "peer_streams",
+            "Streams that peers have opened to this node.",
+            lambda: self._peer_server.streams,
+        )
+        add(
+            "calls_outstanding",
+            "Calls to peers whose results have not arrived.",
+            lambda: self._links.outstanding,
+        )
+        add(
+            "calls_served",
+            "Calls of peers that wait or run here.",
+            lambda: self._peer_server.outstanding,
+        )
+
     def deliver(self, sender: str, message: messages.Message) -> None:
         """Hand a peer's control message to the participants."""
         self.node.control.deliver(sender, message)
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -103,6 +103,7 @@
         request_bytes = len(job.request.body)
         question = routing.Question(
             service_id=job.route.service_id,
+            route_id=route_id,
             priority=job.context.priority,
             admits=lambda level: self._admits(job.context, level),
             size_bytes=max(
@@ -183,6 +184,7 @@
         self._routing.done(
             routing.Result(
                 host_id=target.host_id,
+                route_id=job.route.route_id,
                 ok=_host_works(outcome),
                 level=result.level if result else routing.LEVEL_UNKNOWN,
                 took_s=took_s,
--- a/src/savorytally/replay/gate.py
+++ b/src/savorytally/replay/gate.py
@@ -60,7 +60,7 @@
             organisation_id=organisation_id,
             weight=holder.weight,
             priority=call.route.priority,
-            route_id=f"{call.route.route_id}/{call.hop}",
+            route_id=sender.hop_route(call.route, call.hop).route_id,
             deadline=call.root.deadline - self._header.delay_s,
         )
         self._apply(self._policy.arrive(arrival, now))
@@ -92,7 +92,8 @@
         """Return the level to send with a call's reply."""
         now = self._line.now
         own = self._policy.level(now)
-        below = self._below.downstream.level(call.route.route_id, now)
+        called = sender.hop_route(call.route, call.hop)
+        below = self._below.downstream.level(called.route_id, now)
         return max(own, below)
 
     def _report(self) -> upstream.LoadReport:
--- /dev/null
+++ b/tests/fakes/lenders.py
@@ -0,0 +1,286 @@
+"""Quota decisions of several nodes, each with its own clock and list."""
+
+import functools
+import math
+import random
+import typing as t
+
+from fakes import transport
+from savorytally.decisions import loans
+from savorytally.decisions import participant
+from savorytally.decisions import quota
+from savorytally.decisions import witness
+from savorytally.peer import messages
+from savorytally.world import configuration
+from savorytally.world import host
+from savorytally.world import region
+
+POLL_PERIOD_S = 1.0
+CONFIGURE_MAX_S = 3.0
+PENDING_MAX_S = 0.2
+CALM = transport.Weather()
+
+
+class Readings:
+    """Evidence from the platform."""
+
+    def __init__(self) -> None:
+        self.confirmed = -math.inf
+
+    def confirmed_at(self) -> float:
+        return self.confirmed
+
+
+class Member:
+    """One node's quota decisions behind a clock of its own.
+
+    :param world: what the platform publishes.
+    :param host_id: its host.
+    :param offset_s: its clock's difference to the true time.
+    :param lag_s: how old the lists are that it reads.
+    """
+
+    handles = (*loans.LoanQuota.handles, *witness.Witnesses.handles)
+
+    def __init__(
+        self,
+        world: "World",
+        host_id: str,
+        offset_s: float,
+        lag_s: float,
+        fresh: bool,
+    ) -> None:
+        self.world = world
+        self.host_id = host_id
+        self.offset_s = offset_s
+        self.lag_s = lag_s
+        self.reads = True
+        self.readings = Readings()
+        self.region_id = world.region_of(host_id)
+        world.lives += 1
+        self.witnesses = witness.Witnesses(random.Random(world.lives))
+        self.quota = loans.LoanQuota(
+            quota.Site(
+                host_id=host_id,
+                region_id=self.region_id,
+                incarnation=world.lives,
+                evidence=self.readings,
+                witnesses=self.witnesses,
+                random=random.Random(world.lives),
+                wake=self._wake,
+                fresh=fresh,
+            )
+        )
+        self._list = host.EMPTY
+        self._polled_at = -math.inf
+        self.quota.learn_configuration(
+            world.version, world.clock.now() + offset_s
+        )
+        if fresh:
+            self._read(world.clock.now() + offset_s)
+
+    def now(self) -> float:
+        """Return the time on this node's clock."""
+        return self.world.clock.now() + self.offset_s
+
+    def take(
+        self, organisation_id: str, final: bool
+    ) -> quota.Taken | quota.Pending | quota.OverRate:
+        """Attempt one request."""
+        return self.quota.take(organisation_id, self.now(), final)
+
+    def configure(self, version: configuration.Configuration) -> None:
+        """Put a configuration in force."""
+        self.quota.learn_configuration(version, self.now())
+
+    def _wake(self) -> None:
+        self.world.net.at(0.0, self._poll)
+
+    def _poll(self) -> None:
+        if self.world.members.get(self.host_id) is self:
+            self.world.net.send(self.host_id, self.quota.poll(self.now()))
+
+    def receive(
+        self, sender: str, message: messages.Message, now: float
+    ) -> list[participant.Outgoing]:
+        local = now + self.offset_s
+        if isinstance(message, witness.Witnesses.handles):
+            return self.witnesses.receive(sender, message, local)
+        return self.quota.receive(sender, message, local)
+
+    def tick(self, now: float) -> list[participant.Outgoing]:
+        local = now + self.offset_s
+        if self.reads and local - self._polled_at >= POLL_PERIOD_S:
+            self._read(local)
+        return self.quota.tick(local) + self.witnesses.tick(local)
+
+    def _read(self, local: float) -> None:
+        self._polled_at = local
+        read = self.world.list_at(self.world.clock.now() - self.lag_s)
+        if read.version > self._list.version:
+            self._list = read
+            self.witnesses.learn(read.version, local)
+            self.quota.learn_hosts(read, local)
+        if read.version == self._list.version:
+            self.readings.confirmed = local
+
+
+class World:
+    """The published lists, the nodes, and the requests they admitted.
+
+    :param version: the configuration in force.
+    :param names: hosts by region.
+    :param seed: of every random choice.
+    :param weather: how badly the network behaves.
+    :param fresh: whether the fleet is declared fresh.
+    :param lag_s: the greatest lag of a reader.
+    """
+
+    def __init__(
+        self,
+        version: configuration.Configuration,
+        names: dict[str, list[str]],
+        seed: int,
+        weather: transport.Weather = CALM,
+        fresh: bool = True,
+        lag_s: float = 0.0,
+    ) -> None:
+        self.version = version
+        self.random = random.Random(seed)
+        self.net = transport.Transport(self.random, weather)
+        self.clock = self.net.clock
+        self.lives = 0
+        self.patience_s = PENDING_MAX_S
+        self.lag_s = lag_s
+        self.members: dict[str, Member] = {}
+        self.admitted: dict[str, list[float]] = {}
+        self.refused: dict[str, int] = {}
+        self._regions: dict[str, str] = {}
+        self._lists: list[tuple[float, host.HostList]] = []
+        for region_id, hosts in names.items():
+            for host_id in hosts:
+                self._regions[host_id] = region_id
+        self.states = {
+            host_id: host.HostState.LIVE for host_id in self._regions
+        }
+        self.publish()
+        for host_id in self._regions:
+            self.start(host_id, fresh)
+
+    def region_of(self, host_id: str) -> str:
+        """Return where a host is."""
+        return self._regions[host_id]
+
+    def list_at(self, when: float) -> host.HostList:
+        """Return the list that was published at a time."""
+        known = [item for at, item in self._lists if at <= when]
+        return known[-1] if known else self._lists[0][1]
+
+    def publish(self) -> None:
+        """Publish the states of hosts as a newer list."""
+        hosts = {
+            host_id: host.Host(
+                host_id=host_id,
+                service_id="browse",
+                place=region.Place(self._regions[host_id], "one"),
+                address="127.0.0.1",
+                peer_port=1,
+                state=state,
+            )
+            for host_id, state in self.states.items()
+        }
+        item = host.HostList(len(self._lists) + 1, hosts)
+        self._lists.append((self.clock.now(), item))
+
+    def configure(self, version: configuration.Configuration) -> None:
+        """Let every node learn a configuration, each with some delay."""
+        self.version = version
+        for member in self.members.values():
+            delay_s = self.random.uniform(0.0, CONFIGURE_MAX_S)
+            self.net.at(delay_s, functools.partial(member.configure, version))
+
+    def start(self, host_id: str, fresh: bool = False) -> None:
+        """Start a node, again if it ran before."""
+        member = Member(
+            self,
+            host_id,
+            self.random.uniform(-1000.0, 1000.0),
+            self.random.uniform(0.0, self.lag_s),
+            fresh,
+        )
+        self.members[host_id] = member
+        self.net.join(host_id, [member])
+
+    def add(self, host_id: str, region_id: str) -> None:
+        """Start the node of a new host and list it."""
+        self._regions[host_id] = region_id
+        self.states[host_id] = host.HostState.LIVE
+        self.publish()
+        self.start(host_id)
+
+    def crash(self, host_id: str) -> None:
+        """End a node at once; the list still names its host."""
+        self.net.crash(host_id)
+        self.members.pop(host_id, None)
+
+    def remove(self, host_id: str) -> None:
+        """Take a host out of the list."""
+        if self.states.pop(host_id, None) is not None:
+            self.publish()
+
+    def relist(self, host_id: str) -> None:
+        """List a host as live, again if it was removed."""
+        self.states[host_id] = host.HostState.LIVE
+        self.publish()
+
+    def leave(self, host_id: str) -> None:
+        """List a host as leaving."""
+        if host_id in self.states:
+            self.states[host_id] = host.HostState.LEAVING
+            self.publish()
+
+    def request(self, host_id: str, organisation_id: str, count: int) -> None:
+        """Let callers send requests to a host."""
+        member = self.members.get(host_id)
+        if member is None or self.net.is_paused(host_id):
+            return
+        for _ in range(count):
+            self._attempt(member, organisation_id, self.clock.now())
+
+    def _attempt(
+        self, member: Member, organisation_id: str, began_at: float
+    ) -> None:
+        if self.members.get(member.host_id) is not member:
+            return
+        if self.net.is_paused(member.host_id):
+            return
+        final = self.clock.now() - began_at >= self.patience_s
+        taken = member.take(organisation_id, final)
+        if isinstance(taken, quota.Pending):
+            again = functools.partial(
+                self._attempt, member, organisation_id, began_at
+            )
+            self.net.at(taken.wait_ms / 1000, again)
+        elif isinstance(taken, quota.OverRate):
+            refused = self.refused.get(organisation_id, 0)
+            self.refused[organisation_id] = refused + 1
+        else:
+            times = self.admitted.setdefault(organisation_id, [])
+            times.append(self.clock.now())
+
+
+def excess(times: t.Iterable[float], rate_per_s: float, burst: float) -> float:
+    """Return by how much admissions exceed burst + rate x time at most.
+
+    Every window between two admissions counts.
+    """
+    level = burst
+    worst = 0.0
+    last = None
+    for at in times:
+        if last is not None:
+            level = min(burst, level + (at - last) * rate_per_s)
+        level -= 1.0
+        worst = max(worst, -level)
+        last = at
+    return worst
