--- /dev/null
+++ b/tests/fakes/executors.py
@@ -0,0 +1,202 @@
+"""Gates that run requests at most once, and callers that resend them."""
+
+import dataclasses
+import random
+import typing as t
+
+from fakes import lenders
+from savorytally import outcomes
+from savorytally import results
+from savorytally.decisions import owners
+from savorytally.decisions import ownership
+from savorytally.decisions import participant
+from savorytally.decisions import record
+from savorytally.decisions import witness
+from savorytally.peer import messages
+from savorytally.world import configuration
+from savorytally.world import host
+
+SERVICE = "browse"
+WALL_SKEW_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Submit(messages.Message):
+    """One attempt to have a request run.
+
+    It arrives at most once and only at the process it was sent to, as a
+    call on a stream does.
+    """
+
+    attempt: int
+    key: record.Key
+    life: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply(messages.Message):
+    """What an attempt came to."""
+
+    attempt: int
+    outcome: outcomes.Outcome
+
+
+class Executor(lenders.Member):
+    """A node that sends requests to the owner of their key and runs them."""
+
+    handles = (Submit, Reply, *witness.Witnesses.handles)
+
+    def __init__(
+        self, world: lenders.World, host_id: str, *rest: t.Any
+    ) -> None:
+        super().__init__(world, host_id, *rest)
+        self.wall_skew_s = world.random.uniform(-WALL_SKEW_S, WALL_SKEW_S)
+
+    def build(self, fresh: bool) -> None:
+        """Compose the record instead of a quota."""
+        self._seen: set[int] = set()
+        self.life = self.world.lives
+        self.owners = owners.RecordOwners()
+        self.record = record.ExecutionRecord(
+            SERVICE,
+            ownership.Ownership(
+                self.host_id,
+                lambda item: item.service_id == SERVICE,
+                self.readings,
+                self.witnesses,
+                fresh,
+            ),
+        )
+
+    def configure(self, version: configuration.Configuration) -> None:
+        """Do nothing; the record depends on no configuration."""
+
+    def learn_hosts(self, read: host.HostList, local: float) -> None:
+        self.owners.learn_hosts(read.hosts)
+        self.record.learn_hosts(read, local)
+
+    def decide(self, local: float) -> list[participant.Outgoing]:
+        self.record.tick(local)
+        return []
+
+    def submit(self, attempt: int, key: record.Key) -> None:
+        """Send an attempt to the owner of its key."""
+        owner = self.owners.owner_of(SERVICE, key)
+        if owner is None:
+            return
+        target = self.world.members.get(owner.host_id)
+        if target is None:
+            return
+        message = Submit(attempt, key, target.life)
+        if owner.host_id == self.host_id:
+            self._submitted(self.host_id, message)
+            return
+        outgoing = participant.Outgoing(owner.host_id, message)
+        self.world.net.send(self.host_id, [outgoing])
+
+    def handle(
+        self, sender: str, message: messages.Message, local: float
+    ) -> list[participant.Outgoing]:
+        if isinstance(message, Submit):
+            known = message.attempt in self._seen
+            self._seen.add(message.attempt)
+            if not known and message.life == self.life:
+                self._submitted(sender, message)
+        elif isinstance(message, Reply):
+            self.world.replies.append((message.attempt, message.outcome))
+        return []
+
+    def _submitted(self, sender: str, asked: Submit) -> None:
+        wall = self.world.clock.now() + self.wall_skew_s
+        known = self.record.begin(asked.key, self.now(), wall)
+        if not isinstance(known, record.Run):
+            self._reply(sender, asked, known)
+            return
+        queued_s = self.world.random.choice([0.0, 0.1, 3.0])
+        self._later(queued_s, lambda: self._start(sender, asked))
+
+    def _start(self, sender: str, asked: Submit) -> None:
+        if self.world.random.random() < 0.2:
+            shed = outcomes.Failure(results.SHED_AT_GATE)
+            self._finish(sender, asked, shed)
+            return
+        refusal = self.record.start(asked.key, self.now())
+        if refusal is not None:
+            self._finish(sender, asked, refusal)
+            return
+        self.world.executed.setdefault(asked.key, []).append(asked.attempt)
+        took_s = self.world.random.choice([0.05, 1.0, 20.0])
+        answer = outcomes.Answer(200, (), b"done")
+        self._later(took_s, lambda: self._finish(sender, asked, answer))
+
+    def _finish(
+        self, sender: str, asked: Submit, outcome: outcomes.Outcome
+    ) -> None:
+        self.record.finish(asked.key, outcome, self.now())
+        self._reply(sender, asked, outcome)
+
+    def _reply(
+        self, sender: str, asked: Submit, outcome: outcomes.Outcome
+    ) -> None:
+        reply = Reply(asked.attempt, outcome)
+        if sender == self.host_id:
+            self.world.replies.append((asked.attempt, outcome))
+            return
+        outgoing = participant.Outgoing(sender, reply)
+        self.world.net.send(self.host_id, [outgoing])
+
+    def _later(self, delay_s: float, work: t.Callable[[], None]) -> None:
+        """Do some work of this process, after any pause of it."""
+
+        def due() -> None:
+            if self.world.members.get(self.host_id) is not self:
+                return
+            if self.world.net.is_paused(self.host_id):
+                self.world.net.at(0.1, due)
+                return
+            work()
+
+        self.world.net.at(delay_s, due)
+
+
+class Callers:
+    """Callers that send new requests and resend old ones.
+
+    :param world: the nodes.
+    :param source: seeded random source.
+    """
+
+    def __init__(self, world: lenders.World, source: random.Random) -> None:
+        self.world = world
+        self._random = source
+        self._keys: list[record.Key] = []
+        self._attempts = 0
+
+    def step(self) -> None:
+        """Send a few attempts through any node."""
+        names = sorted(self.world.members)
+        for _ in range(3):
+            if not names:
+                return
+            if not self._keys or self._random.random() < 0.4:
+                self._keys.append(self._new_key())
+            recent = self._random.random() < 0.7
+            some = self._keys[-4:] if recent else self._keys
+            key = self._random.choice(some)
+            name = self._random.choice(names)
+            if self.world.net.is_paused(name):
+                continue
+            self._attempts += 1
+            self.world.members[name].submit(self._attempts, key)
+
+    def _new_key(self) -> record.Key:
+        """Return a key that tells its time, by a clock that may be wrong."""
+        bits = self._random.getrandbits(74)
+        if self._random.random() < 0.3:
+            return record.Key("org1", f"{bits:x}")
+        skew_s = self._random.choice([0.0, 0.0, 0.0, 1.0, 4.0, 45.0, -30.0])
+        made_ms = int((self.world.clock.now() + skew_s) * 1000)
+        value = (made_ms << 80) | (7 << 76) | (bits & ~(3 << 62))
+        value = (value & ~(3 << 62)) | (2 << 62)
+        digits = f"{value:032x}"
+        return record.Key("org1", digits)
--- a/tests/fakes/lenders.py
+++ b/tests/fakes/lenders.py
@@ -59,25 +59,37 @@
         self.region_id = world.region_of(host_id)
         world.lives += 1
         self.witnesses = witness.Witnesses(random.Random(world.lives))
+        self.build(fresh)
+        self._list = host.EMPTY
+        self._polled_at = -math.inf
+        if fresh:
+            self._read(world.clock.now() + offset_s)
+
+    def build(self, fresh: bool) -> None:
+        """Compose the decisions."""
         self.quota = loans.LoanQuota(
             quota.Site(
-                host_id=host_id,
+                host_id=self.host_id,
                 region_id=self.region_id,
-                incarnation=world.lives,
+                incarnation=self.world.lives,
                 evidence=self.readings,
                 witnesses=self.witnesses,
-                random=random.Random(world.lives),
+                random=random.Random(self.world.lives),
                 wake=self._wake,
                 fresh=fresh,
             )
         )
-        self._list = host.EMPTY
-        self._polled_at = -math.inf
-        self.quota.learn_configuration(
-            world.version, world.clock.now() + offset_s
-        )
-        if fresh:
-            self._read(world.clock.now() + offset_s)
+        self.configure(self.world.version)
+
+    def decide(self, local: float) -> list[participant.Outgoing]:
+        """Let the decisions do what is due."""
+        return self.quota.tick(local)
+
+    def handle(
+        self, sender: str, message: messages.Message, local: float
+    ) -> list[participant.Outgoing]:
+        """Let the decisions take in a message."""
+        return self.quota.receive(sender, message, local)
 
     def now(self) -> float:
         """Return the time on this node's clock."""
@@ -106,13 +118,17 @@
         local = now + self.offset_s
         if isinstance(message, witness.Witnesses.handles):
             return self.witnesses.receive(sender, message, local)
-        return self.quota.receive(sender, message, local)
+        return self.handle(sender, message, local)
 
     def tick(self, now: float) -> list[participant.Outgoing]:
         local = now + self.offset_s
         if self.reads and local - self._polled_at >= POLL_PERIOD_S:
             self._read(local)
-        return self.quota.tick(local) + self.witnesses.tick(local)
+        return self.decide(local) + self.witnesses.tick(local)
+
+    def learn_hosts(self, read: host.HostList, local: float) -> None:
+        """Apply a newer host list."""
+        self.quota.learn_hosts(read, local)
 
     def _read(self, local: float) -> None:
         self._polled_at = local
@@ -120,7 +136,7 @@
         if read.version > self._list.version:
             self._list = read
             self.witnesses.learn(read.version, local)
-            self.quota.learn_hosts(read, local)
+            self.learn_hosts(read, local)
         if read.version == self._list.version:
             self.readings.confirmed = local
 
@@ -134,6 +150,7 @@
     :param weather: how badly the network behaves.
     :param fresh: whether the fleet is declared fresh.
     :param lag_s: the greatest lag of a reader.
+    :param make: the class of the nodes.
     """
 
     def __init__(
@@ -144,7 +161,9 @@
         weather: transport.Weather = CALM,
         fresh: bool = True,
         lag_s: float = 0.0,
+        make: t.Callable[..., "Member"] | None = None,
     ) -> None:
+        self._make = make or Member
         self.version = version
         self.random = random.Random(seed)
         self.net = transport.Transport(self.random, weather)
@@ -155,6 +174,8 @@
         self.members: dict[str, Member] = {}
         self.admitted: dict[str, list[float]] = {}
         self.refused: dict[str, int] = {}
+        self.executed: dict[t.Any, list[int]] = {}
+        self.replies: list[tuple[int, t.Any]] = []
         self._regions: dict[str, str] = {}
         self._lists: list[tuple[float, host.HostList]] = []
         for region_id, hosts in names.items():
@@ -201,7 +222,7 @@
 
     def start(self, host_id: str, fresh: bool = False) -> None:
         """Start a node, again if it ran before."""
-        member = Member(
+        member = self._make(
             self,
             host_id,
             self.random.uniform(-1000.0, 1000.0),
--- a/tests/test_quota_schedules.py
+++ b/tests/test_quota_schedules.py
@@ -1,168 +1,26 @@
 """No schedule of faults lets the fleet admit more than rate and burst."""
 
-import dataclasses
 import typing as t
 
-from fakes import documents
 from fakes import lenders
+from fakes import schedules
 from fakes import transport
 import hypothesis
 from hypothesis import strategies
 
-from savorytally.world import configuration
-from savorytally.world import document
-
-ORGANISATION = "org2"
-RATE_PER_S = 16.0
-BURST = 24.0
-STEP_S = 0.25
-STEPS = 320
-PLACES = {"bagmati": ["b0", "b1", "b2"], "gandaki": ["g0", "g1"]}
-HOSTS = [host_id for names in PLACES.values() for host_id in names]
 TOLERANCE = 1e-6
 
 
-def contract(
-    rate_per_s: float, burst: float, version: int = 1
-) -> configuration.Configuration:
-    """Return a configuration with one organisation's rate and burst."""
-    value = documents.himali(version)
-    organisation = value["organisations"][ORGANISATION]
-    organisation["rate_per_s"] = rate_per_s
-    organisation["burst"] = burst
-    read = document.read(value)
-    assert isinstance(read, configuration.Configuration)
-    return read
-
-
-@dataclasses.dataclass(frozen=True)
-class Event:
-    """One fault at one step; ``host`` and ``span`` mean what it needs."""
-
-    step: int
-    kind: str
-    host: int
-    span: int
-
-
-KINDS = (
-    "crash",
-    "restart",
-    "remove",
-    "relist",
-    "leave",
-    "add",
-    "pause",
-    "blind",
-    "split",
-    "isolate",
-    "lower",
-    "raise",
-)
-
-EVENTS = strategies.lists(
-    strategies.builds(
-        Event,
-        step=strategies.integers(0, STEPS - 40),
-        kind=strategies.sampled_from(KINDS),
-        host=strategies.integers(0, len(HOSTS) - 1),
-        span=strategies.integers(1, 200),
-    ),
-    max_size=8,
-)
-
-WEATHER = strategies.builds(
-    transport.Weather,
-    delay_min_s=strategies.just(0.001),
-    delay_max_s=strategies.sampled_from([0.005, 0.05, 1.0, 4.0]),
-    lose=strategies.sampled_from([0.0, 0.1, 0.4]),
-    double=strategies.sampled_from([0.0, 0.2]),
-)
-
-
-class Schedule:
-    """Applies events to a world while callers send as much as they can.
+class Demand(schedules.Schedule):
+    """Applies faults while callers send as much as they can.
 
     :param world: the nodes.
     """
 
     def __init__(self, world: lenders.World) -> None:
-        self.world = world
+        super().__init__(world)
         self.most_stored = 0.0
 
-    def apply(self, event: Event) -> None:
-        """Bring about one fault, and its end where it has one."""
-        host_id = HOSTS[event.host]
-        getattr(self, f"_{event.kind}")(host_id, event.span * STEP_S)
-
-    def _crash(self, host_id: str, span_s: float) -> None:
-        self.world.crash(host_id)
-        self.world.net.at(span_s, lambda: self.world.remove(host_id))
-
-    def _restart(self, host_id: str, span_s: float) -> None:
-        self.world.crash(host_id)
-        self.world.net.at(span_s, lambda: self._start(host_id))
-
-    def _start(self, host_id: str) -> None:
-        if host_id not in self.world.members:
-            self.world.start(host_id)
-
-    def _remove(self, host_id: str, span_s: float) -> None:
-        self.world.remove(host_id)
-
-    def _relist(self, host_id: str, span_s: float) -> None:
-        self.world.remove(host_id)
-        self.world.net.at(span_s, lambda: self.world.relist(host_id))
-
-    def _leave(self, host_id: str, span_s: float) -> None:
-        self.world.leave(host_id)
-
-    def _add(self, host_id: str, span_s: float) -> None:
-        region_id = self.world.region_of(host_id)
-        self.world.add(f"{host_id}-{len(self.world.states)}", region_id)
-
-    def _pause(self, host_id: str, span_s: float) -> None:
-        net = self.world.net
-        net.pause(host_id)
-        net.at(span_s, lambda: net.resume(host_id))
-
-    def _blind(self, host_id: str, span_s: float) -> None:
-        for name, member in self.world.members.items():
-            if name <= host_id:
-                self._read(member, False)
-                self.world.net.at(span_s, lambda m=member: self._read(m, True))
-
-    def _read(self, member: lenders.Member, reads: bool) -> None:
-        member.reads = reads
-
-    def _split(self, host_id: str, span_s: float) -> None:
-        some = [name for name in self.world.members if name <= host_id]
-        self._cut(some, span_s)
-
-    def _isolate(self, host_id: str, span_s: float) -> None:
-        self._cut([host_id], span_s)
-        member = self.world.members.get(host_id)
-        if member is not None:
-            self._read(member, False)
-            self.world.net.at(span_s, lambda: self._read(member, True))
-
-    def _cut(self, some: list[str], span_s: float) -> None:
-        net = self.world.net
-        others = [name for name in self.world.members if name not in some]
-        net.cut(some, others)
-        net.at(span_s, net.heal)
-
-    def _lower(self, host_id: str, span_s: float) -> None:
-        self._configure(0.5)
-
-    def _raise(self, host_id: str, span_s: float) -> None:
-        self._configure(1.0)
-
-    def _configure(self, part: float) -> None:
-        number = self.world.version.version + 1
-        version = contract(RATE_PER_S * part, BURST * part, number)
-        self.world.configure(version)
-
     def demand(self, step: int) -> None:
         """Send nothing, to all hosts, or to one host for a time."""
         phase = (step // 16) % 4
@@ -171,59 +29,60 @@
         for number, host_id in enumerate(list(self.world.members)):
             if phase == 3 and number:
                 return
-            self.world.request(host_id, ORGANISATION, 4)
+            self.world.request(host_id, schedules.ORGANISATION, 4)
 
     def check(self) -> None:
         """Note the greatest sum of stored and unspent tokens."""
         stored = sum(
-            member.quota.unspent(ORGANISATION, member.now())
+            member.quota.unspent(schedules.ORGANISATION, member.now())
             for member in self.world.members.values()
         )
         self.most_stored = max(self.most_stored, stored)
 
 
 def play(
-    events: t.Sequence[Event],
+    events: t.Sequence[schedules.Event],
     weather: transport.Weather = lenders.CALM,
     seed: int = 1,
     fresh: bool = True,
     lag_s: float = 10.0,
-) -> Schedule:
+) -> Demand:
     """Run one schedule."""
     world = lenders.World(
-        contract(RATE_PER_S, BURST), PLACES, seed, weather, fresh, lag_s
+        schedules.contract(), schedules.PLACES, seed, weather, fresh, lag_s
     )
     world.patience_s = 0.0
-    schedule = Schedule(world)
-    for step in range(STEPS):
-        for event in events:
-            if event.step == step:
-                schedule.apply(event)
+    schedule = Demand(world)
+    for step in range(schedules.STEPS):
+        schedule.step(events, step)
         schedule.demand(step)
         schedule.check()
-        world.net.run(STEP_S)
+        world.net.run(schedules.STEP_S)
     return schedule
 
 
-def overshoot(schedule: Schedule) -> float:
+def overshoot(schedule: Demand) -> float:
     """Return the tokens admitted above rate and burst."""
-    times = schedule.world.admitted.get(ORGANISATION, [])
-    return lenders.excess(times, RATE_PER_S, BURST)
+    times = schedule.world.admitted.get(schedules.ORGANISATION, [])
+    return lenders.excess(times, schedules.RATE_PER_S, schedules.BURST)
 
 
 class TestConservation:
     @hypothesis.given(
-        events=EVENTS,
-        weather=WEATHER,
+        events=schedules.EVENTS,
+        weather=schedules.WEATHER,
         seed=strategies.integers(0, 1 << 16),
         fresh=strategies.booleans(),
     )
     def test_never_over_rate_and_burst(self, events, weather, seed, fresh):
         schedule = play(events, weather, seed, fresh)
         assert overshoot(schedule) <= TOLERANCE
-        assert schedule.most_stored <= BURST + TOLERANCE
+        assert schedule.most_stored <= schedules.BURST + TOLERANCE
 
     def test_calm_fleet_admits_its_rate(self):
         schedule = play([])
-        admitted = len(schedule.world.admitted[ORGANISATION])
-        assert admitted >= 0.5 * RATE_PER_S * STEPS * STEP_S
+        admitted = len(schedule.world.admitted[schedules.ORGANISATION])
+        assert (
+            admitted
+            >= 0.5 * schedules.RATE_PER_S * schedules.STEPS * schedules.STEP_S
+        )
--- /dev/null
+++ b/tests/test_record_schedules.py
@@ -0,0 +1,93 @@
+"""No schedule of faults lets a request run twice or be denied falsely."""
+
+import random
+import typing as t
+
+from fakes import executors
+from fakes import lenders
+from fakes import schedules
+from fakes import transport
+import hypothesis
+from hypothesis import strategies
+
+from savorytally import outcomes
+from savorytally.decisions import keytime
+
+
+def play(
+    events: t.Sequence[schedules.Event],
+    weather: transport.Weather = lenders.CALM,
+    seed: int = 1,
+    lag_s: float = 10.0,
+) -> lenders.World:
+    """Run one schedule."""
+    world = lenders.World(
+        schedules.contract(),
+        schedules.PLACES,
+        seed,
+        weather,
+        lag_s=lag_s,
+        make=executors.Executor,
+    )
+    schedule = schedules.Schedule(world)
+    callers = executors.Callers(world, random.Random(seed))
+    for step in range(schedules.STEPS):
+        schedule.step(events, step)
+        callers.step()
+        world.net.run(schedules.STEP_S)
+    return world
+
+
+def denied_falsely(world: lenders.World) -> list[int]:
+    """Return attempts that ran and were answered "not run"."""
+    ran = {
+        attempt for attempts in world.executed.values() for attempt in attempts
+    }
+    return [
+        attempt
+        for attempt, outcome in world.replies
+        if attempt in ran
+        and isinstance(outcome, outcomes.Failure)
+        and outcome.code.not_run
+    ]
+
+
+class TestAtMostOnce:
+    @hypothesis.given(
+        events=schedules.EVENTS,
+        weather=schedules.WEATHER,
+        seed=strategies.integers(0, 1 << 16),
+    )
+    def test_never_twice_and_never_denied(self, events, weather, seed):
+        world = play(events, weather, seed)
+        doubled = {
+            key: attempts
+            for key, attempts in world.executed.items()
+            if len(attempts) > 1
+        }
+        assert doubled == {}
+        assert denied_falsely(world) == []
+
+    def test_calm_fleet_runs_requests(self):
+        world = play([])
+        assert len(world.executed) >= schedules.STEPS // 2
+
+    def test_successor_runs_younger_keys(self):
+        crash = schedules.Event(step=40, kind="crash", host=0, span=4)
+        world = play([crash], lag_s=1.0)
+        assert len(world.executed) >= schedules.STEPS // 2
+
+
+class TestKeyTime:
+    def test_uuid_version_7(self):
+        made_at = keytime.made_at("018bcfe5-6800-7000-8000-000000000000")
+        assert made_at == 1_700_000_000.0
+
+    def test_ulid(self):
+        assert keytime.made_at("01HF7YAT00AAAAAAAAAAAAAAAA") == (
+            1_700_000_000.0
+        )
+
+    def test_other_keys_tell_nothing(self):
+        assert keytime.made_at("order-17") is None
+        assert keytime.made_at("6f1c1a52-7f3a-4f0e-9f9c-1b2b3c4d5e6f") is None
