--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -5,12 +5,16 @@
 import secrets
 import signal
 
+import aioprometheus
+
 from . import clock
 from . import defaults
 from . import fields
+from . import metrics
 from . import ports
 from . import settings
 from . import tls
+from . import tracing
 from . import view
 from .decisions import adaptive  # noqa: F401, registers a policy
 from .decisions import admission
@@ -28,6 +32,7 @@
 from .decisions import routing
 from .decisions import witness
 from .http import admin
+from .http import metrics_endpoint
 from .http import platform
 from .http import server
 from .http import upstream
@@ -78,6 +83,7 @@
         self.settings = options
         self.outside = outside
         self.view = current
+        self.metrics = metrics.Metrics(aioprometheus.Registry())
         self.tokens = running.RunningCalls()
         self.relay = relay.Relay(options.host_id, options.place)
         self.membership = membership.Membership(
@@ -115,9 +121,9 @@
             options.place, outside.random
         )
         self.dispatcher = dispatch.Dispatcher(outside, self.routing)
-        below = downstream.DownstreamLevels(self.routing.service_level)
+        below = downstream.DownstreamLevels(self.routing.route_level)
         self.entry = entry.Entry(
-            outside, self.view, self.quota, self.dispatcher
+            outside, self.view, self.quota, self.dispatcher, self.metrics
         )
         self.egress = egress.Egress(
             outside, self.view, self.tokens, self.dispatcher, below
@@ -154,8 +160,10 @@
         self.watch = watch.PlatformWatch(
             outside, self.dissemination, self.control.send
         )
+        self._add_gauges()
         self.view.subscribe(self)
         self.view.confirm_with(self.dissemination.freshness.confirmed)
+        self.view.compare_with(lambda: self.dissemination.lagging)
 
     def configuration_changed(self, now: float) -> None:
         """Apply a newer configuration."""
@@ -181,6 +189,35 @@
         self.dispatcher.learn_hosts(self.view.hosts.hosts)
         self._working_hosts_changed(now)
 
+    def _add_gauges(self) -> None:
+        policy = self.gate.policy
+        add = self.metrics.add_gauge
+        add(
+            "configuration_version",
+            "Version of the configuration in force.",
+            lambda: self.view.version,
+        )
+        add(
+            "gate_running",
+            "Requests that the upstream works on.",
+            lambda: policy.running,
+        )
+        add(
+            "gate_waiting",
+            "Requests in the gate's queue.",
+            lambda: policy.waiting,
+        )
+        add(
+            "gate_limit",
+            "Requests that the gate lets run at once.",
+            lambda: policy.limit,
+        )
+        add(
+            "hosts",
+            "Hosts in the host list in force.",
+            lambda: len(self.view.hosts.hosts),
+        )
+
     def _working_hosts_changed(self, now: float) -> None:
         self.routing.learn_hosts(self.membership.working(), now)
 
@@ -218,26 +255,35 @@
         )
         self._upstream = upstream.HttpUpstream(options.upstream_url)
         self._platform = platform.HttpPlatform(options.platform_url)
+        spans = tracing.make(options, source)
         outside = ports.Outside(
             clock=now,
             random=source,
-            peers=self._links,
-            upstream=self._upstream,
+            peers=spans.peers(self._links) if spans else self._links,
+            upstream=spans.upstream(self._upstream)
+            if spans
+            else self._upstream,
             platform=self._platform,
         )
         self.node = Node(options, outside, current, own.incarnation)
+        run = self.node.gate.run
+        handle, handle_child = self.node.entry.handle, self.node.egress.handle
+        if spans is not None:
+            handle = spans.entry(handle)
+            handle_child = spans.egress(handle_child, self.node.tokens)
         self._peer_server = peer_server.PeerServer(
             own,
             peer_server.Handlers(
-                run=self.node.gate.run,
+                run=spans.gate(run) if spans else run,
                 level=self.node.gate.level,
                 version=lambda: current.version,
                 inbox=self,
                 now=now.now,
             ),
         )
-        self._entry_server = server.RequestServer(self.node.entry.handle)
-        self._egress_server = server.RequestServer(self.node.egress.handle)
+        self.node.control.reply_with(self._peer_server.reply)
+        self._entry_server = server.RequestServer(handle)
+        self._egress_server = server.RequestServer(handle_child)
         self.admin = admin.AdminServer(
             options,
             admin.Subject(
@@ -248,6 +294,10 @@
                 drain=self,
             ),
         )
+        self.admin.mount(
+            "/metrics", metrics_endpoint.handler(self.node.metrics)
+        )
+        self._add_gauges()
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -260,6 +310,29 @@
         """Begin a graceful stop and return at once."""
         self._stopping.set()
 
+    def _add_gauges(self) -> None:
+        add = self.node.metrics.add_gauge
+        add(
+            "peers",
+            "Peers that this node sends to.",
+            lambda: len(self._links),
+        )
+        add(
+            "peer_streams",
+            "Streams that peers have opened to this node.",
+            lambda: self._peer_server.streams,
+        )
+        add(
+            "calls_outstanding",
+            "Calls to peers whose results have not arrived.",
+            lambda: self._links.outstanding,
+        )
+        add(
+            "calls_served",
+            "Calls of peers that wait or run here.",
+            lambda: self._peer_server.outstanding,
+        )
+
     def deliver(self, sender: str, message: messages.Message) -> None:
         """Hand a peer's control message to the participants."""
         self.node.control.deliver(sender, message)
