Take the list's age alone as evidence; test boot and tree alone

Change: the evidence keeps the age of the list only; tests of a stale copy under slow peers and of the tree without repair. Conclusion: each mechanism now has a test that fails without it.

--- a/src/savorytally/decisions/contact.py
+++ b/src/savorytally/decisions/contact.py
@@ -16,7 +16,6 @@
     incarnation: int = 0
     connected: bool = False
     heard_at: float = _NEVER
-    list_version: int = 0
 
 
 class PeerContacts:
@@ -53,11 +52,6 @@
             return None
         return peer.heard_at
 
-    def list_version(self, host_id: str) -> int:
-        """Return the host list that the peer last said it holds."""
-        peer = self._peers.get(host_id)
-        return peer.list_version if peer else 0
-
     def incarnation(self, host_id: str) -> int:
         """Return the peer's newest known incarnation, 0 if unknown."""
         peer = self._peers.get(host_id)
@@ -77,10 +71,6 @@
         peer.heard_at = now
         peer.backoff.succeeded()
 
-    def holds(self, host_id: str, list_version: int) -> None:
-        """Note the host list that the peer says it holds."""
-        self._peer(host_id).list_version = list_version
-
     def lost(self, host_id: str, now: float) -> None:
         """Note a stream that broke, fell silent or could not be opened."""
         peer = self._peer(host_id)
--- a/src/savorytally/decisions/dissemination.py
+++ b/src/savorytally/decisions/dissemination.py
@@ -35,7 +35,7 @@
     :param source: seeded random source.
     :param acceptor: checks publications and puts them in force.
     :param fit: whether a host can be reached.
-    :param known: is told how old the host list is and who was heard.
+    :param known: is told how old the host list is.
     """
 
     handles: tuple[type[messages.Message], ...] = (
@@ -44,7 +44,7 @@
         spread.Delta,
         spread.Summary,
         spread.Reading,
-        spread.ListQuestion,
+        spread.AgeQuestion,
         spread.ListAge,
     )
 
@@ -143,7 +143,7 @@
     def list_confirmed(self, version: int, asked_at: float) -> None:
         """Note the newest host list of the platform at a time."""
         if version == self.shelves[HOSTS].version:
-            self._evidence.confirm(version, asked_at)
+            self._evidence.confirm(asked_at)
 
     def platform_failed(self) -> None:
         """Note that the platform could not be read."""
@@ -167,7 +167,7 @@
             return self._summarised(sender, message, now)
         if isinstance(message, spread.Reading):
             self._summaries.reader_heard(sender, message, now)
-        if isinstance(message, spread.ListQuestion):
+        if isinstance(message, spread.AgeQuestion):
             return self._list_asked(sender, message, now)
         if isinstance(message, spread.ListAge):
             return self._list_told(sender, message, now)
@@ -262,7 +262,7 @@
         self, sender: str, summary: spread.Summary, now: float
     ) -> list[Outgoing]:
         told = dict(summary.versions)
-        self._summaries.heard(sender, summary, now)
+        self._summaries.heard(summary, now)
         outgoing: list[Outgoing] = []
         for name, item in self.shelves.items():
             version = told.get(name, 0)
@@ -280,10 +280,10 @@
         return outgoing
 
     def _list_asked(
-        self, sender: str, question: spread.ListQuestion, now: float
+        self, sender: str, question: spread.AgeQuestion, now: float
     ) -> list[Outgoing]:
         own_list = self.shelves[HOSTS].version
-        answer = self._summaries.list_asked(sender, question, own_list, now)
+        answer = self._summaries.list_asked(question, own_list, now)
         pull = self._pull(sender, HOSTS, question.version, now)
         return [Outgoing(sender, answer), *pull]
 
@@ -291,7 +291,7 @@
         self, sender: str, answer: spread.ListAge, now: float
     ) -> list[Outgoing]:
         own_list = self.shelves[HOSTS].version
-        self._summaries.list_told(sender, answer, own_list, now)
+        self._summaries.list_told(answer, own_list)
         return self._pull(sender, HOSTS, answer.version, now)
 
     def _may_answer(self, now: float) -> bool:
--- a/src/savorytally/decisions/summaries.py
+++ b/src/savorytally/decisions/summaries.py
@@ -26,7 +26,7 @@
     :param tree: ranks and trees of the data centre, shared.
     :param source: seeded random source.
     :param fit: whether a host can be reached.
-    :param known: is told how old the host list is and who was heard.
+    :param known: is told how old the host list is.
     """
 
     def __init__(
@@ -58,10 +58,8 @@
         """Note how the last read of the platform ended."""
         self._read_ok = succeeded
 
-    def heard(self, sender: str, summary: spread.Summary, now: float) -> None:
+    def heard(self, summary: spread.Summary, now: float) -> None:
         """Take in what a peer says about itself."""
-        listed = dict(summary.versions).get(shelf.HOSTS, 0)
-        self._evidence.heard(sender, listed, now)
         if summary.reader_age_ms >= 0:
             self._role.reader_active(now - summary.reader_age_ms / 1000)
 
@@ -74,32 +72,24 @@
             self._role.heard(sender, now)
 
     def list_asked(
-        self,
-        sender: str,
-        question: spread.ListQuestion,
-        own_list: int,
-        now: float,
+        self, question: spread.AgeQuestion, own_list: int, now: float
     ) -> spread.ListAge:
         """Return the answer to a question.
 
         :param own_list: the host list that this node holds.
         """
-        self._evidence.heard(sender, question.version, now)
         age_ms = _milliseconds(now - self._evidence.confirmed_at())
         return spread.ListAge(question.nonce, own_list, age_ms)
 
-    def list_told(
-        self, sender: str, answer: spread.ListAge, own_list: int, now: float
-    ) -> None:
+    def list_told(self, answer: spread.ListAge, own_list: int) -> None:
         """Take in how old the list of an asked peer is.
 
         :param own_list: the host list that this node holds.
         """
-        self._evidence.heard(sender, answer.version, now)
         asked_at = self._asked.pop(answer.nonce, None)
         if asked_at is None or answer.age_ms < 0 or answer.version != own_list:
             return
-        self._evidence.confirm(own_list, asked_at - answer.age_ms / 1000)
+        self._evidence.confirm(asked_at - answer.age_ms / 1000)
 
     def make(
         self,
@@ -130,7 +120,7 @@
             nonce = self._random.getrandbits(32) | 1
             self._asked = {nonce: now}
             listed = versions.get(shelf.HOSTS, 0)
-            question = spread.ListQuestion(nonce, listed)
+            question = spread.AgeQuestion(nonce, listed)
             outgoing.append(Outgoing(asked, question))
         return outgoing
 
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -90,7 +90,7 @@
             outside.random,
             self._working_hosts_changed,
         )
-        self.evidence = evidence.SpreadEvidence(self.membership.contacts)
+        self.evidence = evidence.SpreadEvidence()
         self.dissemination = dissemination.Dissemination(
             options.host_id,
             self.relay,
--- a/src/savorytally/peer/spread.py
+++ b/src/savorytally/peer/spread.py
@@ -92,7 +92,7 @@
 
 @messages.message(25)
 @dataclasses.dataclass(frozen=True, slots=True)
-class ListQuestion(messages.Message):
+class AgeQuestion(messages.Message):
     """Asks how old the receiver's host list is.
 
     :param nonce: repeated in the answer.
@@ -106,7 +106,7 @@
 @messages.message(26)
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListAge(messages.Message):
-    """Answers :class:`ListQuestion`.
+    """Answers :class:`AgeQuestion`.
 
     :param nonce: repeats the question's.
     :param version: the host list that the sender holds.
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -127,6 +127,15 @@
         made.transport.run(IN_FORCE_S)
         assert behind(made, version) == {}
 
+    def test_by_the_tree_alone(self, monkeypatch):
+        monkeypatch.setattr(defaults, "REPAIR_PERIOD_S", 1e9)
+        made = fleet.Fleet({("bagmati", "kirtipur"): 60})
+        made.publish()
+        made.start_all()
+        version = made.publish()
+        made.transport.run(IN_FORCE_S)
+        assert behind(made, version) == {}
+
     def test_with_all_readers_of_a_place_killed(self, one):
         for reader in one.readers():
             one.crash(reader)
@@ -211,6 +220,23 @@
             seen = [e for e in member.enforced if e.name == "configuration"]
             assert min(item.version for item in seen[-1:]) >= version
 
+    def test_stale_copy_is_not_in_force_before_slow_peers_answered(self, one):
+        version = one.publish()
+        one.transport.run(IN_FORCE_S)
+        reader = one.readers()[0]
+        one.store.stale[reader] = 1
+        one.crash(reader)
+        slow_s = defaults.BOOT_WAIT_S / 4
+        one.transport.weather = transport.Weather(slow_s, 1.2 * slow_s)
+        restarted = one.start(reader)
+        one.transport.run(2 * defaults.BOOT_GIVE_UP_S)
+        served = [
+            item.version
+            for item in restarted.enforced
+            if item.name == "configuration"
+        ]
+        assert served == [version]
+
     def test_process_that_no_peer_answers_serves_the_platform_copy(self):
         made = fleet.Fleet({("bagmati", "kirtipur"): 3})
         made.publish()
