--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import socket
 import typing as t
 
@@ -49,11 +50,25 @@
 
 @pytest.fixture
 def free_port() -> t.Callable[[], int]:
-    """Return a TCP port on loopback that is free at the moment."""
+    """Return a TCP port on loopback that is free at the moment.
+
+    It lies below the range from which the system numbers outgoing
+    connections, so that none of them takes it before it is used.
+    """
+    source = random.SystemRandom()
+    given: set[int] = set()
 
     def find() -> int:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            return probe.getsockname()[1]
+        while True:
+            port = source.randrange(10_000, 32_000)
+            if port in given:
+                continue
+            with socket.socket() as probe:
+                try:
+                    probe.bind(("127.0.0.1", port))
+                except OSError:
+                    continue
+            given.add(port)
+            return port
 
     return find
