Send no request to an owner that is leaving

Cause: the owner of an idempotency key was called whether or not it accepted work, so that a stopping host was given new calls until the platform's list said so; tests assumed that any host may run a report.

Change: the dispatcher refuses with owner_unsettled (not run) while the owner is not among the working hosts.

Conclusion: a leaving host gets no new call once its peers know.

--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -204,7 +204,9 @@
         )
 
     def _working_hosts_changed(self, now: float) -> None:
-        self.routing.learn_hosts(self.membership.working(), now)
+        working = self.membership.working()
+        self.routing.learn_hosts(working, now)
+        self.dispatcher.learn_working(working)
 
     def _tick_record(self) -> None:
         self.record.tick(self.outside.clock.now())
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -70,6 +70,7 @@
         self._shares = shares.Shares()
         self._weights: dict[str, float] = {}
         self._owners = owners.RecordOwners()
+        self._working: frozenset[str] = frozenset()
         self._ids = itertools.count(1)
 
     def learn_configuration(
@@ -86,6 +87,10 @@
         """Apply a newer host list."""
         self._owners.learn_hosts(hosts)
 
+    def learn_working(self, hosts: t.Mapping[str, host.Host]) -> None:
+        """Apply which of the listed hosts accept new work."""
+        self._working = frozenset(hosts)
+
     def refusal(self, job: Job) -> outcomes.Failure | None:
         """Count a root request and return why it can't be sent, if so."""
         self._note_demand(job.context)
@@ -144,10 +149,14 @@
         """Return the only host that may run a request once."""
         key = record.Key(job.context.organisation_id, job.idempotency_key)
         owner = self._owners.owner_of(job.route.service_id, key)
-        if owner is None or owner.host_id in tried:
+        if owner is None:
             return routing.Unavailable(
                 results.NO_HOST, defaults.RETRY_AFTER_MS
             )
+        if owner.host_id in tried or owner.host_id not in self._working:
+            return routing.Unavailable(
+                results.OWNER_UNSETTLED, defaults.RETRY_AFTER_MS
+            )
         return routing.Chosen(owner)
 
     def _note_demand(self, above: context.Context) -> None:
--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import time
 import typing as t
 
 from savorytally import daemon
@@ -70,6 +71,7 @@
                 address="127.0.0.1",
                 upstream_url=f"http://127.0.0.1:{upstream_port}",
                 platform_url=f"http://127.0.0.1:{platform_port}",
+                fleet_started_s=time.time(),
                 ports=opened,
                 **fields,
             )
