Run the node by aiomisc's entrypoint on uvloop

The house style builds on uvloop and aiomisc; aiomisc was a requirement that nothing used. The node command runs the daemon by aiomisc with its signals and logging off; a taken port has its exit code, tested.

--- a/src/savorytally/commands/node.py
+++ b/src/savorytally/commands/node.py
@@ -12,6 +12,9 @@
 if t.TYPE_CHECKING:
     from .. import settings
 
+# aiomisc wants a pool; the node gives it no work.
+IDLE_THREADS = 1
+
 
 @base.commands.register("node")
 class NodeCommand:
@@ -38,20 +41,28 @@
 
 
 def _run(options: "settings.Settings", path: pathlib.Path) -> int:
-    import asyncio
-
-    import uvloop
-
-    from .. import logs
     from .. import node
 
     faults = node.check_policies(options.policies)
     if faults:
         return _refuse(path, faults)
+    return _serve(options)
+
+
+def _serve(options: "settings.Settings") -> int:
+    import aiomisc
+
+    from .. import logs
+    from .. import node
+
     logs.start(options.host_id, options.log_level)
     try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(node.Daemon(options).run())
+        aiomisc.run(
+            node.Daemon(options).run(),
+            catch_signals=(),
+            log_config=False,
+            pool_size=IDLE_THREADS,
+        )
     except OSError as error:
         print(f"savorytally: can't serve: {error}", file=sys.stderr)
         return base.EXIT_PORT
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import socket
 import subprocess
 import sys
 
@@ -13,6 +14,15 @@
 from savorytally.commands import base
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+SETTINGS = {
+    "host_id": "browse-0",
+    "service": "browse",
+    "region": "bagmati",
+    "data_centre": "kirtipur",
+    "address": "127.0.0.1",
+    "upstream_url": "http://127.0.0.1:9000",
+    "platform_url": "http://127.0.0.1:9100",
+}
 CONFIGURATION = str(EXAMPLES / "configuration.jsonc")
 
 
@@ -129,21 +139,27 @@
         assert f"9001 {path}: /colour: is unknown" in lines
 
     def test_an_unregistered_policy_is_a_fault(self, capsys, write):
-        value = {
-            "host_id": "browse-0",
-            "service": "browse",
-            "region": "bagmati",
-            "data_centre": "kirtipur",
-            "address": "127.0.0.1",
-            "upstream_url": "http://127.0.0.1:9000",
-            "platform_url": "http://127.0.0.1:9100",
-            "policies": {"quota": "generous"},
-        }
+        value = {**SETTINGS, "policies": {"quota": "generous"}}
         path = write("settings.json", value)
         assert cli.main(["node", "--settings", path]) == base.EXIT_FAULT
         line = f"9001 {path}: /policies/quota: must be one of "
         assert capsys.readouterr().err.startswith(line)
 
+    def test_a_taken_port_has_its_exit_code(self, write, free_port):
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            names = ("entry", "peer", "egress", "admin")
+            ports = {name: free_port() for name in names}
+            ports["entry"] = taken.getsockname()[1]
+            path = write("settings.json", {**SETTINGS, "ports": ports})
+            ended = subprocess.run(
+                [sys.executable, "-m", "savorytally", "node"]
+                + ["--settings", path],
+                capture_output=True,
+                text=True,
+            )
+        assert ended.returncode == base.EXIT_PORT
+        assert "savorytally: can't serve: " in ended.stderr
+
 
 class TestStatus:
     def test_a_silent_node_is_unreachable(self, capsys, free_port):
