--- a/src/savorytally/commands/node.py
+++ b/src/savorytally/commands/node.py
@@ -52,13 +52,13 @@
 def _serve(options: "settings.Settings") -> int:
     import aiomisc
 
+    from .. import daemon
     from .. import logs
-    from .. import node
 
     logs.start(options.host_id, options.log_level)
     try:
         aiomisc.run(
-            node.Daemon(options).run(),
+            daemon.Daemon(options).run(),
             catch_signals=(),
             log_config=False,
             pool_size=IDLE_THREADS,
