Leave dry runs of large documents to the command line

A dry run of a document of 3.7 MB keeps the loop busy for 0.6 s (trial, docs/design/configuration.md), in which the node carries no call; and a section was asked for by the document's version, which need not be the version that the platform counts for the value.

--- a/src/savorytally/http/admin.py
+++ b/src/savorytally/http/admin.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import heapq
 import hmac
 import os
 import typing as t
@@ -27,6 +28,7 @@
 from . import admin_views
 
 REQUEST_MAX_BYTES = 1 << 20
+DRY_RUN_MAX_BYTES = 128 << 10
 PAGE_LENGTH = 100
 PAGE_LENGTH_MAX = 1_000
 SHUTDOWN_TIMEOUT_S = 2.0
@@ -223,9 +225,14 @@
         loaded = files.parse(_as_text(await request.read()))
         if isinstance(loaded, files.Unreadable):
             return _refuse(results.PATCH_FAULT, loaded.fault)
-        document = await published.read(self._subject.outside.platform)
+        document = await published.read(
+            self._subject.outside.platform, DRY_RUN_MAX_BYTES
+        )
         if isinstance(document, published.Unavailable):
             return _refuse(results.PLATFORM_FAULT, document.fault)
+        if isinstance(document, published.TooLarge):
+            text = f"must be at most {document.limit_bytes} bytes"
+            return _refuse(results.ADMIN_TOO_LARGE, fields.Fault("", text))
         outcome = patch.apply_value(document.value, loaded.value)
         if isinstance(outcome, patch.Refused):
             return _refuse(outcome.code, *outcome.faults)
@@ -285,9 +292,11 @@
         fault = fields.Fault("/limit", text)
         return _refuse(results.ADMIN_REQUEST_FAULT, fault)
     after = request.query.get("after", "")
-    wanted = sorted(name for name in members if name > after)
-    page = wanted[: int(limit)]
-    following = page[-1] if len(wanted) > len(page) else None
+    wanted = (name for name in members if name > after)
+    page = heapq.nsmallest(int(limit) + 1, wanted)
+    more = len(page) > int(limit)
+    page = page[: int(limit)]
+    following = page[-1] if more else None
     return web.json_response(
         {
             "members": {name: show(members[name]) for name in page},
--- a/src/savorytally/results.py
+++ b/src/savorytally/results.py
@@ -349,3 +349,10 @@
     "A request to the administration API is malformed.",
     "Correct the place that the fault names.",
 )
+ADMIN_TOO_LARGE = _code(
+    9012,
+    "admin_too_large",
+    413,
+    "The published document is too large to be checked by a serving node.",
+    "Check the patch with savorytally config patch.",
+)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -297,6 +297,24 @@
         assert (answer[0], answer[1]["code"]) == (status, code)
         assert answer[1]["faults"][0]["place"] == place
 
+    def test_a_large_document_is_left_to_the_command_line(self, serve):
+        value = documents.himali()
+        for number in range(1_000):
+            name = f"route{number}"
+            value["routes"][name] = documents.route(name, "maps", "normal")
+        served = serve()
+        split = sections.split(value)
+        whole = {"configuration": json.dumps(value).encode()}
+        divided = {"configuration": sections.write_head(split.head)} | {
+            f"configuration/{name}": body
+            for name, body in split.bodies.items()
+        }
+        for values in (whole, divided):
+            served.platform.values = values
+            path = "/v1/configuration/dry-run"
+            status, answer = served.ask("POST", path, body=patch_of(1, 5))
+            assert (status, answer["code"]) == (413, 9012)
+
     @pytest.mark.parametrize("body", [None, OSError("down"), b"{", b"[1]"])
     def test_an_unreadable_platform_is_said_so(self, serve, body):
         served = serve()
