--- a/src/savorytally/daemon.py
+++ b/src/savorytally/daemon.py
@@ -79,6 +79,7 @@
                 now=now.now,
             ),
         )
+        self.node.control.reply_with(self._peer_server.reply)
         self._entry_server = server.RequestServer(handle)
         self._egress_server = server.RequestServer(handle_child)
         self.admin = admin.AdminServer(
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -1,7 +1,10 @@
 """A node: the composition of its parts behind the seam to the outside."""
 
+import asyncio
+
 import aioprometheus
 
+from . import defaults
 from . import fields
 from . import metrics
 from . import ports
@@ -16,9 +19,12 @@
 from .decisions import fifo  # noqa: F401, registers a policy
 from .decisions import loans  # noqa: F401, registers a policy
 from .decisions import membership
+from .decisions import ownership
 from .decisions import quota
+from .decisions import record
 from .decisions import relay
 from .decisions import routing
+from .decisions import witness
 from .parts import control
 from .parts import dispatch
 from .parts import egress
@@ -81,14 +87,19 @@
             self.membership.reachable,
             self.evidence,
         )
+        started_s = outside.clock.wall() - options.fleet_started_s
+        fresh = 0.0 <= started_s < defaults.FLEET_START_WINDOW_S
+        self.witnesses = witness.Witnesses(outside.random)
         self.quota = quota.policies.get(policies.quota)(
             quota.Site(
                 host_id=options.host_id,
                 region_id=options.place.region_id,
                 incarnation=incarnation or int(outside.clock.wall() * 1000),
                 evidence=self.evidence,
+                witnesses=self.witnesses,
                 random=outside.random,
-                fresh=options.fresh_fleet,
+                wake=self._wake_quota,
+                fresh=fresh,
             )
         )
         self.routing = routing.policies.get(policies.routing)(
@@ -102,6 +113,16 @@
         self.egress = egress.Egress(
             outside, self.view, self.tokens, self.dispatcher, below
         )
+        self.record = record.ExecutionRecord(
+            options.service_id,
+            ownership.Ownership(
+                options.host_id,
+                lambda item: item.service_id == options.service_id,
+                self.evidence,
+                self.witnesses,
+                fresh,
+            ),
+        )
         self.gate = gate.Gate(
             outside,
             self.view,
@@ -110,6 +131,7 @@
             ),
             self.tokens,
             below,
+            self.record,
         )
         self.control = control.Control(
             outside, self.view, self.dissemination, self.membership
@@ -117,13 +139,16 @@
         self.control.add(self.dissemination)
         self.control.add(self.membership)
         self.control.add(self.quota)
+        self.control.add(self.witnesses)
         self.control.every_tick(self.gate.tick)
+        self.control.every_tick(self._tick_record)
         self.watch = watch.PlatformWatch(
             outside, self.dissemination, self.control.send
         )
         self._add_gauges()
         self.view.subscribe(self)
         self.view.confirm_with(self.dissemination.freshness.confirmed)
+        self.view.compare_with(lambda: self.dissemination.lagging)
 
     def configuration_changed(self, now: float) -> None:
         """Apply a newer configuration."""
@@ -143,7 +168,10 @@
         """Apply a newer host list."""
         self.relay.learn_hosts(self.view.hosts.hosts)
         self.membership.learn_hosts(self.view.hosts.hosts)
+        self.witnesses.learn(self.view.hosts.version, now)
         self.quota.learn_hosts(self.view.hosts, now)
+        self.record.learn_hosts(self.view.hosts, now)
+        self.dispatcher.learn_hosts(self.view.hosts.hosts)
         self._working_hosts_changed(now)
 
     def _add_gauges(self) -> None:
@@ -177,3 +205,13 @@
 
     def _working_hosts_changed(self, now: float) -> None:
         self.routing.learn_hosts(self.membership.working(), now)
+
+    def _tick_record(self) -> None:
+        self.record.tick(self.outside.clock.now())
+
+    def _wake_quota(self) -> None:
+        asyncio.get_running_loop().call_soon(self._poll_quota)
+
+    def _poll_quota(self) -> None:
+        now = self.outside.clock.now()
+        self.control.send(self.quota.poll(now))
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -119,6 +119,14 @@
         two.transport.run(IN_FORCE_S)
         assert behind(two, version) == {}
 
+    def test_in_a_place_of_many_hosts(self):
+        made = fleet.Fleet({("bagmati", "kirtipur"): 250})
+        made.publish()
+        made.start_all()
+        version = made.publish()
+        made.transport.run(IN_FORCE_S)
+        assert behind(made, version) == {}
+
     def test_with_all_readers_of_a_place_killed(self, one):
         for reader in one.readers():
             one.crash(reader)
@@ -223,6 +231,25 @@
         assert first not in one.readers()
 
 
+class TestPause:
+    @pytest.mark.parametrize("number", range(16))
+    def test_woken_node_admits_only_by_the_newest_version(self, one, number):
+        host_id = f"kirtipur-{number}"
+        one.transport.pause(host_id)
+        one.transport.run(2.0)
+        version = one.publish()
+        one.transport.run(IN_FORCE_S)
+        one.transport.resume(host_id)
+        woken = one.members[host_id]
+        judge = woken.dissemination.freshness
+        assert not judge.confirmed(one.now)
+        for _ in range(60):
+            one.transport.run(0.05)
+            if judge.confirmed(one.now):
+                assert woken.version == version
+        assert judge.confirmed(one.now)
+
+
 class TestSections:
     def test_delta_carries_only_what_changed(self):
         old = publication.empty("x").replace(1, {"a": b"1", "b": b"1"})
