--- a/src/savorytally/replay/sender.py
+++ b/src/savorytally/replay/sender.py
@@ -1,5 +1,6 @@
 """The calling side of a node in a replay: routing, shedding and retries."""
 
+import functools
 import random
 import typing as t
 
@@ -13,6 +14,7 @@
 from ..world import configuration
 from ..world import host
 from ..world import region
+from ..world import route
 from . import calls
 from . import timeline
 from . import trace
@@ -63,9 +65,7 @@
         )
         self.routing.learn_hosts(_hosts(header), line.now)
         self.ratio = retry.RetryRatio(configuration.RetryPolicy().ratio)
-        self.downstream = downstream.DownstreamLevels(
-            self.routing.service_level
-        )
+        self.downstream = downstream.DownstreamLevels(self.routing.route_level)
         self._shares = shares.Shares()
 
     def send(
@@ -81,9 +81,10 @@
         name = arrival.organisation_id
         weight = self.header.organisations[name].weight
         self._shares.note(arrival.route.priority, name, weight, now)
-        self.downstream.called(
-            arrival.route.route_id, arrival.route.services[hop], now
-        )
+        if hop > 0:
+            above = hop_route(arrival.route, hop - 1)
+            child = hop_route(arrival.route, hop)
+            self.downstream.called(above.route_id, child, now)
         self.ratio.first_attempt()
         job = Job(self, root, hop, budget, done)
         job.start()
@@ -157,10 +158,11 @@
 
     def _choose(self) -> routing.Choice:
         sender = self._sender
-        route = self._root.request.arrival.route
+        called = hop_route(self._root.request.arrival.route, self._hop)
         question = routing.Question(
-            service_id=route.services[self._hop],
-            priority=route.priority,
+            service_id=called.service_id,
+            route_id=called.route_id,
+            priority=called.priority,
             admits=lambda level: sender.admits(self._root, self._hop, level),
             tried=frozenset(self._tried),
         )
@@ -198,8 +200,10 @@
             self._end(reply)
 
     def _note(self, reply: calls.Reply | None) -> None:
+        called = hop_route(self._root.request.arrival.route, self._hop)
         result = routing.Result(
             host_id=self._host_id,
+            route_id=called.route_id,
             ok=reply is None or reply.code not in _HOST_FAILURES,
             level=reply.level if reply else routing.LEVEL_UNKNOWN,
             took_s=0.0,
@@ -240,6 +244,22 @@
         self._done(reply)
 
 
+@functools.cache
+def hop_route(played: trace.Route, hop: int) -> route.Route:
+    """Return the route that a request calls at one hop of its chain."""
+    return route.Route(
+        route_id=f"{played.route_id}/{hop}",
+        service_id=played.services[hop],
+        names={},
+        method="GET",
+        path="/",
+        priority=played.priority,
+        idempotent=played.idempotent,
+        open=False,
+        timeout_ms=int(played.timeout_s * 1000),
+    )
+
+
 def _hosts(header: trace.Header) -> dict[str, host.Host]:
     return {
         item.gate_id: host.Host(
