Let test meshes declare that their fleet is new

Cause: since gates wait for settled owners of execution records, a mesh of a test refused non-idempotent calls with 1022, and the test of a stop timed out; hosts that have gone are refused with 1018 once their owner can't be reached, which the test of a stop did not admit.

--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import time
 import typing as t
 
 from savorytally import daemon
@@ -71,6 +72,7 @@
                 upstream_url=f"http://127.0.0.1:{upstream_port}",
                 platform_url=f"http://127.0.0.1:{platform_port}",
                 ports=opened,
+                fleet_started_s=time.time(),
                 **fields,
             )
         )
