Show the product's policies in the demonstration

Cause: the demonstration ran the baselines (first in first out, local quota), and ended the platform before the nodes, whose warnings filled the report's end.

--- a/tools/mesh.py
+++ b/tools/mesh.py
@@ -147,6 +147,8 @@
         "platform_url": platform_url,
         "ports": {name: ports[name] for name in PORTS[:4]},
         "fleet_started_s": time.time(),
+        "policies": {"admission": "adaptive", "quota": "loans"},
+        "log_level": "error",
     }
 
 
