--- a/tools/mesh.py
+++ b/tools/mesh.py
@@ -17,6 +17,8 @@
 ORGANISATIONS = 8
 RATE_PER_S = 40.0
 RETRIES_PER_ROOT = 3
+FAST_RATE_PER_S = 1e6
+FAST_SLOTS = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,8 +168,31 @@
     }
 
 
-def write(directory: pathlib.Path) -> None:
-    """Write all files of the mesh."""
+def make_fast(files: dict[str, dict[str, t.Any]]) -> None:
+    """Remove what limits a mesh: rates, slots, service time, the link."""
+    published = files["configuration"]
+    for organisation in published["organisations"].values():
+        organisation["rate_per_s"] = organisation["burst"] = FAST_RATE_PER_S
+    for service in published["services"].values():
+        service["slots"] = service["connections"] = FAST_SLOTS
+    near = SITES[0]
+    for name, document in files.items():
+        if name.endswith(".node"):
+            document["region"] = near.region
+            document["data_centre"] = near.data_centre
+        if name.endswith(".upstream"):
+            document["slots"] = FAST_SLOTS
+            document["service_ms"] = 0.0
+    for host in files["hosts"].values():
+        host["region"] = near.region
+        host["data_centre"] = near.data_centre
+
+
+def write(directory: pathlib.Path, fast: bool) -> None:
+    """Write all files of the mesh.
+
+    :param fast: whether nothing but the nodes limits the calls.
+    """
     found = free_ports(len(SITES) * len(PORTS) + 1)
     platform_port = found.pop()
     by_host = {
@@ -196,6 +221,8 @@
         ports = by_host[site.host_id]
         files[f"{site.host_id}.node"] = settings(site, ports, platform_url)
         files[f"{site.host_id}.upstream"] = stand_in(site, ports)
+    if fast:
+        make_fast(files)
     for name, document in files.items():
         text = json.dumps(document, indent=2)
         (directory / f"{name}.json").write_text(text + "\n", "utf-8")
@@ -206,7 +233,9 @@
     """Run the program."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("directory", type=pathlib.Path)
-    write(parser.parse_args().directory)
+    parser.add_argument("--fast", action="store_true")
+    given = parser.parse_args()
+    write(given.directory, given.fast)
 
 
 if __name__ == "__main__":
--- a/tools/ready.py
+++ b/tools/ready.py
@@ -11,12 +11,17 @@
 POLL_S = 0.1
 
 
-async def ready(directory: pathlib.Path, seconds: float) -> bool:
-    """Return whether every entry is configured within the time."""
+async def ready(
+    directory: pathlib.Path, hosts: list[str], seconds: float
+) -> bool:
+    """Return whether the hosts' entries are configured within the time.
+
+    :param hosts: the hosts, all if empty.
+    """
     ports = json.loads((directory / "mesh.json").read_text("utf-8"))["ports"]
     end = time.monotonic() + seconds
     async with aiohttp.ClientSession() as session:
-        for item in ports.values():
+        for item in (ports[name] for name in hosts or ports):
             url = f"http://127.0.0.1:{item['entry']}/browse/species"
             while not await _configured(session, url):
                 if time.monotonic() > end:
@@ -37,9 +42,11 @@
     """Run the program."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("directory", type=pathlib.Path)
+    parser.add_argument("--host", action="append", default=[])
     parser.add_argument("--seconds", type=float, default=20.0)
     given = parser.parse_args()
-    return 0 if asyncio.run(ready(given.directory, given.seconds)) else 1
+    work = ready(given.directory, given.host, given.seconds)
+    return 0 if asyncio.run(work) else 1
 
 
 if __name__ == "__main__":
