Close incoming streams that have long been silent

Cause: a caller that vanished without closing left its incoming stream open for good; log lines carried codes in their text.

--- a/src/savorytally/peer/link.py
+++ b/src/savorytally/peer/link.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from .. import defaults
+from .. import logs
 from .. import outcomes
 from .. import ports
 from .. import results
@@ -131,7 +132,8 @@
             self._pings += 1
             opened.send(messages.Heartbeat(self._pings, False))
         elif check is liveness.Check.SILENT:
-            logging.warning("peer=%s stream is silent", self.target.host_id)
+            given = logs.fields(peer=self.target.host_id)
+            logging.warning("stream is silent", extra=given)
             opened.abort()
         self._send_settled(now)
 
--- a/src/savorytally/peer/server.py
+++ b/src/savorytally/peer/server.py
@@ -287,4 +287,9 @@
     def _expire(self) -> None:
         self._served.expire(self._handlers.now())
         loop = asyncio.get_running_loop()
+        # Callers close idle streams; one that is silent for longer is dead.
+        oldest = loop.time() - 2 * defaults.STREAM_IDLE_S
+        for item in list(self._sessions):
+            if item.heard_at < oldest:
+                item.abort()
         self._timer = loop.call_later(EXPIRY_PERIOD_S, self._expire)
--- a/src/savorytally/peer/session.py
+++ b/src/savorytally/peer/session.py
@@ -25,6 +25,11 @@
         self.sender: resolution.Sender | None = None
         self.dismissed = False
 
+    @property
+    def heard_at(self) -> float:
+        """When anything was last received, time of the loop."""
+        return self._stream.heard_at if self._stream is not None else 0.0
+
     def opened(self, opened: stream.Stream) -> None:
         """Keep the stream; the peer introduces itself first."""
         self._stream = opened
