Repeat a cancellation that was lost with its stream

Change: a link cancels such calls again before it asks about them; the calls that wait for results have a module of their own, peer/calls.py. Conclusion: none further.

--- a/src/savorytally/peer/link.py
+++ b/src/savorytally/peer/link.py
@@ -14,36 +14,13 @@
 from ..decisions import liveness
 from ..world import host
 from . import answers
+from . import calls
 from . import messages
 from . import stream
 
 if t.TYPE_CHECKING:
     from . import links
 
-UNDISPATCHED = -1
-
-
-@dataclasses.dataclass(slots=True)
-class _Pending:
-    """A call whose result has not arrived.
-
-    :param call: the call.
-    :param future: takes the result.
-    :param late: takes the result after the caller has given up.
-    :param since: when the call was registered, time of the loop.
-    :param timer: ends the call at its deadline.
-    :param incarnation: of the peer that it was sent to.
-    :param assembly: the messages of its answer.
-    """
-
-    call: messages.Call
-    future: asyncio.Future[ports.CallResult]
-    late: ports.Late | None
-    since: float
-    timer: asyncio.TimerHandle
-    incarnation: int = UNDISPATCHED
-    assembly: answers.Assembly | None = None
-
 
 class Link:
     """The outgoing stream to one peer; a lost one is replaced.
@@ -62,15 +39,12 @@
         self._greeting: asyncio.Future[None] = self._loop.create_future()
         self._backoff = liveness.Backoff(shared.random)
         self._health = liveness.StreamHealth(self._loop.time())
-        self._calls: dict[int, _Pending] = {}
+        self._calls = calls.Calls(self._expire)
         self._control: list[messages.Message] = []
         self._leaving = False
         self._lost_at: float | None = None
         self._pings = 0
-        self._last_id = 0
         self._used_at = self._loop.time()
-        self._settled_at = self._loop.time()
-        self._finished_calls = 0
 
     @property
     def outstanding(self) -> int:
@@ -97,7 +71,8 @@
         refused = self._refusal()
         if refused is not None:
             return ports.CallResult(refused)
-        pending = self._register(call, late)
+        pending = self._calls.register(call, late)
+        self._used_at = pending.since
         if self.connected:
             self._dispatch(pending)
         else:
@@ -135,7 +110,9 @@
             given = logs.fields(peer=self.target.host_id)
             logging.warning("stream is silent", extra=given)
             opened.abort()
-        self._send_settled(now)
+        settled = self._calls.settled(now)
+        if settled is not None:
+            opened.send(settled)
 
     def close(self) -> None:
         """Say goodbye and close the stream."""
@@ -145,7 +122,9 @@
             self._stream.send(messages.Goodbye(leaving=False))
             self._stream.close()
         self._lost_at = None
-        self._end_all(results.OUTCOME_UNKNOWN, "link closed")
+        self._calls.finish_all(
+            outcomes.Failure(results.OUTCOME_UNKNOWN, "link closed")
+        )
 
     def opened(self, opened: stream.Stream) -> None:
         """Introduce this node."""
@@ -158,12 +137,12 @@
     ) -> None:
         """Take in an answer or a control message."""
         if isinstance(message, messages.AnswerHead):
-            self._answer(message)
+            self._calls.answer(message)
         elif isinstance(message, messages.AnswerPiece):
-            self._piece(message)
+            self._calls.piece(message)
         elif isinstance(message, messages.CallFailed):
             failure = answers.to_failure(message)
-            self._finish(message.call_id, failure, message.load)
+            self._calls.finish(message.call_id, failure, message.load)
         elif isinstance(message, messages.Hello):
             self._greeted(source, message)
         elif isinstance(message, messages.Goodbye):
@@ -215,31 +194,13 @@
             return None
         return outcomes.Failure(results.NOT_DISPATCHED, "backoff")
 
-    def _register(
-        self, call: messages.Call, late: ports.Late | None
-    ) -> _Pending:
-        allowed_ms = call.remaining_ms + defaults.ANSWER_MARGIN_MS
-        pending = _Pending(
-            call=call,
-            future=self._loop.create_future(),
-            late=late,
-            since=self._loop.time(),
-            timer=self._loop.call_later(
-                allowed_ms / 1000, self._expire, call.call_id
-            ),
-        )
-        self._calls[call.call_id] = pending
-        self._last_id = call.call_id
-        self._used_at = pending.since
-        return pending
-
-    def _dispatch(self, pending: _Pending) -> None:
+    def _dispatch(self, pending: calls.Pending) -> None:
         pending.incarnation = self._stream.incarnation
         self._stream.send(pending.call)
 
     def _dispatch_waiting(self, now: float) -> None:
-        for pending in list(self._calls.values()):
-            if pending.incarnation != UNDISPATCHED:
+        for pending in self._calls.all():
+            if pending.dispatched:
                 continue
             waited_ms = int((now - pending.since) * 1000)
             remaining_ms = max(pending.call.remaining_ms - waited_ms, 1)
@@ -300,33 +261,41 @@
         self._shared.inbox.deliver(self.target.host_id, hello)
 
     def _resolve_all(self, source: stream.Stream) -> None:
-        for call_id, pending in list(self._calls.items()):
-            if pending.incarnation == UNDISPATCHED:
-                continue
-            if pending.incarnation != source.incarnation:
-                failure = outcomes.Failure(
-                    results.OUTCOME_UNKNOWN, "host restarted"
-                )
-                self._finish(call_id, failure, -1)
-                continue
-            pending.assembly = None
-            source.send(messages.Resolve(call_id, source.incarnation))
+        for pending in self._calls.all():
+            if pending.dispatched:
+                self._resolve(pending, source)
+
+    def _resolve(self, pending: calls.Pending, source: stream.Stream) -> None:
+        call_id = pending.call.call_id
+        if pending.incarnation != source.incarnation:
+            failure = outcomes.Failure(
+                results.OUTCOME_UNKNOWN, "host restarted"
+            )
+            self._calls.finish(call_id, failure)
+            return
+        if pending.future.cancelled():
+            # The cancellation may have been lost with the stream.
+            source.send(messages.Cancel(call_id))
+        pending.assembly = None
+        source.send(messages.Resolve(call_id, source.incarnation))
 
     def _unreachable(self, error: OSError) -> None:
         now = self._loop.time()
         self._backoff.failed(now)
         text = type(error).__name__
         self._shared.inbox.deliver(self.target.host_id, messages.Lost())
-        for call_id, pending in list(self._calls.items()):
-            if pending.incarnation == UNDISPATCHED:
+        for pending in self._calls.all():
+            if not pending.dispatched:
                 failure = outcomes.Failure(results.NOT_DISPATCHED, text)
-                self._finish(call_id, failure, -1)
+                self._calls.finish(pending.call.call_id, failure)
         if self._lost_at is None:
             return
         gone = isinstance(error, ConnectionRefusedError)
         if gone or now - self._lost_at >= defaults.RESOLVE_TIMEOUT_S:
             self._lost_at = None
-            self._end_all(results.OUTCOME_UNKNOWN, text)
+            self._calls.finish_all(
+                outcomes.Failure(results.OUTCOME_UNKNOWN, text)
+            )
             return
         self._loop.call_at(self._backoff.ready_at, self._reconnect)
 
@@ -334,75 +303,21 @@
         if self._lost_at is not None:
             self._connect()
 
-    def _end_all(self, code: results.ResultCode, detail: str) -> None:
-        for call_id in list(self._calls):
-            self._finish(call_id, outcomes.Failure(code, detail), -1)
-
-    def _withdraw(self, pending: _Pending) -> None:
+    def _withdraw(self, pending: calls.Pending) -> None:
         call_id = pending.call.call_id
         if call_id not in self._calls:
             return
-        if pending.incarnation == UNDISPATCHED:
+        if not pending.dispatched:
             failure = outcomes.Failure(results.CANCELLED_BEFORE_START)
-            self._finish(call_id, failure, -1)
+            self._calls.finish(call_id, failure)
         elif self.connected:
             self._stream.send(messages.Cancel(call_id))
 
-    def _expire(self, call_id: int) -> None:
-        pending = self._calls.get(call_id)
-        if pending is None:
-            return
+    def _expire(self, pending: calls.Pending) -> None:
+        call_id = pending.call.call_id
         code = results.DEADLINE_UNKNOWN
-        if pending.incarnation == UNDISPATCHED:
+        if not pending.dispatched:
             code = results.DEADLINE_TOO_SHORT
         elif self.connected:
             self._stream.send(messages.Cancel(call_id))
-        self._finish(call_id, outcomes.Failure(code), -1)
-
-    def _answer(self, head: messages.AnswerHead) -> None:
-        pending = self._calls.get(head.call_id)
-        if pending is None:
-            return
-        if pending.assembly is None:
-            pending.assembly = answers.Assembly()
-        pending.assembly.add_head(head)
-        self._finish_if_complete(head.call_id, pending.assembly)
-
-    def _piece(self, piece: messages.AnswerPiece) -> None:
-        pending = self._calls.get(piece.call_id)
-        if pending is None:
-            return
-        if pending.assembly is None:
-            pending.assembly = answers.Assembly()
-        pending.assembly.add_piece(piece)
-        self._finish_if_complete(piece.call_id, pending.assembly)
-
-    def _finish_if_complete(
-        self, call_id: int, assembly: answers.Assembly
-    ) -> None:
-        if assembly.complete:
-            self._finish(call_id, assembly.outcome(), assembly.level)
-
-    def _finish(
-        self, call_id: int, outcome: outcomes.Outcome, level: int
-    ) -> None:
-        pending = self._calls.pop(call_id, None)
-        if pending is None:
-            return
-        pending.timer.cancel()
-        self._finished_calls += 1
-        result = ports.CallResult(outcome, level)
-        if not pending.future.done():
-            pending.future.set_result(result)
-        elif pending.late is not None:
-            pending.late(result)
-
-    def _send_settled(self, now: float) -> None:
-        due = now - self._settled_at >= defaults.SETTLE_PERIOD_S
-        many = self._finished_calls >= defaults.SETTLE_CALLS
-        if not self._finished_calls or not (many or due):
-            return
-        self._finished_calls = 0
-        self._settled_at = now
-        below = next(iter(self._calls), self._last_id + 1)
-        self._stream.send(messages.Settled(below))
+        self._calls.finish(call_id, outcomes.Failure(code))
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -78,6 +78,25 @@
         assert bodies == [b"call-%d-" % number for number in range(2, 12)]
         assert ran == list(range(1, 12))
 
+    def test_cancellation_lost_with_its_stream_is_repeated(
+        self, run, free_port
+    ):
+        async def work():
+            pair = await peers.start(free_port())
+            await connected(pair)
+            pair.gate.release.clear()
+            waiting = pair.call(2)
+            await peers.until(lambda: 2 in pair.gate.ran)
+            pair.proxy.silence()
+            waiting.cancel()
+            async with asyncio.timeout(10):
+                await peers.until(lambda: pair.server.outstanding == 0)
+            connections = len(pair.proxy.connections)
+            await pair.stop()
+            return connections
+
+        assert run(work()) == 2
+
     def test_restarted_host_makes_the_outcome_unknown(self, run, free_port):
         async def work():
             port = free_port()
