--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -12,6 +12,7 @@
 from savorytally import results
 from savorytally.http import server
 from savorytally.parts import headers
+from savorytally.peer import codec
 
 KEY = documents.key_of("org1")
 AUTHORISED = {"Authorization": f"Bearer {KEY}"}
@@ -127,6 +128,34 @@
         assert KEY not in text
         assert seen.headers["X-Kept"] == "yes"
 
+    def test_key_is_in_no_frame_and_no_log_line(
+        self, run, free_port, monkeypatch, capfd
+    ):
+        frames = []
+        encode = codec.encode
+
+        def watched(message, version):
+            frames.append(encode(message, version))
+            return frames[-1]
+
+        async def work(mesh):
+            url = mesh.entry_urls["browse-0"]
+            sent = {**AUTHORISED, "Cookie": KEY, "X-Copy": KEY}
+            async with aiohttp.ClientSession() as session:
+                for path in ("/checklist/pull", f"/checklist/pull/{KEY}"):
+                    async with session.get(url + path, headers=sent):
+                        pass
+                odd = {"Authorization": f"Basic {KEY}"}
+                async with session.get(url + "/x/y", headers=odd):
+                    pass
+
+        monkeypatch.setattr(codec, "encode", watched)
+        run(with_mesh(work)(free_port))
+        assert any(b"pull" in frame for frame in frames)
+        assert not any(KEY.encode() in frame for frame in frames)
+        captured = capfd.readouterr()
+        assert KEY not in captured.err + captured.out
+
     def test_key_in_the_path_is_refused(self, run, free_port):
         async def work(mesh):
             url = mesh.entry_urls["browse-0"] + "/checklist/pull/"
