--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -73,6 +73,7 @@
                 platform_url=f"http://127.0.0.1:{platform_port}",
                 fleet_started_s=time.time(),
                 ports=opened,
+                fleet_started_s=time.time(),
                 **fields,
             )
         )
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -113,6 +113,7 @@
         assert set(load.answered) == set(ran)
         assert max(ran.values()) == 1
         assert not set(load.refused) & set(ran)
+        assert load.codes[LEAVING] > 0
         # Only the owner of a key may run it; while that host stops, its
         # keys are refused, each with proof that the report did not run.
         assert set(load.codes) <= {ANSWERED, LEAVING, UNSETTLED, CLOSED}
