Isolate, convict and refuse requests that crash upstreams

Cause: a request that crashes the upstream that runs it, sent again by its caller, could take down every host of a service one after another.

Change: a crash detector at the gate (all calls in flight broken, or a refused connection after a broken one), a quarantine that the nodes of a service share by messages 60-63: suspects run alone on the one host that announced it and won the rendezvous, an answer clears, a second crash convicts for 300 s. Held calls wait for the verdict within their deadline. The dispatcher remembers verdicts with which gates refused.

A node that dies together with its upstream leaves no verdict behind; open.

--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -24,6 +24,7 @@
 from .decisions import fifo  # noqa: F401, registers a policy
 from .decisions import loans  # noqa: F401, registers a policy
 from .decisions import membership
+from .decisions import quarantine
 from .decisions import quota
 from .decisions import relay
 from .decisions import routing
@@ -123,6 +124,9 @@
         self.egress = egress.Egress(
             outside, self.view, self.tokens, self.dispatcher, below
         )
+        self.quarantine = quarantine.Quarantine(
+            options.host_id, self._service_peers
+        )
         self.gate = gate.Gate(
             outside,
             self.view,
@@ -131,6 +135,7 @@
             ),
             self.tokens,
             below,
+            self.quarantine,
         )
         self.control = control.Control(
             outside, self.view, self.dissemination, self.membership
@@ -139,6 +144,7 @@
         self.control.add(self.membership)
         self.control.add(self.quota)
         self.control.add(self.witnesses)
+        self.control.add(self.quarantine)
         self.control.every_tick(self.gate.tick)
         self.watch = watch.PlatformWatch(
             outside, self.dissemination, self.control.send
@@ -170,6 +176,11 @@
         self.quota.learn_hosts(self.view.hosts, now)
         self._working_hosts_changed(now)
 
+    def _service_peers(self) -> list[str]:
+        known = self.view.hosts.of_service(self.settings.service_id)
+        own = self.settings.host_id
+        return [item.host_id for item in known if item.host_id != own]
+
     def _add_gauges(self) -> None:
         policy = self.gate.policy
         add = self.metrics.add_gauge
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -10,6 +10,7 @@
 from .. import ports
 from .. import results
 from ..decisions import estimates
+from ..decisions import refusals
 from ..decisions import retry
 from ..decisions import routing
 from ..decisions import shares
@@ -66,6 +67,7 @@
         self._answers = estimates.Estimates()
         self._shares = shares.Shares()
         self._weights: dict[str, float] = {}
+        self._refusals = refusals.Refusals()
         self._ids = itertools.count(1)
 
     def learn_configuration(
@@ -82,6 +84,12 @@
         """Return the outcome of the job, over all its attempts."""
         tried: set[str] = set()
         last: outcomes.Outcome | None = None
+        content = fingerprint(job)
+        refused_ms = self._refusals.remaining_ms(content, self._clock.now())
+        if refused_ms:
+            return outcomes.Failure(
+                results.QUARANTINED, retry_after_ms=refused_ms
+            )
         self._ratio.first_attempt()
         self._note_demand(job.context)
         for attempt in itertools.count():
@@ -94,10 +102,16 @@
                 return last
             tried.add(choice.host.host_id)
             last = await self._attempt(job, choice.host, attempt)
+            self._note_refusal(content, last)
             if not retry.worthwhile(last, self._prospect(job)):
                 return last
         raise AssertionError("unreachable")
 
+    def _note_refusal(self, content: int, outcome: outcomes.Outcome) -> None:
+        if outcome.code is results.QUARANTINED:
+            now = self._clock.now()
+            self._refusals.note(content, outcome.retry_after_ms, now)
+
     def _choose(self, job: Job, tried: set[str]) -> routing.Choice:
         route_id = job.route.route_id
         request_bytes = len(job.request.body)
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -9,10 +9,12 @@
 from .. import view
 from ..decisions import admission
 from ..decisions import downstream
+from ..decisions import quarantine
 from ..decisions import retry
 from ..peer import messages
 from ..world import route
 from . import headers
+from . import isolation
 from . import running
 
 _SERVER_ERROR = 500
@@ -32,6 +34,7 @@
     :param policy: decides which calls run, wait or are refused.
     :param tokens: running calls by call token, shared with the egress.
     :param below: shed levels of the services called from here.
+    :param judge: knows the requests that crash upstreams.
     """
 
     def __init__(
@@ -41,6 +44,7 @@
         policy: admission.Admission,
         tokens: running.RunningCalls,
         below: downstream.DownstreamLevels,
+        judge: quarantine.Quarantine,
     ) -> None:
         self._clock = outside.clock
         self._upstream = outside.upstream
@@ -48,6 +52,7 @@
         self._admission = policy
         self._tokens = tokens
         self._downstream = below
+        self._isolation = isolation.Isolation(outside.clock, judge)
         self._tickets = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[admission.Decision]] = {}
 
@@ -75,8 +80,11 @@
         if isinstance(found, outcomes.Failure):
             return found
         deadline = self._clock.now() + call.remaining_ms / 1000
+        judged = await self._isolation.judge(call, deadline)
+        if isinstance(judged, outcomes.Failure):
+            return judged
         ticket = next(self._tickets)
-        decision = await self._admit(call, found, ticket, deadline)
+        decision = await self._admit(call, found, ticket, deadline, judged)
         if isinstance(decision, admission.Refuse):
             return outcomes.Failure(
                 decision.code,
@@ -84,12 +92,15 @@
                 retries_unused=call.retries,
             )
         end = admission.End.WITHDRAWN
+        outcome: outcomes.Outcome | None = None
+        self._isolation.started(ticket, call)
         try:
             outcome = await self._execute(call, found, deadline)
             end = _end(outcome)
             return outcome
         finally:
             now = self._clock.now()
+            self._isolation.ended(ticket, end, outcome)
             self._apply(self._admission.finish(ticket, end, now))
 
     def _check(self, call: messages.Call) -> route.Route | outcomes.Failure:
@@ -127,6 +138,7 @@
         found: route.Route,
         ticket: int,
         deadline: float,
+        judged: quarantine.Verdict,
     ) -> admission.Decision:
         version = self._view.configuration
         holder = version and version.organisations.get(call.organisation_id)
@@ -137,7 +149,7 @@
             priority=route.Priority(call.priority),
             route_id=call.route_id,
             deadline=deadline,
-            alone=call.suspect,
+            alone=call.suspect or judged is quarantine.RUN_ALONE,
         )
         future = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = future
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,174 @@
+"""Requests that crash upstreams: suspicion, isolation, conviction."""
+
+import random
+
+from fakes import transport
+import pytest
+
+from savorytally.decisions import admission
+from savorytally.decisions import crashes
+from savorytally.decisions import quarantine
+from savorytally.decisions import refusals
+
+CRASHER = 666
+BROKEN = admission.End.BROKEN
+ANSWERED = admission.End.ANSWERED
+CALM = transport.Weather()
+HOSTS = [f"checklist-{number}" for number in range(8)]
+
+
+class Service:
+    """Gates of one service whose upstreams crash on one request."""
+
+    def __init__(self, seed, weather=CALM):
+        self.source = random.Random(seed)
+        self.carrier = transport.Transport(self.source, weather)
+        self.nodes = {
+            host_id: quarantine.Quarantine(host_id, self.peers_of(host_id))
+            for host_id in HOSTS
+        }
+        self.lost = set()
+        self.refused = 0
+        self.tickets = iter(range(1_000_000))
+        for host_id, node in self.nodes.items():
+            self.carrier.join(host_id, [node])
+
+    @staticmethod
+    def peers_of(host_id):
+        return lambda: [other for other in HOSTS if other != host_id]
+
+    @property
+    def now(self):
+        return self.carrier.clock.now()
+
+    def send(self, host_id, fingerprint, neighbours=(), service_s=0.02):
+        """Run a request as far as its verdict permits; return it."""
+        node = self.nodes[host_id]
+        verdict = node.judge(fingerprint, self.now)
+        if isinstance(verdict, quarantine.Guilty):
+            self.refused += 1
+            return verdict
+        if isinstance(verdict, quarantine.Wait):
+            return verdict
+        running = [fingerprint]
+        if isinstance(verdict, quarantine.Innocent):
+            running += neighbours
+        started = {next(self.tickets): item for item in running}
+        for ticket, item in started.items():
+            node.started(ticket, item, self.now)
+        self.carrier.at(service_s, lambda: self.finish(host_id, started))
+        return verdict
+
+    def finish(self, host_id, started):
+        crashed = CRASHER in started.values()
+        if crashed:
+            self.lost.add(host_id)
+        for ticket in started:
+            end = BROKEN if crashed else ANSWERED
+            self.nodes[host_id].ended(ticket, end, True, self.now)
+
+
+class TestCrashDetector:
+    def test_all_calls_broken_is_a_crash(self):
+        detector = crashes.CrashDetector()
+        for ticket in (1, 2, 3):
+            detector.started(ticket, ticket * 10, False, 0.0)
+        assert detector.broken(1, 1.0) is None
+        assert detector.broken(2, 1.01) is None
+        crash = detector.broken(3, 1.02)
+        assert crash.fingerprints == {10, 20, 30}
+
+    def test_one_broken_connection_among_others_is_none(self):
+        detector = crashes.CrashDetector()
+        for ticket in (1, 2):
+            detector.started(ticket, ticket, False, 0.0)
+        assert detector.broken(1, 1.0) is None
+        detector.answered(2)
+        detector.started(3, 3, False, 1.1)
+        crash = detector.broken(3, 1.2)
+        assert crash.fingerprints == {3}
+
+    def test_refused_connection_completes_the_evidence(self):
+        detector = crashes.CrashDetector()
+        detector.started(1, 10, False, 0.0)
+        detector.started(2, 20, False, 0.0)
+        detector.broken(1, 1.0)
+        detector.started(3, 30, False, 1.1)
+        crash = detector.refused(3, 1.1)
+        assert crash.fingerprints == {10}
+
+
+class TestConviction:
+    @pytest.mark.parametrize("seed", range(20))
+    def test_resent_crasher_costs_at_most_three_hosts(self, seed):
+        weather = transport.Weather(lose=0.1, double=0.1)
+        service = Service(seed, weather)
+        for _ in range(400):
+            host_id = service.source.choice(HOSTS)
+            service.send(host_id, CRASHER, neighbours=(1, 2))
+            service.carrier.run(0.1)
+        assert len(service.lost) <= 3
+        assert service.refused > 300
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_storm_of_resends_costs_at_most_three_hosts(self, seed):
+        service = Service(seed)
+        service.send(HOSTS[0], CRASHER, neighbours=(1, 2))
+        service.carrier.run(0.3)
+        for _ in range(100):
+            for host_id in HOSTS:
+                service.send(host_id, CRASHER)
+            service.carrier.run(0.05)
+        assert len(service.lost) <= 3
+
+    def test_verdict_expires(self):
+        node = quarantine.Quarantine("a", lambda: [])
+        node.learn(CRASHER, 1_000, 0.0)
+        assert isinstance(node.judge(CRASHER, 0.5), quarantine.Guilty)
+        assert node.judge(CRASHER, 1.5) == quarantine.INNOCENT
+
+
+class TestRefusals:
+    def test_entry_refuses_until_the_verdict_expires(self):
+        known = refusals.Refusals()
+        known.note(CRASHER, 1_000, 5.0)
+        assert 0 < known.remaining_ms(CRASHER, 5.5) <= 501
+        assert known.remaining_ms(CRASHER, 6.0) == 0
+        assert known.remaining_ms(1, 5.5) == 0
+
+    def test_its_size_is_bounded(self):
+        known = refusals.Refusals()
+        for fingerprint in range(refusals.ENTRIES_MAX + 10):
+            known.note(fingerprint, 1_000, 0.0)
+        held = sum(
+            known.remaining_ms(fingerprint, 0.1) > 0
+            for fingerprint in range(refusals.ENTRIES_MAX + 10)
+        )
+        assert held == refusals.ENTRIES_MAX
+
+
+class TestNeighbours:
+    def test_innocent_neighbours_run_again_and_are_cleared(self):
+        service = Service(3)
+        service.send(HOSTS[0], CRASHER, neighbours=(1, 2))
+        service.carrier.run(0.5)
+        for _ in range(30):
+            for neighbour in (1, 2):
+                service.send(service.source.choice(HOSTS), neighbour)
+            service.carrier.run(0.1)
+        for node in service.nodes.values():
+            for neighbour in (1, 2):
+                verdict = node.judge(neighbour, service.now)
+                assert verdict == quarantine.INNOCENT
+        assert service.lost == {HOSTS[0]}
+
+    def test_popular_request_is_cleared_by_its_next_answer(self):
+        service = Service(4)
+        service.send(HOSTS[1], 1, service_s=0.5)
+        service.send(HOSTS[0], CRASHER, neighbours=(1,))
+        service.carrier.run(0.3)
+        verdict = service.nodes[HOSTS[2]].judge(1, service.now)
+        assert verdict == quarantine.WAIT
+        service.carrier.run(0.7)
+        verdict = service.nodes[HOSTS[2]].judge(1, service.now)
+        assert verdict == quarantine.INNOCENT
