--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import typing as t
 
 import xxhash
 
@@ -10,6 +11,8 @@
 from .. import ports
 from .. import results
 from ..decisions import estimates
+from ..decisions import owners
+from ..decisions import record
 from ..decisions import refusals
 from ..decisions import retry
 from ..decisions import routing
@@ -68,6 +71,7 @@
         self._shares = shares.Shares()
         self._weights: dict[str, float] = {}
         self._refusals = refusals.Refusals()
+        self._owners = owners.RecordOwners()
         self._ids = itertools.count(1)
 
     def learn_configuration(
@@ -80,6 +84,18 @@
         }
         self._ratio.learn_ratio(version.retries.ratio)
 
+    def learn_hosts(self, hosts: t.Mapping[str, host.Host]) -> None:
+        """Apply a newer host list."""
+        self._owners.learn_hosts(hosts)
+
+    def refusal(self, job: Job) -> outcomes.Failure | None:
+        """Count a root request and return why it can't be sent, if so."""
+        self._note_demand(job.context)
+        choice = self._choose(job, set())
+        if isinstance(choice, routing.Chosen):
+            return None
+        return _unavailable(choice)
+
     async def run(self, job: Job) -> outcomes.Outcome:
         """Return the outcome of the job, over all its attempts."""
         tried: set[str] = set()
@@ -91,13 +107,10 @@
                 results.QUARANTINED, retry_after_ms=refused_ms
             )
         self._ratio.first_attempt()
-        self._note_demand(job.context)
         for attempt in itertools.count():
             choice = self._choose(job, tried)
             if isinstance(choice, routing.Unavailable):
-                return last or outcomes.Failure(
-                    choice.code, retry_after_ms=choice.retry_after_ms
-                )
+                return last or _unavailable(choice)
             if last is not None and not self._spend(job):
                 return last
             tried.add(choice.host.host_id)
@@ -113,6 +126,8 @@
             self._refusals.note(content, outcome.retry_after_ms, now)
 
     def _choose(self, job: Job, tried: set[str]) -> routing.Choice:
+        if not job.route.idempotent and job.idempotency_key:
+            return self._choose_owner(job, tried)
         route_id = job.route.route_id
         request_bytes = len(job.request.body)
         question = routing.Question(
@@ -139,6 +154,16 @@
             shedding.root_number(above.root_id),
         )
 
+    def _choose_owner(self, job: Job, tried: set[str]) -> routing.Choice:
+        """Return the only host that may run a request once."""
+        key = record.Key(job.context.organisation_id, job.idempotency_key)
+        owner = self._owners.owner_of(job.route.service_id, key)
+        if owner is None or owner.host_id in tried:
+            return routing.Unavailable(
+                results.NO_HOST, defaults.RETRY_AFTER_MS
+            )
+        return routing.Chosen(owner)
+
     def _note_demand(self, above: context.Context) -> None:
         self._shares.note(
             above.priority,
@@ -233,6 +258,10 @@
         )
 
 
+def _unavailable(choice: routing.Unavailable) -> outcomes.Failure:
+    return outcomes.Failure(choice.code, retry_after_ms=choice.retry_after_ms)
+
+
 def _remaining_ms(remaining_s: float) -> int:
     """Return the time that a gate is given, so that its word arrives."""
     remaining_ms = int(remaining_s * 1000)
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -10,6 +10,7 @@
 from ..decisions import admission
 from ..decisions import downstream
 from ..decisions import quarantine
+from ..decisions import record
 from ..decisions import retry
 from ..peer import messages
 from ..world import route
@@ -35,6 +36,7 @@
     :param tokens: running calls by call token, shared with the egress.
     :param below: shed levels of the services called from here.
     :param judge: knows the requests that crash upstreams.
+    :param executions: what became of requests that run at most once.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         tokens: running.RunningCalls,
         below: downstream.DownstreamLevels,
         judge: quarantine.Quarantine,
+        executions: record.ExecutionRecord,
     ) -> None:
         self._clock = outside.clock
         self._upstream = outside.upstream
@@ -53,7 +56,10 @@
         self._tokens = tokens
         self._downstream = below
         self._isolation = isolation.Isolation(outside.clock, judge)
+        self._record = executions
+        self._recorded: set[asyncio.Task[outcomes.Outcome]] = set()
         self._tickets = itertools.count(1)
+        self._leaving = False
         self._waiting: dict[int, asyncio.Future[admission.Decision]] = {}
 
     @property
@@ -74,11 +80,68 @@
         """Let admission remove calls that can't be answered in time."""
         self._apply(self._admission.tick(self._clock.now()))
 
+    def leave(self) -> None:
+        """Refuse the calls that wait and all later ones."""
+        self._leaving = True
+        now = self._clock.now()
+        for ticket in list(self._waiting):
+            refused = admission.Refuse(ticket, results.HOST_LEAVING, 0)
+            self._apply([refused, *self._admission.cancel(ticket, now)])
+
     async def run(self, call: messages.Call) -> outcomes.Outcome:
         """Run a call when admission starts it and return its outcome."""
         found = self._check(call)
         if isinstance(found, outcomes.Failure):
             return found
+        if found.idempotent or not call.idempotency_key:
+            return await self._run(call, found, None)
+        return await self._run_once(call, found)
+
+    async def _run_once(
+        self, call: messages.Call, found: route.Route
+    ) -> outcomes.Outcome:
+        """Run a call unless it ran before; its end is always recorded.
+
+        Once it has been sent to the upstream it goes on although its sender
+        gives up, so that a resend finds the answer.
+        """
+        key = record.Key(call.organisation_id, call.idempotency_key)
+        now = self._clock.now()
+        known = self._record.begin(key, now, self._clock.wall())
+        if not isinstance(known, record.Run):
+            return running.with_unused(known, call.retries)
+        task = asyncio.ensure_future(self._run_recorded(call, found, key))
+        self._recorded.add(task)
+        task.add_done_callback(self._recorded.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError as error:
+            if self._record.started(key):
+                failure = outcomes.Failure(results.CANCELLED_AFTER_START)
+                raise ports.Withdrawn(failure) from error
+            task.cancel()
+            raise ports.Withdrawn(
+                outcomes.Failure(
+                    results.CANCELLED_BEFORE_START,
+                    retries_unused=call.retries,
+                )
+            ) from error
+
+    async def _run_recorded(
+        self, call: messages.Call, found: route.Route, key: record.Key
+    ) -> outcomes.Outcome:
+        outcome: outcomes.Outcome | None = None
+        try:
+            outcome = await self._run(call, found, key)
+            return outcome
+        except ports.Withdrawn as withdrawn:
+            return withdrawn.outcome
+        finally:
+            self._record.finish(key, outcome, self._clock.now())
+
+    async def _run(
+        self, call: messages.Call, found: route.Route, key: record.Key | None
+    ) -> outcomes.Outcome:
         deadline = self._clock.now() + call.remaining_ms / 1000
         judged = await self._isolation.judge(call, deadline)
         if isinstance(judged, outcomes.Failure):
@@ -95,7 +158,7 @@
         outcome: outcomes.Outcome | None = None
         self._isolation.started(ticket, call)
         try:
-            outcome = await self._execute(call, found, deadline)
+            outcome = await self._execute(call, found, deadline, key)
             end = _end(outcome)
             return outcome
         finally:
@@ -104,6 +167,10 @@
             self._apply(self._admission.finish(ticket, end, now))
 
     def _check(self, call: messages.Call) -> route.Route | outcomes.Failure:
+        if self._leaving:
+            return outcomes.Failure(
+                results.HOST_LEAVING, retries_unused=call.retries
+            )
         version = self._view.configuration
         if version is None:
             return outcomes.Failure(results.NOT_CONFIGURED)
@@ -183,7 +250,11 @@
                 future.set_result(decision)
 
     async def _execute(
-        self, call: messages.Call, found: route.Route, deadline: float
+        self,
+        call: messages.Call,
+        found: route.Route,
+        deadline: float,
+        key: record.Key | None,
     ) -> outcomes.Outcome:
         if not self._view.confirmed(self._clock.now()):
             return outcomes.Failure(results.STALE_VIEW)
@@ -192,6 +263,10 @@
         remaining_s = deadline - self._clock.now()
         if remaining_s <= 0:
             return outcomes.Failure(results.DEADLINE_TOO_SHORT)
+        if key is not None:
+            refusal = self._record.start(key, self._clock.now())
+            if refusal is not None:
+                return refusal
         budget = retry.RetryBudget(call.retries)
         token = self._tokens.begin(call, deadline, budget)
         try:
--- a/src/savorytally/parts/isolation.py
+++ b/src/savorytally/parts/isolation.py
@@ -4,6 +4,7 @@
 
 from .. import clock
 from .. import outcomes
+from .. import ports
 from .. import results
 from ..decisions import admission
 from ..decisions import quarantine
@@ -46,6 +47,9 @@
                     return _not_run(call, code, HELD_RETRY_AFTER_MS)
                 await asyncio.sleep(POLL_S)
                 verdict = self._judge(call)
+        except asyncio.CancelledError as error:
+            code = results.CANCELLED_BEFORE_START
+            raise ports.Withdrawn(_not_run(call, code, 0)) from error
         finally:
             self._held -= 1
         return _refuse(call, verdict)
