--- a/src/savorytally/decisions/adaptive.py
+++ b/src/savorytally/decisions/adaptive.py
@@ -72,6 +72,7 @@
         self._running: dict[int, _Running] = {}
         self._alone: dict[int, admission.Arrival] = {}
         self._alone_at = float("-inf")
+        self._isolated = False
         self._deadlines: list[tuple[float, int]] = []
         self._busy_since: float | None = None
         self._answered_at = float("-inf")
@@ -132,6 +133,8 @@
         ended = self._running.pop(ticket, None)
         if ended is None:
             return []
+        if ended.arrival.alone:
+            self._isolated = False
         self._learn(ended, end, now)
         decisions = self._start(now)
         decisions += self._trim(now)
@@ -205,7 +208,7 @@
                 if not self._running:
                     decisions.append(self._run_alone(alone, now))
                 break
-            if self._isolated() or len(self._running) >= self.limit:
+            if self._isolated or len(self._running) >= self.limit:
                 break
             waiting = self._queue.pop(self._newest_first(now))
             if waiting is None:
@@ -251,9 +254,6 @@
             return False
         return remaining_s < need_s
 
-    def _isolated(self) -> bool:
-        return any(item.arrival.alone for item in self._running.values())
-
     def _next_alone(self, now: float) -> admission.Arrival | None:
         if not self._alone:
             return None
@@ -270,6 +270,7 @@
         self, arrival: admission.Arrival, now: float
     ) -> admission.Decision:
         self._alone_at = now
+        self._isolated = True
         del self._alone[arrival.ticket]
         self._running[arrival.ticket] = _Running(arrival, now)
         return admission.Start(arrival.ticket)
