Make loans the default quota policy

The baseline admits each organisation's rate at every node. Policies.quota is 'loans'; the declaration of a fresh fleet is a time, so that a later restart with the same file is not taken for one; tests of other subjects keep the baseline, live ones state the time.

--- a/src/savorytally/settings.py
+++ b/src/savorytally/settings.py
@@ -69,7 +69,7 @@
 
     admission: str = "fifo"
     routing: str = "balanced"
-    quota: str = "local"
+    quota: str = "loans"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/fakes/chain.py
+++ b/tests/fakes/chain.py
@@ -255,7 +255,7 @@
                 upstream_url="",
                 platform_url="",
                 policies=self._policies,
-                fresh_fleet=True,
+                fleet_started_s=self._clock.wall(),
             ),
             ports.Outside(
                 clock=self._clock,
--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import time
 import typing as t
 
 from savorytally import node
@@ -65,6 +66,7 @@
                 place=region.Place(*place),
                 address="127.0.0.1",
                 upstream_url=f"http://127.0.0.1:{upstream_port}",
+                fleet_started_s=time.time(),
                 platform_url=f"http://127.0.0.1:{platform_port}",
                 ports=opened,
                 **fields,
--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -96,6 +96,7 @@
         self, host_id: str, serve: Serve, seed: int = 1, **fields: t.Any
     ) -> node.Node:
         """Compose the node of one of the list's hosts."""
+        fields.setdefault("policies", settings.Policies(quota="local"))
         item = self._hosts.hosts[host_id]
         made = node.Node(
             settings.Settings(
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -6,6 +6,7 @@
 import pathlib
 import subprocess
 import sys
+import time
 
 import aiohttp
 from fakes import documents
@@ -94,6 +95,7 @@
         "address": "127.0.0.1",
         "upstream_url": f"http://127.0.0.1:{upstream_port}",
         "platform_url": f"http://127.0.0.1:{platform_port}",
+        "fleet_started_s": time.time(),
         "ports": {name: free_port() for name in names},
     }
 
--- a/tools/mesh.py
+++ b/tools/mesh.py
@@ -11,6 +11,7 @@
 import json
 import pathlib
 import socket
+import time
 import typing as t
 
 ORGANISATIONS = 8
@@ -145,7 +146,7 @@
         "upstream_url": f"http://127.0.0.1:{ports['upstream']}",
         "platform_url": platform_url,
         "ports": {name: ports[name] for name in PORTS[:4]},
-        "fresh_fleet": True,
+        "fleet_started_s": time.time(),
     }
 
 
