--- a/src/savorytally/decisions/account.py
+++ b/src/savorytally/decisions/account.py
@@ -12,7 +12,9 @@
 ROUND_TRIP_S = 0.05
 HORIZON_MIN_S = 0.1
 HORIZON_MAX_S = 1.0
-HORIZON_PER_BURST = 0.1
+HORIZON_PER_BURST = 0.5
+HORIZON_GROWTH = 1.05
+HORIZON_SHORT_FACTOR = 0.5
 SURPLUS_FACTOR = 2.0
 REPLY_TIMEOUT_S = 0.15
 SILENT_WAIT_S = 1.0
@@ -78,6 +80,7 @@
         self._used_at = now
         self._ticked_at = now
         self._horizon_s = HORIZON_MIN_S
+        self._longest_s = HORIZON_MIN_S
         self._low = LOW_TOKENS
         self.low = False
 
@@ -92,8 +95,9 @@
     def learn_contract(self, contract: organisation.Contract) -> None:
         """Fit the time for which tokens are borrowed to the burst."""
         rate_per_s = max(contract.rate_per_s, 1e-9)
-        horizon_s = HORIZON_PER_BURST * contract.burst / rate_per_s
-        self._horizon_s = min(max(horizon_s, HORIZON_MIN_S), HORIZON_MAX_S)
+        longest_s = HORIZON_PER_BURST * contract.burst / rate_per_s
+        self._longest_s = min(max(longest_s, HORIZON_MIN_S), HORIZON_MAX_S)
+        self._horizon_s = min(self._horizon_s, self._longest_s)
 
     def take(self, now: float) -> bool:
         """Spend one token; return whether there was one."""
@@ -159,6 +163,7 @@
         item.tokens = min(item.tokens, message.kept) + message.tokens
         item.counted += message.tokens
         item.expires_at = item.asked_at + bucket.LOAN_S
+        self._adapt(bool(message.wait_ms))
         if message.wait_ms:
             item.empty_until = now + max(message.wait_ms / 1000, EMPTY_WAIT_S)
             self._next = (message.index + 1) % len(self._holdings)
@@ -175,6 +180,17 @@
         item.empty_until = now + NOT_OWNER_WAIT_S
         self._next = (message.index + 1) % len(self._holdings)
 
+    def _adapt(self, short: bool) -> None:
+        """Borrow for a longer time while tokens are plenty."""
+        if short:
+            self._horizon_s = max(
+                self._horizon_s * HORIZON_SHORT_FACTOR, HORIZON_MIN_S
+            )
+            return
+        self._horizon_s = min(
+            self._horizon_s * HORIZON_GROWTH, self._longest_s
+        )
+
     def _measure(self, now: float) -> None:
         attempts = self.admitted + self.refused - self._attempts
         self._attempts += attempts
