Generate hosts that are cut off and taken for dead

Broken on purpose, fencing and the wait of a restarted node were not noticed by 500 schedules: few had a long enough cut with a removal from the list, and restarts came after the bucket had refilled. A fault of its own for that; restarts come quickly; schedules last 100 s.

--- a/tests/fakes/schedules.py
+++ b/tests/fakes/schedules.py
@@ -15,7 +15,9 @@
 RATE_PER_S = 16.0
 BURST = 24.0
 STEP_S = 0.25
-STEPS = 320
+STEPS = 400
+SPAN_MAX = 320
+RESTART_PART = 0.02
 PLACES = {"bagmati": ["b0", "b1", "b2"], "gandaki": ["g0", "g1"]}
 HOSTS = [host_id for names in PLACES.values() for host_id in names]
 
@@ -54,6 +56,7 @@
     "blind",
     "split",
     "isolate",
+    "expel",
     "lower",
     "raise",
 )
@@ -64,7 +67,7 @@
         step=strategies.integers(0, STEPS - 40),
         kind=strategies.sampled_from(KINDS),
         host=strategies.integers(0, len(HOSTS) - 1),
-        span=strategies.integers(1, 200),
+        span=strategies.integers(1, SPAN_MAX),
     ),
     max_size=8,
 )
@@ -104,7 +107,7 @@
 
     def _restart(self, host_id: str, span_s: float) -> None:
         self.world.crash(host_id)
-        self.world.net.at(span_s, lambda: self._start(host_id))
+        self.world.net.at(span_s * RESTART_PART, lambda: self._start(host_id))
 
     def _start(self, host_id: str) -> None:
         if host_id not in self.world.members:
@@ -149,6 +152,11 @@
             self._read(member, False)
             self.world.net.at(span_s, lambda: self._read(member, True))
 
+    def _expel(self, host_id: str, span_s: float) -> None:
+        """Cut a host off that is then taken for dead and taken off."""
+        self._isolate(host_id, span_s)
+        self.world.remove(host_id)
+
     def _cut(self, some: list[str], span_s: float) -> None:
         net = self.world.net
         others = [name for name in self.world.members if name not in some]
