--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -70,6 +70,7 @@
                 place=region.Place(*place),
                 address="127.0.0.1",
                 upstream_url=f"http://127.0.0.1:{upstream_port}",
+                fleet_started_s=time.time(),
                 platform_url=f"http://127.0.0.1:{platform_port}",
                 fleet_started_s=time.time(),
                 ports=opened,
