Pass a host's note on once in each tree, and repeat it faster

Cause: a node passed a note on only in the tree that brought it first, so the other trees were cut there; at 64 hosts a leaving host was still chosen after 5 s. Change: a note is passed on once in each tree; recent notes go to two neighbours every 0.25 s for 2 s; routing is told at most every 0.5 s.

--- a/src/savorytally/decisions/membership.py
+++ b/src/savorytally/decisions/membership.py
@@ -43,12 +43,14 @@
     leaving: bool
     heard_at: float
 
+    @property
+    def state(self) -> tuple[int, bool]:
+        """What orders notes on one host."""
+        return self.incarnation, self.leaving
+
     def overrides(self, other: "Note | None") -> bool:
         """Return whether it is newer than another note."""
-        if other is None:
-            return True
-        mine = (self.incarnation, self.leaving)
-        return mine > (other.incarnation, other.leaving)
+        return other is None or self.state > other.state
 
 
 class Membership:
@@ -84,8 +86,10 @@
         self._changed = changed
         self._hosts: t.Mapping[str, host.Host] = {}
         self._notes: dict[str, Note] = {}
+        self._passed: dict[tuple[str, str], tuple[int, bool]] = {}
         self._announced = False
         self._dirty = False
+        self._changed_at = float("-inf")
         self._repair_at = 0.0
         self._now = float("-inf")
         self.contacts = contact.PeerContacts(source)
@@ -164,8 +168,9 @@
         jitter = self._random.uniform(0.8, 1.2)
         self._repair_at = now + defaults.NOTE_PERIOD_S * jitter
         self._expire(now)
-        if self._dirty:
+        if self._dirty and now >= self._changed_at:
             self._dirty = False
+            self._changed_at = now + defaults.HOSTS_CHANGED_PERIOD_S
             self._changed(now)
         return self._introduce(now) + self._repeat(now)
 
@@ -210,17 +215,25 @@
     def _noted(self, note: spread.HostNote, now: float) -> list[Outgoing]:
         if note.host_id == self._own:
             return self._refute(note, now)
-        if not self._take(
-            note.host_id, Note(note.incarnation, note.leaving, now)
-        ):
+        told = Note(note.incarnation, note.leaving, now)
+        news = self._take(note.host_id, told)
+        if told.state != self._notes[note.host_id].state:
             return []
-        root = note.root
-        if not root and self._own not in self._relay.candidates:
+        if note.root:
+            return self._pass_on(note)
+        if news and self._own in self._relay.candidates:
+            return self._pass_on(dataclasses.replace(note, root=self._own))
+        return []
+
+    def _pass_on(self, note: spread.HostNote) -> list[Outgoing]:
+        """Send a note down a tree, once in each tree."""
+        key = (note.root, note.host_id)
+        state = (note.incarnation, note.leaving)
+        if self._passed.get(key) == state:
             return []
-        root = root or self._own
-        passed = dataclasses.replace(note, root=root)
-        children = self._relay.children(root, self.reachable)
-        return [Outgoing(child, passed) for child in children]
+        self._passed[key] = state
+        children = self._relay.children(note.root, self.reachable)
+        return [Outgoing(child, note) for child in children]
 
     def _refute(self, note: spread.HostNote, now: float) -> list[Outgoing]:
         if self.leaving or not note.leaving:
@@ -270,7 +283,8 @@
         count = min(defaults.NOTES_PER_MESSAGE, len(recent))
         notes = spread.HostNotes(tuple(self._random.sample(recent, count)))
         near = self._relay.neighbours(self.reachable)
-        chosen = self._random.sample(near, min(1, len(near)))
+        count = min(defaults.NOTE_FAN_OUT, len(near))
+        chosen = self._random.sample(near, count)
         if self._own in self._relay.candidates and self._relay.far:
             place = self._random.choice(sorted(self._relay.far))
             chosen.append(self._random.choice(self._relay.far[place]))
@@ -282,3 +296,6 @@
             needed = note.leaving and host_id in self._hosts
             if old and not needed and host_id != self._own:
                 del self._notes[host_id]
+        for root, host_id in list(self._passed):
+            if host_id not in self._notes:
+                del self._passed[root, host_id]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -47,6 +47,17 @@
         made.transport.run(LEAVING_S)
         assert choosing(made, "kirtipur-3") == []
 
+    @pytest.mark.parametrize("number", range(4))
+    def test_in_a_place_of_many_hosts(self, number):
+        place = {("bagmati", "kirtipur"): 64}
+        weather = transport.Weather(lose=0.1)
+        many = fleet.Fleet(place, seed=number, weather=weather)
+        many.publish()
+        many.start_all()
+        leave(many, f"kirtipur-{number}")
+        many.transport.run(LEAVING_S)
+        assert choosing(many, f"kirtipur-{number}") == []
+
     def test_peer_with_an_open_stream_is_told_directly(self, made):
         member = made.members["kirtipur-3"].membership
         hello = messages.Hello(1, "pokhara-5", 7)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -237,6 +237,23 @@
         ]
         assert served == [version]
 
+    def test_version_outlives_the_replacement_of_every_host(self, two):
+        version = two.publish()
+        two.transport.run(IN_FORCE_S)
+        two.store.stale = dict.fromkeys(two.all_hosts, 1)
+        for host_id in list(two.all_hosts):
+            member = two.members[host_id].membership
+            two.send(host_id, member.leave(two.now))
+            two.transport.run(0.5)
+            two.crash(host_id)
+            two.transport.run(0.5)
+            two.start(host_id)
+        two.transport.run(defaults.BOOT_GIVE_UP_S)
+        assert set(two.versions().values()) == {version}
+        for member in two.members.values():
+            seen = [e for e in member.enforced if e.name == "configuration"]
+            assert [item.version for item in seen] == [version]
+
     def test_process_that_no_peer_answers_serves_the_platform_copy(self):
         made = fleet.Fleet({("bagmati", "kirtipur"): 3})
         made.publish()
