--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -58,6 +58,15 @@
         many.transport.run(LEAVING_S)
         assert choosing(many, f"kirtipur-{number}") == []
 
+    def test_by_the_trees_alone(self, monkeypatch):
+        monkeypatch.setattr(defaults, "NOTE_FAN_OUT", 0)
+        many = fleet.Fleet({("bagmati", "kirtipur"): 64})
+        many.publish()
+        many.start_all()
+        leave(many, "kirtipur-3")
+        many.transport.run(LEAVING_S)
+        assert choosing(many, "kirtipur-3") == []
+
     def test_peer_with_an_open_stream_is_told_directly(self, made):
         member = made.members["kirtipur-3"].membership
         hello = messages.Hello(1, "pokhara-5", 7)
