--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -72,9 +72,7 @@
                 upstream_url=f"http://127.0.0.1:{upstream_port}",
                 fleet_started_s=time.time(),
                 platform_url=f"http://127.0.0.1:{platform_port}",
-                fleet_started_s=time.time(),
                 ports=opened,
-                fleet_started_s=time.time(),
                 **fields,
             )
         )
