--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -7,6 +7,7 @@
 
 from . import page
 from . import probes_calls  # noqa: F401, registers probes
+from . import probes_control  # noqa: F401, registers probes
 from . import probes_path  # noqa: F401, registers probes
 from . import probes_world  # noqa: F401, registers probes
 from . import roles  # noqa: F401, registers roles
--- a/tools/capacity/costs.py
+++ b/tools/capacity/costs.py
@@ -27,18 +27,23 @@
     :param slope: name of the slope; empty for a plain count.
     :param count: what the slope's per-unit cost is multiplied by.
     :param counted: what is counted.
+    :param based: whether the slope's base is added.
     """
 
     resource: Resource
     slope: str
     count: float
     counted: str
+    based: bool = False
 
     def cost(self, measured: t.Mapping[str, slopes.Slope]) -> float:
         """Return the term's cost in the resource's unit."""
         if not self.slope:
             return self.count
-        return measured[self.slope].per_unit * self.count
+        slope = measured[self.slope]
+        if self.based:
+            return slope.at(self.count)
+        return slope.per_unit * self.count
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tools/capacity/deployments.py
+++ b/tools/capacity/deployments.py
@@ -17,7 +17,8 @@
     :param organisations: organisations.
     :param organisations_active: organisations that one node serves.
     :param calls_per_s: calls over all hops of all chains.
-    :param depth: calls in the longest chain.
+    :param calls_per_root: calls that a root request makes on average,
+        its own included.
     :param services_called: services that one node's upstream calls.
     :param callers: nodes that call one node.
     :param running: calls that one upstream works on at once.
@@ -33,7 +34,7 @@
     organisations: int
     organisations_active: int
     calls_per_s: float
-    depth: int
+    calls_per_root: float
     services_called: int
     callers: int
     running: int
@@ -55,6 +56,11 @@
         """Calls a second that one gate runs."""
         return self.calls_per_s / self.hosts
 
+    @property
+    def roots_per_node(self) -> float:
+        """Root requests a second that one entry takes in."""
+        return self.calls_per_node / self.calls_per_root
+
     @property
     def streams(self) -> float:
         """Peer streams of one node, in both directions."""
@@ -71,7 +77,7 @@
     organisations=8,
     organisations_active=8,
     calls_per_s=2_000,
-    depth=3,
+    calls_per_root=2,
     services_called=3,
     callers=17,
     running=35,
@@ -88,7 +94,7 @@
     organisations=8,
     organisations_active=8,
     calls_per_s=2_000,
-    depth=3,
+    calls_per_root=2,
     services_called=3,
     callers=15,
     running=75,
@@ -105,7 +111,7 @@
     organisations=1_000,
     organisations_active=100,
     calls_per_s=6_500_000,
-    depth=22,
+    calls_per_root=10,
     services_called=6,
     callers=100,
     running=40,
--- a/tools/capacity/page.py
+++ b/tools/capacity/page.py
@@ -106,6 +106,9 @@
             if term.slope:
                 per_unit = number(measured[term.slope].per_unit)
                 each = f"{per_unit} ({term.slope})"
+                if term.based:
+                    base = number(measured[term.slope].base)
+                    each = f"{each} + {base}"
             total = number(term.cost(measured))
             lines.append(
                 f"| {role.role} | {term.counted} | {number(term.count)}"
--- a/tools/capacity/roles.py
+++ b/tools/capacity/roles.py
@@ -1,5 +1,7 @@
 """What one node spends in each of its roles."""
 
+from savorytally import defaults
+
 from . import costs
 from . import deployments
 
@@ -9,7 +11,9 @@
 MESSAGES = costs.Resource.MESSAGES
 
 HEARTBEATS_PER_S = 2.0
-BUSY_STREAM_PART = 1.0
+QUIET_STREAM_PART = 0.1
+NON_IDEMPOTENT_PART = 0.01
+QUOTA_ORGANISATIONS = 8
 
 
 @costs.roles.register("1 entry, gate and egress")
@@ -36,19 +40,147 @@
 @costs.roles.register("2 peer")
 def peer(size: deployments.Deployment) -> costs.RoleCost:
     """Return the cost of peer streams and their heartbeats."""
-    beats = size.streams * HEARTBEATS_PER_S * BUSY_STREAM_PART
+    quiet = size.streams * HEARTBEATS_PER_S * QUIET_STREAM_PART
     return costs.RoleCost(
         role="peer",
         control=True,
         state="a stream for each pair of nodes in use",
-        mechanism="heartbeats while calls are outstanding",
-        breaks="streams, when every host of many services is called",
+        mechanism="heartbeats only while an answer is due and none arrives",
+        breaks="traffic, when calls are few and slow on many streams",
         terms=(
-            costs.Term(MESSAGES, "", 2 * beats, "heartbeats, replies/s"),
-            costs.Term(TRAFFIC, "heartbeat size", beats, "heartbeats/s"),
-            costs.Term(PROCESSOR, "heartbeat coding", beats, "heartbeats/s"),
+            costs.Term(MESSAGES, "", 2 * quiet, "heartbeats, replies/s"),
+            costs.Term(TRAFFIC, "heartbeat size", quiet, "heartbeats/s"),
+            costs.Term(PROCESSOR, "heartbeat coding", quiet, "heartbeats/s"),
             costs.Term(
                 MEMORY, "peer stream memory", size.streams / 2, "streams"
             ),
         ),
     )
+
+
+@costs.roles.register("3 configuration holder")
+def holder(size: deployments.Deployment) -> costs.RoleCost:
+    """Return the cost of holding and taking in what is published."""
+    changes = size.changes_per_s
+    organisations = size.organisations
+    return costs.RoleCost(
+        role="configuration holder",
+        control=True,
+        state="the whole configuration and host list",
+        mechanism="each change is read again as a whole document",
+        breaks="processor and memory, from about 1,000 members on",
+        terms=(
+            costs.Term(
+                PROCESSOR,
+                "organisation reading",
+                changes * organisations,
+                "changes/s x organisations",
+            ),
+            costs.Term(
+                PROCESSOR,
+                "service reading",
+                changes * size.services,
+                "changes/s x services",
+            ),
+            costs.Term(
+                PROCESSOR,
+                "host list reading",
+                size.moves_per_s * size.hosts,
+                "moves/s x hosts",
+            ),
+            costs.Term(
+                PROCESSOR,
+                "routing update",
+                size.moves_per_s * size.hosts,
+                "moves/s x hosts",
+            ),
+            costs.Term(
+                MEMORY,
+                "organisation memory",
+                organisations,
+                "organisations",
+            ),
+            costs.Term(MEMORY, "service memory", size.services, "services"),
+            costs.Term(MEMORY, "host list memory", size.hosts, "hosts"),
+            costs.Term(MEMORY, "routing memory", size.hosts, "hosts"),
+        ),
+    )
+
+
+@costs.roles.register("4 reader and relay")
+def relay(size: deployments.Deployment) -> costs.RoleCost:
+    """Return the cost of spreading changes, averaged over a place."""
+    nodes = size.hosts_per_place
+    return costs.RoleCost(
+        role="reader, relay",
+        control=True,
+        state="numbered sections; neighbours in the trees",
+        mechanism="three readers a place, a tree each, digests as repair",
+        breaks="the busiest node, at about twice the mean",
+        terms=(
+            costs.Term(MESSAGES, "spread messages", 0, "does not grow", True),
+            costs.Term(
+                TRAFFIC, "spread traffic", nodes, "nodes of a place", True
+            ),
+            costs.Term(
+                PROCESSOR, "spread processor", nodes, "nodes of a place", True
+            ),
+        ),
+    )
+
+
+@costs.roles.register("5 borrower, shard owner and lender")
+def quota(size: deployments.Deployment) -> costs.RoleCost:
+    """Return the cost of fleet-wide rates, averaged over a place."""
+    return costs.RoleCost(
+        role="borrower, shard owner, lender",
+        control=True,
+        state="an account for each active organisation, owned buckets",
+        mechanism="expiring loans from owners; places lend to each other",
+        breaks="traffic, with many active organisations a node",
+        terms=(
+            *_quota_terms(MESSAGES, "quota messages", size),
+            *_quota_terms(TRAFFIC, "quota traffic", size),
+            *_quota_terms(PROCESSOR, "quota processor", size),
+        ),
+    )
+
+
+def _quota_terms(
+    resource: costs.Resource, name: str, size: deployments.Deployment
+) -> tuple[costs.Term, costs.Term]:
+    """Return the parts that requests and further organisations cause."""
+    further = size.organisations_active - QUOTA_ORGANISATIONS
+    return (
+        costs.Term(
+            resource,
+            f"{name} by requests",
+            size.roots_per_node,
+            "root requests/s",
+            True,
+        ),
+        costs.Term(
+            resource,
+            f"{name} by organisations",
+            max(further, 0),
+            "active organisations above 8",
+        ),
+    )
+
+
+@costs.roles.register("6 execution record")
+def records(size: deployments.Deployment) -> costs.RoleCost:
+    """Return the cost of retained records, which calls ask for."""
+    kept = (
+        size.calls_per_node * NON_IDEMPOTENT_PART * defaults.RECORD_RETENTION_S
+    )
+    return costs.RoleCost(
+        role="execution record",
+        control=False,
+        state="a record for each non-idempotent call of ten minutes",
+        mechanism="shards of keys, owned like those of rates",
+        breaks="memory, with many non-idempotent calls",
+        terms=(
+            costs.Term(MEMORY, "execution record memory", kept, "records"),
+        ),
+    )
--- a/tools/quota_cost.py
+++ b/tools/quota_cost.py
@@ -24,6 +24,7 @@
 STEP_S = 0.02
 WARM_UP_S = 5.0
 SKEW = 10.0
+RATE_PER_NODE = 6.25
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,7 +101,7 @@
 
     :param load: demand as a fraction of each rate.
     """
-    rate_per_s = 6.25 * nodes
+    rate_per_s = RATE_PER_NODE * nodes
     half = nodes // 2
     names = {
         "bagmati": [f"b{number}" for number in range(half)],
