Read sections by their names among the platform's values

The watch asked the platform for a section by its name within the head, routes/0, while it is published as configuration/routes/0, so that a divided document never came into force.

--- a/src/savorytally/parts/watch.py
+++ b/src/savorytally/parts/watch.py
@@ -153,7 +153,7 @@
             for name, body in self._bodies.items()
         }
         for item in sections.changed(head, held):
-            value = await self._platform.read(item.name, 0, 0.0)
+            value = await self._platform.read(item.value_name, 0, 0.0)
             if value is not None:
                 self._bodies[item.name] = value.body
         for name in set(self._bodies) - set(head.sections):
