Charge organisations what their calls have taken

Change: an organisation is charged the slot time that its call took, and the call to go is taken from the one furthest ahead in virtual time.

--- a/src/savorytally/decisions/adaptive.py
+++ b/src/savorytally/decisions/adaptive.py
@@ -48,6 +48,7 @@
 
     arrival: admission.Arrival
     since: float
+    cost_s: float = 0.0
 
 
 @admission.policies.register("adaptive")
@@ -178,6 +179,8 @@
     def _learn(self, ended: _Running, end: admission.End, now: float) -> None:
         service_s = now - ended.since
         route_id = ended.arrival.route_id
+        if not ended.arrival.alone:
+            self._queue.charge(ended.arrival, service_s - ended.cost_s)
         if end is admission.End.BROKEN:
             self._limiter.broken(now)
             return
@@ -239,7 +242,8 @@
             need_s = self._times.high(arrival.route_id, now)
         if self._hopeless(arrival, now, need_s):
             return self._refuse(arrival, results.DEADLINE_TOO_SHORT)
-        self._running[arrival.ticket] = _Running(arrival, now)
+        started = _Running(arrival, now, waiting.cost_s)
+        self._running[arrival.ticket] = started
         return admission.Start(arrival.ticket)
 
     def _hopeless(
--- a/src/savorytally/decisions/fairness.py
+++ b/src/savorytally/decisions/fairness.py
@@ -3,8 +3,8 @@
 Inside a class, organisations are served by start-time fair queueing
 (Goyal, Vin and Cheng, 1996): each has a virtual start time that advances by
 cost over weight, and the least is served next. What must go is taken from
-the lowest class, there from the organisation with the most waiting work for
-its weight.
+the lowest class, there from the organisation that has received and waits
+for the most work for its weight.
 """
 
 import dataclasses
@@ -42,8 +42,8 @@
 
     @property
     def load(self) -> float:
-        """Waiting work for its weight."""
-        return self.work_s / self.weight
+        """Virtual time at which its last call would have been served."""
+        return self.start + self.work_s / self.weight
 
 
 class ClassQueue:
@@ -105,8 +105,18 @@
             heapq.heappush(self._by_start, (line.start, name))
         return waiting
 
+    def charge(self, organisation_id: str, extra_s: float) -> None:
+        """Correct the cost of a call that has been served."""
+        line = self._lines.get(organisation_id)
+        if line is None:
+            return
+        line.start += extra_s / line.weight
+        if line.calls:
+            heapq.heappush(self._by_start, (line.start, organisation_id))
+            self._reload(organisation_id, line, 0.0)
+
     def evict(self) -> Waiting:
-        """Take out the oldest call of the line with the most work.
+        """Take out the oldest call of the line that is furthest ahead.
 
         :raises IndexError: if the class is empty.
         """
@@ -195,8 +205,7 @@
         :param slots: how many calls may run at once.
         """
         arrival = waiting.arrival
-        priority = arrival.priority if self._strict else route.Priority.NORMAL
-        name = arrival.organisation_id if self._fair else ""
+        priority, name = self._place(arrival)
         self._places[arrival.ticket] = (priority, name)
         self._classes[priority].push(name, waiting, slots * CREDIT_S)
         self._work_s += waiting.cost_s
@@ -208,6 +217,14 @@
             return None
         return self._forget(self._classes[top].pop(newest_first))
 
+    def charge(self, arrival: admission.Arrival, extra_s: float) -> None:
+        """Correct the cost of a served call to what it has taken.
+
+        :param extra_s: slot time beyond the expected cost; may be negative.
+        """
+        priority, name = self._place(arrival)
+        self._classes[priority].charge(name, extra_s)
+
     def evict(self) -> Waiting | None:
         """Take out the call that is to be shed first, if any waits."""
         lowest = self.lowest()
@@ -223,6 +240,10 @@
         priority, name = place
         return self._forget(self._classes[priority].remove(name, ticket))
 
+    def _place(self, arrival: admission.Arrival) -> tuple[route.Priority, str]:
+        priority = arrival.priority if self._strict else route.Priority.NORMAL
+        return priority, arrival.organisation_id if self._fair else ""
+
     def _forget(self, waiting: Waiting) -> Waiting:
         del self._places[waiting.arrival.ticket]
         self._work_s -= waiting.cost_s
