--- a/tests/fakes/nodes.py
+++ b/tests/fakes/nodes.py
@@ -96,6 +96,7 @@
         self, host_id: str, serve: Serve, seed: int = 1, **fields: t.Any
     ) -> node.Node:
         """Compose the node of one of the list's hosts."""
+        fields.setdefault("policies", settings.Policies(quota="local"))
         item = self._hosts.hosts[host_id]
         made = node.Node(
             settings.Settings(
@@ -120,6 +121,6 @@
         now = self.clock.now()
         made.view.offer_configuration(self._version, now)
         made.view.offer_hosts(self._hosts, now)
-        made.evidence.confirm(self._hosts.version, math.inf)
+        made.evidence.confirm(math.inf)
         self.peers.nodes[host_id] = made
         return made
