Isolate a retry of a call that broke its upstream

Cause: the dispatcher repeated an idempotent call on another host within milliseconds of the crash, before the suspicion had spread.

Change: such a retry carries the suspect flag; the gate that receives it takes it for a suspect at once.

--- a/src/savorytally/decisions/quarantine.py
+++ b/src/savorytally/decisions/quarantine.py
@@ -111,8 +111,17 @@
         """Requests that are refused at present."""
         return sum(case.convicted for case in self._cases.values())
 
-    def judge(self, fingerprint: int, now: float) -> Verdict:
-        """Return whether a request may run here now."""
+    def judge(
+        self, fingerprint: int, now: float, suspect: bool = False
+    ) -> Verdict:
+        """Return whether a request may run here now.
+
+        :param suspect: whether its sender has seen it break an upstream.
+        """
+        if suspect and fingerprint not in self._cases:
+            remaining_ms = int(SUSPECT_S * 1000)
+            self._suspect(fingerprint, remaining_ms, now)
+            self._tell(verdicts.Suspected(fingerprint, remaining_ms))
         case = self._cases.get(fingerprint)
         if case is None or now >= case.until:
             return INNOCENT
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -119,7 +119,8 @@
             if last is not None and not self._spend(job):
                 return last
             tried.add(choice.host.host_id)
-            last = await self._attempt(job, choice.host, attempt)
+            suspect = last is not None and _broke_upstream(last)
+            last = await self._attempt(job, choice.host, attempt, suspect)
             self._note_refusal(content, last)
             if not retry.worthwhile(last, self._prospect(job)):
                 return last
@@ -194,7 +195,7 @@
         return self._ratio.spend() and job.context.budget.spend()
 
     async def _attempt(
-        self, job: Job, target: host.Host, attempt: int
+        self, job: Job, target: host.Host, attempt: int, suspect: bool
     ) -> outcomes.Outcome:
         started = self._clock.now()
         remaining_s = job.context.deadline - started
@@ -202,6 +203,8 @@
             return outcomes.Failure(results.DEADLINE_TOO_SHORT)
         lent = job.context.budget.lend()
         call = self._call(job, attempt, remaining_s, lent)
+        if suspect:
+            call = dataclasses.replace(call, suspect=True)
         self._routing.sent(target.host_id, started)
         result: ports.CallResult | None = None
 
@@ -296,6 +299,13 @@
     return outcome.code not in _HOST_FAILURES
 
 
+def _broke_upstream(outcome: outcomes.Outcome) -> bool:
+    return outcome.code in (
+        results.UPSTREAM_BROKEN,
+        results.ANSWER_TRUNCATED,
+    )
+
+
 def fingerprint(job: Job) -> int:
     """Return a digest of what the upstream would see of the job."""
     digest = xxhash.xxh3_64()
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -216,7 +216,7 @@
             priority=route.Priority(call.priority),
             route_id=call.route_id,
             deadline=deadline,
-            alone=call.suspect or judged is quarantine.RUN_ALONE,
+            alone=judged is quarantine.RUN_ALONE,
         )
         future = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = future
--- a/src/savorytally/parts/isolation.py
+++ b/src/savorytally/parts/isolation.py
@@ -34,7 +34,8 @@
 
         A suspect that another host is trying waits for the verdict.
         """
-        verdict = self._judge(call)
+        now = self._clock.now()
+        verdict = self._quarantine.judge(call.fingerprint, now, call.suspect)
         if not isinstance(verdict, quarantine.Wait):
             return _refuse(call, verdict)
         if self._held >= HELD_MAX:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,19 +1,39 @@
 """Requests that crash upstreams: suspicion, isolation, conviction."""
 
+import asyncio
 import random
 
+from fakes import documents
+from fakes import nodes
 from fakes import transport
 import pytest
 
+from savorytally import outcomes
+from savorytally import results
 from savorytally.decisions import admission
 from savorytally.decisions import crashes
 from savorytally.decisions import quarantine
 from savorytally.decisions import refusals
+from savorytally.parts import context
+from savorytally.world import hosts
 
 CRASHER = 666
 BROKEN = admission.End.BROKEN
 ANSWERED = admission.End.ANSWERED
 CALM = transport.Weather()
+
+
+def request_for(bird):
+    key = documents.key_of("org1")
+    return context.Request(
+        "GET",
+        f"/browse/species/{bird}",
+        "",
+        (("Authorization", f"Bearer {key}"),),
+        b"",
+    )
+
+
 HOSTS = [f"checklist-{number}" for number in range(8)]
 
 
@@ -128,6 +148,61 @@
         assert node.judge(CRASHER, 1.5) == quarantine.INNOCENT
 
 
+class TestNodes:
+    def test_resent_crasher_costs_few_hosts_and_neighbours_are_answered(
+        self, run, himali
+    ):
+        listed = {
+            f"b{number}": documents.host("browse", number, 1 + number)
+            for number in range(8)
+        }
+        fleet = nodes.Fleet(himali, hosts.read(1, listed))
+        lost = set()
+
+        def upstream_of(host_id):
+            async def serve(request, timeout_s):
+                if request.path.endswith("crash"):
+                    lost.add(host_id)
+                    return outcomes.Failure(results.UPSTREAM_BROKEN)
+                return outcomes.Answer(200, (), b"whole")
+
+            return serve
+
+        for host_id in listed:
+            fleet.add(host_id, upstream_of(host_id))
+        made = fleet.peers.nodes
+
+        def spread():
+            for sender, item in made.items():
+                now = fleet.clock.now()
+                for sent in item.quarantine.tick(now):
+                    peer = made[sent.host_id].quarantine
+                    peer.receive(sender, sent.message, now)
+
+        async def pump():
+            while True:
+                await asyncio.sleep(0.01)
+                fleet.clock.advance(0.1)
+                spread()
+
+        async def work():
+            pumping = asyncio.ensure_future(pump())
+            codes = []
+            for number in range(40):
+                entry = made[f"b{number % 8}"].entry
+                outcome = await entry.handle(request_for("crash"))
+                codes.append(outcome.code)
+                innocent = await entry.handle(request_for("wren"))
+                assert innocent.code is results.ANSWERED
+                await asyncio.sleep(0.01)
+            pumping.cancel()
+            return codes
+
+        codes = run(work())
+        assert len(lost) <= 3
+        assert codes[-1] is results.QUARANTINED
+
+
 class TestRefusals:
     def test_entry_refuses_until_the_verdict_expires(self):
         known = refusals.Refusals()
