--- a/src/savorytally/replay/command.py
+++ b/src/savorytally/replay/command.py
@@ -7,6 +7,7 @@
 from .. import results
 from . import figures
 from . import player
+from . import reading
 from . import report
 from . import trace
 from . import variants
@@ -24,7 +25,7 @@
     """
     code = EXIT_OK
     for path in paths:
-        read = trace.load(path)
+        read = reading.load(path)
         if isinstance(read, trace.Malformed):
             number = results.TRACE_FAULT.number
             print(
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -8,6 +8,7 @@
 from savorytally.replay import command
 from savorytally.replay import figures
 from savorytally.replay import player
+from savorytally.replay import reading
 from savorytally.replay import trace
 from savorytally.replay import variants
 
@@ -57,7 +58,7 @@
 class TestTraces:
     @pytest.mark.parametrize("path", TRACES, ids=lambda path: path.stem)
     def test_stated_outcomes_are_met(self, path):
-        read = trace.load(path)
+        read = reading.load(path)
         assert isinstance(read, trace.Trace)
         judged = list(figures.judge(read.header, replay(read)))
         unmet = [
@@ -68,11 +69,11 @@
         assert judged and not unmet
 
     def test_same_figures_each_run(self):
-        read = trace.load(TRACES[0])
+        read = reading.load(TRACES[0])
         assert replay(read) == replay(read)
 
     def test_baseline_does_not_meet_the_outcomes(self):
-        read = trace.load(ROOT / "traces/pettigrew-twofold-overload.jsonl")
+        read = reading.load(ROOT / "traces/pettigrew-twofold-overload.jsonl")
         measured = replay(read, variants.BASELINE)
         judged = figures.judge(read.header, measured)
         assert not all(item.met for item in judged)
@@ -94,7 +95,7 @@
         ],
     )
     def test_the_line_is_named(self, lines, number):
-        read = trace.parse(lines)
+        read = reading.parse(lines)
         assert isinstance(read, trace.Malformed)
         assert read.line == number
 
