--- a/src/savorytally/decisions/balanced.py
+++ b/src/savorytally/decisions/balanced.py
@@ -124,12 +124,16 @@
             self._links.charge(where, result.size_bytes, now)
 
     def route_level(self, called: route.Route, now: float) -> int:
-        """Return the lowest shed level among the region's hosts."""
+        """Return the lowest shed level among the region's hosts.
+
+        A host that may not be called takes no work, so it does not count.
+        """
         service = self._services.get(called.service_id, _NO_HOSTS)
         hosts = service.region or service.far
         levels = (
             self._levels.level(item.host_id, called.route_id, now)
             for item in hosts
+            if self._of(item.host_id).available(now)
         )
         return min(levels, default=0)
 
--- a/src/savorytally/replay/gate.py
+++ b/src/savorytally/replay/gate.py
@@ -60,7 +60,7 @@
             organisation_id=organisation_id,
             weight=holder.weight,
             priority=call.route.priority,
-            route_id=f"{call.route.route_id}/{call.hop}",
+            route_id=sender.hop_route(call.route, call.hop).route_id,
             deadline=call.root.deadline - self._header.delay_s,
         )
         self._apply(self._policy.arrive(arrival, now))
@@ -92,7 +92,8 @@
         """Return the level to send with a call's reply."""
         now = self._line.now
         own = self._policy.level(now)
-        below = self._below.downstream.level(call.route.route_id, now)
+        called = sender.hop_route(call.route, call.hop)
+        below = self._below.downstream.level(called.route_id, now)
         return max(own, below)
 
     def _report(self) -> upstream.LoadReport:
@@ -199,7 +200,7 @@
         worked_s = self._upstream.release(execution)
         root = call.root
         excused_s = 0.0
-        if execution.started is not None:
+        if execution.started is not None and root.hung_up_at is not None:
             excused_s = max(0.0, root.hung_up_at - execution.started)
         if root.ended and not root.ok:
             self.thrown_away_s += max(0.0, worked_s - excused_s)
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,213 @@
+"""Ownership of shards and the record's use of it, one rule at a time."""
+
+import math
+import random
+
+import pytest
+
+from savorytally import defaults
+from savorytally import results
+from savorytally.decisions import evidence
+from savorytally.decisions import owners
+from savorytally.decisions import ownership
+from savorytally.decisions import record
+from savorytally.decisions import witness
+from savorytally.peer import shards
+from savorytally.world import host
+from savorytally.world import region
+
+NAMES = ("a", "b", "c")
+START = 1_000.0
+WAIT_S = ownership.TAKEOVER_WAIT_S
+
+
+def host_list(version, *names):
+    return host.HostList(
+        version,
+        {
+            name: host.Host(
+                name, "browse", region.Place("r", "d"), "127.0.0.1", 1
+            )
+            for name in names
+        },
+    )
+
+
+def shard_of(owner, *names):
+    """Return a shard that a host owns among others."""
+    ranking = ownership.Ranking(frozenset(names))
+    return next(
+        f"shard{number}"
+        for number in range(1000)
+        if ranking.owner(f"shard{number}") == owner
+    )
+
+
+class Node:
+    """One node's ownership; its witnesses know each list at once."""
+
+    def __init__(self, name, fresh=False):
+        self.evidence = evidence.SpreadEvidence()
+        self.witnesses = witness.Witnesses(random.Random(1))
+        self.owned = ownership.Ownership(
+            name, lambda item: True, self.evidence, self.witnesses, fresh
+        )
+
+    def learn(self, listed, now):
+        self.witnesses.learn(listed.version, now)
+        self.owned.learn_hosts(listed, now)
+        self.evidence.confirm(now)
+
+    def answer(self, version, now, held_ms=0):
+        for item in self.witnesses.tick(now):
+            reply = shards.ListAnswer(item.message.nonce, version, held_ms)
+            self.witnesses.receive(item.host_id, reply, now)
+
+    def acts(self, shard, now, version=1):
+        """Read the platform, ask the witnesses, and ask again."""
+        self.evidence.confirm(now)
+        self.owned.acts(shard, now)
+        self.answer(version, now)
+        return self.owned.acts(shard, now)
+
+
+class TestWaiting:
+    def test_restarted_node_waits(self):
+        made = Node("a")
+        made.learn(host_list(1, *NAMES), START)
+        shard = shard_of("a", *NAMES)
+        assert not made.acts(shard, START)
+        assert not made.acts(shard, START + WAIT_S - 0.1)
+        assert made.acts(shard, START + WAIT_S)
+
+    def test_fresh_node_acts_at_once(self):
+        made = Node("a", fresh=True)
+        made.learn(host_list(1, *NAMES), START)
+        assert made.acts(shard_of("a", *NAMES), START)
+        assert not made.acts(shard_of("b", *NAMES), START)
+
+    def test_wait_counts_from_when_witnesses_knew(self):
+        made = Node("a")
+        made.learn(host_list(1, *NAMES), START)
+        shard = shard_of("a", *NAMES)
+        late = START + 100.0
+        assert not made.acts(shard, late)
+        assert not made.acts(shard, late + WAIT_S - 0.1)
+        assert made.acts(shard, late + WAIT_S)
+
+    def test_heir_waits_for_a_lost_owner(self):
+        made = Node("a", fresh=True)
+        made.learn(host_list(1, *NAMES), START)
+        shard = shard_of("b", *NAMES)
+        heir = ownership.Ranking(frozenset("ac")).owner(shard)
+        made = Node(heir, fresh=True)
+        made.learn(host_list(1, *NAMES), START)
+        made.learn(host_list(2, "a", "c"), START + 1)
+        assert not made.acts(shard, START + 1, 2)
+        assert not made.acts(shard, START + WAIT_S, 2)
+        assert made.acts(shard, START + 1 + WAIT_S, 2)
+
+
+class TestFence:
+    def make(self):
+        made = Node("a", fresh=True)
+        made.learn(host_list(1, *NAMES), START)
+        shard = shard_of("a", *NAMES)
+        assert made.acts(shard, START)
+        return made, shard
+
+    def test_paused_owner_is_fenced(self):
+        made, shard = self.make()
+        assert not made.owned.acts(shard, START + 60.0)
+
+    def test_blind_owner_goes_on_while_witnesses_agree(self):
+        made, shard = self.make()
+        later = START + 60.0
+        made.owned.acts(shard, later)
+        made.answer(1, later)
+        assert made.owned.acts(shard, later + 1.0)
+        assert not made.owned.acts(shard, later + 10.0)
+
+    def test_witness_with_a_newer_list_fences(self):
+        made, shard = self.make()
+        later = START + 60.0
+        made.owned.acts(shard, later)
+        made.answer(2, later)
+        assert not made.owned.acts(shard, later + 1.0)
+
+    def test_list_after_a_gap_starts_anew(self):
+        made, shard = self.make()
+        later = START + 60.0
+        made.witnesses.learn(2, later)
+        made.owned.learn_hosts(host_list(2, *NAMES), later)
+        assert not made.acts(shard, later, 2)
+
+
+class TestRelease:
+    def test_owner_releases_once_and_only_to_the_heir(self):
+        shard = shard_of("d", *NAMES, "d")
+        owner = ownership.Ranking(frozenset(NAMES)).owner(shard)
+        made = Node(owner, fresh=True)
+        made.learn(host_list(1, *NAMES), START)
+        assert made.acts(shard, START)
+        assert made.owned.release(shard, "d", START) is None
+        made.learn(host_list(2, *NAMES, "d"), START + 1)
+        other = next(name for name in NAMES if name != owner)
+        assert made.owned.release(shard, other, START + 1) is None
+        assert made.owned.release(shard, "d", START + 1) == -math.inf
+        assert made.owned.release(shard, "d", START + 1) is None
+
+
+class TestRecord:
+    KEY = record.Key("org1", "order-17")
+
+    def make(self, name, fresh=True):
+        made = Node(name, fresh)
+        made.learn(host_list(1, *NAMES), START)
+        return record.ExecutionRecord("browse", made.owned)
+
+    def owner(self):
+        shard = owners.record_shard("browse", self.KEY)
+        return ownership.Ranking(frozenset(NAMES)).owner(shard)
+
+    def test_only_the_owner_runs(self):
+        for name in NAMES:
+            known = self.make(name).begin(self.KEY, START, START)
+            if name == self.owner():
+                assert known is record.RUN
+            else:
+                assert known.code is results.OWNER_UNSETTLED
+
+    def test_fenced_owner_does_not_start(self):
+        made = self.make(self.owner())
+        assert made.begin(self.KEY, START, START) is record.RUN
+        refusal = made.start(self.KEY, START + 60.0)
+        assert refusal.code is results.OWNER_UNSETTLED
+        made.finish(self.KEY, refusal, START + 60.0)
+        assert len(made) == 0
+
+    @pytest.mark.parametrize("ahead_s", [6.0, 3600.0])
+    def test_key_from_the_future_does_not_run(self, ahead_s):
+        made_ms = int((START + ahead_s) * 1000)
+        key = record.Key("o", f"{made_ms << 80 | 7 << 76 | 2 << 62:032x}")
+        for name in NAMES:
+            known = self.make(name).begin(key, START, START)
+            assert known.code in (
+                results.MALFORMED_REQUEST,
+                results.OWNER_UNSETTLED,
+            )
+
+    def test_full_record_refuses(self, monkeypatch):
+        monkeypatch.setattr(record, "RECORDS_MAX", 0)
+        known = self.make(self.owner()).begin(self.KEY, START, START)
+        assert known.code is results.RECORD_FULL
+
+    def test_forgotten_after_the_retention_window(self):
+        made = self.make(self.owner())
+        made.begin(self.KEY, START, START)
+        made.start(self.KEY, START)
+        made.finish(self.KEY, None, START)
+        made.expire(START + defaults.RECORD_RETENTION_S - 1)
+        assert len(made) == 1
+        made.expire(START + defaults.RECORD_RETENTION_S)
+        assert len(made) == 0
