Carry large deltas in parts and forget what nobody delivers

Change: deltas travel in parts of 64 KB; an announced version is forgotten after 10 s. Measured: .venv/bin/pytest tests/test_spread.py: passed. Conclusion: the size of a document no longer meets the frame's limit.

--- a/src/savorytally/decisions/dissemination.py
+++ b/src/savorytally/decisions/dissemination.py
@@ -207,13 +207,14 @@
         item = self.shelves.get(pull.name)
         if item is None or item.version <= pull.after:
             return []
-        return [Outgoing(sender, item.since(max(pull.after, 0)))]
+        deltas = item.since(max(pull.after, 0))
+        return [Outgoing(sender, delta) for delta in deltas]
 
     def _delivered(
         self, sender: str, delta: spread.Delta, now: float
     ) -> list[Outgoing]:
         item = self.shelves.get(delta.name)
-        if item is None or not item.apply(delta):
+        if item is None or not item.apply(sender, delta, now):
             return []
         self._holds.pop(delta.name, None)
         if delta.name == HOSTS or not self._boot.active:
--- a/src/savorytally/decisions/shelf.py
+++ b/src/savorytally/decisions/shelf.py
@@ -38,6 +38,8 @@
         self._known = 0
         self._source = ""
         self._asked = float("-inf")
+        self._known_at = float("-inf")
+        self._assembly: _Assembly | None = None
 
     @property
     def name(self) -> str:
@@ -65,17 +67,25 @@
             return False
         return self._take(self._held.replace(version, bodies))
 
-    def apply(self, delta: spread.Delta) -> bool:
-        """Take in a delta from a peer; return whether it brought news."""
-        if delta.version <= max(self.version, self._refused):
+    def apply(self, sender: str, message: spread.Delta, now: float) -> bool:
+        """Take in a part of a delta; return whether it brought news."""
+        if message.version <= max(self.version, self._refused):
             return False
-        read = from_message(delta)
-        offered = self._held.apply(read) if read else None
+        if not 0 <= message.part < message.parts <= defaults.DELTA_PARTS_MAX:
+            return False
+        if self._assembly is None or not self._assembly.fits(sender, message):
+            self._assembly = _Assembly(sender, message)
+        self._asked = now
+        delta = self._assembly.add(message)
+        if delta is None:
+            return False
+        self._assembly = None
+        offered = self._held.apply(delta)
         return offered is not None and self._take(offered)
 
-    def since(self, after: int) -> spread.Delta:
-        """Return the message that carries what changed after a version."""
-        return to_message(self.name, self._held.since(after))
+    def since(self, after: int) -> list[spread.Delta]:
+        """Return the messages that carry what changed after a version."""
+        return to_messages(self.name, self._held.since(after))
 
     def enforce(self, now: float) -> None:
         """Put what is held in force."""
@@ -89,6 +99,7 @@
             return False
         fresh = version > self._known
         self._known = max(self._known, version)
+        self._known_at = now
         self._source = sender
         if not fresh and now - self._asked < defaults.PULL_RETRY_S:
             return False
@@ -99,6 +110,9 @@
         """Return whom to pull from again, empty if nothing is overdue."""
         if self._known <= max(self.version, self._refused):
             return ""
+        if now - self._known_at > defaults.ANNOUNCED_MAX_S:
+            self._known = 0
+            return ""
         if now - self._asked < defaults.PULL_RETRY_S:
             return ""
         self._asked = now
@@ -112,25 +126,56 @@
         return True
 
 
-def to_message(name: str, delta: publication.Delta) -> spread.Delta:
-    """Return the message that carries a delta."""
-    return spread.Delta(
-        name=name,
-        after=delta.after,
-        version=delta.version,
-        sections=spread.pack(delta.sections),
-        removed=tuple(delta.removed.items()),
-    )
-
-
-def from_message(message: spread.Delta) -> publication.Delta | None:
-    """Return the delta that a message carries, ``None`` if malformed."""
-    try:
-        return publication.Delta(
-            after=message.after,
-            version=message.version,
-            sections=spread.unpack(message.sections),
-            removed=dict(message.removed),
+def to_messages(name: str, delta: publication.Delta) -> list[spread.Delta]:
+    """Return the messages that carry a delta."""
+    packed = spread.pack(delta.sections)
+    size = defaults.DELTA_PART_BYTES
+    cut = [packed[at : at + size] for at in range(0, len(packed), size)]
+    return [
+        spread.Delta(
+            name=name,
+            after=delta.after,
+            version=delta.version,
+            part=part,
+            parts=len(cut),
+            sections=sections,
+            removed=tuple(delta.removed.items()),
         )
-    except (ValueError, TypeError):
-        return None
+        for part, sections in enumerate(cut)
+    ]
+
+
+class _Assembly:
+    """The parts of one delta as they arrive from one sender.
+
+    :param sender: who sends it.
+    :param first: any of its parts.
+    """
+
+    def __init__(self, sender: str, first: spread.Delta) -> None:
+        self._key = _key(sender, first)
+        self._parts: dict[int, bytes] = {}
+
+    def fits(self, sender: str, message: spread.Delta) -> bool:
+        """Return whether a message is one of its parts."""
+        return self._key == _key(sender, message)
+
+    def add(self, message: spread.Delta) -> publication.Delta | None:
+        """Add a part; return the delta when it is whole and well formed."""
+        self._parts[message.part] = message.sections
+        if len(self._parts) < message.parts:
+            return None
+        packed = b"".join(self._parts[at] for at in sorted(self._parts))
+        try:
+            return publication.Delta(
+                after=message.after,
+                version=message.version,
+                sections=spread.unpack(packed),
+                removed=dict(message.removed),
+            )
+        except (ValueError, TypeError):
+            return None
+
+
+def _key(sender: str, message: spread.Delta) -> tuple[str, int, int, int]:
+    return sender, message.after, message.version, message.parts
--- a/src/savorytally/peer/spread.py
+++ b/src/savorytally/peer/spread.py
@@ -50,13 +50,18 @@
     :param name: the publication.
     :param after: the older version.
     :param version: the newer version.
-    :param sections: the sections that changed, see :func:`pack`.
+    :param part: number of this part, from 0.
+    :param parts: number of messages that carry the delta.
+    :param sections: this part of the sections that changed, see
+        :func:`pack`.
     :param removed: name and version of removal of each removed section.
     """
 
     name: str
     after: int
     version: int
+    part: int
+    parts: int
     sections: bytes
     removed: Versions
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -327,3 +327,26 @@
         old = publication.empty("x").replace(1, {"a": b"1"})
         new = old.replace(5, {"a": b"5"}).replace(6, {"a": b"6"})
         assert old.apply(new.since(5)) is None
+
+
+class TestParts:
+    def test_large_delta_arrives_in_parts_of_any_order(self, monkeypatch):
+        monkeypatch.setattr(defaults, "DELTA_PART_BYTES", 64)
+        made = fleet.Fleet(ONE_PLACE, weather=LOSSY)
+        noise = {
+            f"routes/{number}": made.random.randbytes(200)
+            for number in range(20)
+        }
+        version = made.publish(others=noise)
+        made.start_all()
+        made.transport.run(2 * defaults.BOOT_GIVE_UP_S)
+        assert behind(made, version) == {}
+        shelves = made.members["kirtipur-0"].dissemination.shelves
+        assert len(shelves["configuration"].since(0)) > 60
+
+    def test_version_that_nobody_delivers_is_forgotten(self, one):
+        news = one.members["kirtipur-0"].dissemination
+        news.behind("kirtipur-1", 1 << 40, one.now)
+        assert news.lagging
+        one.transport.run(defaults.ANNOUNCED_MAX_S + 1.0)
+        assert not news.lagging
