--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -20,6 +20,7 @@
 from .decisions import loans  # noqa: F401, registers a policy
 from .decisions import membership
 from .decisions import ownership
+from .decisions import quarantine
 from .decisions import quota
 from .decisions import record
 from .decisions import relay
@@ -113,6 +114,9 @@
         self.egress = egress.Egress(
             outside, self.view, self.tokens, self.dispatcher, below
         )
+        self.quarantine = quarantine.Quarantine(
+            options.host_id, self._service_peers
+        )
         self.record = record.ExecutionRecord(
             options.service_id,
             ownership.Ownership(
@@ -131,6 +135,7 @@
             ),
             self.tokens,
             below,
+            self.quarantine,
             self.record,
         )
         self.control = control.Control(
@@ -140,6 +145,7 @@
         self.control.add(self.membership)
         self.control.add(self.quota)
         self.control.add(self.witnesses)
+        self.control.add(self.quarantine)
         self.control.every_tick(self.gate.tick)
         self.control.every_tick(self._tick_record)
         self.watch = watch.PlatformWatch(
@@ -174,6 +180,11 @@
         self.dispatcher.learn_hosts(self.view.hosts.hosts)
         self._working_hosts_changed(now)
 
+    def _service_peers(self) -> list[str]:
+        known = self.view.hosts.of_service(self.settings.service_id)
+        own = self.settings.host_id
+        return [item.host_id for item in known if item.host_id != own]
+
     def _add_gauges(self) -> None:
         policy = self.gate.policy
         add = self.metrics.add_gauge
@@ -204,7 +215,9 @@
         )
 
     def _working_hosts_changed(self, now: float) -> None:
-        self.routing.learn_hosts(self.membership.working(), now)
+        working = self.membership.working()
+        self.routing.learn_hosts(working, now)
+        self.dispatcher.learn_working(working)
 
     def _tick_record(self) -> None:
         self.record.tick(self.outside.clock.now())
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -13,6 +13,7 @@
 from ..decisions import estimates
 from ..decisions import owners
 from ..decisions import record
+from ..decisions import refusals
 from ..decisions import retry
 from ..decisions import routing
 from ..decisions import shares
@@ -69,7 +70,9 @@
         self._answers = estimates.Estimates()
         self._shares = shares.Shares()
         self._weights: dict[str, float] = {}
+        self._refusals = refusals.Refusals()
         self._owners = owners.RecordOwners()
+        self._working: frozenset[str] = frozenset()
         self._ids = itertools.count(1)
 
     def learn_configuration(
@@ -86,6 +89,10 @@
         """Apply a newer host list."""
         self._owners.learn_hosts(hosts)
 
+    def learn_working(self, hosts: t.Mapping[str, host.Host]) -> None:
+        """Apply which of the listed hosts accept new work."""
+        self._working = frozenset(hosts)
+
     def refusal(self, job: Job) -> outcomes.Failure | None:
         """Count a root request and return why it can't be sent, if so."""
         self._note_demand(job.context)
@@ -98,6 +105,12 @@
         """Return the outcome of the job, over all its attempts."""
         tried: set[str] = set()
         last: outcomes.Outcome | None = None
+        content = fingerprint(job)
+        refused_ms = self._refusals.remaining_ms(content, self._clock.now())
+        if refused_ms:
+            return outcomes.Failure(
+                results.QUARANTINED, retry_after_ms=refused_ms
+            )
         self._ratio.first_attempt()
         for attempt in itertools.count():
             choice = self._choose(job, tried)
@@ -107,10 +120,16 @@
                 return last
             tried.add(choice.host.host_id)
             last = await self._attempt(job, choice.host, attempt)
+            self._note_refusal(content, last)
             if not retry.worthwhile(last, self._prospect(job)):
                 return last
         raise AssertionError("unreachable")
 
+    def _note_refusal(self, content: int, outcome: outcomes.Outcome) -> None:
+        if outcome.code is results.QUARANTINED:
+            now = self._clock.now()
+            self._refusals.note(content, outcome.retry_after_ms, now)
+
     def _choose(self, job: Job, tried: set[str]) -> routing.Choice:
         if not job.route.idempotent and job.idempotency_key:
             return self._choose_owner(job, tried)
@@ -144,10 +163,14 @@
         """Return the only host that may run a request once."""
         key = record.Key(job.context.organisation_id, job.idempotency_key)
         owner = self._owners.owner_of(job.route.service_id, key)
-        if owner is None or owner.host_id in tried:
+        if owner is None:
             return routing.Unavailable(
                 results.NO_HOST, defaults.RETRY_AFTER_MS
             )
+        if owner.host_id in tried or owner.host_id not in self._working:
+            return routing.Unavailable(
+                results.OWNER_UNSETTLED, defaults.RETRY_AFTER_MS
+            )
         return routing.Chosen(owner)
 
     def _note_demand(self, above: context.Context) -> None:
--- a/src/savorytally/settings.py
+++ b/src/savorytally/settings.py
@@ -67,9 +67,9 @@
 class Policies:
     """Names of the registered policies that a node uses."""
 
-    admission: str = "fifo"
+    admission: str = "adaptive"
     routing: str = "balanced"
-    quota: str = "local"
+    quota: str = "loans"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
