--- a/src/savorytally/peer/spread.py
+++ b/src/savorytally/peer/spread.py
@@ -36,10 +36,12 @@
 
     :param name: the publication.
     :param after: the version that the sender holds, 0 for none.
+    :param part: the first part of the delta that is wanted.
     """
 
     name: str
     after: int
+    part: int = 0
 
 
 @messages.message(22)
@@ -50,13 +52,18 @@
     :param name: the publication.
     :param after: the older version.
     :param version: the newer version.
-    :param sections: the sections that changed, see :func:`pack`.
+    :param part: number of this part, from 0.
+    :param parts: number of messages that carry the delta.
+    :param sections: this part of the sections that changed, see
+        :func:`pack`.
     :param removed: name and version of removal of each removed section.
     """
 
     name: str
     after: int
     version: int
+    part: int
+    parts: int
     sections: bytes
     removed: Versions
 
@@ -85,9 +92,11 @@
     """Tells the other candidates that the sender acts as a reader.
 
     :param succeeds: whether its last read of the platform succeeded.
+    :param version: the configuration that it holds.
     """
 
     succeeds: bool
+    version: int
 
 
 @messages.message(25)
