Give replay the exit codes of the other commands

Cause: replay said 1 for an unmet outcome and 2 for a malformed trace, against the table of exit codes.

Change: 1 for a malformed trace (with 9007 and its line), 6 for an unmet outcome; both in the table.

--- a/src/savorytally/commands/base.py
+++ b/src/savorytally/commands/base.py
@@ -17,6 +17,7 @@
 EXIT_UNREACHABLE = 3
 EXIT_REFUSED = 4
 EXIT_PORT = 5
+EXIT_UNMET = 6
 
 EXITS = {
     EXIT_OK: "done",
@@ -25,6 +26,7 @@
     EXIT_UNREACHABLE: "the node does not answer",
     EXIT_REFUSED: "the node refused the request",
     EXIT_PORT: "the node can't open one of its ports",
+    EXIT_UNMET: "a stated outcome of a trace is not met",
 }
 
 STANDARD_INPUT = pathlib.Path("-")
--- a/src/savorytally/replay/command.py
+++ b/src/savorytally/replay/command.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from .. import results
+from ..commands import base
 from . import figures
 from . import player
 from . import reading
@@ -12,10 +13,6 @@
 from . import trace
 from . import variants
 
-EXIT_OK = 0
-EXIT_UNMET = 1
-EXIT_MALFORMED = 2
-
 
 def run(paths: t.Sequence[pathlib.Path], compare: bool) -> int:
     """Replay traces, print their figures and return the exit code.
@@ -23,7 +20,7 @@
     :param compare: whether to replay each variant for comparison; stated
         outcomes are always judged with all policies on.
     """
-    code = EXIT_OK
+    code = base.EXIT_OK
     for path in paths:
         read = reading.load(path)
         if isinstance(read, trace.Malformed):
@@ -32,9 +29,9 @@
                 f"{number} {path}: line {read.line}: {read.text}",
                 file=sys.stderr,
             )
-            return EXIT_MALFORMED
+            return base.EXIT_FAULT
         if not _replay(read, compare):
-            code = EXIT_UNMET
+            code = base.EXIT_UNMET
     return code
 
 
