--- a/tests/test_bucket.py
+++ b/tests/test_bucket.py
@@ -25,6 +25,12 @@
         made.learn_contract(CONTRACT, 1.0, 100.0)
         assert made.lend(BORROWER, 1, (0.0, 0.0), 5.0, 0, 100.0).tokens == 0.0
 
+    def test_unused_bucket_holds_what_accrued(self):
+        made = bucket.Bucket(100.0)
+        made.learn_contract(CONTRACT, 1.0, 100.0)
+        made.fill(99.5, 100.0)
+        assert made.stored == 5.0
+
     def test_lent_tokens_keep_room_until_reported(self):
         made = full_bucket()
         made.lend(BORROWER, 1, (0.0, 0.0), 20.0, 0, 100.0)
