Keep "may have run" when a later attempt was refused

Change: the outcome over all attempts is joined by retry.known_after: a refusal replaces an earlier outcome only if that says not run too.

Conclusion: "not run" now speaks for every attempt.

--- a/src/savorytally/decisions/retry.py
+++ b/src/savorytally/decisions/retry.py
@@ -111,6 +111,23 @@
         return True
 
 
+def known_after(
+    earlier: outcomes.Outcome | None, latest: outcomes.Outcome
+) -> outcomes.Outcome:
+    """Return the outcome of a request after one more attempt.
+
+    That the latest attempt did not run says nothing of an earlier one that
+    ran or may have run.
+
+    :param earlier: the outcome over all attempts before.
+    """
+    if earlier is None or isinstance(latest, outcomes.Answer):
+        return latest
+    if latest.code.not_run and not earlier.code.not_run:
+        return earlier
+    return latest
+
+
 def worthwhile(outcome: outcomes.Outcome, attempt: Attempt) -> bool:
     """Return whether another attempt is safe and likely to do better.
 
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -104,7 +104,8 @@
     async def run(self, job: Job) -> outcomes.Outcome:
         """Return the outcome of the job, over all its attempts."""
         tried: set[str] = set()
-        last: outcomes.Outcome | None = None
+        known: outcomes.Outcome | None = None
+        suspect = False
         content = fingerprint(job)
         refused_ms = self._refusals.remaining_ms(content, self._clock.now())
         if refused_ms:
@@ -115,15 +116,16 @@
         for attempt in itertools.count():
             choice = self._choose(job, tried)
             if isinstance(choice, routing.Unavailable):
-                return last or _unavailable(choice)
-            if last is not None and not self._spend(job):
-                return last
+                return known or _unavailable(choice)
+            if known is not None and not self._spend(job):
+                return known
             tried.add(choice.host.host_id)
-            suspect = last is not None and _broke_upstream(last)
-            last = await self._attempt(job, choice.host, attempt, suspect)
-            self._note_refusal(content, last)
-            if not retry.worthwhile(last, self._prospect(job)):
-                return last
+            latest = await self._attempt(job, choice.host, attempt, suspect)
+            self._note_refusal(content, latest)
+            known = retry.known_after(known, latest)
+            suspect = _broke_upstream(latest)
+            if not retry.worthwhile(latest, self._prospect(job)):
+                return known
         raise AssertionError("unreachable")
 
     def _note_refusal(self, content: int, outcome: outcomes.Outcome) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -169,6 +169,16 @@
         assert outcome.code is results.OUTCOME_UNKNOWN
         assert len(fleet.peers.calls) == 1
 
+    def test_refused_retry_does_not_deny_an_unknown_attempt(self, run, fleet):
+        made = fleet.add("browse-0", answer_ok)
+        codes = iter([results.OUTCOME_UNKNOWN, results.NOT_DISPATCHED])
+        fleet.peers.intercept = lambda target, call: ports.CallResult(
+            outcomes.Failure(next(codes))
+        )
+        outcome = run(made.entry.handle(get("/browse/species")))
+        assert len(fleet.peers.calls) == 2
+        assert outcome.code is results.OUTCOME_UNKNOWN
+
 
 class TestEgress:
     def test_child_inherits_organisation_priority_and_depth(self, run, fleet):
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -87,3 +87,20 @@
         busy = outcomes.Answer(503, (), b"")
         assert retry.worthwhile(busy, retry.Attempt(True, 1.0))
         assert not retry.worthwhile(busy, retry.Attempt(False, 1.0))
+
+
+class TestKnownAfter:
+    @pytest.mark.parametrize("first", results.all_codes())
+    @pytest.mark.parametrize("second", results.all_codes())
+    def test_not_run_only_if_no_attempt_may_have_run(self, first, second):
+        attempts = [outcomes.Failure(first), outcomes.Failure(second)]
+        known = None
+        for attempt in attempts:
+            known = retry.known_after(known, attempt)
+        if known.code.not_run:
+            assert all(attempt.code.not_run for attempt in attempts)
+
+    def test_answer_ends_all_doubt(self):
+        unknown = outcomes.Failure(results.OUTCOME_UNKNOWN)
+        answer = outcomes.Answer(200, (), b"")
+        assert retry.known_after(unknown, answer) is answer
