Check the rule of known_after in one test

Cause: one parametrised case for each pair of codes made 2,300 tests. Change: a loop over all pairs. Conclusion: none of the strength is lost.

--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -1,5 +1,7 @@
 """Bounds on retries over a whole call tree."""
 
+import itertools
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -90,15 +92,13 @@
 
 
 class TestKnownAfter:
-    @pytest.mark.parametrize("first", results.all_codes())
-    @pytest.mark.parametrize("second", results.all_codes())
-    def test_not_run_only_if_no_attempt_may_have_run(self, first, second):
-        attempts = [outcomes.Failure(first), outcomes.Failure(second)]
-        known = None
-        for attempt in attempts:
-            known = retry.known_after(known, attempt)
-        if known.code.not_run:
-            assert all(attempt.code.not_run for attempt in attempts)
+    def test_not_run_only_if_no_attempt_may_have_run(self):
+        codes = results.all_codes()
+        for first, second in itertools.product(codes, codes):
+            earlier = outcomes.Failure(first)
+            known = retry.known_after(earlier, outcomes.Failure(second))
+            both = first.not_run and second.not_run
+            assert known.code.not_run <= both, (first, second)
 
     def test_answer_ends_all_doubt(self):
         unknown = outcomes.Failure(results.OUTCOME_UNKNOWN)
