Read only the members of a document that changed

Change: members stay encoded until they are read; a reader takes over what it made of members whose bytes are the same object as in the last accepted version, if their references still hold; name tables are taken over when no member of their kind changed.

--- a/src/savorytally/fields.py
+++ b/src/savorytally/fields.py
@@ -1,6 +1,7 @@
 """Reads JSON objects field by field and collects all faults."""
 
 import dataclasses
+import json
 import typing as t
 
 _MISSING = object()
@@ -42,6 +43,14 @@
     return f"{place}/{escaped}"
 
 
+def _decode(body: bytes) -> t.Any:
+    """Return a JSON value, ``None`` if the text is malformed."""
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+
+
 class Section:
     """A JSON object that is read field by field.
 
@@ -100,12 +109,21 @@
 
     def children(self, key: str) -> dict[str, "Section"]:
         """Return the members of an object field as sections."""
-        place = pointer(self._place, key)
         return {
-            name: Section(child, pointer(place, name), self._faults)
-            for name, child in self.take(key, dict, {}).items()
+            name: self.member(key, name, value)
+            for name, value in self.take(key, dict, {}).items()
         }
 
+    def member(self, key: str, name: str, value: t.Any) -> "Section":
+        """Return a member of an object field that was taken as a section.
+
+        :param value: its JSON value, parsed or still encoded as bytes.
+        """
+        place = pointer(pointer(self._place, key), name)
+        if isinstance(value, bytes):
+            value = _decode(value)
+        return Section(value, place, self._faults)
+
     def child(self, key: str) -> "Section":
         """Return an object field as a section; an absent one is empty."""
         given = self.has(key)
--- a/src/savorytally/parts/publications.py
+++ b/src/savorytally/parts/publications.py
@@ -15,6 +15,7 @@
 from ..world import hosts
 from ..world import parts
 from ..world import publication
+from ..world import reuse
 
 HOSTS_FIELD = "hosts"
 
@@ -27,13 +28,15 @@
 
     def __init__(self, current: view.View) -> None:
         self._view = current
+        self._document_reader = document.Reader()
+        self._hosts_reader = hosts.Reader()
         self._configuration: configuration.Configuration | None = None
         self._hosts: host.HostList | None = None
 
     def check(self, offered: publication.Publication) -> bool:
         """Return whether it is without fault; log every fault if not."""
         try:
-            value = parts.join(offered.bodies())
+            value = parts.gather(offered.bodies(), reuse.KINDS)
         except (ValueError, KeyError, RecursionError) as error:
             fault = fields.Fault("/", f"not whole: {error}")
             _report(offered, (fault,))
@@ -52,7 +55,7 @@
     def _check_configuration(
         self, offered: publication.Publication, value: t.Any
     ) -> bool:
-        read = document.read(value)
+        read = self._document_reader.read(value)
         if isinstance(read, document.Refused):
             _report(offered, read.faults)
             return False
@@ -67,7 +70,7 @@
         self, offered: publication.Publication, value: t.Any
     ) -> bool:
         listed = value.get(HOSTS_FIELD) if isinstance(value, dict) else value
-        read = hosts.read(offered.version, listed)
+        read = self._hosts_reader.read(offered.version, listed)
         if isinstance(read, list):
             _report(offered, read)
             return False
--- a/src/savorytally/world/document.py
+++ b/src/savorytally/world/document.py
@@ -13,6 +13,7 @@
 from . import reading_regions
 from . import reading_routes
 from . import reading_services
+from . import reuse
 from . import route
 from . import upstream
 
@@ -46,13 +47,47 @@
     :param value: the parsed JSON value.
     :return: the configuration, or all faults if there is any.
     """
+    return Reader().read(value)
+
+
+class Reader:
+    """Reads successive versions of a document.
+
+    Members that are the same object as before are taken over.
+    """
+
+    def __init__(self) -> None:
+        self._earlier = reuse.Earlier()
+        self._last: configuration.Configuration | None = None
+
+    def read(self, value: t.Any) -> configuration.Configuration | Refused:
+        """Turn a parsed document into a configuration.
+
+        :return: the configuration, or all faults if there is any.
+        """
+        read = _read(value, self._earlier, self._last)
+        if isinstance(read, Refused):
+            self._earlier.refuse()
+            return read
+        self._earlier.accept()
+        self._last = read
+        return read
+
+
+def _read(
+    value: t.Any,
+    earlier: reuse.Earlier,
+    last: configuration.Configuration | None,
+) -> configuration.Configuration | Refused:
     faults: list[fields.Fault] = []
     root = fields.Section(value, "", faults)
     version = root.number("version", int, 1, VERSION_MAX)
     schemes = names.read_schemes(root)
-    services = reading_services.read(root, schemes)
-    routes = reading_routes.read(root, schemes, services)
-    organisations = reading_organisations.read(root, schemes, routes)
+    if last is not None and schemes != last.schemes:
+        earlier.forget()
+    services = reading_services.read(root, schemes, earlier)
+    routes = reading_routes.read(root, schemes, services, earlier)
+    organisations = reading_organisations.read(root, schemes, routes, earlier)
     regions = reading_regions.read(root)
     found = configuration.Configuration(
         version=version,
@@ -64,8 +99,18 @@
         links=reading_regions.read_links(root, regions),
         retries=_read_retries(root),
         organisation_names=_resolve("organisations", organisations, faults),
-        service_names=_resolve("services", services, faults),
-        route_names=_resolve_routes(services, routes, faults),
+        service_names=(
+            last.service_names
+            if last is not None and earlier.unchanged("services")
+            else _resolve("services", services, faults)
+        ),
+        route_names=(
+            last.route_names
+            if last is not None
+            and earlier.unchanged("services")
+            and earlier.unchanged("routes")
+            else _resolve_routes(services, routes, faults)
+        ),
         keys=reading_organisations.index_keys(organisations, faults),
     )
     root.finish()
--- a/src/savorytally/world/hosts.py
+++ b/src/savorytally/world/hosts.py
@@ -5,6 +5,7 @@
 from .. import fields
 from . import host
 from . import region
+from . import reuse
 
 
 def read(version: int, value: t.Any) -> host.HostList | list[fields.Fault]:
@@ -14,15 +15,30 @@
     :param value: the parsed JSON value, hosts by identifier.
     :return: the list, or every fault in it.
     """
-    faults: list[fields.Fault] = []
-    root = fields.Section({"hosts": value}, "", faults)
-    hosts = {
-        host_id: _read_host(host_id, section)
-        for host_id, section in root.children("hosts").items()
-    }
-    if faults:
-        return faults
-    return host.HostList(version, hosts)
+    return Reader().read(version, value)
+
+
+class Reader:
+    """Reads successive versions of the host list.
+
+    Hosts that are the same object as before are taken over.
+    """
+
+    def __init__(self) -> None:
+        self._earlier = reuse.Earlier()
+
+    def read(
+        self, version: int, value: t.Any
+    ) -> host.HostList | list[fields.Fault]:
+        """Turn a parsed host list into hosts, or return every fault."""
+        faults: list[fields.Fault] = []
+        root = fields.Section({"hosts": value}, "", faults)
+        hosts = self._earlier.members(root, "hosts", _read_host)
+        if faults:
+            self._earlier.refuse()
+            return faults
+        self._earlier.accept()
+        return host.HostList(version, hosts)
 
 
 def _read_host(host_id: str, section: fields.Section) -> host.Host:
--- a/src/savorytally/world/parts.py
+++ b/src/savorytally/world/parts.py
@@ -38,6 +38,16 @@
 def join(parts: t.Mapping[str, bytes]) -> Json:
     """Return the document that the parts stand for.
 
+    :raises ValueError: if a part is missing or malformed.
+    """
+    return gather(parts, frozenset())
+
+
+def gather(parts: t.Mapping[str, bytes], encoded: frozenset[str]) -> Json:
+    """Return the document that the parts stand for, only partly decoded.
+
+    :param encoded: objects whose members stay encoded, as bytes; a reader
+        that knows a member's bytes need not decode them again.
     :raises ValueError: if a part is missing or malformed.
     """
     if _REST not in parts:
@@ -50,7 +60,8 @@
         if name == _REST:
             continue
         kind, _, member = name.partition("/")
-        document[kind][member] = json.loads(body)
+        value = body if kind in encoded else json.loads(body)
+        document[kind][member] = value
     return document
 
 
--- a/src/savorytally/world/reading_organisations.py
+++ b/src/savorytally/world/reading_organisations.py
@@ -6,6 +6,7 @@
 from .. import fields
 from . import names
 from . import organisation
+from . import reuse
 from . import route
 
 RATE_MAX_PER_S = 1e9
@@ -20,12 +21,19 @@
     root: fields.Section,
     schemes: tuple[str, ...],
     routes: t.Mapping[str, route.Route],
+    earlier: reuse.Earlier,
 ) -> dict[str, organisation.Organisation]:
     """Return the organisations by identifier."""
-    return {
-        identifier: _read_organisation(identifier, section, schemes, routes)
-        for identifier, section in root.children("organisations").items()
-    }
+
+    def make(
+        identifier: str, section: fields.Section
+    ) -> organisation.Organisation:
+        return _read_organisation(identifier, section, schemes, routes)
+
+    def holds(known: organisation.Organisation) -> bool:
+        return known.contract.routes <= routes.keys()
+
+    return earlier.members(root, "organisations", make, holds)
 
 
 def index_keys(
--- a/src/savorytally/world/reading_routes.py
+++ b/src/savorytally/world/reading_routes.py
@@ -6,6 +6,7 @@
 from .. import defaults
 from .. import fields
 from . import names
+from . import reuse
 from . import route
 from . import upstream
 
@@ -18,12 +19,17 @@
     root: fields.Section,
     schemes: tuple[str, ...],
     services: t.Mapping[str, upstream.Service],
+    earlier: reuse.Earlier,
 ) -> dict[str, route.Route]:
     """Return the routes by identifier."""
-    return {
-        route_id: _read_route(route_id, section, schemes, services)
-        for route_id, section in root.children("routes").items()
-    }
+
+    def make(route_id: str, section: fields.Section) -> route.Route:
+        return _read_route(route_id, section, schemes, services)
+
+    def holds(known: route.Route) -> bool:
+        return known.service_id in services
+
+    return earlier.members(root, "routes", make, holds)
 
 
 def _read_route(
--- a/src/savorytally/world/reading_services.py
+++ b/src/savorytally/world/reading_services.py
@@ -2,6 +2,7 @@
 
 from .. import fields
 from . import names
+from . import reuse
 from . import upstream
 
 SLOTS_MAX = 100_000
@@ -9,13 +10,14 @@
 
 
 def read(
-    root: fields.Section, schemes: tuple[str, ...]
+    root: fields.Section, schemes: tuple[str, ...], earlier: reuse.Earlier
 ) -> dict[str, upstream.Service]:
     """Return the services by identifier."""
-    return {
-        service_id: _read_service(service_id, section, schemes)
-        for service_id, section in root.children("services").items()
-    }
+
+    def make(service_id: str, section: fields.Section) -> upstream.Service:
+        return _read_service(service_id, section, schemes)
+
+    return earlier.members(root, "services", make)
 
 
 def _read_service(
--- a/tools/capacity/deployments.py
+++ b/tools/capacity/deployments.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from . import worlds
+
 DAY_S = 86_400
 
 
@@ -56,6 +58,12 @@
         """Calls a second that one gate runs."""
         return self.calls_per_s / self.hosts
 
+    @property
+    def members(self) -> int:
+        """Members of the configuration: organisations, services, routes."""
+        routes = self.services * worlds.ROUTES_PER_SERVICE
+        return self.organisations + self.services + routes
+
     @property
     def roots_per_node(self) -> float:
         """Root requests a second that one entry takes in."""
--- a/tools/capacity/meter.py
+++ b/tools/capacity/meter.py
@@ -32,6 +32,18 @@
     return best
 
 
+def once_us(work: t.Callable[[], object]) -> float:
+    """Return the processor time of a single execution in microseconds."""
+    gc.collect()
+    gc.disable()
+    try:
+        start = time.process_time_ns()
+        work()
+        return (time.process_time_ns() - start) / NS_PER_US
+    finally:
+        gc.enable()
+
+
 def held_bytes(build: t.Callable[[], object]) -> float:
     """Return the bytes that what ``build`` returns keeps allocated."""
     begin_held()
--- a/tools/capacity/probes_world.py
+++ b/tools/capacity/probes_world.py
@@ -2,9 +2,15 @@
 
 import json
 import random
+import typing as t
 
+from savorytally import view
 from savorytally.decisions import balanced
+from savorytally.decisions import dissemination
+from savorytally.parts import publications
 from savorytally.world import hosts
+from savorytally.world import parts
+from savorytally.world import publication
 from savorytally.world import region
 
 from . import meter
@@ -15,6 +21,11 @@
 ORGANISATION_COUNTS = (50, 100, 200, 400)
 SERVICE_COUNTS = (10, 20, 40, 80)
 SERVICES_BESIDE = 10
+ORGANISATIONS_BESIDE = 10
+MEMBER_COUNTS = (300, 600, 1_200, 2_400, 4_800)
+CHANGES = 5
+CONFIGURATION = dissemination.CONFIGURATION
+HOSTS = dissemination.HOSTS
 HERE = region.Place("region-0", "centre-0")
 
 
@@ -37,6 +48,42 @@
     return len(json.dumps(worlds.listed_hosts(count)))
 
 
+@slopes.probe("host change", "us", "host", HOST_COUNTS)
+def host_change(count: int) -> float:
+    """Measure the processor time to take in one changed host."""
+    listed = worlds.listed_hosts(count)
+    return _change(HOSTS, {"hosts": listed}, listed["host-0"])
+
+
+@slopes.probe("configuration change", "us", "member", MEMBER_COUNTS)
+def configuration_change(count: int) -> float:
+    """Measure the processor time to take in one changed organisation.
+
+    Five in six members are routes, the others services; ten more are
+    organisations.
+    """
+    services = count // (1 + worlds.ROUTES_PER_SERVICE)
+    value = worlds.full_document(services, ORGANISATIONS_BESIDE)
+    changed = value["organisations"]["organisation-0"]
+    return _change(CONFIGURATION, value, changed)
+
+
+def _change(
+    name: str, value: dict[str, t.Any], member: dict[str, t.Any]
+) -> float:
+    """Return the least time to take in a change of one member."""
+    held = publication.empty(name)
+    taken = publications.Publications(view.View())
+    costs = []
+    for version in range(1, CHANGES + 2):
+        if name == CONFIGURATION:
+            value["version"] = version
+        member["peer_port" if name == HOSTS else "burst"] = version
+        held = held.replace(version, parts.divide(value))
+        costs.append(meter.once_us(lambda held=held: taken.check(held)))
+    return min(costs[1:])
+
+
 @slopes.probe("routing memory", "B", "host", HOST_COUNTS)
 def routing_memory(count: int) -> float:
     """Measure the bytes that routing holds for hosts in use."""
