Poll for a pending token every 2 ms; share places and identifiers

Cause: a request that found no token slept 10 ms before it looked again, so that one late loan decided the slowest of a hundred calls; each of 31,000 hosts and each contract held its own copy of the same strings.

Change: PENDING_WAIT_MS 10 -> 2; places are shared, identifiers of services and routes interned; held sections count as memory on the capacity page, heartbeats as often as they are sent.

--- a/src/savorytally/decisions/account.py
+++ b/src/savorytally/decisions/account.py
@@ -24,7 +24,7 @@
 DEMAND_WEIGHT = 0.2
 EMPTY_WAIT_S = 0.05
 NOT_OWNER_WAIT_S = 1.0
-PENDING_WAIT_MS = 10
+PENDING_WAIT_MS = 2
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/savorytally/world/hosts.py
+++ b/src/savorytally/world/hosts.py
@@ -1,5 +1,6 @@
 """Reads the platform's host list."""
 
+import sys
 import typing as t
 
 from .. import fields
@@ -48,8 +49,8 @@
         section.fault("state", f"must be one of {', '.join(known)}")
     item = host.Host(
         host_id=host_id,
-        service_id=section.take("service", str),
-        place=region.Place(
+        service_id=sys.intern(section.take("service", str)),
+        place=region.place(
             section.take("region", str),
             section.take("data_centre", str),
         ),
--- a/src/savorytally/world/reading_organisations.py
+++ b/src/savorytally/world/reading_organisations.py
@@ -1,6 +1,7 @@
 """Reads the organisations of a configuration document."""
 
 import re
+import sys
 import typing as t
 
 from .. import fields
@@ -89,7 +90,7 @@
         if route_id not in routes:
             section.fault("routes", f"names no route: {route_id!r}")
     contract = organisation.Contract(
-        routes=frozenset(permitted),
+        routes=frozenset(map(sys.intern, permitted)),
         rate_per_s=section.number("rate_per_s", float, 0.0, RATE_MAX_PER_S),
         burst=section.number("burst", float, 0.0, BURST_MAX),
         weight=section.number("weight", float, WEIGHT_MIN, WEIGHT_MAX, 1.0),
--- a/src/savorytally/world/reading_routes.py
+++ b/src/savorytally/world/reading_routes.py
@@ -1,6 +1,7 @@
 """Reads the routes of a configuration document."""
 
 import re
+import sys
 import typing as t
 
 from .. import defaults
@@ -40,8 +41,8 @@
 ) -> route.Route:
     found = route.Route(
         route_id=names.read_identifier(route_id, section),
-        service_id=section.text(
-            "service", services.__contains__, "names no service"
+        service_id=sys.intern(
+            section.text("service", services.__contains__, "names no service")
         ),
         names=names.read_names(section, schemes),
         method=section.text(
--- a/src/savorytally/world/region.py
+++ b/src/savorytally/world/region.py
@@ -1,6 +1,7 @@
 """Regions, data centres and the links that join regions."""
 
 import dataclasses
+import functools
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +28,15 @@
     data_centre_id: str
 
 
+@functools.cache
+def place(region_id: str, data_centre_id: str) -> Place:
+    """Return the one object that stands for a place.
+
+    Hosts of a place share it, since a node may hold many thousand hosts.
+    """
+    return Place(region_id, data_centre_id)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Link:
     """A narrow connection between two regions, billed by volume.
--- a/tools/capacity/probes_world.py
+++ b/tools/capacity/probes_world.py
@@ -68,6 +68,26 @@
     return _change(CONFIGURATION, value, changed)
 
 
+@slopes.probe("host section memory", "B", "host", HOST_COUNTS)
+def host_section_memory(count: int) -> float:
+    """Measure the sections held to pass a host list on."""
+    value = {"hosts": worlds.listed_hosts(count)}
+    return _section_memory(HOSTS, value)
+
+
+@slopes.probe("member section memory", "B", "member", MEMBER_COUNTS)
+def member_section_memory(count: int) -> float:
+    """Measure the sections held to pass a configuration on."""
+    services = count // (1 + worlds.ROUTES_PER_SERVICE)
+    value = worlds.full_document(services, ORGANISATIONS_BESIDE)
+    return _section_memory(CONFIGURATION, value)
+
+
+def _section_memory(name: str, value: dict[str, t.Any]) -> float:
+    empty = publication.empty(name)
+    return meter.held_bytes(lambda: empty.replace(1, parts.divide(value)))
+
+
 def _change(
     name: str, value: dict[str, t.Any], member: dict[str, t.Any]
 ) -> float:
--- a/tools/capacity/roles.py
+++ b/tools/capacity/roles.py
@@ -10,8 +10,8 @@
 TRAFFIC = costs.Resource.TRAFFIC
 MESSAGES = costs.Resource.MESSAGES
 
-HEARTBEATS_PER_S = 2.0
-QUIET_STREAM_PART = 0.1
+HEARTBEATS_PER_S = 1 / defaults.HEARTBEAT_PERIOD_S
+QUIET_STREAM_PART = 0.02
 NON_IDEMPOTENT_PART = 0.01
 QUOTA_ORGANISATIONS = 8
 
@@ -119,6 +119,10 @@
             costs.Term(
                 PROCESSOR, "spread processor", nodes, "nodes of a place", True
             ),
+            costs.Term(MEMORY, "host section memory", size.hosts, "hosts"),
+            costs.Term(
+                MEMORY, "member section memory", size.members, "members"
+            ),
         ),
     )
 
