Choose a request's host once; measure latency at any rate

Cause: the entry chose a host to see whether the request would be shed, and chose again to send it.

Tried and taken back: freezing the collector after the start, with rarer collections.

--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -93,16 +93,21 @@
         """Apply which of the listed hosts accept new work."""
         self._working = frozenset(hosts)
 
-    def refusal(self, job: Job) -> outcomes.Failure | None:
-        """Count a root request and return why it can't be sent, if so."""
+    def choose_first(self, job: Job) -> routing.Chosen | outcomes.Failure:
+        """Count a root request and choose its host, or refuse it."""
         self._note_demand(job.context)
         choice = self._choose(job, set())
         if isinstance(choice, routing.Chosen):
-            return None
+            return choice
         return _unavailable(choice)
 
-    async def run(self, job: Job) -> outcomes.Outcome:
-        """Return the outcome of the job, over all its attempts."""
+    async def run(
+        self, job: Job, first: routing.Chosen | None = None
+    ) -> outcomes.Outcome:
+        """Return the outcome of the job, over all its attempts.
+
+        :param first: the host of the first attempt, if it was chosen.
+        """
         tried: set[str] = set()
         known: outcomes.Outcome | None = None
         suspect = False
@@ -114,7 +119,8 @@
             )
         self._ratio.first_attempt()
         for attempt in itertools.count():
-            choice = self._choose(job, tried)
+            choice = first or self._choose(job, tried)
+            first = None
             if isinstance(choice, routing.Unavailable):
                 return known or _unavailable(choice)
             if known is not None and not self._spend(job):
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -80,14 +80,14 @@
         job = self._prepare(request, labels)
         if isinstance(job, outcomes.Failure):
             return job
-        refusal = self._dispatcher.refusal(job)
-        if refusal is not None:
+        first = self._dispatcher.choose_first(job)
+        if isinstance(first, outcomes.Failure):
             # Shed before the rate is charged for it.
-            return refusal
+            return first
         over = await self._take(job.context)
         if over is not None:
             return over
-        outcome = await self._dispatcher.run(job)
+        outcome = await self._dispatcher.run(job, first)
         if isinstance(outcome, outcomes.Failure):
             _log(outcome, job.context.root_id)
         return outcome
--- a/tools/latency.py
+++ b/tools/latency.py
@@ -173,12 +173,13 @@
     )
     measurement = Measurement(ways, given.seed)
     try:
-        rate = await measurement.saturation_per_s()
+        saturation = await measurement.saturation_per_s()
         # A pair sends one call through the nodes.
-        await measurement.run(rate / 2, given.seconds)
+        rate = given.rate or saturation / 2
+        await measurement.run(rate, given.seconds)
     finally:
         await measurement.close()
-    print(f"open loop: {rate / 2:.0f} pairs/s, {given.seconds:g} s")
+    print(f"open loop: {rate:.0f} pairs/s, {given.seconds:g} s")
     print(f"{'':<22} {'p50 ms':>7} {'p99 ms':>7}")
     for name in ("straight", "through", "added"):
         found = getattr(measurement, name)
@@ -203,6 +204,12 @@
     parser.add_argument("directory", type=pathlib.Path)
     parser.add_argument("--process", type=int, action="append", default=[])
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument(
+        "--rate",
+        type=float,
+        default=0.0,
+        help="pairs a second, half of saturation by default",
+    )
     parser.add_argument("--seed", type=int, default=1)
     given = parser.parse_args()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
