--- a/tools/capacity/roles.py
+++ b/tools/capacity/roles.py
@@ -182,3 +182,16 @@
             costs.Term(MEMORY, "execution record memory", kept, "records"),
         ),
     )
+
+
+@costs.roles.register("7 admin")
+def admin(size: deployments.Deployment) -> costs.RoleCost:
+    """Return the standing cost of the administration API: none."""
+    return costs.RoleCost(
+        role="admin",
+        control=True,
+        state="counters by code, organisation and class",
+        mechanism="answers requests on loopback, sends nothing by itself",
+        breaks="nothing; a dry run of a large document is refused",
+        terms=(),
+    )
