Part the entry into who calls, what is called and the call itself

Cause: entry.py held the reading of keys and paths beside the entry, and one function of 45 lines made the job; the egress imported the entry for its path.

Change: parts/callers.py tells the sender, parts/paths.py the route; the entry's preparation is two short functions.

Conclusion: no behaviour changes.

--- a/src/savorytally/parts/egress.py
+++ b/src/savorytally/parts/egress.py
@@ -11,8 +11,8 @@
 from ..world import route
 from . import context
 from . import dispatch
-from . import entry
 from . import headers
+from . import paths
 from . import running
 
 
@@ -70,7 +70,7 @@
         version = self._view.configuration
         if version is None:
             return outcomes.Failure(results.NOT_CONFIGURED)
-        found = entry.find_route(version, request)
+        found = paths.find_route(version, request)
         if found is None:
             return outcomes.Failure(results.UNKNOWN_ROUTE)
         if not _permitted(version, found.route, parent.call):
--- a/src/savorytally/parts/entry.py
+++ b/src/savorytally/parts/entry.py
@@ -1,9 +1,6 @@
 """The entry: takes callers' requests and answers them."""
 
 import asyncio
-import dataclasses
-import hashlib
-import urllib.parse
 
 from absl import logging
 
@@ -19,24 +16,11 @@
 from ..decisions import shedding
 from ..world import configuration
 from ..world import route
+from . import callers
 from . import context
 from . import dispatch
 from . import headers
-
-KEY_ID_LENGTH = configuration.KEY_ID_LENGTH
-_BEARER = "bearer "
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Caller:
-    """Who sent a request.
-
-    :param organisation_id: its organisation, empty on open routes.
-    :param key_id: prefix of its key's digest, empty on open routes.
-    """
-
-    organisation_id: str
-    key_id: str
+from . import paths
 
 
 class Entry:
@@ -118,25 +102,27 @@
             return outcomes.Failure(results.NOT_CONFIGURED)
         if not self._view.confirmed(self._clock.now()):
             return outcomes.Failure(results.STALE_VIEW)
-        found = find_route(version, request)
+        found = paths.find_route(version, request)
         if found is None:
             return outcomes.Failure(results.UNKNOWN_ROUTE)
         labels.route_class = found.route.priority.name.lower()
-        key = presented_key(request)
-        caller = _identify(version, found.route, key)
+        caller = callers.identify(version, found.route, request)
         if isinstance(caller, outcomes.Failure):
             return caller
         labels.organisation_id = caller.organisation_id
-        if not _same_organisation(version, request, caller):
-            return outcomes.Failure(
-                results.NOT_PERMITTED, headers.ORGANISATION
-            )
-        if key and _repeats_key(request, key):
-            return outcomes.Failure(results.KEY_MISPLACED)
-        if key:
-            request = dataclasses.replace(
-                request, headers=headers.without_secret(request.headers, key)
-            )
+        fault = callers.misuse(version, request, caller)
+        if fault is not None:
+            return fault
+        request = callers.without_key(request)
+        return self._job(version, found, caller, request)
+
+    def _job(
+        self,
+        version: configuration.Configuration,
+        found: paths.Found,
+        caller: callers.Caller,
+        request: context.Request,
+    ) -> dispatch.Job | outcomes.Failure:
         idempotency_key = request.header(headers.IDEMPOTENCY_KEY)
         if not found.route.idempotent and not idempotency_key:
             return outcomes.Failure(results.IDEMPOTENCY_KEY_MISSING)
@@ -145,7 +131,6 @@
             return outcomes.Failure(
                 results.MALFORMED_REQUEST, headers.TIMEOUT_MS
             )
-        now = self._clock.now()
         return dispatch.Job(
             route=found.route,
             tail=found.tail,
@@ -155,7 +140,7 @@
                 organisation_id=caller.organisation_id,
                 key_id=caller.key_id,
                 priority=found.route.priority,
-                deadline=now + timeout_s,
+                deadline=self._clock.now() + timeout_s,
                 budget=retry.RetryBudget(version.retries.per_root),
                 depth=0,
                 traceparent=headers.traceparent(request.headers),
@@ -163,86 +148,11 @@
             idempotency_key=idempotency_key,
         )
 
-    def _root_id(self, called: route.Route, caller: Caller) -> str:
+    def _root_id(self, called: route.Route, caller: callers.Caller) -> str:
         number = self._numbers.next(called.priority, caller.organisation_id)
         return shedding.root_id(self._random, number)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Found:
-    """The route that a path names.
-
-    :param route: the route.
-    :param tail: what follows the route's name.
-    """
-
-    route: route.Route
-    tail: str
-
-
-def find_route(
-    version: configuration.Configuration, request: context.Request
-) -> Found | None:
-    """Resolve ``/service/route/tail`` in any naming scheme."""
-    parts = request.path.split("/", 3)
-    if len(parts) < 3 or parts[0]:
-        return None
-    service, name = map(urllib.parse.unquote, parts[1:3])
-    found = version.find_route(service, name)
-    if found is None or found.method != request.method:
-        return None
-    return Found(found, parts[3] if len(parts) > 3 else "")
-
-
-def presented_key(request: context.Request) -> str:
-    """Return the key that came with a request, or an empty string."""
-    value = request.header(headers.AUTHORIZATION)
-    if value.lower().startswith(_BEARER):
-        return value[len(_BEARER) :].strip()
-    return request.header(headers.API_KEY).strip()
-
-
-def key_digest(key: str) -> str:
-    """Return the digest by which the configuration knows a key."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
-def _identify(
-    version: configuration.Configuration, found: route.Route, key: str
-) -> Caller | outcomes.Failure:
-    if not key:
-        if found.open:
-            return Caller("", "")
-        return outcomes.Failure(results.KEY_MISSING)
-    digest = key_digest(key)
-    holder = version.organisation_of_key(digest)
-    if holder is None:
-        return outcomes.Failure(results.KEY_REJECTED)
-    if not found.open and found.route_id not in holder.contract.routes:
-        return outcomes.Failure(results.NOT_PERMITTED)
-    return Caller(holder.organisation_id, digest[:KEY_ID_LENGTH])
-
-
-def _same_organisation(
-    version: configuration.Configuration,
-    request: context.Request,
-    caller: Caller,
-) -> bool:
-    """Return whether an organisation that is named is the key's own."""
-    named = request.header(headers.ORGANISATION)
-    if not named:
-        return True
-    resolved = version.organisation_names.resolve(named)
-    return resolved == caller.organisation_id
-
-
-def _repeats_key(request: context.Request, key: str) -> bool:
-    for text in (request.path, request.query):
-        if key in text or key in urllib.parse.unquote_plus(text):
-            return True
-    return key.encode() in request.body
-
-
 def _timeout_s(request: context.Request, found: route.Route) -> float | None:
     text = request.header(headers.TIMEOUT_MS)
     if not text:
