Measure goodput and shares by what could be done at the time

The bound was the lesser of offered work and capacity over the whole span of 9 s. In it half the service is down for 3 s, and later offered work is below capacity: work lost at its one-second deadline cannot use slots that lie idle seconds later, so that no policy reaches the bound. The breaker's times had been ruled out before.

Change: both bounds are added up over parts of the span as long as the longest deadline. A test holds that the share of a span lies between those of its parts; the old bound fails it.

--- a/src/savorytally/replay/figures.py
+++ b/src/savorytally/replay/figures.py
@@ -150,17 +150,36 @@
     header: trace.Header, requests: list[calls.Request]
 ) -> float:
     span = header.measure
-    offered_s = sum(_work_s(header, x) for x in _arrived(requests, span))
     answered_s = sum(
         _work_s(header, item)
         for item in requests
         if item.answered_at is not None
         and span.from_s <= item.answered_at < span.until_s
     )
-    bound_s = min(offered_s, _capacity_s(header, span))
+    bound_s = sum(
+        min(
+            sum(_work_s(header, x) for x in _arrived(requests, bucket)),
+            _capacity_s(header, bucket),
+        )
+        for bucket in _buckets(header)
+    )
     return answered_s / max(bound_s, STEP_S)
 
 
+def _buckets(header: trace.Header) -> t.Iterator[trace.Span]:
+    """Yield the parts of the measured time in which work can be shifted.
+
+    Work that is not done before its deadline is lost, so that capacity that
+    lies idle later does not make up for it.
+    """
+    longest_s = max(item.timeout_s for item in header.routes.values())
+    from_s = header.measure.from_s
+    while from_s < header.measure.until_s:
+        until_s = min(from_s + longest_s, header.measure.until_s)
+        yield trace.Span(from_s, until_s)
+        from_s = until_s
+
+
 def _answered_share(requests: list[calls.Request]) -> float:
     if not requests:
         return 1.0
@@ -184,38 +203,71 @@
     raise AssertionError("unreachable")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Claim:
+    """An organisation's claim on capacity in one class."""
+
+    priority: route.Priority
+    organisation_id: str
+
+
 def _worst_share(header: trace.Header, requests: list[calls.Request]) -> float:
-    left_s = _capacity_s(header, header.measure)
+    fair: dict[_Claim, float] = {}
+    for bucket in _buckets(header):
+        for claim, fair_s in _fair_shares(header, requests, bucket).items():
+            fair[claim] = fair.get(claim, 0.0) + fair_s
     arrived = _arrived(requests, header.measure)
-    worst = 1.0
-    for priority in sorted(route.Priority, reverse=True):
-        mine = [x for x in arrived if x.arrival.route.priority is priority]
-        demands = _by_organisation(header, mine)
-        good = [item for item in mine if item.answered_at is not None]
-        answered = _by_organisation(header, good)
-        if left_s <= STEP_S:
-            break
-        weights = header.organisations
-        unit_s = shares.water_fill(
-            [(x, weights[name].weight) for name, x in demands.items()],
-            left_s,
-        )
-        for name, demand_s in demands.items():
-            fair_s = min(demand_s, unit_s * weights[name].weight)
-            worst = min(worst, answered.get(name, 0.0) / fair_s)
-        left_s -= sum(demands.values())
-    return worst
+    good = [item for item in arrived if item.answered_at is not None]
+    answered = _by_claim(header, good)
+    return min(
+        (
+            answered.get(claim, 0.0) / fair_s
+            for claim, fair_s in fair.items()
+            if fair_s > STEP_S
+        ),
+        default=1.0,
+    )
 
 
-def _by_organisation(
+def _fair_shares(
+    header: trace.Header, requests: list[calls.Request], bucket: trace.Span
+) -> dict[_Claim, float]:
+    """Return the max-min fair work of each class and organisation."""
+    left_s = _capacity_s(header, bucket)
+    demands = _by_claim(header, _arrived(requests, bucket))
+    fair: dict[_Claim, float] = {}
+    for priority in sorted(route.Priority, reverse=True):
+        mine = {
+            claim: work_s
+            for claim, work_s in demands.items()
+            if claim.priority is priority
+        }
+        weights = {
+            claim: header.organisations[claim.organisation_id].weight
+            for claim in mine
+        }
+        unit_s = 0.0
+        if mine and left_s > 0.0:
+            unit_s = shares.water_fill(
+                [(work_s, weights[x]) for x, work_s in mine.items()], left_s
+            )
+        for claim, work_s in mine.items():
+            fair[claim] = min(work_s, unit_s * weights[claim])
+        left_s = max(left_s - sum(mine.values()), 0.0)
+    return fair
+
+
+def _by_claim(
     header: trace.Header, requests: t.Iterable[calls.Request]
-) -> dict[str, float]:
-    work: dict[str, float] = {}
+) -> dict[_Claim, float]:
+    work: dict[_Claim, float] = {}
     for item in requests:
         work_s = _work_s(header, item)
         if work_s > 0:
-            name = item.arrival.organisation_id
-            work[name] = work.get(name, 0.0) + work_s
+            claim = _Claim(
+                item.arrival.route.priority, item.arrival.organisation_id
+            )
+            work[claim] = work.get(claim, 0.0) + work_s
     return work
 
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -1,5 +1,6 @@
 """Replay of the recorded traces and of malformed ones."""
 
+import dataclasses
 import json
 import pathlib
 
@@ -113,3 +114,20 @@
         strict = header(outcomes={"goodput_share": {"at_least": 2.0}})
         path.write_text(f"{strict}\n{arrival()}\n")
         assert command.run([path], False) == base.EXIT_UNMET
+
+
+class TestBound:
+    def test_idle_capacity_makes_up_for_no_lost_work(self):
+        read = reading.load(ROOT / "traces" / "himali-cold-start.jsonl")
+        full = variants.variants.get(variants.FULL)
+        played = player.Player(read, full).play()
+
+        def goodput(from_s, until_s):
+            span = trace.Span(from_s, until_s)
+            part = dataclasses.replace(read.header, measure=span)
+            seen = dataclasses.replace(read, header=part)
+            return figures.measure(seen, played).goodput_share
+
+        overloaded, idle = goodput(3.0, 8.0), goodput(8.0, 12.0)
+        whole = goodput(3.0, 12.0)
+        assert min(overloaded, idle) <= whole <= max(overloaded, idle)
