--- /dev/null
+++ b/src/savorytally/dataplane/callers.py
@@ -0,0 +1,304 @@
+"""Connections of callers: requests side by side, answers in order."""
+
+import asyncio
+import collections
+import http
+import typing as t
+
+import httptools
+
+from ..world import catalog
+
+_HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
+_STATUS_LINES = {
+    status: f"HTTP/1.1 {status} {phrase}\r\n".encode()
+    for status, phrase in _REASONS.items()
+}
+# Requests of one connection that may be in progress; more are read later.
+PIPELINE_MAX = 64
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+Headers = list[tuple[bytes, bytes]]
+
+
+def status_line(status: int) -> bytes:
+    """Return the first line of an answer."""
+    return _STATUS_LINES.get(status) or f"HTTP/1.1 {status} -\r\n".encode()
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Return the headers that go beyond one connection."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return [
+        pair
+        for pair in headers
+        if pair[0] not in _HOP_HEADERS and pair[0] not in named
+    ]
+
+
+class Request:
+    """A caller's request and the place of its answer.
+
+    :param connection: where it came from.
+    """
+
+    __slots__ = (
+        "_connection",
+        "_parts",
+        "abandoned",
+        "answer",
+        "body",
+        "closes",
+        "headers",
+        "method",
+        "target",
+    )
+
+    def __init__(self, connection: "CallerConnection") -> None:
+        self._connection = connection
+        self._parts: list[bytes] = []
+        self.method = b""
+        self.target = b""
+        self.headers: Headers = []
+        self.body = b""
+        self.answer: bytes | None = None
+        self.closes = False
+        # Called without arguments if the caller leaves before its answer.
+        self.abandoned: t.Callable[[], None] | None = None
+
+    def header(self, name: bytes) -> bytes:
+        """Return the first value of a header, empty if there is none."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return b""
+
+    def respond(
+        self, status: int, headers: Headers, body: bytes, close: bool = False
+    ) -> None:
+        """Answer; nothing is sent if the caller has left.
+
+        :param close: whether the connection ends with this answer.
+        """
+        if self.answer is not None:
+            return
+        self.closes = self.closes or close
+        parts = [status_line(status)]
+        for name, value in headers:
+            parts += (name, b": ", value, b"\r\n")
+        if self.closes:
+            parts.append(b"connection: close\r\n")
+        if status >= 200 and status != 204:
+            parts.append(b"content-length: %d\r\n" % len(body))
+        parts.append(b"\r\n")
+        if self.method != b"HEAD":
+            parts.append(body)
+        self.answer = b"".join(parts)
+        self._connection.flush()
+
+
+class Server(t.Protocol):
+    """What takes the requests of connections."""
+
+    @property
+    def limits(self) -> catalog.RequestLimits:
+        """Limits of callers' requests in force."""
+
+    @property
+    def closing(self) -> bool:
+        """Whether each answer should end its connection."""
+
+    def handle(self, request: Request) -> None:
+        """Take a whole request; answer it with :meth:`Request.respond`."""
+
+    def refuse(self, request: Request, status: int, why: str) -> None:
+        """Answer a request that can't be taken as it is."""
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller.
+
+    :param server: takes its requests.
+    :param register: the open connections.
+    """
+
+    def __init__(
+        self, server: Server, register: set["CallerConnection"]
+    ) -> None:
+        self._server = server
+        self._register = register
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._requests: collections.deque[Request] = collections.deque()
+        self._current: Request | None = None
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self._broken = False
+        self._paused = False
+        self._loop = asyncio.get_running_loop()
+        # Time of the first byte of an unfinished head, or of the last use.
+        self.since = self._loop.time()
+        self.reading = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or answered."""
+        return not self._requests and self._current is None
+
+    @property
+    def unanswered(self) -> int:
+        """Requests that were read and not answered."""
+        return len(self._requests)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = t.cast(asyncio.Transport, transport)
+        self._register.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._register.discard(self)
+        self._transport = None
+        waiting, self._requests = self._requests, collections.deque()
+        for request in waiting:
+            if request.answer is None and request.abandoned is not None:
+                request.answer = b""
+                request.abandoned()
+
+    def eof_received(self) -> bool:
+        # A caller that ends its side has left.
+        return False
+
+    def pause_writing(self) -> None:
+        if self._transport is not None and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        if self._transport is not None and self._paused:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def data_received(self, data: bytes) -> None:
+        if self._broken:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._break_off(501, "upgrades are not supported")
+        except httptools.HttpParserError as error:
+            self._break_off(400, f"the request can't be parsed: {error}")
+
+    def on_message_begin(self) -> None:
+        self._current = Request(self)
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self.since = self._loop.time()
+        self.reading = True
+
+    def on_url(self, url: bytes) -> None:
+        if self._current is not None:
+            self._current.target += url
+            self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._current is not None:
+            self._current.headers.append((name.lower(), value))
+            self._count_header(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        if self._current is None:
+            return
+        self.reading = False
+        self._current.method = self._parser.get_method()
+        if self._current.header(b"expect").lower() == b"100-continue":
+            if self._transport is not None and not self._requests:
+                self._transport.write(_CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        if self._current is None or self._broken:
+            return
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits.body_bytes:
+            self._break_off(413, "the body is larger than allowed")
+            return
+        self._current._parts.append(body)
+
+    def on_message_complete(self) -> None:
+        request, self._current = self._current, None
+        self.reading = False
+        self.since = self._loop.time()
+        if request is None or self._broken:
+            return
+        parts = request._parts
+        request.body = parts[0] if len(parts) == 1 else b"".join(parts)
+        request._parts = []
+        request.closes = not self._parser.should_keep_alive()
+        self._requests.append(request)
+        if len(self._requests) > PIPELINE_MAX and self._transport is not None:
+            self._paused = True
+            self._transport.pause_reading()
+        self._server.handle(request)
+
+    def flush(self) -> None:
+        """Send the answers that are due, in the order of the requests."""
+        transport = self._transport
+        ready: list[bytes] = []
+        while self._requests and self._requests[0].answer is not None:
+            request = self._requests.popleft()
+            ready.append(t.cast(bytes, request.answer))
+            if request.closes or (self._server.closing and not self._requests):
+                self._finish(ready)
+                return
+        if ready and transport is not None:
+            transport.write(b"".join(ready))
+            self.since = self._loop.time()
+            if self._paused and len(self._requests) < PIPELINE_MAX:
+                self._paused = False
+                transport.resume_reading()
+
+    def close(self) -> None:
+        """End the connection; what was written is still sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def time_out(self) -> None:
+        """Answer a request whose head came too slowly and end."""
+        self._break_off(408, "the request's head came too slowly")
+
+    def _finish(self, ready: list[bytes]) -> None:
+        self._broken = True
+        if self._transport is not None:
+            self._transport.write(b"".join(ready))
+            self._transport.close()
+
+    def _count_header(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._server.limits.header_bytes:
+            self._break_off(431, "the headers are larger than allowed")
+
+    def _break_off(self, status: int, why: str) -> None:
+        if self._broken:
+            return
+        self._broken = True
+        request = self._current or Request(self)
+        self._current = None
+        request.closes = True
+        self._requests.append(request)
+        self._server.refuse(request, status, why)
--- /dev/null
+++ b/src/savorytally/dataplane/entry.py
@@ -0,0 +1,564 @@
+"""The entry: takes requests, finds who runs them and answers."""
+
+import asyncio
+import json
+import random
+import typing as t
+
+from .. import results
+from ..decisions import allowance
+from ..decisions import backpressure
+from ..decisions import placement
+from ..decisions import repeatbudget
+from ..decisions import splits
+from ..world import catalog
+from . import callers
+from . import counters
+from . import dialect
+from . import frames
+from . import gate
+from . import journal
+from . import options
+
+# Hosts that a request may be offered to; only upstreams that it reached
+# count as attempts of its route.
+OFFERS_MAX = 3
+# A caller that has less time than usual by this factor came back.
+RETURNED_FRACTION = 0.93
+# Time in which an answer must come for a repeat to be worth sending.
+REPEAT_USEFUL_S = 0.03
+# Part of the remaining time by which callers honour Retry-After.
+COME_BACK_PART = 0.33
+COME_BACK_MIN_S = 0.03
+# Priorities of organisations go before those of routes by this factor.
+ROUTE_RANKS = 16
+UNREACHED_S = 0.6
+_SERVER_ERROR = 500
+
+
+class Peers(t.Protocol):
+    """The gates of other hosts."""
+
+    def call(
+        self,
+        instance: catalog.Instance,
+        call: frames.Call,
+        answered: t.Callable[[frames.Result], None],
+    ) -> t.Callable[[], bool]:
+        """Send a call; return what withdraws it.
+
+        What is returned tells whether the call had not left this host.
+        """
+
+
+class Call:
+    """A request in progress at the entry."""
+
+    __slots__ = (
+        "arrivals",
+        "clients_ms",
+        "deadline",
+        "done",
+        "flags",
+        "instance_id",
+        "known",
+        "objective_s",
+        "offers",
+        "organisation",
+        "parent",
+        "rank",
+        "request",
+        "request_id",
+        "route",
+        "service",
+        "started",
+        "timer",
+        "tried",
+        "withdraw",
+    )
+
+    def __init__(self, request: callers.Request, started: float) -> None:
+        self.request = request
+        self.started = started
+        self.request_id = b""
+        self.route: catalog.Route | None = None
+        self.service = ""
+        self.organisation = ""
+        self.rank = 0
+        self.flags = 0
+        self.deadline = 0.0
+        self.clients_ms = 0
+        self.objective_s = 0.0
+        self.parent: gate.Run | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.tried: list[str] = []
+        self.offers = 0
+        self.arrivals = 0
+        self.instance_id = ""
+        # The worst that is known of earlier attempts.
+        self.known: results.ResultCode | None = None
+        self.withdraw: t.Callable[[], bool] | None = None
+        self.done = False
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the request may run twice."""
+        return bool(self.flags & frames.Flag.IDEMPOTENT)
+
+    @property
+    def child(self) -> bool:
+        """Whether the local upstream made it for another request."""
+        return bool(self.flags & frames.Flag.CHILD)
+
+
+class Entry:
+    """Answers the requests of callers and of the local upstream.
+
+    :param chosen: the node's options.
+    :param spoken: names of the headers.
+    :param peers: the gates of other hosts.
+    :param own: the gate of this host.
+    :param counts: counts requests.
+    :param log: takes a line for each request.
+    :param source: random source.
+    """
+
+    def __init__(
+        self,
+        chosen: options.Options,
+        spoken: dialect.Dialect,
+        peers: Peers,
+        own: gate.Gate,
+        counts: counters.Counters,
+        log: journal.Journal,
+        source: random.Random,
+    ) -> None:
+        bounds = chosen.bounds
+        self._options = chosen
+        self._dialect = spoken
+        self._hidden = spoken.set_by_node
+        self._peers = peers
+        self._gate = own
+        self._counts = counts
+        self._log = log
+        self._random = source
+        self._loop = asyncio.get_running_loop()
+        self._catalog: catalog.Catalog | None = None
+        self._limits = catalog.RequestLimits()
+        self._own_instance = ""
+        self._usual_ms: dict[str, int] = {}
+        self.placement = placement.Placement(
+            chosen.data_centre, chosen.regions, source
+        )
+        self.splits = splits.Splits(source)
+        self.allowance = allowance.Allowance(
+            bounds.rate_overage, bounds.rate_slack, chosen.first_start
+        )
+        self.repeats = repeatbudget.RepeatBudget(
+            bounds.retry_ratio, bounds.retry_slack
+        )
+        self.backpressure = backpressure.Backpressure()
+        self.active = 0
+        self.closing = False
+
+    @property
+    def limits(self) -> catalog.RequestLimits:
+        """Limits of callers' requests in force."""
+        return self._limits
+
+    def learn_catalog(self, newest: catalog.Catalog) -> None:
+        """Apply a newer configuration."""
+        self._catalog = newest
+        self._limits = newest.limits
+
+    def learn_own_instance(self, instance_id: str) -> None:
+        """Note which upstream is the local one."""
+        self._own_instance = instance_id
+
+    def refuse(self, request: callers.Request, status: int, why: str) -> None:
+        """Answer a request that can't be taken as it is."""
+        self._log.event("malformed", status=status, why=why)
+        body = json.dumps({"detail": why}).encode()
+        headers = [(b"content-type", b"application/json")]
+        request.respond(status, headers, body, close=True)
+
+    def handle(self, request: callers.Request) -> None:
+        """Take a whole request."""
+        now = self._loop.time()
+        call = Call(request, now)
+        call.request_id = request.header(self._dialect.request_id)
+        self.active += 1
+        refused = self._prepare(call, now)
+        if refused is not None:
+            self._fail(call, refused)
+            return
+        request.abandoned = lambda: self._abandoned(call)
+        call.timer = self._loop.call_at(call.deadline, self._expired, call)
+        self.repeats_first(call)
+        self._offer(call)
+
+    def repeats_first(self, call: Call) -> None:
+        """Count the request for its service's budget of repeats."""
+        if call.flags & frames.Flag.REPEAT:
+            self.repeats.charge(call.service)
+        else:
+            self.repeats.first(call.service)
+
+    def _prepare(self, call: Call, now: float) -> results.ResultCode | None:
+        known = self._catalog
+        if known is None:
+            return results.NOT_CONFIGURED
+        request = call.request
+        target = request.target.decode("latin-1")
+        if not target.startswith("/"):
+            return results.MALFORMED_REQUEST
+        host = request.header(b"host").decode("latin-1").lower()
+        path = target.partition("?")[0]
+        route = known.match(host, path)
+        if route is None:
+            route = known.match(host.partition(":")[0], path)
+        if route is None:
+            return results.UNKNOWN_ROUTE
+        call.route = route
+        organisation = self._identify(call, known)
+        if isinstance(organisation, results.ResultCode):
+            return organisation
+        self._set_terms(call, route, organisation, now)
+        return self._admit(call, route, organisation, now)
+
+    def _identify(
+        self, call: Call, known: catalog.Catalog
+    ) -> catalog.Organisation | results.ResultCode | None:
+        """Return the holder of the caller's key."""
+        route = t.cast(catalog.Route, call.route)
+        sent = call.request.header(b"authorization")
+        scheme, _, key = sent.partition(b" ")
+        holder: catalog.Organisation | None = None
+        if scheme.lower() == self._dialect.key_scheme:
+            holder = known.organisation(key.strip().decode("latin-1"))
+        if holder is not None:
+            call.organisation = holder.name
+            return holder
+        if not known.keyed or route.open_to_all:
+            return None
+        return results.KEY_REJECTED if sent else results.KEY_MISSING
+
+    def _set_terms(
+        self,
+        call: Call,
+        route: catalog.Route,
+        organisation: catalog.Organisation | None,
+        now: float,
+    ) -> None:
+        """Set deadline, objective, rank and flags of a call."""
+        text = call.request.header(self._dialect.remaining_ms)
+        call.clients_ms = int(text) if text.isdigit() else 0
+        left_s = route.timeout_s
+        if call.clients_ms:
+            left_s = min(left_s, call.clients_ms / 1000)
+        call.deadline = now + left_s
+        call.objective_s = min(route.objective_s, left_s)
+        if route.idempotent:
+            call.flags |= frames.Flag.IDEMPOTENT
+        call.rank = route.priority
+        if organisation is not None and organisation.priority is not None:
+            call.rank += ROUTE_RANKS * organisation.priority
+        if organisation is None and call.clients_ms:
+            given_up_at = now + call.clients_ms / 1000
+            call.parent = self._gate.parent(given_up_at)
+        if call.parent is not None:
+            call.flags |= frames.Flag.CHILD
+            call.rank = call.parent.call.rank
+            if call.parent.repeat:
+                call.flags |= frames.Flag.REPEAT
+            return
+        usual_ms = self._usual_ms.get(route.name, 0)
+        if call.clients_ms > usual_ms:
+            self._usual_ms[route.name] = call.clients_ms
+        elif call.clients_ms < usual_ms * RETURNED_FRACTION:
+            call.flags |= frames.Flag.RETURNED
+            gone_s = (usual_ms - call.clients_ms) / 1000
+            call.objective_s = max(
+                call.objective_s / 4, route.objective_s - gone_s
+            )
+
+    def _admit(
+        self,
+        call: Call,
+        route: catalog.Route,
+        organisation: catalog.Organisation | None,
+        now: float,
+    ) -> results.ResultCode | None:
+        """Choose the service and refuse what can't be served."""
+        if not call.child:
+            returned = bool(call.flags & frames.Flag.RETURNED)
+            draw = self._random.random()
+            if self.backpressure.refuses(
+                route.name, route.objective_s, returned, draw, now
+            ):
+                return results.SHED_FOR_CHAIN
+        if organisation is not None:
+            if self.allowance.take(organisation.name, now):
+                return results.OVER_RATE
+        call.service = self.splits.choose(route)
+        return None
+
+    def _offer(self, call: Call) -> None:
+        """Send a call to the best host that has not had it."""
+        now = self._loop.time()
+        route = t.cast(catalog.Route, call.route)
+        left_s = call.deadline - now
+        instance = None
+        if left_s > 0:
+            instance = self.placement.choose(
+                call.service, route.name, call.tried, now
+            )
+        if instance is None:
+            self._fail(call, call.known or results.NO_HOST)
+            return
+        call.offers += 1
+        call.tried.append(instance.instance_id)
+        call.instance_id = instance.instance_id
+        self.placement.sent(instance.instance_id)
+        sent = frames.Call(
+            number=0,
+            instance_id=instance.instance_id,
+            route=route.name,
+            method=call.request.method,
+            target=call.request.target,
+            headers=[
+                pair
+                for pair in callers.end_to_end(call.request.headers)
+                if pair[0] not in self._hidden
+            ],
+            body=call.request.body,
+            remaining_ms=max(1, int(left_s * 1000)),
+            objective_ms=int(call.objective_s * 1000),
+            rank=call.rank,
+            flags=int(call.flags),
+            organisation=call.organisation,
+            caller_service=self._options.service,
+            request_id=call.request_id,
+        )
+        if instance.address == self._options.address:
+            self._offer_own(call, instance, sent)
+            return
+        call.withdraw = self._peers.call(
+            instance, sent, lambda result: self._result(call, instance, result)
+        )
+
+    def _offer_own(
+        self, call: Call, instance: catalog.Instance, sent: frames.Call
+    ) -> None:
+        run: gate.Run | None = None
+
+        def withdraw() -> bool:
+            if run is None:
+                return False
+            before = run.state is gate.State.WAITING
+            self._gate.cancel(run)
+            return before
+
+        call.withdraw = withdraw
+        run = self._gate.run(
+            sent, lambda result: self._result(call, instance, result)
+        )
+
+    def _result(
+        self, call: Call, instance: catalog.Instance, result: frames.Result
+    ) -> None:
+        now = self._loop.time()
+        route = t.cast(catalog.Route, call.route)
+        code = results.by_number(result.code)
+        self._learn(route.name, instance, result, code, now)
+        if call.done:
+            return
+        call.withdraw = None
+        if result.arrived:
+            call.arrivals += 1
+        wait_s = max(result.below_ms, 0) / 1000
+        self.backpressure.note(route.name, wait_s, now)
+        if call.parent is not None:
+            below_s = max(result.below_ms, result.wait_ms) / 1000
+            call.parent.below_s = max(call.parent.below_s, below_s)
+        if result.answered:
+            failed = result.status >= _SERVER_ERROR
+            if failed and self._repeat_pays(call, route, result, now):
+                self._repeat(call)
+                return
+            self._answer(call, result)
+            return
+        if not code.not_run:
+            call.known = code
+        elif call.known is None:
+            call.known = code
+        if self._worth_another(call, route, result, code, now):
+            self._repeat(call, counted=result.arrived or not code.not_run)
+            return
+        self._fail(call, call.known or code, result.retry_after_ms)
+
+    def _learn(
+        self,
+        route: str,
+        instance: catalog.Instance,
+        result: frames.Result,
+        code: results.ResultCode,
+        now: float,
+    ) -> None:
+        """Tell placement what a result says of its host."""
+        where, name = self.placement, instance.instance_id
+        where.ended(name)
+        if code is results.HOST_LEAVING or code is results.INSTANCE_GONE:
+            where.leaving(name)
+            return
+        if code in (results.NOT_DISPATCHED, results.OUTCOME_UNKNOWN):
+            where.avoid(name, now + UNREACHED_S)
+        if result.limit:
+            run_s = result.run_ms / 1000 if result.run_ms else None
+            where.report(name, route, run_s, result.load, result.limit, now)
+        if code is results.SHED_AT_GATE:
+            return
+        good = result.answered and result.status < _SERVER_ERROR
+        where.outcome(name, good, now)
+
+    def _worth_another(
+        self,
+        call: Call,
+        route: catalog.Route,
+        result: frames.Result,
+        code: results.ResultCode,
+        now: float,
+    ) -> bool:
+        """Return whether another host should be offered the call."""
+        if code is results.DEADLINE_PASSED:
+            return False
+        if code.not_run and not result.arrived:
+            useful = call.deadline - now > REPEAT_USEFUL_S
+            return useful and call.offers < OFFERS_MAX
+        if not code.not_run and not call.idempotent:
+            return False
+        return self._repeat_pays(call, route, result, now)
+
+    def _repeat_pays(
+        self,
+        call: Call,
+        route: catalog.Route,
+        result: frames.Result,
+        now: float,
+    ) -> bool:
+        """Return whether a repeat is allowed and may still be answered."""
+        if result.answered and not call.idempotent:
+            return False
+        if call.arrivals >= route.attempts or call.offers >= OFFERS_MAX:
+            return False
+        if call.flags & frames.Flag.REPEAT:
+            return False
+        if call.deadline - now < max(REPEAT_USEFUL_S, result.run_ms / 1000):
+            return False
+        return self.repeats.spend(call.service)
+
+    def _repeat(self, call: Call, counted: bool = True) -> None:
+        if counted:
+            call.flags |= frames.Flag.REPEAT
+        self._offer(call)
+
+    def _answer(self, call: Call, result: frames.Result) -> None:
+        self._close(call, results.ANSWERED, result.status)
+        headers = [(bytes(name), bytes(v)) for name, v in result.headers]
+        call.request.respond(result.status, headers, result.body)
+
+    def _fail(
+        self,
+        call: Call,
+        code: results.ResultCode,
+        retry_after_ms: int = 0,
+    ) -> None:
+        """End a call with the node's own answer."""
+        status = code.http_status
+        if code.not_run and status >= _SERVER_ERROR:
+            # Callers may repeat what is sure not to have run.
+            status = 503
+        self._close(call, code, status)
+        headers: callers.Headers = [(b"content-type", b"application/json")]
+        if status in (429, 503):
+            back_s = self._come_back_s(call, retry_after_ms)
+            headers.append((b"retry-after", b"%.3f" % back_s))
+        if call.request_id:
+            headers.append((self._dialect.request_id, call.request_id))
+        body = b'{"code":%d,"name":"%s"}' % (code.number, code.name.encode())
+        call.request.respond(status, headers, body)
+
+    def _come_back_s(self, call: Call, retry_after_ms: int) -> float:
+        """Return when a refused caller should come back.
+
+        Spread over a time that grows with the wait at the host that refused
+        it, so that callers return when there is room and not together.
+        """
+        left_s = max(0.0, call.deadline - self._loop.time())
+        if call.clients_ms:
+            left_s = call.clients_ms / 1000
+        base_s = max(COME_BACK_MIN_S, retry_after_ms / 1000)
+        base_s = max(base_s, call.objective_s / 4)
+        return min(
+            base_s * (0.5 + self._random.random()), left_s * COME_BACK_PART
+        )
+
+    def _close(
+        self, call: Call, code: results.ResultCode, status: int
+    ) -> None:
+        """Count and log the end of a call."""
+        call.done = True
+        self.active -= 1
+        if call.timer is not None:
+            call.timer.cancel()
+        call.request.abandoned = None
+        taken_s = self._loop.time() - call.started
+        route = call.route.name if call.route is not None else ""
+        self._counts.ended(route, code, taken_s)
+        served = code is results.ANSWERED and status < _SERVER_ERROR
+        fields: dict[str, t.Any] = {
+            "id": call.request_id.decode("latin-1"),
+            "route": route,
+            "code": code.number,
+            "outcome": code.name,
+            "status": status,
+            "took_ms": round(taken_s * 1000, 1),
+            "left_ms": call.clients_ms,
+            "rank": call.rank,
+            "organisation": call.organisation,
+            "hosts": call.tried,
+            "arrivals": call.arrivals,
+            "version": self._catalog.version if self._catalog else 0,
+        }
+        if call.parent is not None:
+            parent = call.parent.call.request_id
+            fields["parent"] = parent.decode("latin-1")
+        if not served and call.route is not None:
+            wait_s = self.backpressure.wait_s(route, self._loop.time())
+            fields["below_ms"] = round(wait_s * 1000, 1)
+        self._log.request(served, fields)
+
+    def _abandoned(self, call: Call) -> None:
+        """Withdraw a call whose caller has left."""
+        if call.done:
+            return
+        self._withdraw(call)
+        self._close(call, results.CANCELLED_AFTER_START, 499)
+
+    def _expired(self, call: Call) -> None:
+        if call.done:
+            return
+        not_sent = self._withdraw(call)
+        if not_sent and call.known is None:
+            self._fail(call, results.DEADLINE_TOO_SHORT)
+        else:
+            self._fail(call, results.DEADLINE_UNKNOWN)
+
+    def _withdraw(self, call: Call) -> bool:
+        """Withdraw a call; return whether it is sure not to have run."""
+        withdraw, call.withdraw = call.withdraw, None
+        if withdraw is None:
+            return False
+        not_sent = withdraw()
+        self.placement.ended(call.instance_id)
+        return not_sent
--- /dev/null
+++ b/src/savorytally/dataplane/exchanges.py
@@ -0,0 +1,211 @@
+"""HTTP exchanges as a client: one request at a time on a connection."""
+
+import asyncio
+import dataclasses
+import enum
+import typing as t
+
+import httptools
+
+from . import callers
+from . import sockets
+
+_READ_TO_END_STATUS = 200
+_NO_BODY = frozenset((204, 304))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer.
+
+    :param status: its HTTP status.
+    :param headers: all headers, names in lower case.
+    :param body: the whole body.
+    """
+
+    status: int
+    headers: callers.Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes:
+        """Return the first value of a header, empty if there is none."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return b""
+
+
+class Broken(enum.Enum):
+    """How an exchange ended without a whole answer."""
+
+    NOT_SENT = "no connection"
+    RESET = "the connection ended before an answer"
+    TRUNCATED = "the connection ended within the answer"
+    GARBLED = "the bytes are no answer"
+
+
+Done = t.Callable[["Connection", Reply | Broken], None]
+Wanted = t.Callable[[Reply], bool]
+
+
+class Connection(asyncio.Protocol):
+    """A connection to an HTTP server.
+
+    An answer that is not wanted, such as a late one to an earlier request,
+    is dropped; the connection is then not used again.
+
+    :param lost: called once when the connection has ended.
+    """
+
+    def __init__(self, lost: t.Callable[["Connection"], None]) -> None:
+        self._lost = lost
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._done: Done | None = None
+        self._wanted: Wanted | None = None
+        self._headers: callers.Headers = []
+        self._body: list[bytes] = []
+        self._in_message = False
+        self._to_end = False
+        self._loop = asyncio.get_running_loop()
+        self.reusable = True
+        self.keep_alive_s = 0.0
+        self.last_used = self._loop.time()
+        self.uses = 0
+
+    @property
+    def open(self) -> bool:
+        """Whether the connection is up."""
+        return self._transport is not None
+
+    @property
+    def busy(self) -> bool:
+        """Whether an exchange is in progress."""
+        return self._done is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = t.cast(asyncio.Transport, transport)
+        sockets.notice_silence(transport)
+        self._parser = httptools.HttpResponseParser(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self.reusable = False
+        if self._done is not None:
+            if self._in_message and self._to_end and exc is None:
+                self._complete()
+            elif self._in_message:
+                self._end(Broken.TRUNCATED)
+            else:
+                self._end(Broken.RESET)
+        self._parser = None
+        self._lost(self)
+
+    def request(self, data: bytes, wanted: Wanted, done: Done) -> None:
+        """Send a request.
+
+        :param wanted: whether an answer belongs to it.
+        :param done: called once with the answer or how it broke.
+        """
+        self._done = done
+        self._wanted = wanted
+        self.uses += 1
+        if self._transport is None:
+            self._end(Broken.NOT_SENT)
+            return
+        self._transport.write(data)
+
+    def abort(self) -> None:
+        """End the connection at once, without a call of ``done``."""
+        self._done = None
+        self.reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """End an idle connection."""
+        self.reusable = False
+        if self._transport is not None:
+            self._transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        if self._parser is None:
+            return
+        if self._done is None:
+            # Bytes that belong to no request.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.reusable = False
+            self._end(Broken.GARBLED)
+            if self._transport is not None:
+                self._transport.abort()
+
+    def on_message_begin(self) -> None:
+        self._headers = []
+        self._body = []
+        self._in_message = True
+        self._to_end = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        status = self._status()
+        if status < _READ_TO_END_STATUS or status in _NO_BODY:
+            return
+        names = {name for name, _ in self._headers}
+        self._to_end = not (
+            b"content-length" in names or b"transfer-encoding" in names
+        )
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self._status() < _READ_TO_END_STATUS:
+            self._in_message = False
+            return
+        self._complete()
+
+    def _status(self) -> int:
+        parser = t.cast(httptools.HttpResponseParser, self._parser)
+        return parser.get_status_code()
+
+    def _complete(self) -> None:
+        self._in_message = False
+        parser = t.cast(httptools.HttpResponseParser, self._parser)
+        body = self._body
+        reply = Reply(
+            parser.get_status_code(),
+            self._headers,
+            body[0] if len(body) == 1 else b"".join(body),
+        )
+        if not parser.should_keep_alive():
+            self.reusable = False
+        if self._done is None:
+            self.reusable = False
+            return
+        if self._wanted is not None and not self._wanted(reply):
+            self.reusable = False
+            return
+        self.keep_alive_s = _keep_alive_s(reply)
+        self._end(reply)
+
+    def _end(self, result: Reply | Broken) -> None:
+        done, self._done = self._done, None
+        self._wanted = None
+        self.last_used = self._loop.time()
+        if done is not None:
+            done(self, result)
+
+
+def _keep_alive_s(reply: Reply) -> float:
+    """Return the idle time that the server states, 0 if it states none."""
+    for part in reply.header(b"keep-alive").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name == b"timeout" and value.isdigit():
+            return float(value)
+    return 0.0
--- /dev/null
+++ b/src/savorytally/dataplane/frames.py
@@ -0,0 +1,148 @@
+"""Frames between nodes: MessagePack arrays that begin with their kind."""
+
+import enum
+import typing as t
+
+import msgpack
+
+from .. import results
+
+Headers = list[tuple[bytes, bytes]]
+
+FRAME_MAX_BYTES = 1 << 27
+
+
+class Kind(enum.IntEnum):
+    """Kinds of frames."""
+
+    CALL = 1
+    RESULT = 2
+    CANCEL = 3
+    PING = 4
+    PONG = 5
+    NEWS = 6
+    PULL = 7
+    CONFIGURATION = 8
+    LEAVING = 9
+    RESOLVE = 10
+
+
+class Flag(enum.IntFlag):
+    """What is true of a call."""
+
+    IDEMPOTENT = 1
+    # Made by an upstream while it runs another request.
+    CHILD = 2
+    # Sent before to another upstream, or below such a request.
+    REPEAT = 4
+    # Its caller came back after a refusal.
+    RETURNED = 8
+
+
+class Call(t.NamedTuple):
+    """A request for the upstream beside the receiver.
+
+    :param number: identifies it on the stream.
+    :param instance_id: the start of the upstream that is meant.
+    :param route: the route's name.
+    :param remaining_ms: time in which an answer is of use.
+    :param objective_ms: time in which it is worth most, from now.
+    :param rank: 0 is the most urgent.
+    :param flags: see :class:`Flag`.
+    :param organisation: holder of the caller's key, empty if none.
+    :param caller_service: service on the host where the request began.
+    :param request_id: the caller's identifier of this attempt.
+    """
+
+    number: int
+    instance_id: str
+    route: str
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    remaining_ms: int
+    objective_ms: int
+    rank: int
+    flags: int
+    organisation: str
+    caller_service: str
+    request_id: bytes
+
+
+class Result(t.NamedTuple):
+    """What became of a call.
+
+    :param number: the call.
+    :param code: number of the result code.
+    :param status: the upstream's HTTP status, 0 without an answer.
+    :param retry_after_ms: when to come back, 0 if unknown.
+    :param arrived: whether the request reached the upstream.
+    :param wait_ms: expected wait of such a call at this gate.
+    :param below_ms: longest wait that its own calls have met.
+    :param run_ms: time that the upstream took.
+    :param load: requests that run and wait at the gate.
+    :param limit: requests that the gate lets run.
+    """
+
+    number: int
+    code: int
+    status: int = 0
+    headers: Headers = []  # noqa: RUF012, never changed
+    body: bytes = b""
+    retry_after_ms: int = 0
+    arrived: bool = False
+    wait_ms: int = 0
+    below_ms: int = 0
+    run_ms: int = 0
+    load: int = 0
+    limit: int = 0
+
+    @property
+    def answered(self) -> bool:
+        """Whether it holds the upstream's whole answer."""
+        return self.code == results.ANSWERED.number
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the request certainly did not run."""
+        return results.by_number(self.code).not_run
+
+
+class MalformedFrame(ValueError):
+    """Bytes on a stream that are no frame of this protocol."""
+
+
+class Reader:
+    """Cuts a stream into frames."""
+
+    def __init__(self) -> None:
+        self._unpacker = msgpack.Unpacker(
+            raw=False,
+            use_list=True,
+            max_buffer_size=FRAME_MAX_BYTES,
+            strict_map_key=True,
+        )
+
+    def feed(self, data: bytes) -> list[list[t.Any]]:
+        """Return the frames that are whole by now.
+
+        :raises MalformedFrame: if the bytes are no frames.
+        """
+        try:
+            self._unpacker.feed(data)
+            frames = list(self._unpacker)
+        except (ValueError, msgpack.exceptions.UnpackException) as error:
+            raise MalformedFrame(str(error)) from error
+        for frame in frames:
+            if not isinstance(frame, list) or not frame:
+                raise MalformedFrame("a frame is no array")
+        return frames
+
+
+_packer = msgpack.Packer(use_bin_type=True, autoreset=True)
+
+
+def encode(kind: Kind, *fields: t.Any) -> bytes:
+    """Return the bytes of a frame."""
+    return _packer.pack((int(kind), *fields))
--- /dev/null
+++ b/src/savorytally/dataplane/gate.py
@@ -0,0 +1,355 @@
+"""The gate: hands calls to the local upstream as its queue decides."""
+
+import asyncio
+import enum
+import typing as t
+
+from .. import results
+from ..decisions import gatequeue
+from . import callers
+from . import dialect
+from . import exchanges
+from . import frames
+from . import pool
+
+# A call's own deadline tells which request in progress made it: upstreams
+# hand down what is left of the time that they were given.
+PARENT_TOLERANCE_S = 0.012
+# Time below which a request is not handed to the upstream any more.
+USEFUL_S = 0.004
+_NOT_EXECUTED_STATUS = 421
+
+Reply = t.Callable[[frames.Result], None]
+
+
+class State(enum.Enum):
+    """Where a call is."""
+
+    WAITING = enum.auto()
+    CONNECTING = enum.auto()
+    RUNNING = enum.auto()
+    DONE = enum.auto()
+
+
+class Run:
+    """A call at the gate.
+
+    :param call: the call.
+    :param deadline: when its answer is of no more use, loop time.
+    :param reply: called once with its result.
+    """
+
+    __slots__ = (
+        "below_s",
+        "call",
+        "connection",
+        "deadline",
+        "job",
+        "reply",
+        "started",
+        "state",
+        "timer",
+        "told_deadline",
+        "withdrawn",
+    )
+
+    def __init__(
+        self, call: frames.Call, deadline: float, reply: Reply
+    ) -> None:
+        self.call = call
+        self.deadline = deadline
+        self.reply = reply
+        self.connection: exchanges.Connection | None = None
+        self.job: gatequeue.Job | None = None
+        self.started = 0.0
+        self.told_deadline = 0.0
+        # Longest wait that its own calls have met.
+        self.below_s = 0.0
+        self.timer: asyncio.TimerHandle | None = None
+        self.state = State.WAITING
+        # Nobody waits for its result any more.
+        self.withdrawn = False
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the call may run twice."""
+        return bool(self.call.flags & frames.Flag.IDEMPOTENT)
+
+    @property
+    def repeat(self) -> bool:
+        """Whether the call repeats one, or belongs to one that does."""
+        return bool(self.call.flags & frames.Flag.REPEAT)
+
+
+class Gate:
+    """Runs calls at the local upstream.
+
+    :param spoken: names of the headers.
+    :param connections: connections to the upstream.
+    :param queue: decides what runs, waits and is refused.
+    """
+
+    def __init__(
+        self,
+        spoken: dialect.Dialect,
+        connections: pool.Pool,
+        queue: gatequeue.GateQueue,
+    ) -> None:
+        self._dialect = spoken
+        self._pool = connections
+        self._queue = queue
+        self._loop = asyncio.get_running_loop()
+        self._runs: set[Run] = set()
+        self.leaving = False
+
+    @property
+    def queue(self) -> gatequeue.GateQueue:
+        """The queue in front of the upstream."""
+        return self._queue
+
+    @property
+    def active(self) -> int:
+        """Calls that wait or run."""
+        return self._queue.running + self._queue.waiting
+
+    def run(self, call: frames.Call, reply: Reply) -> Run:
+        """Take a call; its result is handed to ``reply``."""
+        now = self._loop.time()
+        run = Run(call, now + call.remaining_ms / 1000, reply)
+        if self.leaving:
+            self._finish(run, results.HOST_LEAVING)
+            return run
+        run.job = gatequeue.Job(
+            rank=call.rank,
+            child=bool(call.flags & frames.Flag.CHILD),
+            route=call.route,
+            deadline=run.deadline,
+            objective_s=call.objective_ms / 1000,
+            owner=run,
+        )
+        verdict = self._queue.offer(run.job, now)
+        if verdict is gatequeue.Verdict.START:
+            self._start(run)
+        elif verdict is gatequeue.Verdict.REFUSE:
+            self._finish(run, results.SHED_AT_GATE)
+        return run
+
+    def cancel(self, run: Run) -> None:
+        """Withdraw a call whose result nobody waits for.
+
+        A request that may run only once is left to end at its upstream.
+        """
+        if run.state is State.DONE or run.withdrawn:
+            return
+        run.withdrawn = True
+        if run.state is State.WAITING:
+            run.state = State.DONE
+            self._queue.cancel(t.cast(gatequeue.Job, run.job))
+        elif run.state is State.RUNNING and run.idempotent:
+            run.state = State.DONE
+            self._stop(run)
+            self._release(run, None)
+
+    def parent(self, deadline: float) -> Run | None:
+        """Return the request in progress that a call belongs to.
+
+        :param deadline: when the call's caller gives up, loop time.
+        """
+        best: Run | None = None
+        best_s = PARENT_TOLERANCE_S
+        for run in self._runs:
+            off_s = abs(run.told_deadline - deadline)
+            if off_s < best_s:
+                best, best_s = run, off_s
+        return best
+
+    def tick(self) -> None:
+        """Refuse what has waited too long."""
+        for job in self._queue.drop_late(self._loop.time()):
+            self._finish(job.owner, results.SHED_AT_GATE)
+
+    def leave(self) -> None:
+        """Take no new calls."""
+        self.leaving = True
+
+    def _start(self, run: Run) -> None:
+        run.state = State.CONNECTING
+        fresh = not run.idempotent
+        self._pool.take(fresh, lambda opened: self._opened(run, opened))
+
+    def _opened(
+        self, run: Run, connection: exchanges.Connection | None
+    ) -> None:
+        if run.withdrawn:
+            run.state = State.DONE
+            if connection is not None:
+                self._pool.give(connection)
+            self._release(run, None)
+            return
+        if connection is None:
+            self._end(run, results.NOT_DISPATCHED, None)
+            return
+        now = self._loop.time()
+        left_s = run.deadline - now
+        if left_s < USEFUL_S:
+            self._pool.give(connection)
+            self._end(run, results.DEADLINE_TOO_SHORT, None)
+            return
+        left_ms = int(left_s * 1000)
+        run.state = State.RUNNING
+        run.started = now
+        run.told_deadline = now + left_ms / 1000
+        run.connection = connection
+        self._runs.add(run)
+        run.timer = self._loop.call_at(run.deadline, self._expired, run)
+        connection.request(
+            self._encode(run.call, left_ms),
+            lambda reply: self._belongs(run, reply),
+            lambda used, result: self._ended(run, used, result),
+        )
+
+    def _encode(self, call: frames.Call, left_ms: int) -> bytes:
+        named = self._dialect
+        parts = [call.method, b" ", call.target, b" HTTP/1.1\r\n"]
+        for name, value in call.headers:
+            parts += (name, b": ", value, b"\r\n")
+        for name, text in (
+            (named.request_id, call.request_id),
+            (named.remaining_ms, b"%d" % left_ms),
+            (named.instance, call.instance_id.encode()),
+            (named.caller_service, call.caller_service.encode()),
+            (named.organisation, call.organisation.encode()),
+        ):
+            if text:
+                parts += (name, b": ", text, b"\r\n")
+        if call.body or call.method not in (b"GET", b"HEAD"):
+            parts.append(b"content-length: %d\r\n" % len(call.body))
+        parts += (b"\r\n", call.body)
+        return b"".join(parts)
+
+    def _belongs(self, run: Run, reply: exchanges.Reply) -> bool:
+        """Return whether an answer is the one to this run's request."""
+        echoed = reply.header(self._dialect.request_id)
+        if echoed:
+            return echoed == run.call.request_id
+        # Upstreams leave it out only where they did not run a request.
+        return self._not_executed(reply) or reply.status >= 400
+
+    def _not_executed(self, reply: exchanges.Reply) -> bool:
+        if reply.status == _NOT_EXECUTED_STATUS:
+            return True
+        return bool(reply.header(self._dialect.not_executed))
+
+    def _ended(
+        self,
+        run: Run,
+        connection: exchanges.Connection,
+        result: exchanges.Reply | exchanges.Broken,
+    ) -> None:
+        run.connection = None
+        self._pool.give(connection)
+        if isinstance(result, exchanges.Broken):
+            code = results.UPSTREAM_BROKEN
+            if result is exchanges.Broken.NOT_SENT:
+                code = results.NOT_DISPATCHED
+            self._end(run, code, None)
+            return
+        if result.status == _NOT_EXECUTED_STATUS:
+            self._end(run, results.INSTANCE_GONE, None)
+        elif self._not_executed(result) and result.status >= 429:
+            self._end(run, results.UPSTREAM_SHED, None)
+        elif self._whole(result):
+            self._end(run, results.ANSWERED, result)
+        else:
+            self._end(run, results.UPSTREAM_BROKEN, None)
+
+    def _whole(self, reply: exchanges.Reply) -> bool:
+        """Return whether an answer may be delivered as the upstream's."""
+        if reply.status >= 300:
+            return True
+        return bool(
+            reply.header(self._dialect.signature)
+            and not reply.header(b"content-encoding")
+        )
+
+    def _expired(self, run: Run) -> None:
+        if run.state is not State.RUNNING:
+            return
+        self._stop(run)
+        self._end(run, results.DEADLINE_PASSED, None)
+
+    def _stop(self, run: Run) -> None:
+        connection, run.connection = run.connection, None
+        if connection is not None:
+            connection.abort()
+
+    def _end(
+        self,
+        run: Run,
+        code: results.ResultCode,
+        reply: exchanges.Reply | None,
+    ) -> None:
+        """Report a run that has left the upstream, start what waits."""
+        if run.state is State.DONE:
+            return
+        now = self._loop.time()
+        # An error or a shed request says nothing about the time of a run.
+        ran_s = None
+        if reply is not None and reply.status < 400:
+            ran_s = now - run.started
+        elif code is results.DEADLINE_PASSED:
+            ran_s = now - run.started
+        self._finish(run, code, reply, ran_s)
+        self._release(run, ran_s)
+
+    def _release(self, run: Run, ran_s: float | None) -> None:
+        if run.timer is not None:
+            run.timer.cancel()
+        self._runs.discard(run)
+        job = t.cast(gatequeue.Job, run.job)
+        change = self._queue.finish(job, ran_s, self._loop.time())
+        for late in change.dropped:
+            self._finish(late.owner, results.SHED_AT_GATE)
+        for next_job in change.started:
+            self._start(next_job.owner)
+
+    def _finish(
+        self,
+        run: Run,
+        code: results.ResultCode,
+        reply: exchanges.Reply | None = None,
+        ran_s: float | None = None,
+    ) -> None:
+        run.state = State.DONE
+        if run.withdrawn:
+            return
+        call, queue = run.call, self._queue
+        child = bool(call.flags & frames.Flag.CHILD)
+        wait_s = queue.wait_s(call.rank, child)
+        headers: callers.Headers = []
+        if reply is not None:
+            headers = self._returned_headers(reply)
+        run.reply(
+            frames.Result(
+                number=call.number,
+                code=code.number,
+                status=reply.status if reply is not None else 0,
+                headers=headers,
+                body=reply.body if reply is not None else b"",
+                retry_after_ms=int(wait_s * 1000),
+                arrived=run.started > 0.0,
+                wait_ms=int(wait_s * 1000),
+                below_ms=int(run.below_s * 1000),
+                run_ms=int(ran_s * 1000) if ran_s is not None else 0,
+                load=queue.running + queue.waiting,
+                limit=queue.limit,
+            )
+        )
+
+    def _returned_headers(self, reply: exchanges.Reply) -> callers.Headers:
+        hidden = (self._dialect.load, self._dialect.answered_by)
+        return [
+            pair
+            for pair in callers.end_to_end(reply.headers)
+            if pair[0] not in hidden
+        ]
--- /dev/null
+++ b/src/savorytally/dataplane/journal.py
@@ -0,0 +1,94 @@
+"""Log lines of the data plane: JSON on standard output, bounded.
+
+Lines are collected and written without blocking. When they come faster than
+they may be written, they are dropped and counted; what was dropped is told
+by the next line that gets through.
+"""
+
+import asyncio
+import json
+import os
+import time
+import typing as t
+
+# Lines a second that are written, and that may come at once.
+LINES_PER_S = 120
+LINES_BURST = 400
+FLUSH_S = 0.2
+# One of so many served requests is logged; failed ones always are.
+SERVED_SAMPLE = 16
+BUFFER_MAX_BYTES = 1 << 18
+
+
+class Journal:
+    """Writes a line for each decision.
+
+    :param host_id: the host that logs.
+    :param descriptor: where lines are written.
+    """
+
+    def __init__(self, host_id: str, descriptor: int = 1) -> None:
+        self._host_id = host_id
+        self._descriptor = descriptor
+        self._loop = asyncio.get_running_loop()
+        self._lines: list[str] = []
+        self._rest = b""
+        self._tokens = float(LINES_BURST)
+        self._filled = self._loop.time()
+        self._timer: asyncio.TimerHandle | None = None
+        self._served = 0
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def event(self, name: str, **fields: t.Any) -> None:
+        """Log something that is not bound to one request."""
+        self._add(name, fields)
+
+    def request(self, served: bool, fields: dict[str, t.Any]) -> None:
+        """Log the end of a request; served ones are sampled."""
+        if served:
+            self._served += 1
+            if self._served % SERVED_SAMPLE:
+                return
+        self._add("request", fields)
+
+    def flush(self) -> None:
+        """Write what is collected, as far as it is taken."""
+        self._timer = None
+        data = self._rest + "".join(self._lines).encode()
+        self._lines = []
+        self._rest = b""
+        if not data:
+            return
+        try:
+            written = os.write(self._descriptor, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # Nobody reads the logs; there is nowhere to tell.
+            return
+        self._rest = data[written:]
+        if len(self._rest) > BUFFER_MAX_BYTES:
+            self.dropped += self._rest.count(b"\n")
+            self._rest = b""
+
+    def _add(self, name: str, fields: dict[str, t.Any]) -> None:
+        now = self._loop.time()
+        gained = (now - self._filled) * LINES_PER_S
+        self._tokens = min(LINES_BURST, self._tokens + gained)
+        self._filled = now
+        if self._tokens < 1.0:
+            self.dropped += 1
+            return
+        self._tokens -= 1.0
+        line: dict[str, t.Any] = {
+            "time": round(time.time(), 4),
+            "host": self._host_id,
+            "event": name,
+        }
+        line.update(fields)
+        if self.dropped:
+            line["lines_dropped"], self.dropped = self.dropped, 0
+        self._lines.append(json.dumps(line, separators=(",", ":")) + "\n")
+        if self._timer is None:
+            self._timer = self._loop.call_later(FLUSH_S, self.flush)
--- /dev/null
+++ b/src/savorytally/dataplane/peers.py
@@ -0,0 +1,187 @@
+"""The nodes of other hosts: streams to them and from them."""
+
+import asyncio
+import functools
+import typing as t
+
+from .. import results
+from ..world import catalog
+from . import frames
+from . import gate
+from . import streams
+
+LINK_IDLE_S = 30.0
+
+_UNSENT = frames.Result(number=0, code=results.NOT_DISPATCHED.number)
+_UNKNOWN = frames.Result(
+    number=0, code=results.OUTCOME_UNKNOWN.number, arrived=True
+)
+
+
+class Owner(t.Protocol):
+    """What peers tell of configurations, and ask for."""
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force."""
+
+    def configuration(self) -> bytes:
+        """Return the configuration in force as it was published."""
+
+    def learn_configuration(self, raw: bytes, origin: str) -> None:
+        """Put a configuration in force if it is newer."""
+
+    def newer_at(self, stream: t.Any, version: int) -> None:
+        """Note that a peer has a newer configuration."""
+
+    def host_leaves(self, address: str) -> None:
+        """Note that the node of a host takes no more calls."""
+
+
+class Peers:
+    """Streams between this node and others.
+
+    :param port: the peer port of all nodes.
+    :param own: the gate that calls from other nodes go to.
+    :param owner: holds the configuration.
+    """
+
+    def __init__(self, port: int, own: gate.Gate, owner: Owner) -> None:
+        self._port = port
+        self._gate = own
+        self._owner = owner
+        self._loop = asyncio.get_running_loop()
+        self._links: dict[str, streams.Link] = {}
+        self._accepted: dict[streams.Stream, dict[int, gate.Run]] = {}
+
+    def call(
+        self,
+        instance: catalog.Instance,
+        call: frames.Call,
+        answered: t.Callable[[frames.Result], None],
+    ) -> t.Callable[[], bool]:
+        """Send a call to the gate beside an upstream.
+
+        :return: withdraws it; tells whether it had not left this host.
+        """
+        link = self._link(instance.address)
+        if link.down_until > self._loop.time():
+            self._loop.call_soon(answered, _UNSENT)
+            return lambda: True
+        number = link.call(call, answered)
+        return functools.partial(link.cancel, number)
+
+    def accept(self) -> streams.Stream:
+        """Make the receiving end of a stream from another node."""
+        stream = streams.Stream(self._received, self._stream_lost)
+        self._accepted[stream] = {}
+        return stream
+
+    def announce(self, version: int) -> None:
+        """Tell all connected nodes of a newer configuration."""
+        for link in self._links.values():
+            link.send(frames.Kind.NEWS, version)
+        for stream in self._accepted:
+            stream.send(frames.Kind.NEWS, version)
+
+    def tell(self, address: str, version: int) -> None:
+        """Tell one node which configuration is in force here."""
+        link = self._link(address)
+        if not link.send(frames.Kind.NEWS, version):
+            link.open_stream()
+
+    def leave(self) -> None:
+        """Tell all nodes that send calls to take them elsewhere."""
+        for stream in self._accepted:
+            stream.send(frames.Kind.LEAVING)
+
+    def tick(self, now: float) -> None:
+        """Look after silent and unused streams."""
+        for address, link in list(self._links.items()):
+            link.tick(now)
+            if not link.outstanding and now - link.last_used > LINK_IDLE_S:
+                link.close()
+                del self._links[address]
+
+    def close(self) -> None:
+        """Close all streams."""
+        for link in self._links.values():
+            link.close()
+        for stream in list(self._accepted):
+            stream.close()
+
+    def _link(self, address: str) -> streams.Link:
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = streams.Link(
+                address, self._port, self._received, _UNSENT, _UNKNOWN
+            )
+        return link
+
+    def _stream_lost(self, stream: streams.Stream) -> None:
+        for run in self._accepted.pop(stream, {}).values():
+            self._gate.cancel(run)
+
+    def _received(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        handle = _HANDLERS.get(frame[0])
+        if handle is None:
+            raise frames.MalformedFrame(f"kind {frame[0]} is not known")
+        handle(self, stream, frame)
+
+    def _on_call(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        call = frames.Call(*frame[1:])
+        runs = self._accepted[stream]
+
+        def reply(result: frames.Result) -> None:
+            runs.pop(call.number, None)
+            stream.send(frames.Kind.RESULT, *result)
+
+        run = self._gate.run(call, reply)
+        if run.state is not gate.State.DONE:
+            runs[call.number] = run
+
+    def _on_cancel(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        run = self._accepted[stream].pop(frame[1], None)
+        if run is not None:
+            self._gate.cancel(run)
+
+    def _on_ping(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        stream.send(frames.Kind.PONG)
+
+    def _on_pong(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        """Nothing to do: the stream has noted that it was heard."""
+
+    def _on_news(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        version = int(frame[1])
+        if version > self._owner.version:
+            self._owner.newer_at(stream, version)
+        elif version < self._owner.version:
+            stream.send(frames.Kind.NEWS, self._owner.version)
+
+    def _on_pull(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        stream.send(frames.Kind.CONFIGURATION, self._owner.configuration())
+
+    def _on_configuration(
+        self, stream: streams.Stream, frame: list[t.Any]
+    ) -> None:
+        self._owner.learn_configuration(frame[1], "peer")
+
+    def _on_leaving(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        for address, link in self._links.items():
+            if link.carries(stream):
+                self._owner.host_leaves(address)
+                return
+
+
+_HANDLERS: dict[
+    int, t.Callable[[Peers, streams.Stream, list[t.Any]], None]
+] = {
+    frames.Kind.CALL: Peers._on_call,
+    frames.Kind.CANCEL: Peers._on_cancel,
+    frames.Kind.PING: Peers._on_ping,
+    frames.Kind.PONG: Peers._on_pong,
+    frames.Kind.NEWS: Peers._on_news,
+    frames.Kind.PULL: Peers._on_pull,
+    frames.Kind.CONFIGURATION: Peers._on_configuration,
+    frames.Kind.LEAVING: Peers._on_leaving,
+}
--- /dev/null
+++ b/src/savorytally/dataplane/pool.py
@@ -0,0 +1,102 @@
+"""Connections to the local upstream, kept for the next request."""
+
+import asyncio
+import functools
+import typing as t
+
+from . import exchanges
+from . import options
+
+# Idle time after which a connection is closed if the upstream states none.
+IDLE_MAX_S = 8.0
+# Part of the stated idle time after which a connection is not used again.
+IDLE_FRACTION = 0.8
+# A request that must not be lost avoids connections idle for longer.
+FRESH_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+
+Opened = t.Callable[[exchanges.Connection | None], None]
+
+
+class Pool:
+    """Connections to one server.
+
+    :param address: the server.
+    """
+
+    def __init__(self, address: options.Address) -> None:
+        self._address = address
+        self._idle: list[exchanges.Connection] = []
+        self._open: set[exchanges.Connection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def address(self) -> options.Address:
+        """The server."""
+        return self._address
+
+    def take(self, fresh: bool, opened: Opened) -> None:
+        """Hand over a connection, or ``None`` if none can be opened.
+
+        :param fresh: whether one that may have been forgotten won't do.
+        """
+        now = self._loop.time()
+        while self._idle:
+            connection = self._idle.pop()
+            idle_s = now - connection.last_used
+            stale = idle_s > self._idle_max(connection)
+            if stale or not (connection.open and connection.reusable):
+                connection.close()
+                continue
+            if fresh and idle_s > FRESH_S:
+                connection.close()
+                continue
+            opened(connection)
+            return
+        task = self._loop.create_task(self._connect(opened))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def give(self, connection: exchanges.Connection) -> None:
+        """Take a connection back after an exchange."""
+        if connection.reusable and connection.open:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def sweep(self) -> None:
+        """Close the connections that were idle for too long."""
+        now = self._loop.time()
+        kept = []
+        for connection in self._idle:
+            if now - connection.last_used > self._idle_max(connection):
+                connection.close()
+            elif connection.open:
+                kept.append(connection)
+        self._idle = kept
+
+    def close(self) -> None:
+        """Close all connections."""
+        for task in self._tasks:
+            task.cancel()
+        for connection in list(self._open):
+            connection.close()
+        self._idle = []
+
+    def _idle_max(self, connection: exchanges.Connection) -> float:
+        stated = connection.keep_alive_s
+        return stated * IDLE_FRACTION if stated else IDLE_MAX_S
+
+    async def _connect(self, opened: Opened) -> None:
+        make = functools.partial(exchanges.Connection, self._open.discard)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await self._loop.create_connection(
+                    make, self._address.host, self._address.port
+                )
+        except (OSError, TimeoutError):
+            opened(None)
+            return
+        self._open.add(connection)
+        opened(connection)
--- /dev/null
+++ b/src/savorytally/dataplane/service.py
@@ -0,0 +1,313 @@
+"""A node on the data plane: its ports, its peers and its stop."""
+
+import asyncio
+import functools
+import random
+import signal
+import typing as t
+
+from ..decisions import gatequeue
+from ..world import catalog
+from . import callers
+from . import counters
+from . import dialect
+from . import entry
+from . import feed
+from . import frames
+from . import gate
+from . import journal
+from . import options
+from . import peers
+from . import pool
+from . import small
+
+TICK_S = 0.05
+# A second view of the configuration is asked of a neighbour that often.
+GOSSIP_S = 0.6
+# Time that the own view has to catch up before a peer is asked.
+CATCH_UP_S = 0.25
+# After the signal to stop, callers may still send on open connections.
+LINGER_MIN_S = 2.6
+STOP_MARGIN_S = 0.7
+QUIET_S = 0.5
+BACKLOG = 1024
+
+
+class Service:
+    """One node.
+
+    :param chosen: its options.
+    :param spoken: names of the headers.
+    :param source: where publications are read.
+    :param read_configuration: turns published bytes into a catalog; raises
+        ``ValueError`` if they are malformed.
+    """
+
+    def __init__(
+        self,
+        chosen: options.Options,
+        spoken: dialect.Dialect,
+        source: feed.Source,
+        read_configuration: t.Callable[[bytes], catalog.Catalog],
+        rand: random.Random,
+    ) -> None:
+        self._options = chosen
+        self._loop = asyncio.get_running_loop()
+        self._random = rand
+        self._read = read_configuration
+        self.log = journal.Journal(chosen.host_id)
+        self.counts = counters.Counters()
+        self._upstream = pool.Pool(chosen.upstream)
+        self.gate = gate.Gate(spoken, self._upstream, gatequeue.GateQueue())
+        self.peers = peers.Peers(chosen.peer_port, self.gate, self)
+        self.entry = entry.Entry(
+            chosen,
+            spoken,
+            self.peers,
+            self.gate,
+            self.counts,
+            self.log,
+            rand,
+        )
+        self._feed = feed.Feed(source, self, rand)
+        self._ready_path = spoken.ready_path
+        self._catalog: catalog.Catalog | None = None
+        self._raw = b""
+        self._refused_raw = b""
+        self._instances: dict[str, catalog.Instance] = {}
+        self._listed = False
+        self._reachable: bool | None = None
+        self._connections: set[callers.CallerConnection] = set()
+        self._servers: list[asyncio.Server] = []
+        self._tasks: list[asyncio.Task[t.Any]] = []
+        self._stopping = asyncio.Event()
+        self._stop_began = 0.0
+        self._gossip_at = 0.0
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 for none."""
+        return self._catalog.version if self._catalog is not None else 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should send requests."""
+        known = self._catalog is not None and self._listed
+        return known and not self._stopping.is_set()
+
+    async def start(self) -> None:
+        """Open the ports and begin to follow the publications.
+
+        :raises OSError: if a port can't be opened.
+        """
+        chosen = self._options
+        serve = functools.partial(
+            callers.CallerConnection, self.entry, self._connections
+        )
+        await self._listen(serve, chosen.entry.host, chosen.entry.port)
+        await self._listen(self.peers.accept, chosen.address, chosen.peer_port)
+        answers = {
+            self._ready_path.decode(): self._readiness,
+            "/metrics": lambda: (200, self.counts.render()),
+        }
+        small_server = functools.partial(small.SmallServer, answers)
+        await self._listen(small_server, chosen.ready.host, chosen.ready.port)
+        await self._listen(small_server, chosen.address, chosen.metrics_port)
+        self._add_gauges()
+        self._tasks = [
+            self._loop.create_task(self._feed.run()),
+            self._loop.create_task(self._tick()),
+        ]
+        self.log.event("start", service=chosen.service)
+
+    async def run(self) -> None:
+        """Serve until the process is told to stop."""
+        for number in (signal.SIGINT, signal.SIGTERM):
+            self._loop.add_signal_handler(number, self.stop)
+        await self.start()
+        await self._stopping.wait()
+        await self._drain()
+
+    def stop(self) -> None:
+        """Begin a graceful stop and return at once."""
+        if self._stopping.is_set():
+            return
+        self._stop_began = self._loop.time()
+        self._stopping.set()
+        self.entry.closing = True
+        self.gate.leave()
+        self.peers.leave()
+        self.log.event("stop", active=self.entry.active, runs=self.gate.active)
+
+    def published(self, changes: feed.Changes) -> None:
+        """Apply what the platform has published."""
+        now = self._loop.time()
+        if changes.configuration is not None:
+            self.learn_configuration(changes.configuration, "store")
+        if changes.whole:
+            self._instances = dict(changes.changed)
+        else:
+            self._instances.update(changes.changed)
+            for name in changes.removed:
+                self._instances.pop(name, None)
+        self._listed = True
+        if changes.whole or changes.changed or changes.removed:
+            self.log.event(
+                "hosts",
+                revision=changes.revision,
+                known=len(self._instances),
+                changed=sorted(changes.changed) if not changes.whole else [],
+                removed=list(changes.removed),
+            )
+            self._apply_instances(now)
+
+    def source_state(self, reachable: bool, why: str) -> None:
+        """Note that the platform's store was lost or is back."""
+        if reachable != self._reachable:
+            self._reachable = reachable
+            self.log.event("store", reachable=reachable, why=why)
+
+    def learn_configuration(self, raw: bytes, origin: str) -> None:
+        """Put a configuration in force if it is newer."""
+        if raw == self._raw or raw == self._refused_raw:
+            return
+        try:
+            newest = self._read(raw)
+        except ValueError as error:
+            self._refused_raw = raw
+            self.log.event("configuration_refused", why=str(error))
+            return
+        if newest.version <= self.version:
+            return
+        self._catalog, self._raw = newest, raw
+        self.entry.learn_catalog(newest)
+        self._learn_rates()
+        self.log.event("configuration", version=newest.version, origin=origin)
+        self.peers.announce(newest.version)
+
+    def configuration(self) -> bytes:
+        """Return the configuration in force as it was published."""
+        return self._raw
+
+    def newer_at(self, stream: t.Any, version: int) -> None:
+        """Note that a peer has a newer configuration; ask it in a moment."""
+        if version > self.version:
+            self._loop.call_later(CATCH_UP_S, self._pull, stream, version)
+
+    def host_leaves(self, address: str) -> None:
+        """Send nothing more to the gate of a host that stops."""
+        for name, instance in self._instances.items():
+            if instance.address == address:
+                self.entry.placement.leaving(name)
+
+    def _pull(self, stream: t.Any, version: int) -> None:
+        if version > self.version:
+            stream.send(frames.Kind.PULL)
+
+    def _apply_instances(self, now: float) -> None:
+        self.entry.placement.learn_instances(self._instances, now)
+        own = self._options.upstream
+        hosts = set()
+        for instance in self._instances.values():
+            hosts.add(instance.address)
+            if (instance.address, instance.port) == (own.host, own.port):
+                self.gate.queue.learn_slots(instance.slots)
+                self.entry.learn_own_instance(instance.instance_id)
+        self.entry.repeats.learn_hosts(len(hosts))
+        self._learn_rates()
+
+    def _learn_rates(self) -> None:
+        if self._catalog is None:
+            return
+        hosts = {item.address for item in self._instances.values()}
+        self.entry.allowance.learn(
+            self._catalog.organisations(), len(hosts), self._loop.time()
+        )
+
+    def _readiness(self) -> tuple[int, bytes]:
+        return (200, b"ready\n") if self.ready else (503, b"not ready\n")
+
+    async def _listen(
+        self,
+        make: t.Callable[[], asyncio.BaseProtocol],
+        host: str,
+        port: int,
+    ) -> None:
+        server = await self._loop.create_server(
+            make, host, port, backlog=BACKLOG, reuse_address=True
+        )
+        self._servers.append(server)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._loop.time()
+            self.gate.tick()
+            self.peers.tick(now)
+            if now >= self._gossip_at:
+                spread = 0.5 + self._random.random()
+                self._gossip_at = now + GOSSIP_S * spread
+                self._upstream.sweep()
+                self._sweep_callers(now)
+                self._gossip()
+
+    def _gossip(self) -> None:
+        regions = self._options.regions
+        near = [
+            item.address
+            for item in self._instances.values()
+            if regions.get(item.data_centre) == self._options.region
+            and item.address != self._options.address
+        ]
+        if near and self.version:
+            self.peers.tell(self._random.choice(near), self.version)
+
+    def _sweep_callers(self, now: float) -> None:
+        limits = self.entry.limits
+        for connection in list(self._connections):
+            idle_s = now - connection.since
+            if connection.reading and idle_s > limits.header_timeout_s:
+                connection.time_out()
+            elif connection.idle and idle_s > limits.idle_timeout_s:
+                connection.close()
+
+    async def _drain(self) -> None:
+        """Answer what is in progress and what still comes, then end."""
+        began = self._stop_began
+        end = began + self._options.bounds.grace_s - STOP_MARGIN_S
+        quiet_since = self._loop.time()
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._loop.time()
+            if self.entry.active or self.gate.active:
+                quiet_since = now
+            quiet = now - quiet_since > QUIET_S
+            if now >= end or (quiet and now - began > LINGER_MIN_S):
+                break
+        for server in self._servers:
+            server.close()
+        for connection in list(self._connections):
+            if connection.idle:
+                connection.close()
+        while self._loop.time() < end and self.entry.active:
+            await asyncio.sleep(TICK_S)
+        for task in self._tasks:
+            task.cancel()
+        self.peers.close()
+        self._upstream.close()
+        for connection in list(self._connections):
+            connection.close()
+        self.log.event("end", active=self.entry.active)
+        self.log.flush()
+        # Let the transports send what was written.
+        await asyncio.sleep(TICK_S)
+
+    def _add_gauges(self) -> None:
+        add = self.counts.add_gauge
+        add("configuration_version", lambda: self.version)
+        add("gate_running", lambda: self.gate.queue.running)
+        add("gate_waiting", lambda: self.gate.queue.waiting)
+        add("gate_limit", lambda: self.gate.queue.limit)
+        add("upstreams", lambda: len(self._instances))
+        add("requests_active", lambda: self.entry.active)
+        add("log_lines_dropped", lambda: self.log.dropped)
--- /dev/null
+++ b/src/savorytally/dataplane/sockets.py
@@ -0,0 +1,25 @@
+"""Socket options of connections that may fall silent."""
+
+import asyncio
+import socket
+
+# A silent connection is noticed after about three probes.
+PROBE_AFTER_S = 1
+PROBE_EVERY_S = 1
+PROBES = 2
+UNACKNOWLEDGED_MAX_MS = 2_500
+
+
+def notice_silence(transport: asyncio.BaseTransport) -> None:
+    """Have the kernel end a connection whose other end is silent."""
+    raw = transport.get_extra_info("socket")
+    if raw is None:
+        return
+    for level, option, value in (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS),
+    ):
+        raw.setsockopt(level, option, value)
--- /dev/null
+++ b/src/savorytally/decisions/placement.py
@@ -0,0 +1,211 @@
+"""Which upstream of a service takes a request.
+
+Answers upstreams of unequal speed, cold, grey and failing ones, and regions
+joined by a dear link: the expected time of an answer decides, learned from
+what gates report and from what became of earlier requests; another region
+is taken only for want of room in the own one.
+"""
+
+import dataclasses
+import random
+import typing as t
+
+from ..world import catalog
+
+# Weight of the latest observation in a mean.
+WEIGHT = 0.15
+# Assumed time of a run before one was seen.
+RUN_UNKNOWN_S = 0.1
+# Expected wait that a data centre further away must save.
+OTHER_CENTRE_S = 0.008
+# Expected wait that another region must save; its link is billed by volume.
+OTHER_REGION_S = 0.25
+# What a failure in all of the last requests adds to the expected time.
+FAILING_S = 1.5
+# Time after which half of a failure memory is gone.
+FAILURE_HALF_S = 2.0
+# Slower start of a cold upstream: its runs count as longer by this factor.
+COLD_FACTOR = 2.0
+# A report of a gate's load is trusted less with age.
+REPORT_FADES_S = 0.5
+# Random spread of scores, so that equal hosts share.
+SPREAD = 0.15
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    """What is known of one upstream."""
+
+    instance: catalog.Instance
+    distance_s: float
+    far: bool
+    joined: float
+    in_flight: int = 0
+    load: int = 0
+    limit: int = 0
+    reported: float = -1e9
+    run_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    failing: float = 0.0
+    failed_at: float = 0.0
+    avoid_until: float = 0.0
+    leaving: bool = False
+
+
+class Placement:
+    """The upstreams of all services as one node knows them.
+
+    :param data_centre: the node's data centre.
+    :param regions: region of each data centre.
+    :param source: random source.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        regions: t.Mapping[str, str],
+        source: random.Random,
+    ) -> None:
+        self._data_centre = data_centre
+        self._regions = regions
+        self._random = source
+        self._known: dict[str, _Known] = {}
+        self._services: dict[str, list[_Known]] = {}
+
+    def learn_instances(
+        self, instances: t.Mapping[str, catalog.Instance], now: float
+    ) -> None:
+        """Apply the upstreams that are listed."""
+        for identifier in list(self._known):
+            if identifier not in instances:
+                del self._known[identifier]
+        for identifier, instance in instances.items():
+            known = self._known.get(identifier)
+            if known is None:
+                self._known[identifier] = self._new(instance, now)
+            else:
+                known.instance = instance
+        self._services = {}
+        for known in self._known.values():
+            if known.instance.ready:
+                services = self._services
+                services.setdefault(known.instance.service, []).append(known)
+
+    def choose(
+        self,
+        service: str,
+        route: str,
+        tried: t.Container[str],
+        now: float,
+    ) -> catalog.Instance | None:
+        """Return the upstream that should answer first, if there is any."""
+        best: _Known | None = None
+        best_score = float("inf")
+        for known in self._services.get(service, ()):
+            if known.leaving or known.instance.instance_id in tried:
+                continue
+            score = self._score(known, route, now)
+            if score < best_score:
+                best, best_score = known, score
+        return best.instance if best is not None else None
+
+    def sent(self, instance_id: str) -> None:
+        """Note that a request was sent."""
+        known = self._known.get(instance_id)
+        if known is not None:
+            known.in_flight += 1
+
+    def ended(self, instance_id: str) -> None:
+        """Note that a request that was sent has ended."""
+        known = self._known.get(instance_id)
+        if known is not None and known.in_flight:
+            known.in_flight -= 1
+
+    def report(
+        self,
+        instance_id: str,
+        route: str,
+        run_s: float | None,
+        load: int,
+        limit: int,
+        now: float,
+    ) -> None:
+        """Note what a gate said with a result."""
+        known = self._known.get(instance_id)
+        if known is None:
+            return
+        known.load, known.limit, known.reported = load, limit, now
+        if run_s is not None:
+            mean = known.run_s.get(route, run_s)
+            known.run_s[route] = mean + WEIGHT * (run_s - mean)
+
+    def outcome(self, instance_id: str, good: bool, now: float) -> None:
+        """Note whether the upstream did what it was asked."""
+        known = self._known.get(instance_id)
+        if known is None:
+            return
+        known.failing = self._failing(known, now)
+        known.failed_at = now
+        known.failing += WEIGHT * ((0.0 if good else 1.0) - known.failing)
+
+    def avoid(self, instance_id: str, until: float) -> None:
+        """Send nothing to an upstream that can't be reached for a while."""
+        known = self._known.get(instance_id)
+        if known is not None:
+            known.avoid_until = until
+
+    def leaving(self, instance_id: str) -> None:
+        """Note that an upstream has said that it leaves."""
+        known = self._known.get(instance_id)
+        if known is not None:
+            known.leaving = True
+
+    def _new(self, instance: catalog.Instance, now: float) -> _Known:
+        far = self._region(instance.data_centre) != self._region(
+            self._data_centre
+        )
+        near = instance.data_centre == self._data_centre
+        distance_s = 0.0 if near else OTHER_CENTRE_S
+        return _Known(
+            instance=instance,
+            distance_s=OTHER_REGION_S if far else distance_s,
+            far=far,
+            joined=now,
+        )
+
+    def _region(self, data_centre: str) -> str:
+        return self._regions.get(data_centre, data_centre)
+
+    def _score(self, known: _Known, route: str, now: float) -> float:
+        run_s = known.run_s.get(route)
+        if run_s is None:
+            run_s = self._usual_run_s(known.instance.service, route)
+        cold_s = known.instance.cold_s
+        if cold_s > 0.0 and now - known.joined < cold_s:
+            run_s *= COLD_FACTOR
+        limit = known.limit or max(1, known.instance.slots - 1)
+        age = min(1.0, (now - known.reported) / REPORT_FADES_S)
+        load = max(known.in_flight, known.load * (1.0 - age))
+        wait_s = max(0.0, load + 1 - limit) * run_s / limit
+        # An emptier host is the better one among hosts without a queue.
+        fill_s = 0.3 * run_s * min(1.0, load / limit)
+        expected_s = (run_s + wait_s + fill_s) * (
+            1.0 + SPREAD * self._random.random()
+        )
+        expected_s += known.distance_s + FAILING_S * self._failing(known, now)
+        if known.avoid_until > now:
+            expected_s += 10.0
+        return expected_s
+
+    def _usual_run_s(self, service: str, route: str) -> float:
+        seen = [
+            known.run_s[route]
+            for known in self._services.get(service, ())
+            if route in known.run_s
+        ]
+        return sum(seen) / len(seen) if seen else RUN_UNKNOWN_S
+
+    def _failing(self, known: _Known, now: float) -> float:
+        if not known.failing:
+            return 0.0
+        age_s = now - known.failed_at
+        return known.failing * 0.5 ** (age_s / FAILURE_HALF_S)
--- /dev/null
+++ b/src/savorytally/platform/__init__.py
@@ -0,0 +1,4 @@
+"""The users' platform: its names, formats and calls.
+
+Everything here translates; nothing here decides.
+"""
--- /dev/null
+++ b/src/savorytally/platform/documents.py
@@ -0,0 +1,151 @@
+"""What operator and upstreams write to the store, turned into our types."""
+
+import base64
+import binascii
+import json
+import typing as t
+
+from ..dataplane import options
+from ..world import catalog
+from . import durations
+
+# The key under which the operator writes the configuration in force.
+CONFIGURATION_KEY = "op/config"
+# Upstreams write their entries below this prefix, each under its identifier.
+INSTANCE_PREFIX = "servers/"
+
+_STATES = {"ready": True, "draining": False}
+
+
+class Malformed(ValueError):
+    """A document that can't be read; its text names the field."""
+
+
+def value_of(item: t.Mapping[str, t.Any]) -> bytes:
+    """Return the bytes of a store item.
+
+    :raises Malformed: if they are not base64.
+    """
+    try:
+        return base64.b64decode(item["value"], validate=True)
+    except (KeyError, TypeError, binascii.Error) as error:
+        raise Malformed(f"value: {error}") from error
+
+
+def configuration(body: bytes) -> catalog.Catalog:
+    """Read a configuration.
+
+    :raises Malformed: if a part that requests depend on is wrong.
+    """
+    place = "version"
+    try:
+        document = json.loads(body)
+        version = _version(document["version"])
+        routes = []
+        for name, value in document["routes"].items():
+            place = f"routes/{name}"
+            routes.append(_route(name, value))
+        keys: dict[str, catalog.Organisation] = {}
+        tenants = document.get("tenants")
+        for name, value in (tenants or {}).items():
+            place = f"tenants/{name}"
+            organisation = _organisation(name, value)
+            keys.update(dict.fromkeys(value["api_keys"], organisation))
+        place = "limits"
+        limits = _limits(document.get("limits") or {})
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise Malformed(f"{place}: {error!r}") from error
+    return catalog.Catalog(version, routes, keys, limits, bool(tenants))
+
+
+def instance(key: str, body: bytes) -> catalog.Instance:
+    """Read an upstream's entry.
+
+    :raises Malformed: if it names no upstream to use.
+    """
+    try:
+        value = json.loads(body)
+        host, _, port = value["address"].rpartition(":")
+        service, zone = value["service"], value["zone"]
+        slots = value["slots"]
+        if not (isinstance(service, str) and isinstance(zone, str) and host):
+            raise ValueError("service, zone and address must be text")
+        if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
+            raise ValueError("slots must be a positive whole number")
+        return catalog.Instance(
+            instance_id=key[len(INSTANCE_PREFIX) :],
+            service=service,
+            address=host,
+            port=int(port),
+            data_centre=zone,
+            slots=slots,
+            ready=_STATES[value["state"]],
+            cold_s=durations.seconds(value.get("cold_remaining", "0ms")),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise Malformed(f"{key}: {error!r}") from error
+
+
+def address_of(text: str) -> options.Address:
+    """Return an address written as ``HOST:PORT``."""
+    host, _, port = text.rpartition(":")
+    return options.Address(host, int(port))
+
+
+def _version(text: str) -> int:
+    if not text.startswith("r"):
+        raise ValueError(f"{text!r} is no version")
+    return int(text[1:])
+
+
+def _route(name: str, value: t.Mapping[str, t.Any]) -> catalog.Route:
+    clusters = value.get("weighted_clusters")
+    if clusters:
+        parts = tuple(
+            catalog.Cluster(part["service"], float(part["weight"]))
+            for part in clusters
+        )
+    else:
+        parts = (catalog.Cluster(value["service"], 1.0),)
+    timeout_s = durations.seconds(value["timeout"])
+    target = value.get("target_latency")
+    return catalog.Route(
+        name=name,
+        host=value["host"].lower(),
+        prefix=value["prefix"],
+        # Only what is "safe" may run twice.
+        idempotent=value["kind"] == "safe",
+        timeout_s=timeout_s,
+        objective_s=durations.seconds(target) if target else timeout_s,
+        priority=int(value.get("priority", 0)),
+        clusters=parts,
+        attempts=int(value.get("retry_attempts", 1)),
+        open_to_all=bool(value.get("auth_exempt", False)),
+    )
+
+
+def _organisation(
+    name: str, value: t.Mapping[str, t.Any]
+) -> catalog.Organisation:
+    priority = value.get("priority")
+    return catalog.Organisation(
+        name=name,
+        priority=None if priority is None else int(priority),
+        rate_per_s=float(value.get("rate_per_s") or 0),
+        burst=float(value.get("burst") or 0),
+    )
+
+
+def _limits(value: t.Mapping[str, t.Any]) -> catalog.RequestLimits:
+    usual = catalog.RequestLimits()
+    header, idle = value.get("header_timeout"), value.get("idle_timeout")
+    return catalog.RequestLimits(
+        header_bytes=int(value.get("max_header_bytes", usual.header_bytes)),
+        body_bytes=int(value.get("max_body_bytes", usual.body_bytes)),
+        header_timeout_s=(
+            durations.seconds(header) if header else usual.header_timeout_s
+        ),
+        idle_timeout_s=(
+            durations.seconds(idle) if idle else usual.idle_timeout_s
+        ),
+    )
--- /dev/null
+++ b/src/savorytally/platform/headers.py
@@ -0,0 +1,17 @@
+"""The platform's header names."""
+
+from ..dataplane import dialect
+
+DIALECT = dialect.Dialect(
+    request_id=b"x-savorytally-attempt-id",
+    remaining_ms=b"x-savorytally-deadline-ms",
+    caller_service=b"x-savorytally-caller-service",
+    organisation=b"x-savorytally-tenant",
+    instance=b"x-savorytally-expected-instance",
+    signature=b"x-savorytally-response-signature",
+    not_executed=b"x-savorytally-not-executed",
+    load=b"x-savorytally-server-load",
+    answered_by=b"x-savorytally-instance-id",
+    key_scheme=b"token",
+    ready_path=b"/-/readyz",
+)
--- /dev/null
+++ b/src/savorytally/platform/main.py
@@ -0,0 +1,57 @@
+"""Starts a node on the platform."""
+
+import asyncio
+import gc
+import logging
+import os
+import pathlib
+import random
+import secrets
+import sys
+
+import uvloop
+
+from ..dataplane import service
+from . import documents
+from . import headers
+from . import settings
+from . import store
+
+EXIT_SETTINGS = 1
+EXIT_PORT = 5
+
+
+def main() -> int:
+    """Run the node until it is told to stop; return the exit code."""
+    logging.basicConfig(
+        level=logging.INFO,
+        stream=sys.stdout,
+        format='{"event":"log","level":"%(levelname)s","text":"%(message)s"}',
+    )
+    path = os.environ.get(settings.PATH_VARIABLE, "")
+    options = settings.load(pathlib.Path(path))
+    if isinstance(options, settings.Refused):
+        for fault in options.faults:
+            print(f"{path}: {fault}", file=sys.stderr)
+        return EXIT_SETTINGS
+
+    async def serve() -> None:
+        node = service.Service(
+            options,
+            headers.DIALECT,
+            store.Store(options.store),
+            documents.configuration,
+            random.Random(secrets.randbits(64)),
+        )
+        await node.run()
+
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 50, 50)
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve())
+    except OSError as error:
+        print(f"savorytally: can't serve: {error}", file=sys.stderr)
+        return EXIT_PORT
+    return 0
--- /dev/null
+++ b/src/savorytally/platform/settings.py
@@ -0,0 +1,139 @@
+"""The platform's settings file: lines of the form ``a.b=value``."""
+
+import dataclasses
+import pathlib
+import typing as t
+
+from ..dataplane import options
+from . import durations
+
+PATH_VARIABLE = "SAVORYTALLY_SETTINGS"
+
+T = t.TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Settings that can't be used.
+
+    :param faults: a line for each field that is wrong.
+    """
+
+    faults: tuple[str, ...]
+
+
+class _Reader:
+    """Takes fields of the file and collects what is wrong with them."""
+
+    def __init__(self, text: str) -> None:
+        self.faults: list[str] = []
+        self._values: dict[str, str] = {}
+        for line in text.splitlines():
+            name, separator, value = line.partition("=")
+            if separator:
+                self._values[name.strip()] = value.strip()
+
+    def take(
+        self, name: str, convert: t.Callable[[str], T], default: T | None
+    ) -> T:
+        """Return a field, or its default if there is one and it is absent."""
+        text = self._values.get(name)
+        if text is None or text == "":
+            if default is None:
+                self.faults.append(f"{name}: is missing")
+                return t.cast(T, None)
+            return default
+        try:
+            return convert(text)
+        except ValueError as error:
+            self.faults.append(f"{name}: {error}")
+            return t.cast(T, default)
+
+    def table(self, prefix: str) -> dict[str, str]:
+        """Return the fields below a name."""
+        return {
+            name[len(prefix) :]: value
+            for name, value in self._values.items()
+            if name.startswith(prefix)
+        }
+
+
+def load(path: pathlib.Path) -> options.Options | Refused:
+    """Read a settings file; an unreadable one is refused."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Refused((f"{path}: {error}",))
+    return read(text)
+
+
+def read(text: str) -> options.Options | Refused:
+    """Turn the text of a settings file into options."""
+    reader = _Reader(text)
+    take = reader.take
+    ports = take("network.internal_ports", _ports, None) or (0, 0)
+    # The platform's "node" is one process, its "zone" a data centre.
+    found = options.Options(
+        host_id=take("local_node.node_name", str, None),
+        service=take("local_node.service", str, None),
+        address=take("local_node.ip", str, None),
+        data_centre=take("local_node.zone", str, None),
+        regions=reader.table("network.zones."),
+        upstream=take("local_node.app_addr", _address, None),
+        # Named after the local upstream's side: callers use it too.
+        entry=take("network.listen.outbound", _address, None),
+        ready=take("network.listen.ready", _address, None),
+        peer_port=ports[0],
+        metrics_port=ports[0] + 1,
+        store=take("platform.platform.address", _address, None),
+        memory_bytes=take("local_node.limits.memory_mb", int, 256) << 20,
+        descriptors=take("local_node.limits.max_fds", int, 1024),
+        first_start=take("local_node.first_start", _flag, False),
+        bounds=_bounds(reader),
+    )
+    if reader.faults:
+        return Refused(tuple(reader.faults))
+    return found
+
+
+def _bounds(reader: _Reader) -> options.Bounds:
+    def take(name: str, convert: t.Callable[[str], float], default: float):
+        return reader.take(f"terms.bounds.{name}", convert, default)
+
+    usual = options.Bounds()
+    return options.Bounds(
+        drain_s=take("drain", durations.seconds, usual.drain_s),
+        grace_s=take("grace", durations.seconds, usual.grace_s),
+        retry_ratio=take("retry_budget_ratio", float, usual.retry_ratio),
+        retry_window_s=take(
+            "budget_window", durations.seconds, usual.retry_window_s
+        ),
+        retry_slack=take("budget_slack", float, usual.retry_slack),
+        rate_overage=take("quota_overage", float, usual.rate_overage),
+        rate_slack=take("quota_slack", float, usual.rate_slack),
+        address_reuse_s=take(
+            "addr_reuse", durations.seconds, usual.address_reuse_s
+        ),
+    )
+
+
+def _address(text: str) -> options.Address:
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdecimal() or not host:
+        raise ValueError(f"{text!r} is no address with a port")
+    return options.Address(host, int(port))
+
+
+def _ports(text: str) -> tuple[int, int]:
+    first, _, last = text.partition(",")
+    if not first.isdecimal() or not last.isdecimal():
+        raise ValueError(f"{text!r} is no range of ports")
+    if int(last) - int(first) < 1:
+        raise ValueError("two ports are needed, one is given")
+    return int(first), int(last)
+
+
+def _flag(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError(f"{text!r} is neither true nor false")
+    return text == "true"
--- a/src/savorytally/results.py
+++ b/src/savorytally/results.py
@@ -193,6 +193,28 @@
     "Fail the request above; do not repeat the call.",
 )
 
+UPSTREAM_SHED = _code(
+    1027,
+    "upstream_shed",
+    503,
+    "The upstream itself said that it did not run the request.",
+    "Wait for the time in Retry-After.",
+)
+INSTANCE_GONE = _code(
+    1028,
+    "instance_gone",
+    503,
+    "Another upstream has the address of the one that was meant.",
+    "Retry; another host will take the request.",
+)
+SHED_FOR_CHAIN = _code(
+    1029,
+    "shed_for_chain",
+    503,
+    "A service that the request's calls end in is overloaded.",
+    "Wait for the time in Retry-After.",
+)
+
 ANSWERED = _code(
     2000,
     "answered",
