Share organisations' rates by region; recognise the parents of calls

Calls of upstreams do not name their parent, and most do not carry its deadline either (they end after a drawn part of their own).

Change: in each region one host an organisation keeps the bucket and grants single requests; regions divide the rate by demand; urgent routes are served first from a bucket that runs low. Calls are attributed by exact deadline, else to the idle request with the latest event among routes that were seen to call.

Ruled out: larger buckets a host, which break the limit when one organisation floods all hosts.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -6,9 +6,10 @@
 import typing as t
 
 from .. import results
-from ..decisions import allowance
 from ..decisions import backpressure
+from ..decisions import lineage
 from ..decisions import placement
+from ..decisions import ratepool
 from ..decisions import repeatbudget
 from ..decisions import splits
 from ..world import catalog
@@ -19,6 +20,7 @@
 from . import gate
 from . import journal
 from . import options
+from . import rates
 
 # Hosts that a request may be offered to; only upstreams that it reached
 # count as attempts of its route.
@@ -89,7 +91,8 @@
         self.deadline = 0.0
         self.clients_ms = 0
         self.objective_s = 0.0
-        self.parent: gate.Run | None = None
+        # The request at the local upstream that made this one.
+        self.parent: lineage.Parent | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.tried: list[str] = []
         self.offers = 0
@@ -118,6 +121,7 @@
     :param spoken: names of the headers.
     :param peers: the gates of other hosts.
     :param own: the gate of this host.
+    :param limits: admits requests against organisations' rates.
     :param counts: counts requests.
     :param log: takes a line for each request.
     :param source: random source.
@@ -129,33 +133,30 @@
         spoken: dialect.Dialect,
         peers: Peers,
         own: gate.Gate,
+        limits: rates.Rates,
         counts: counters.Counters,
         log: journal.Journal,
         source: random.Random,
     ) -> None:
-        bounds = chosen.bounds
         self._options = chosen
         self._dialect = spoken
         self._hidden = spoken.set_by_node
         self._peers = peers
         self._gate = own
+        self._rates = limits
         self._counts = counts
         self._log = log
         self._random = source
         self._loop = asyncio.get_running_loop()
         self._catalog: catalog.Catalog | None = None
         self._limits = catalog.RequestLimits()
-        self._own_instance = ""
         self._usual_ms: dict[str, int] = {}
         self.placement = placement.Placement(
             chosen.data_centre, chosen.regions, source
         )
         self.splits = splits.Splits(source)
-        self.allowance = allowance.Allowance(
-            bounds.rate_overage, bounds.rate_slack, chosen.first_start
-        )
         self.repeats = repeatbudget.RepeatBudget(
-            bounds.retry_ratio, bounds.retry_slack
+            chosen.bounds.retry_ratio, chosen.bounds.retry_slack
         )
         self.backpressure = backpressure.Backpressure()
         self.active = 0
@@ -171,10 +172,6 @@
         self._catalog = newest
         self._limits = newest.limits
 
-    def learn_own_instance(self, instance_id: str) -> None:
-        """Note which upstream is the local one."""
-        self._own_instance = instance_id
-
     def refuse(self, request: callers.Request, status: int, why: str) -> None:
         """Answer a request that can't be taken as it is."""
         self._log.event("malformed", status=status, why=why)
@@ -194,15 +191,33 @@
             return
         request.abandoned = lambda: self._abandoned(call)
         call.timer = self._loop.call_at(call.deadline, self._expired, call)
-        self.repeats_first(call)
-        self._offer(call)
+        if not call.organisation:
+            self._begin(call)
+            return
+        urgency = t.cast(catalog.Route, call.route).priority
+        self._rates.take(
+            call.organisation,
+            urgency,
+            lambda grant: self._admitted(call, grant),
+        )
+
+    def _admitted(self, call: Call, grant: ratepool.Grant) -> None:
+        if call.done:
+            return
+        if grant.granted:
+            self._begin(call)
+        else:
+            self._fail(call, results.OVER_RATE, grant.wait_ms)
 
-    def repeats_first(self, call: Call) -> None:
-        """Count the request for its service's budget of repeats."""
+    def _begin(self, call: Call) -> None:
+        """Choose a call's service and offer the call to its hosts."""
+        call.service = self.splits.choose(t.cast(catalog.Route, call.route))
+        # Arrivals below a repeat count as repeats where they arrive.
         if call.flags & frames.Flag.REPEAT:
             self.repeats.charge(call.service)
         else:
             self.repeats.first(call.service)
+        self._offer(call)
 
     def _prepare(self, call: Call, now: float) -> results.ResultCode | None:
         known = self._catalog
@@ -224,7 +239,7 @@
         if isinstance(organisation, results.ResultCode):
             return organisation
         self._set_terms(call, route, organisation, now)
-        return self._admit(call, route, organisation, now)
+        return self._shed(call, route, now)
 
     def _identify(
         self, call: Call, known: catalog.Catalog
@@ -264,12 +279,16 @@
         if organisation is not None and organisation.priority is not None:
             call.rank += ROUTE_RANKS * organisation.priority
         if organisation is None and call.clients_ms:
+            keyed = self._catalog is not None and self._catalog.keyed
             given_up_at = now + call.clients_ms / 1000
-            call.parent = self._gate.parent(given_up_at)
+            call.parent = self._gate.lineage.call(
+                route.name, given_up_at, exact_only=not keyed
+            )
         if call.parent is not None:
+            run: gate.Run = call.parent.owner
             call.flags |= frames.Flag.CHILD
-            call.rank = call.parent.call.rank
-            if call.parent.repeat:
+            call.rank = run.call.rank
+            if run.repeat:
                 call.flags |= frames.Flag.REPEAT
             return
         usual_ms = self._usual_ms.get(route.name, 0)
@@ -282,25 +301,18 @@
                 call.objective_s / 4, route.objective_s - gone_s
             )
 
-    def _admit(
-        self,
-        call: Call,
-        route: catalog.Route,
-        organisation: catalog.Organisation | None,
-        now: float,
+    def _shed(
+        self, call: Call, route: catalog.Route, now: float
     ) -> results.ResultCode | None:
-        """Choose the service and refuse what can't be served."""
-        if not call.child:
-            returned = bool(call.flags & frames.Flag.RETURNED)
-            draw = self._random.random()
-            if self.backpressure.refuses(
-                route.name, route.objective_s, returned, draw, now
-            ):
-                return results.SHED_FOR_CHAIN
-        if organisation is not None:
-            if self.allowance.take(organisation.name, now):
-                return results.OVER_RATE
-        call.service = self.splits.choose(route)
+        """Refuse a new request whose chain ends in an overload."""
+        if call.child:
+            return None
+        returned = bool(call.flags & frames.Flag.RETURNED)
+        draw = self._random.random()
+        if self.backpressure.refuses(
+            route.name, route.objective_s, returned, draw, now
+        ):
+            return results.SHED_FOR_CHAIN
         return None
 
     def _offer(self, call: Call) -> None:
@@ -379,8 +391,9 @@
         wait_s = max(result.below_ms, 0) / 1000
         self.backpressure.note(route.name, wait_s, now)
         if call.parent is not None:
+            run: gate.Run = call.parent.owner
             below_s = max(result.below_ms, result.wait_ms) / 1000
-            call.parent.below_s = max(call.parent.below_s, below_s)
+            run.below_s = max(run.below_s, below_s)
         if result.answered:
             failed = result.status >= _SERVER_ERROR
             if failed and self._repeat_pays(call, route, result, now):
@@ -512,6 +525,8 @@
         if call.timer is not None:
             call.timer.cancel()
         call.request.abandoned = None
+        if call.parent is not None:
+            self._gate.lineage.answered(call.parent, self._loop.time())
         taken_s = self._loop.time() - call.started
         route = call.route.name if call.route is not None else ""
         self._counts.ended(route, code, taken_s)
@@ -531,8 +546,8 @@
             "version": self._catalog.version if self._catalog else 0,
         }
         if call.parent is not None:
-            parent = call.parent.call.request_id
-            fields["parent"] = parent.decode("latin-1")
+            run: gate.Run = call.parent.owner
+            fields["parent"] = run.call.request_id.decode("latin-1")
         if not served and call.route is not None:
             wait_s = self.backpressure.wait_s(route, self._loop.time())
             fields["below_ms"] = round(wait_s * 1000, 1)
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -24,7 +24,9 @@
     PULL = 7
     CONFIGURATION = 8
     LEAVING = 9
-    RESOLVE = 10
+    ASK = 10
+    GRANT = 11
+    DEMAND = 12
 
 
 class Flag(enum.IntFlag):
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -6,15 +6,13 @@
 
 from .. import results
 from ..decisions import gatequeue
+from ..decisions import lineage
 from . import callers
 from . import dialect
 from . import exchanges
 from . import frames
 from . import pool
 
-# A call's own deadline tells which request in progress made it: upstreams
-# hand down what is left of the time that they were given.
-PARENT_TOLERANCE_S = 0.012
 # Time below which a request is not handed to the upstream any more.
 USEFUL_S = 0.004
 _NOT_EXECUTED_STATUS = 421
@@ -45,11 +43,11 @@
         "connection",
         "deadline",
         "job",
+        "parent",
         "reply",
         "started",
         "state",
         "timer",
-        "told_deadline",
         "withdrawn",
     )
 
@@ -62,7 +60,8 @@
         self.connection: exchanges.Connection | None = None
         self.job: gatequeue.Job | None = None
         self.started = 0.0
-        self.told_deadline = 0.0
+        # As what its own calls are recognised.
+        self.parent: lineage.Parent | None = None
         # Longest wait that its own calls have met.
         self.below_s = 0.0
         self.timer: asyncio.TimerHandle | None = None
@@ -99,7 +98,7 @@
         self._pool = connections
         self._queue = queue
         self._loop = asyncio.get_running_loop()
-        self._runs: set[Run] = set()
+        self.lineage = lineage.Lineage()
         self.leaving = False
 
     @property
@@ -150,19 +149,6 @@
             self._stop(run)
             self._release(run, None)
 
-    def parent(self, deadline: float) -> Run | None:
-        """Return the request in progress that a call belongs to.
-
-        :param deadline: when the call's caller gives up, loop time.
-        """
-        best: Run | None = None
-        best_s = PARENT_TOLERANCE_S
-        for run in self._runs:
-            off_s = abs(run.told_deadline - deadline)
-            if off_s < best_s:
-                best, best_s = run, off_s
-        return best
-
     def tick(self) -> None:
         """Refuse what has waited too long."""
         for job in self._queue.drop_late(self._loop.time()):
@@ -198,9 +184,10 @@
         left_ms = int(left_s * 1000)
         run.state = State.RUNNING
         run.started = now
-        run.told_deadline = now + left_ms / 1000
+        run.parent = self.lineage.begin(
+            run.call.route, now + left_ms / 1000, run, now
+        )
         run.connection = connection
-        self._runs.add(run)
         run.timer = self._loop.call_at(run.deadline, self._expired, run)
         connection.request(
             self._encode(run.call, left_ms),
@@ -305,7 +292,8 @@
     def _release(self, run: Run, ran_s: float | None) -> None:
         if run.timer is not None:
             run.timer.cancel()
-        self._runs.discard(run)
+        if run.parent is not None:
+            self.lineage.end(run.parent)
         job = t.cast(gatequeue.Job, run.job)
         change = self._queue.finish(job, ran_s, self._loop.time())
         for late in change.dropped:
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -34,6 +34,17 @@
     def newer_at(self, stream: t.Any, version: int) -> None:
         """Note that a peer has a newer configuration."""
 
+    def asked(
+        self, number: int, organisation: str, urgency: int
+    ) -> tuple[int, int, bool, int]:
+        """Decide on another host's request against a rate kept here."""
+
+    def granted(self, fields: list[t.Any]) -> None:
+        """Take the decision of a keeper of a rate."""
+
+    def demand(self, region: str, demand_per_s: dict[str, float]) -> None:
+        """Take another region's demand."""
+
     def host_leaves(self, address: str) -> None:
         """Note that the node of a host takes no more calls."""
 
@@ -84,11 +95,14 @@
         for stream in self._accepted:
             stream.send(frames.Kind.NEWS, version)
 
-    def tell(self, address: str, version: int) -> None:
-        """Tell one node which configuration is in force here."""
+    def send(self, address: str, kind: frames.Kind, *fields: t.Any) -> bool:
+        """Send a control frame; return whether the stream was up."""
         link = self._link(address)
-        if not link.send(frames.Kind.NEWS, version):
-            link.open_stream()
+        link.last_used = self._loop.time()
+        if link.send(kind, *fields):
+            return True
+        link.open_stream()
+        return False
 
     def leave(self) -> None:
         """Tell all nodes that send calls to take them elsewhere."""
@@ -166,6 +180,17 @@
     ) -> None:
         self._owner.learn_configuration(frame[1], "peer")
 
+    def _on_ask(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        number, organisation, urgency = frame[1:4]
+        answer = self._owner.asked(number, organisation, urgency)
+        stream.send(frames.Kind.GRANT, *answer)
+
+    def _on_grant(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        self._owner.granted(frame[1:])
+
+    def _on_demand(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        self._owner.demand(frame[1], frame[2])
+
     def _on_leaving(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         for address, link in self._links.items():
             if link.carries(stream):
@@ -184,4 +209,7 @@
     frames.Kind.PULL: Peers._on_pull,
     frames.Kind.CONFIGURATION: Peers._on_configuration,
     frames.Kind.LEAVING: Peers._on_leaving,
+    frames.Kind.ASK: Peers._on_ask,
+    frames.Kind.GRANT: Peers._on_grant,
+    frames.Kind.DEMAND: Peers._on_demand,
 }
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -19,6 +19,7 @@
 from . import options
 from . import peers
 from . import pool
+from . import rates
 from . import small
 
 TICK_S = 0.05
@@ -60,11 +61,13 @@
         self._upstream = pool.Pool(chosen.upstream)
         self.gate = gate.Gate(spoken, self._upstream, gatequeue.GateQueue())
         self.peers = peers.Peers(chosen.peer_port, self.gate, self)
+        self.rates = rates.Rates(chosen, self.peers)
         self.entry = entry.Entry(
             chosen,
             spoken,
             self.peers,
             self.gate,
+            self.rates,
             self.counts,
             self.log,
             rand,
@@ -181,7 +184,7 @@
             return
         self._catalog, self._raw = newest, raw
         self.entry.learn_catalog(newest)
-        self._learn_rates()
+        self.rates.learn_catalog(newest)
         self.log.event("configuration", version=newest.version, origin=origin)
         self.peers.announce(newest.version)
 
@@ -194,6 +197,20 @@
         if version > self.version:
             self._loop.call_later(CATCH_UP_S, self._pull, stream, version)
 
+    def asked(
+        self, number: int, organisation: str, urgency: int
+    ) -> tuple[int, int, bool, int]:
+        """Decide on another host's request against a rate kept here."""
+        return self.rates.asked(number, organisation, urgency)
+
+    def granted(self, fields: list[t.Any]) -> None:
+        """Take the decision of a keeper of a rate."""
+        self.rates.answered(*fields)
+
+    def demand(self, region: str, demand_per_s: dict[str, float]) -> None:
+        """Take another region's demand."""
+        self.rates.told(region, demand_per_s)
+
     def host_leaves(self, address: str) -> None:
         """Send nothing more to the gate of a host that stops."""
         for name, instance in self._instances.items():
@@ -212,17 +229,8 @@
             hosts.add(instance.address)
             if (instance.address, instance.port) == (own.host, own.port):
                 self.gate.queue.learn_slots(instance.slots)
-                self.entry.learn_own_instance(instance.instance_id)
         self.entry.repeats.learn_hosts(len(hosts))
-        self._learn_rates()
-
-    def _learn_rates(self) -> None:
-        if self._catalog is None:
-            return
-        hosts = {item.address for item in self._instances.values()}
-        self.entry.allowance.learn(
-            self._catalog.organisations(), len(hosts), self._loop.time()
-        )
+        self.rates.learn_instances(self._instances.values())
 
     def _readiness(self) -> tuple[int, bytes]:
         return (200, b"ready\n") if self.ready else (503, b"not ready\n")
@@ -244,6 +252,7 @@
             now = self._loop.time()
             self.gate.tick()
             self.peers.tick(now)
+            self.rates.tick(now)
             if now >= self._gossip_at:
                 spread = 0.5 + self._random.random()
                 self._gossip_at = now + GOSSIP_S * spread
@@ -260,7 +269,8 @@
             and item.address != self._options.address
         ]
         if near and self.version:
-            self.peers.tell(self._random.choice(near), self.version)
+            chosen = self._random.choice(near)
+            self.peers.send(chosen, frames.Kind.NEWS, self.version)
 
     def _sweep_callers(self, now: float) -> None:
         limits = self.entry.limits
--- /dev/null
+++ b/src/savorytally/decisions/ratepool.py
@@ -0,0 +1,194 @@
+"""An organisation's rate, shared by the hosts of a region.
+
+Answers demand that no host sees whole: one organisation that sends many
+times its rate, callers that move, a surge near the limit. In each region
+one host per organisation, found by rendezvous hashing, keeps the region's
+part of the bucket and grants single requests from it; regions divide the
+rate by the demand that they tell each other. A host that can't reach the
+keeper lives on a small part of its own. Nothing is stored: a keeper that
+starts begins with an empty bucket, since its predecessor may have granted
+everything.
+
+Urgent routes are served first from a bucket that runs low: the others leave
+a part of it in reserve.
+"""
+
+import dataclasses
+import typing as t
+import zlib
+
+from ..world import catalog
+
+# Part of the users' tolerance that is used; the rest covers keepers that
+# change and regions whose figures of each other's demand are old.
+TOLERANCE_USED = 0.75
+# Part of the bucket that a route leaves untouched, by steps of urgency.
+RESERVE_STEP = 0.12
+RESERVE_MAX = 0.36
+# Weight of the latest period in the mean demand.
+DEMAND_WEIGHT = 0.4
+# A region's part of the rate at least, of what its hosts would make.
+PART_MIN = 0.3
+# Age after which another region's demand is not trusted.
+DEMAND_FADES_S = 4.0
+# Part of the rate, divided by hosts, of one that can't reach the keeper.
+ALONE_PART = 0.6
+
+
+def keeper(organisation: str, addresses: t.Iterable[str]) -> str:
+    """Return the host that keeps an organisation's bucket, "" for none."""
+    return max(
+        addresses,
+        key=lambda address: zlib.crc32(f"{organisation} {address}".encode()),
+        default="",
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    filled: float
+    asked: float = 0.0
+    demand_per_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """A keeper's answer.
+
+    :param granted: whether the request may run.
+    :param wait_ms: when to ask again if not.
+    """
+
+    granted: bool
+    wait_ms: int = 0
+
+
+class RatePool:
+    """The buckets that a host keeps or may have to keep.
+
+    :param overage: fraction by which a rate may be passed.
+    :param slack: requests by which it may be passed besides.
+    :param full: whether buckets begin full.
+    """
+
+    def __init__(self, overage: float, slack: float, full: bool) -> None:
+        self._factor = 1.0 + overage * TOLERANCE_USED
+        self._slack = slack * TOLERANCE_USED
+        self._full = full
+        self._organisations: t.Mapping[str, catalog.Organisation] = {}
+        self._buckets: dict[str, _Bucket] = {}
+        self._hosts_part = 1.0
+        self._hosts = 1
+        self._remote: dict[str, tuple[dict[str, float], float]] = {}
+        self._measured = 0.0
+
+    def learn_organisations(
+        self, organisations: t.Mapping[str, catalog.Organisation]
+    ) -> None:
+        """Apply the organisations' rates."""
+        self._organisations = organisations
+        for name in list(self._buckets):
+            if name not in organisations:
+                del self._buckets[name]
+
+    def learn_hosts(self, own_region: int, everywhere: int) -> None:
+        """Apply how many hosts the region and all regions have."""
+        self._hosts = max(1, everywhere)
+        self._hosts_part = max(1, own_region) / self._hosts
+
+    def learn_demand(
+        self, region: str, demand_per_s: dict[str, float], now: float
+    ) -> None:
+        """Note what another region's callers ask for."""
+        known, _ = self._remote.get(region, ({}, now))
+        self._remote[region] = ({**known, **demand_per_s}, now)
+
+    def limited(self, organisation: str) -> bool:
+        """Return whether an organisation has a limit."""
+        known = self._organisations.get(organisation)
+        return known is not None and known.rate_per_s > 0
+
+    def grant(self, organisation: str, urgency: int, now: float) -> Grant:
+        """Take a request from a bucket that this host keeps.
+
+        :param urgency: the route's priority, 0 is the most urgent.
+        """
+        known = self._organisations.get(organisation)
+        if known is None or known.rate_per_s <= 0:
+            return Grant(True)
+        part = self._part(organisation, known, now)
+        rate = known.rate_per_s * self._factor * part
+        size = max(1.0, (known.burst * self._factor + self._slack) * part)
+        bucket = self._buckets.get(organisation)
+        if bucket is None:
+            tokens = size if self._full else 0.0
+            bucket = self._buckets[organisation] = _Bucket(tokens, now)
+        gained = (now - bucket.filled) * rate
+        bucket.tokens = min(size, bucket.tokens + gained)
+        bucket.filled = now
+        bucket.asked += 1.0
+        reserve = min(RESERVE_MAX, RESERVE_STEP * urgency) * size
+        needed = 1.0 + min(reserve, size - 1.0)
+        if bucket.tokens >= needed:
+            bucket.tokens -= 1.0
+            return Grant(True)
+        return Grant(False, int((needed - bucket.tokens) / rate * 1000) + 1)
+
+    def measure(self, now: float) -> dict[str, float]:
+        """Close a period and return the mean demands of this region."""
+        period_s = now - self._measured
+        self._measured = now
+        if period_s <= 0:
+            return {}
+        for bucket in self._buckets.values():
+            latest = bucket.asked / period_s
+            bucket.asked = 0.0
+            bucket.demand_per_s += DEMAND_WEIGHT * (
+                latest - bucket.demand_per_s
+            )
+        return {
+            name: round(bucket.demand_per_s, 2)
+            for name, bucket in self._buckets.items()
+            if bucket.demand_per_s >= 0.1
+        }
+
+    def _part(
+        self, name: str, known: catalog.Organisation, now: float
+    ) -> float:
+        """Return the region's part of an organisation's rate."""
+        if self._hosts_part >= 1.0:
+            return 1.0
+        heard = [
+            demand.get(name, 0.0)
+            for demand, at in self._remote.values()
+            if now - at < DEMAND_FADES_S
+        ]
+        if not heard:
+            return self._hosts_part
+        bucket = self._buckets.get(name)
+        own = bucket.demand_per_s if bucket is not None else 0.0
+        # Regions see each other's demand late, so that some of the rate
+        # stays divided by hosts.
+        floor = known.rate_per_s * 0.1
+        own += floor * self._hosts_part
+        others = sum(heard) + floor * (1.0 - self._hosts_part)
+        return max(PART_MIN * self._hosts_part, own / (own + others))
+
+
+class Alone:
+    """What a host may admit while it can't reach a keeper."""
+
+    def __init__(self) -> None:
+        self._tokens: dict[str, tuple[float, float]] = {}
+
+    def take(
+        self, known: catalog.Organisation, hosts: int, now: float
+    ) -> bool:
+        """Return whether a request may run."""
+        rate = known.rate_per_s * ALONE_PART / max(1, hosts)
+        tokens, filled = self._tokens.get(known.name, (0.0, now))
+        tokens = min(1.0, tokens + (now - filled) * rate)
+        taken = tokens >= 1.0
+        self._tokens[known.name] = (tokens - 1.0 if taken else tokens, now)
+        return taken
