Refuse chains at their top by what they wait below; ration repeats

When all its upstreams reject a part of the requests (srv_grey), the few repeats that the budget allows were spread over all chains, and repeats of answers that had failed further below multiplied.

Change: each gate learns what the requests of a route wait below it and tells it with each result; the entry refuses a part of new requests that grows with it. Which routes make which calls is learned from counts. A failure below is not repeated above. The budget of repeats is a sliding window, spent by urgency and by a place in the line that a chain draws once.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -22,9 +22,11 @@
 from . import options
 from . import rates
 
-# Hosts that a request may be offered to; only upstreams that it reached
-# count as attempts of its route.
-OFFERS_MAX = 3
+# Times that a request may be offered to hosts; only upstreams that it
+# reached count as attempts of its route.
+OFFERS_MAX = 8
+# Offers to gates that refused before the request reached an upstream.
+GATES_MAX = 3
 # A caller that has less time than usual by this factor came back.
 RETURNED_FRACTION = 0.93
 # Time in which an answer must come for a repeat to be worth sending.
@@ -35,6 +37,8 @@
 # Priorities of organisations go before those of routes by this factor.
 ROUTE_RANKS = 16
 UNREACHED_S = 0.6
+# Places in the line for repeats that chains draw from.
+PLACES = 256
 _SERVER_ERROR = 500
 
 
@@ -57,7 +61,6 @@
     """A request in progress at the entry."""
 
     __slots__ = (
-        "arrivals",
         "clients_ms",
         "deadline",
         "done",
@@ -68,7 +71,9 @@
         "offers",
         "organisation",
         "parent",
+        "place",
         "rank",
+        "reached",
         "request",
         "request_id",
         "route",
@@ -87,6 +92,7 @@
         self.service = ""
         self.organisation = ""
         self.rank = 0
+        self.place = 0
         self.flags = 0
         self.deadline = 0.0
         self.clients_ms = 0
@@ -96,7 +102,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.tried: list[str] = []
         self.offers = 0
-        self.arrivals = 0
+        # Upstreams that the request has reached.
+        self.reached: list[str] = []
         self.instance_id = ""
         # The worst that is known of earlier attempts.
         self.known: results.ResultCode | None = None
@@ -156,7 +163,9 @@
         )
         self.splits = splits.Splits(source)
         self.repeats = repeatbudget.RepeatBudget(
-            chosen.bounds.retry_ratio, chosen.bounds.retry_slack
+            chosen.bounds.retry_ratio,
+            chosen.bounds.retry_slack,
+            chosen.bounds.retry_window_s,
         )
         self.backpressure = backpressure.Backpressure()
         self.active = 0
@@ -213,10 +222,11 @@
         """Choose a call's service and offer the call to its hosts."""
         call.service = self.splits.choose(t.cast(catalog.Route, call.route))
         # Arrivals below a repeat count as repeats where they arrive.
+        now = self._loop.time()
         if call.flags & frames.Flag.REPEAT:
-            self.repeats.charge(call.service)
+            self.repeats.charge(call.service, now)
         else:
-            self.repeats.first(call.service)
+            self.repeats.first(call.service, now)
         self._offer(call)
 
     def _prepare(self, call: Call, now: float) -> results.ResultCode | None:
@@ -282,15 +292,17 @@
             keyed = self._catalog is not None and self._catalog.keyed
             given_up_at = now + call.clients_ms / 1000
             call.parent = self._gate.lineage.call(
-                route.name, given_up_at, exact_only=not keyed
+                route.name, given_up_at, not keyed, now
             )
         if call.parent is not None:
             run: gate.Run = call.parent.owner
             call.flags |= frames.Flag.CHILD
             call.rank = run.call.rank
+            call.place = run.call.place
             if run.repeat:
                 call.flags |= frames.Flag.REPEAT
             return
+        call.place = self._random.randrange(PLACES)
         usual_ms = self._usual_ms.get(route.name, 0)
         if call.clients_ms > usual_ms:
             self._usual_ms[route.name] = call.clients_ms
@@ -309,8 +321,9 @@
             return None
         returned = bool(call.flags & frames.Flag.RETURNED)
         draw = self._random.random()
+        useful_s = min(route.objective_s, route.timeout_s)
         if self.backpressure.refuses(
-            route.name, route.objective_s, returned, draw, now
+            route.name, useful_s, returned, draw, now
         ):
             return results.SHED_FOR_CHAIN
         return None
@@ -322,9 +335,7 @@
         left_s = call.deadline - now
         instance = None
         if left_s > 0:
-            instance = self.placement.choose(
-                call.service, route.name, call.tried, now
-            )
+            instance = self._choose(call, route, now)
         if instance is None:
             self._fail(call, call.known or results.NO_HOST)
             return
@@ -347,6 +358,7 @@
             remaining_ms=max(1, int(left_s * 1000)),
             objective_ms=int(call.objective_s * 1000),
             rank=call.rank,
+            place=call.place,
             flags=int(call.flags),
             organisation=call.organisation,
             caller_service=self._options.service,
@@ -359,6 +371,17 @@
             instance, sent, lambda result: self._result(call, instance, result)
         )
 
+    def _choose(
+        self, call: Call, route: catalog.Route, now: float
+    ) -> catalog.Instance | None:
+        """Return the best upstream that the route's attempts allow."""
+        choose = self.placement.choose
+        if len(call.reached) < route.attempts:
+            found = choose(call.service, route.name, call.tried, now)
+            if found is not None or not call.reached:
+                return found
+        return choose(call.service, route.name, (), now, only=call.reached)
+
     def _offer_own(
         self, call: Call, instance: catalog.Instance, sent: frames.Call
     ) -> None:
@@ -386,16 +409,16 @@
         if call.done:
             return
         call.withdraw = None
-        if result.arrived:
-            call.arrivals += 1
-        wait_s = max(result.below_ms, 0) / 1000
-        self.backpressure.note(route.name, wait_s, now)
+        if result.arrived and call.instance_id not in call.reached:
+            call.reached.append(call.instance_id)
+        self.backpressure.note(route.name, result.below_ms / 1000, now)
         if call.parent is not None:
-            run: gate.Run = call.parent.owner
-            below_s = max(result.below_ms, result.wait_ms) / 1000
-            run.below_s = max(run.below_s, below_s)
+            wait_s = (result.below_ms + result.wait_ms) / 1000
+            self._gate.below.called(call.parent.route, wait_s, now)
         if result.answered:
-            failed = result.status >= _SERVER_ERROR
+            # What failed below would fail again, and all that it calls
+            # would be called again.
+            failed = result.status >= _SERVER_ERROR and not result.chained
             if failed and self._repeat_pays(call, route, result, now):
                 self._repeat(call)
                 return
@@ -447,7 +470,7 @@
             return False
         if code.not_run and not result.arrived:
             useful = call.deadline - now > REPEAT_USEFUL_S
-            return useful and call.offers < OFFERS_MAX
+            return useful and call.offers < GATES_MAX
         if not code.not_run and not call.idempotent:
             return False
         return self._repeat_pays(call, route, result, now)
@@ -462,13 +485,19 @@
         """Return whether a repeat is allowed and may still be answered."""
         if result.answered and not call.idempotent:
             return False
-        if call.arrivals >= route.attempts or call.offers >= OFFERS_MAX:
+        if call.offers >= OFFERS_MAX:
             return False
-        if call.flags & frames.Flag.REPEAT:
+        ran = not results.by_number(result.code).not_run
+        if ran and len(call.reached) >= route.attempts:
             return False
         if call.deadline - now < max(REPEAT_USEFUL_S, result.run_ms / 1000):
             return False
-        return self.repeats.spend(call.service)
+        claim = repeatbudget.Claim(
+            urgency=call.rank % ROUTE_RANKS,
+            place=call.place / PLACES,
+            answered=call.parent.answered if call.parent is not None else 0,
+        )
+        return self.repeats.spend(call.service, claim, now)
 
     def _repeat(self, call: Call, counted: bool = True) -> None:
         if counted:
@@ -525,12 +554,13 @@
         if call.timer is not None:
             call.timer.cancel()
         call.request.abandoned = None
+        now = self._loop.time()
+        served = code is results.ANSWERED and status < _SERVER_ERROR
         if call.parent is not None:
-            self._gate.lineage.answered(call.parent, self._loop.time())
-        taken_s = self._loop.time() - call.started
+            self._gate.lineage.answered(call.parent, served, now)
+        taken_s = now - call.started
         route = call.route.name if call.route is not None else ""
         self._counts.ended(route, code, taken_s)
-        served = code is results.ANSWERED and status < _SERVER_ERROR
         fields: dict[str, t.Any] = {
             "id": call.request_id.decode("latin-1"),
             "route": route,
@@ -542,14 +572,15 @@
             "rank": call.rank,
             "organisation": call.organisation,
             "hosts": call.tried,
-            "arrivals": call.arrivals,
+            "reached": call.reached,
+            "offers": call.offers,
             "version": self._catalog.version if self._catalog else 0,
         }
         if call.parent is not None:
             run: gate.Run = call.parent.owner
             fields["parent"] = run.call.request_id.decode("latin-1")
         if not served and call.route is not None:
-            wait_s = self.backpressure.wait_s(route, self._loop.time())
+            wait_s = self.backpressure.wait_s(route, now)
             fields["below_ms"] = round(wait_s * 1000, 1)
         self._log.request(served, fields)
 
@@ -563,6 +594,14 @@
     def _expired(self, call: Call) -> None:
         if call.done:
             return
+        now = self._loop.time()
+        route = t.cast(catalog.Route, call.route)
+        # No result came that could tell how long the chain waits.
+        taken_s = now - call.started
+        if call.parent is not None:
+            self._gate.below.called(call.parent.route, taken_s, now)
+        elif self.backpressure.wait_s(route.name, now) > 0.0:
+            self.backpressure.note(route.name, taken_s, now)
         not_sent = self._withdraw(call)
         if not_sent and call.known is None:
             self._fail(call, results.DEADLINE_TOO_SHORT)
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -50,6 +50,7 @@
     :param remaining_ms: time in which an answer is of use.
     :param objective_ms: time in which it is worth most, from now.
     :param rank: 0 is the most urgent.
+    :param place: of its chain in the line for repeats, 0 to 255.
     :param flags: see :class:`Flag`.
     :param organisation: holder of the caller's key, empty if none.
     :param caller_service: service on the host where the request began.
@@ -66,6 +67,7 @@
     remaining_ms: int
     objective_ms: int
     rank: int
+    place: int
     flags: int
     organisation: str
     caller_service: str
@@ -81,7 +83,8 @@
     :param retry_after_ms: when to come back, 0 if unknown.
     :param arrived: whether the request reached the upstream.
     :param wait_ms: expected wait of such a call at this gate.
-    :param below_ms: longest wait that its own calls have met.
+    :param below_ms: expected wait of calls that the upstream makes for it.
+    :param chained: whether a call that the upstream made for it has failed.
     :param run_ms: time that the upstream took.
     :param load: requests that run and wait at the gate.
     :param limit: requests that the gate lets run.
@@ -96,6 +99,7 @@
     arrived: bool = False
     wait_ms: int = 0
     below_ms: int = 0
+    chained: bool = False
     run_ms: int = 0
     load: int = 0
     limit: int = 0
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from .. import results
+from ..decisions import backpressure
 from ..decisions import gatequeue
 from ..decisions import lineage
 from . import callers
@@ -38,7 +39,6 @@
     """
 
     __slots__ = (
-        "below_s",
         "call",
         "connection",
         "deadline",
@@ -62,8 +62,6 @@
         self.started = 0.0
         # As what its own calls are recognised.
         self.parent: lineage.Parent | None = None
-        # Longest wait that its own calls have met.
-        self.below_s = 0.0
         self.timer: asyncio.TimerHandle | None = None
         self.state = State.WAITING
         # Nobody waits for its result any more.
@@ -99,6 +97,7 @@
         self._queue = queue
         self._loop = asyncio.get_running_loop()
         self.lineage = lineage.Lineage()
+        self.below = backpressure.ChainWaits()
         self.leaving = False
 
     @property
@@ -293,7 +292,9 @@
         if run.timer is not None:
             run.timer.cancel()
         if run.parent is not None:
-            self.lineage.end(run.parent)
+            self.lineage.end(run.parent, self._loop.time())
+            if ran_s is not None:
+                self.below.ran(run.call.route, run.parent.answered)
         job = t.cast(gatequeue.Job, run.job)
         change = self._queue.finish(job, ran_s, self._loop.time())
         for late in change.dropped:
@@ -313,7 +314,12 @@
             return
         call, queue = run.call, self._queue
         child = bool(call.flags & frames.Flag.CHILD)
+        now = self._loop.time()
         wait_s = queue.wait_s(call.rank, child)
+        if run.job is not None:
+            # More urgent requests that come later prolong a wait.
+            until = run.started or now
+            wait_s = max(wait_s, until - run.job.arrived)
         headers: callers.Headers = []
         if reply is not None:
             headers = self._returned_headers(reply)
@@ -327,7 +333,8 @@
                 retry_after_ms=int(wait_s * 1000),
                 arrived=run.started > 0.0,
                 wait_ms=int(wait_s * 1000),
-                below_ms=int(run.below_s * 1000),
+                below_ms=int(self.below.expected_s(call.route, now) * 1000),
+                chained=run.parent is not None and run.parent.failed > 0,
                 run_ms=int(ran_s * 1000) if ran_s is not None else 0,
                 load=queue.running + queue.waiting,
                 limit=queue.limit,
--- a/src/savorytally/decisions/backpressure.py
+++ b/src/savorytally/decisions/backpressure.py
@@ -1,74 +1,107 @@
 """Refuses requests at the top of a chain whose lower end is overloaded.
 
-Answers an overload of a deep service that many routes end in: results tell
-how long calls below waited, and a part of the route's new requests that
-grows with that wait is refused before any of the chain has run. A request
-that comes back after a refusal is refused half as often as a new one.
+Answers an overload of a deep service that many routes end in. Each gate
+learns how long the calls of its upstream's requests wait, and how many calls
+a request of a route makes; the product is what a request waits below it, and
+is told with each result, so that it adds up along the chain. At the top a
+part of the route's new requests is refused before any of the chain has run;
+the part grows with that wait. A request that comes back after a refusal is
+refused half as often as a new one.
 """
 
 import dataclasses
 import math
 
-# Waits below, as parts of the objective, between which the refused part
-# grows from none to all but a floor.
-WAIT_FROM = 0.03
-WAIT_TO = 0.14
+# Waits below, as parts of the time in which an answer is of use, between
+# which the refused part grows from none to all but a floor.
+WAIT_FROM = 0.12
+WAIT_TO = 0.42
 # Refused at most, so that the route learns when the wait has gone.
 REFUSED_MAX = 0.92
 RETURNED_FACTOR = 0.5
-# Weight of the latest result in the mean wait.
-WEIGHT = 0.25
+# Weight of the latest result in a mean wait.
+WEIGHT = 0.3
+# Weight of the latest run in the mean number of calls.
+CALLS_WEIGHT = 0.1
 # Time in which a mean without new results falls to a third.
 FADE_S = 0.8
 
 
 @dataclasses.dataclass(slots=True)
-class _Wait:
-    mean_s: float = 0.0
+class _Mean:
+    """A mean that fades when nothing new is heard."""
+
+    value_s: float = 0.0
     at: float = 0.0
 
+    def now(self, now: float) -> float:
+        return self.value_s * math.exp(-(now - self.at) / FADE_S)
+
+    def add(self, value_s: float, now: float) -> None:
+        known_s = self.now(now)
+        self.value_s = known_s + WEIGHT * (value_s - known_s)
+        self.at = now
+
+
+class ChainWaits:
+    """What the requests of each route wait for below one gate."""
+
+    def __init__(self) -> None:
+        self._waits: dict[str, _Mean] = {}
+        self._calls: dict[str, float] = {}
+
+    def called(self, route: str, wait_s: float, now: float) -> None:
+        """Note how long a call of one of the route's requests waited."""
+        self._waits.setdefault(route, _Mean()).add(wait_s, now)
+
+    def ran(self, route: str, calls: int) -> None:
+        """Note how many calls a request of the route has made."""
+        known = self._calls.get(route, float(calls))
+        self._calls[route] = known + CALLS_WEIGHT * (calls - known)
+
+    def expected_s(self, route: str, now: float) -> float:
+        """Return how long a request of the route waits below."""
+        wait = self._waits.get(route)
+        if wait is None:
+            return 0.0
+        return wait.now(now) * max(1.0, self._calls.get(route, 1.0))
+
 
 class Backpressure:
-    """Expected waits below each route, as one node has seen them."""
+    """Expected waits below each route, as one entry has heard of them."""
 
     def __init__(self) -> None:
-        self._waits: dict[str, _Wait] = {}
+        self._waits: dict[str, _Mean] = {}
 
     def note(self, route: str, wait_s: float, now: float) -> None:
-        """Note how long calls below a request of the route waited."""
-        wait = self._waits.setdefault(route, _Wait())
-        mean_s = self._mean_s(wait, now)
-        wait.mean_s = mean_s + WEIGHT * (wait_s - mean_s)
-        wait.at = now
+        """Note how long a request of the route waited below."""
+        self._waits.setdefault(route, _Mean()).add(wait_s, now)
 
     def wait_s(self, route: str, now: float) -> float:
         """Return the expected wait below a route."""
         wait = self._waits.get(route)
-        return self._mean_s(wait, now) if wait is not None else 0.0
+        return wait.now(now) if wait is not None else 0.0
 
     def refuses(
         self,
         route: str,
-        objective_s: float,
+        useful_s: float,
         returned: bool,
         draw: float,
         now: float,
     ) -> bool:
         """Return whether a new request of the route is refused.
 
+        :param useful_s: time in which its answer is of use.
         :param returned: whether its caller came back after a refusal.
         :param draw: a random number from 0 to 1.
         """
         wait_s = self.wait_s(route, now)
         if not wait_s:
             return False
-        low_s, high_s = WAIT_FROM * objective_s, WAIT_TO * objective_s
+        low_s, high_s = WAIT_FROM * useful_s, WAIT_TO * useful_s
         part = (wait_s - low_s) / (high_s - low_s)
         part = min(REFUSED_MAX, max(0.0, part))
         if returned:
             part *= RETURNED_FACTOR
         return draw < part
-
-    @staticmethod
-    def _mean_s(wait: _Wait, now: float) -> float:
-        return wait.mean_s * math.exp(-(now - wait.at) / FADE_S)
--- a/src/savorytally/decisions/lineage.py
+++ b/src/savorytally/decisions/lineage.py
@@ -3,20 +3,21 @@
 Answers chains whose calls do not name their parent: a call inherits its
 root's rank and tells its parent how long it waited, so that an overload at
 the lower end of a chain is seen at its top. A call that ends exactly with a
-request's own time belongs to it; otherwise upstreams that call one after
-the other are recognised by a call that follows the answer to the last one,
-among the routes that were seen to make such calls.
+request's own time belongs to it. Other calls are given to the idle request
+with the latest event, since upstreams that call one after the other send
+the next call when the last one was answered. Only routes that make such
+calls are considered.
 """
 
 import dataclasses
 import typing as t
 
-# An upstream hands down whole milliseconds of what is left of its time.
-EXACT_S = 0.0025
-# Exact matches after which only routes that were seen to call are taken.
-EVIDENCE_MIN = 4
-# Part of the matches below which a route's matches are taken for chance.
-EVIDENCE_PART = 0.15
+from . import callmodel
+
+# Upstreams hand down whole milliseconds of what is left of their time; a
+# call is seen up to this time before or after the request's own end.
+EARLY_S = 0.001
+LATE_S = 0.002
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -28,6 +29,8 @@
     :param owner: what the gate knows it by.
     :param last: when it was started or got its latest answer.
     :param calls: calls of it that have no answer yet.
+    :param answered: calls of it that were answered.
+    :param failed: calls of it that failed.
     """
 
     route: str
@@ -35,6 +38,8 @@
     owner: t.Any
     last: float
     calls: int = 0
+    answered: int = 0
+    failed: int = 0
 
 
 class Lineage:
@@ -42,7 +47,7 @@
 
     def __init__(self) -> None:
         self._parents: set[Parent] = set()
-        self._evidence: dict[str, dict[str, int]] = {}
+        self._model = callmodel.CallModel()
 
     def begin(
         self, route: str, deadline: float, owner: t.Any, now: float
@@ -50,14 +55,16 @@
         """Note that a request was handed to the upstream."""
         parent = Parent(route, deadline, owner, now)
         self._parents.add(parent)
+        self._model.ran(route, now)
         return parent
 
-    def end(self, parent: Parent) -> None:
+    def end(self, parent: Parent, now: float) -> None:
         """Note that a request has ended."""
         self._parents.discard(parent)
+        self._model.ran(parent.route, now)
 
     def call(
-        self, route: str, deadline: float, exact_only: bool
+        self, route: str, deadline: float, exact_only: bool, now: float
     ) -> Parent | None:
         """Return the request that a new call belongs to.
 
@@ -65,41 +72,37 @@
         :param deadline: when the upstream gives the call up.
         :param exact_only: whether callers' own requests may look alike.
         """
-        parent = self._exact(deadline)
-        if parent is not None:
-            seen = self._evidence.setdefault(route, {})
-            seen[parent.route] = seen.get(parent.route, 0) + 1
-        elif not exact_only:
-            parent = self._latest(route, deadline)
+        parent = self._choose(route, deadline, exact_only)
         if parent is not None:
             parent.calls += 1
+            self._model.called(route, now)
         return parent
 
-    def answered(self, parent: Parent, now: float) -> None:
-        """Note that a call of a request has been answered."""
+    def answered(self, parent: Parent, good: bool, now: float) -> None:
+        """Note that a call of a request has ended."""
         parent.calls -= 1
         parent.last = now
+        if good:
+            parent.answered += 1
+        else:
+            parent.failed += 1
 
-    def _exact(self, deadline: float) -> Parent | None:
-        best: Parent | None = None
-        best_s = EXACT_S
-        for parent in self._parents:
-            off_s = abs(parent.deadline - deadline)
-            if off_s < best_s:
-                best, best_s = parent, off_s
-        return best
-
-    def _latest(self, route: str, deadline: float) -> Parent | None:
-        """Return the idle request with the latest event that may call."""
-        seen = self._evidence.get(route, {})
-        total = sum(seen.values())
-        best: Parent | None = None
+    def _choose(
+        self, route: str, deadline: float, exact_only: bool
+    ) -> Parent | None:
+        exact: Parent | None = None
+        latest: Parent | None = None
+        exact_s = 1.0
         for parent in self._parents:
-            if parent.calls or parent.deadline < deadline - EXACT_S:
+            off_s = parent.deadline - deadline
+            if off_s < -EARLY_S or not self._model.calls(parent.route, route):
+                continue
+            if off_s <= LATE_S and abs(off_s) < exact_s:
+                exact, exact_s = parent, abs(off_s)
+            if parent.calls:
                 continue
-            if total >= EVIDENCE_MIN:
-                if seen.get(parent.route, 0) < EVIDENCE_PART * total:
-                    continue
-            if best is None or parent.last > best.last:
-                best = parent
-        return best
+            if latest is None or parent.last > latest.last:
+                latest = parent
+        if exact is not None or exact_only:
+            return exact
+        return latest
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -96,12 +96,20 @@
         route: str,
         tried: t.Container[str],
         now: float,
+        only: t.Container[str] | None = None,
     ) -> catalog.Instance | None:
-        """Return the upstream that should answer first, if there is any."""
+        """Return the upstream that should answer first, if there is any.
+
+        :param tried: upstreams that are left out.
+        :param only: the upstreams to choose from, all if not given.
+        """
         best: _Known | None = None
         best_score = float("inf")
         for known in self._services.get(service, ()):
-            if known.leaving or known.instance.instance_id in tried:
+            name = known.instance.instance_id
+            if known.leaving or name in tried:
+                continue
+            if only is not None and name not in only:
                 continue
             score = self._score(known, route, now)
             if score < best_score:
--- a/src/savorytally/decisions/ratepool.py
+++ b/src/savorytally/decisions/ratepool.py
@@ -21,7 +21,7 @@
 
 # Part of the users' tolerance that is used; the rest covers keepers that
 # change and regions whose figures of each other's demand are old.
-TOLERANCE_USED = 0.75
+TOLERANCE_USED = 0.55
 # Part of the bucket that a route leaves untouched, by steps of urgency.
 RESERVE_STEP = 0.12
 RESERVE_MAX = 0.36
@@ -50,6 +50,8 @@
     filled: float
     asked: float = 0.0
     demand_per_s: float = 0.0
+    # As of the period before: the other regions know no later figure.
+    demand_before_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,6 +146,7 @@
         for bucket in self._buckets.values():
             latest = bucket.asked / period_s
             bucket.asked = 0.0
+            bucket.demand_before_per_s = bucket.demand_per_s
             bucket.demand_per_s += DEMAND_WEIGHT * (
                 latest - bucket.demand_per_s
             )
@@ -167,7 +170,7 @@
         if not heard:
             return self._hosts_part
         bucket = self._buckets.get(name)
-        own = bucket.demand_per_s if bucket is not None else 0.0
+        own = bucket.demand_before_per_s if bucket is not None else 0.0
         # Regions see each other's demand late, so that some of the rate
         # stays divided by hosts.
         floor = known.rate_per_s * 0.1
--- a/src/savorytally/decisions/repeatbudget.py
+++ b/src/savorytally/decisions/repeatbudget.py
@@ -1,14 +1,69 @@
 """How many requests may be sent a second time, over all hosts together.
 
-Answers retries that multiply along a chain: each service has a budget that
-its first arrivals fill, each host keeps its part of it, and arrivals below a
-request that is itself a repeat are charged to it.
+Answers retries that multiply along a chain, and upstreams that reject a part
+of all requests: each service has a budget in proportion to its first
+arrivals in a sliding window, each host keeps its own account of it, and
+arrivals below a request that is itself a repeat are charged to it.
+
+Where the budget is short, it is spent on few chains rather than a little on
+all of them, since a chain is lost with the first of its calls that fails.
+Each chain draws a place in the line once, at its top; those in front may
+use all of the budget, the others leave a part of it. Urgent chains and ones
+that have got far stand further in front.
 """
 
+import collections
+import dataclasses
+
 # Part of the users' ratio and slack that is used; arrivals below repeats
 # are charged only after they happened.
-RATIO_USED = 0.5
+RATIO_USED = 0.8
 SLACK_USED = 0.5
+# Steps into which the window is divided.
+STEPS = 20
+# Part of the budget that a chain leaves, by steps of urgency, for the last
+# place in the line, and less for each call of it that was answered.
+LEFT_URGENCY = 0.35
+LEFT_PLACE = 0.5
+LEFT_PROGRESS = 0.12
+LEFT_MAX = 0.95
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """What a request that would be repeated belongs to.
+
+    :param urgency: priority at the top of the chain, 0 is the most urgent.
+    :param place: the chain's place in the line, 0 to 1.
+    :param answered: calls of its parent that were answered.
+    """
+
+    urgency: int = 0
+    place: float = 0.0
+    answered: int = 0
+
+    @property
+    def leaves(self) -> float:
+        """Part of the budget that is left to others."""
+        left = LEFT_URGENCY * self.urgency + LEFT_PLACE * self.place
+        left -= LEFT_PROGRESS * self.answered
+        return min(LEFT_MAX, max(0.0, left))
+
+
+@dataclasses.dataclass(slots=True)
+class _Step:
+    number: int
+    firsts: int = 0
+    repeats: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Account:
+    """Arrivals at a service in the last window."""
+
+    steps: collections.deque[_Step]
+    firsts: int = 0
+    repeats: int = 0
 
 
 class RepeatBudget:
@@ -16,31 +71,54 @@
 
     :param ratio: repeats per first arrival that all hosts may send.
     :param slack: repeats beyond that in a window, over all hosts.
+    :param window_s: the window.
     """
 
-    def __init__(self, ratio: float, slack: float) -> None:
-        self._earned = ratio * RATIO_USED
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self._ratio = ratio * RATIO_USED
         self._slack = slack * SLACK_USED
-        self._size = self._slack
-        self._tokens: dict[str, float] = {}
+        self._step_s = window_s / STEPS
+        self._own_slack = self._slack
+        self._accounts: dict[str, _Account] = {}
 
     def learn_hosts(self, hosts: int) -> None:
         """Apply the number of hosts that share the budget."""
-        self._size = max(1.0, self._slack / max(1, hosts))
+        self._own_slack = self._slack / max(1, hosts)
 
-    def first(self, service: str) -> None:
+    def first(self, service: str, now: float) -> None:
         """Note the first arrival of a request at a service."""
-        tokens = self._tokens.get(service, self._size) + self._earned
-        self._tokens[service] = min(self._size, tokens)
+        account = self._at(service, now)
+        account.steps[-1].firsts += 1
+        account.firsts += 1
 
-    def charge(self, service: str) -> None:
+    def charge(self, service: str, now: float) -> None:
         """Note an arrival that repeats one, allowed or not."""
-        tokens = self._tokens.get(service, self._size)
-        self._tokens[service] = tokens - 1.0
+        account = self._at(service, now)
+        account.steps[-1].repeats += 1
+        account.repeats += 1
 
-    def spend(self, service: str) -> bool:
+    def spend(self, service: str, claim: Claim, now: float) -> bool:
         """Return whether one more repeat may be sent, and charge it."""
-        if self._tokens.get(service, self._size) < 1.0:
+        account = self._at(service, now)
+        allowed = self._ratio * account.firsts + self._own_slack
+        allowed *= 1.0 - claim.leaves
+        if account.repeats + 1 > max(1.0, allowed):
             return False
-        self.charge(service)
+        self.charge(service, now)
         return True
+
+    def _at(self, service: str, now: float) -> _Account:
+        """Return a service's account with its window moved to now."""
+        account = self._accounts.get(service)
+        if account is None:
+            account = _Account(collections.deque())
+            self._accounts[service] = account
+        number = int(now / self._step_s)
+        steps = account.steps
+        if not steps or steps[-1].number != number:
+            steps.append(_Step(number))
+            while steps[0].number <= number - STEPS:
+                steps.popleft()
+            account.firsts = sum(step.firsts for step in steps)
+            account.repeats = sum(step.repeats for step in steps)
+        return account
