Test whole nodes on a network in memory; name the end of a connection

Cause: a stopping node ended a connection after its last answer without saying so in the answer, found by the first of the new tests.

Change: the answer's head is finished when it is sent, with 'Connection: close' if it is the last. A network in memory on the virtual loop carries whole nodes, upstreams, a store and callers.

Ruled out: nothing; the test failed before and passes now.

--- a/src/savorytally/dataplane/callers.py
+++ b/src/savorytally/dataplane/callers.py
@@ -61,6 +61,7 @@
     """
 
     __slots__ = (
+        "_body",
         "_connection",
         "_parts",
         "abandoned",
@@ -75,10 +76,12 @@
     def __init__(self, connection: "CallerConnection") -> None:
         self._connection = connection
         self._parts: list[bytes] = []
+        self._body = b""
         self.method = b""
         self.target = b""
         self.headers: Headers = []
         self.body = b""
+        # The head of the answer without its end.
         self.answer: bytes | None = None
         self.closes = False
         # Called without arguments if the caller leaves before its answer.
@@ -104,16 +107,17 @@
         parts = [status_line(status)]
         for name, value in headers:
             parts += (name, b": ", value, b"\r\n")
-        if self.closes:
-            parts.append(b"connection: close\r\n")
         if status >= 200 and status != 204:
             parts.append(b"content-length: %d\r\n" % len(body))
-        parts.append(b"\r\n")
-        if self.method != b"HEAD":
-            parts.append(body)
         self.answer = b"".join(parts)
+        self._body = b"" if self.method == b"HEAD" else body
         self._connection.flush()
 
+    def encoded(self) -> bytes:
+        """Return the bytes of the answer, as its connection goes on."""
+        end = b"connection: close\r\n\r\n" if self.closes else b"\r\n"
+        return t.cast(bytes, self.answer) + end + self._body
+
 
 class Server(t.Protocol):
     """What takes the requests of connections."""
@@ -262,8 +266,10 @@
         ready: list[bytes] = []
         while self._requests and self._requests[0].answer is not None:
             request = self._requests.popleft()
-            ready.append(t.cast(bytes, request.answer))
-            if request.closes or (self._server.closing and not self._requests):
+            if self._server.closing and not self._requests:
+                request.closes = True
+            ready.append(request.encoded())
+            if request.closes:
                 self._finish(ready)
                 return
         if ready and transport is not None:
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -42,6 +42,8 @@
     :param source: where publications are read.
     :param read_configuration: turns published bytes into a catalog; raises
         ``ValueError`` if they are malformed.
+    :param rand: random source of its decisions.
+    :param log_descriptor: where log lines are written.
     """
 
     def __init__(
@@ -51,12 +53,13 @@
         source: feed.Source,
         read_configuration: t.Callable[[bytes], catalog.Catalog],
         rand: random.Random,
+        log_descriptor: int = 1,
     ) -> None:
         self._options = chosen
         self._loop = asyncio.get_running_loop()
         self._random = rand
         self._read = read_configuration
-        self.log = journal.Journal(chosen.host_id)
+        self.log = journal.Journal(chosen.host_id, log_descriptor)
         self.counts = counters.Counters()
         self._upstream = pool.Pool(chosen.upstream)
         self.gate = gate.Gate(spoken, self._upstream, gatequeue.GateQueue())
--- /dev/null
+++ b/tests/fakes/mesh.py
@@ -0,0 +1,450 @@
+"""Nodes, upstreams, a store and callers on a network in memory."""
+
+import asyncio
+import base64
+import json
+import os
+import random
+import typing as t
+import urllib.parse
+
+from fakes import net
+import httptools
+
+from savorytally.dataplane import exchanges
+from savorytally.dataplane import options
+from savorytally.dataplane import pool
+from savorytally.dataplane import service
+from savorytally.platform import documents
+from savorytally.platform import headers
+from savorytally.platform import store
+
+SIGNATURE = "x-savorytally-response-signature"
+KEY = "secret-of-growers"
+UPSTREAM_PORT = 8547
+ENTRY_PORT = 8548
+READY_PORT = 8546
+PEER_PORT = 7000
+STORE = options.Address("10.200.1.7", 8545)
+
+
+class HttpServer(asyncio.Protocol):
+    """Parses requests and hands them to ``answer`` one by one."""
+
+    def __init__(self, answer: t.Callable[["HttpServer"], t.Any]) -> None:
+        self._answer = answer
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport: t.Any = None
+        self.target = b""
+        self.body = b""
+        self.headers: dict[str, str] = {}
+        self.lost = False
+
+    def connection_made(self, transport: t.Any) -> None:
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+
+    def data_received(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self.target, self.body, self.headers = b"", b"", {}
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self._answer(self)
+
+
+def response(
+    status: int, body: bytes = b"", headers: dict[str, str] | None = None
+) -> bytes:
+    """Return the bytes of a response."""
+    lines = [f"HTTP/1.1 {status} Any"]
+    given = {"content-length": str(len(body)), **(headers or {})}
+    lines += [f"{name}: {value}" for name, value in given.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Upstream:
+    """An upstream that answers after some work.
+
+    :param address: its host.
+    :param instance_id: its start.
+    """
+
+    def __init__(self, address: str, instance_id: str) -> None:
+        self.address = address
+        self.instance_id = instance_id
+        self.work_s = 0.01
+        self.running = 0
+        self.most = 0
+        self.ran: list[str] = []
+        self.seen: list[dict[str, str]] = []
+        self.arrived: list[str] = []
+        self.cut_off: list[str] = []
+        # Replaces the answer: gets connection, request id and the bytes.
+        self.fault: t.Callable[[t.Any, str, bytes], t.Any] | None = None
+        # Says per arrival whether it is rejected.
+        self.rejects: t.Callable[[], bool] = lambda: False
+        self.calls: t.Callable[[dict[str, str]], t.Any] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.create_server(
+            lambda: HttpServer(self._arrive), self.address, UPSTREAM_PORT
+        )
+
+    def _arrive(self, connection: HttpServer) -> None:
+        task = asyncio.ensure_future(
+            self._run(connection, dict(connection.headers), connection.body)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(
+        self, connection: HttpServer, given: dict[str, str], body: bytes
+    ) -> None:
+        name = given.get("x-savorytally-attempt-id", "")
+        self.arrived.append(name)
+        echo = {"x-savorytally-attempt-id": name}
+        meant = given.get("x-savorytally-expected-instance")
+        if meant and meant != self.instance_id:
+            connection.transport.write(response(421, b"", echo))
+            return
+        if self.rejects():
+            echo["x-savorytally-not-executed"] = "1"
+            connection.transport.write(response(503, b"", echo))
+            return
+        self.ran.append(name)
+        self.seen.append(given)
+        self.running += 1
+        self.most = max(self.most, self.running)
+        try:
+            status = 200
+            if self.calls is not None:
+                status = await self.calls(given)
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.running -= 1
+        if connection.lost:
+            self.cut_off.append(name)
+            return
+        echo[SIGNATURE] = f"sig-{name}"
+        answer = response(status, b"answer to " + name.encode(), echo)
+        if self.fault is not None:
+            self.fault(connection, name, answer)
+            return
+        connection.transport.write(answer)
+
+
+class Store:
+    """The platform's store: items, revisions, watches."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict[str, t.Any]] = {}
+        self.history: list[dict[str, t.Any]] = []
+        self.revision = 1
+        self.changed = asyncio.Event()
+        self.calls: list[str] = []
+        self.status = 0
+        self.page = 500
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.create_server(
+            lambda: HttpServer(self._arrive), STORE.host, STORE.port
+        )
+
+    def put(self, key: str, value: t.Any) -> None:
+        """Write an item; bytes are written as they are."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": base64.b64encode(raw).decode(),
+            "revision": self.revision,
+            "created": self.revision,
+            "lease": 0,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def delete(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self.history = []
+
+    def _note(self, event: dict[str, t.Any]) -> None:
+        self.history.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _arrive(self, connection: HttpServer) -> None:
+        task = asyncio.ensure_future(self._answer(connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, connection: HttpServer) -> None:
+        target = connection.target.decode()
+        self.calls.append(target)
+        path, _, query = target.partition("?")
+        given = dict(urllib.parse.parse_qsl(query))
+        if self.status:
+            connection.transport.write(response(self.status))
+            return
+        if path == "/-/kv-range":
+            after = given.get("after", "")
+            keys = sorted(key for key in self.items if key > after)
+            found = [self.items[key] for key in keys[: self.page]]
+            self._send(
+                connection,
+                {"items": found, "has_more": len(keys) > self.page},
+            )
+            return
+        after_revision = int(given["after"])
+        if not self.history or self.history[0]["revision"] > (
+            after_revision + 1
+        ):
+            if after_revision < self.revision:
+                connection.transport.write(response(410))
+                return
+        wait_s = int(given["wait_ms"]) / 1000
+        changed = self.changed
+        if self.revision <= after_revision:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        events = [
+            event
+            for event in self.history
+            if event["revision"] > after_revision
+        ]
+        self._send(connection, {"events": events})
+
+    def _send(self, connection: HttpServer, value: dict[str, t.Any]) -> None:
+        value["current_rev"] = self.revision
+        connection.transport.write(response(200, json.dumps(value).encode()))
+
+
+def route(service_name: str, **changes: t.Any) -> dict[str, t.Any]:
+    """Return a route as the operator writes it."""
+    return {
+        "host": "seeds.example",
+        "prefix": f"/{service_name}/",
+        "kind": "safe",
+        "timeout": "1000ms",
+        "target_latency": "500ms",
+        "priority": 1,
+        "service": service_name,
+        "retry_attempts": 2,
+        "auth_exempt": False,
+        **changes,
+    }
+
+
+def configuration(version: int, **changes: t.Any) -> dict[str, t.Any]:
+    """Return a configuration as the operator writes it."""
+    return {
+        "version": f"r{version}",
+        "routes": {
+            "r-lookup": route("drawers"),
+            "r-reserve": route("desk", kind="unsafe", priority=0),
+        },
+        "services": {},
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+        "tenants": {
+            "growers": {
+                "api_keys": [KEY],
+                "priority": 1,
+                "rate_per_s": 0,
+                "burst": 0,
+            }
+        },
+        **changes,
+    }
+
+
+class Host:
+    """A host of the mesh: its upstream and its node."""
+
+    def __init__(self, number: int, service_name: str, place: str) -> None:
+        self.address = f"10.1.0.{number}"
+        self.service_name = service_name
+        self.place = place
+        self.instance_id = f"i-{number}"
+        self.upstream = Upstream(self.address, self.instance_id)
+        self.node: service.Service | None = None
+        self.calls_store: store.Store | None = None
+
+    def options(self, **changes: t.Any) -> options.Options:
+        """Return the node's options."""
+        given: dict[str, t.Any] = {
+            "host_id": self.address,
+            "service": self.service_name,
+            "address": self.address,
+            "data_centre": self.place,
+            "regions": {"low-a": "low", "low-b": "low", "up-a": "up"},
+            "upstream": options.Address(self.address, UPSTREAM_PORT),
+            "entry": options.Address(self.address, ENTRY_PORT),
+            "ready": options.Address(self.address, READY_PORT),
+            "peer_port": PEER_PORT,
+            "metrics_port": PEER_PORT + 1,
+            "store": STORE,
+            "memory_bytes": 1 << 28,
+            "descriptors": 4100,
+            "first_start": True,
+            "bounds": options.Bounds(),
+        }
+        return options.Options(**{**given, **changes})
+
+    def entry(self, slots: int = 8, state: str = "ready") -> dict[str, t.Any]:
+        """Return the upstream's entry in the store."""
+        return {
+            "service": self.service_name,
+            "address": f"{self.address}:{UPSTREAM_PORT}",
+            "zone": self.place,
+            "version": "v1",
+            "slots": slots,
+            "state": state,
+            "cold_remaining": "0ms",
+            "sequence": 1,
+        }
+
+    async def start_node(self, **changes: t.Any) -> None:
+        """Start the node."""
+        self.calls_store = store.Store(STORE)
+        self.node = service.Service(
+            self.options(**changes),
+            headers.DIALECT,
+            self.calls_store,
+            documents.configuration,
+            random.Random(self.address),
+            log_descriptor=os.open(os.devnull, os.O_WRONLY),
+        )
+        await self.node.start()
+
+
+class Mesh:
+    """Hosts, store and callers."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+        self.hosts: list[Host] = []
+        self._ids = 0
+
+    @property
+    def net(self) -> net.Net:
+        """The network."""
+        loop = t.cast(net.NetLoop, asyncio.get_running_loop())
+        return loop.net
+
+    async def start(
+        self,
+        services: dict[str, list[str]],
+        slots: int = 8,
+        config: dict[str, t.Any] | None = None,
+        **changes: t.Any,
+    ) -> None:
+        """Start a host for each data centre that a service is given."""
+        await self.store.start()
+        for service_name, places in services.items():
+            for place in places:
+                host = Host(len(self.hosts) + 1, service_name, place)
+                self.hosts.append(host)
+                await host.upstream.start()
+                self.store.put(
+                    f"servers/{host.instance_id}", host.entry(slots)
+                )
+        self.store.put("op/config", config or configuration(1))
+        for host in self.hosts:
+            await host.start_node(**changes)
+        await asyncio.sleep(0.1)
+
+    async def send(
+        self,
+        host: Host,
+        target: str = "/drawers/1",
+        method: str = "GET",
+        remaining_ms: int | None = 2000,
+        key: str | None = KEY,
+        body: bytes = b"",
+        request_id: str = "",
+        more: dict[str, str] | None = None,
+        leave_after_s: float | None = None,
+    ) -> exchanges.Reply | exchanges.Broken | None:
+        """Send a request on a connection of its own."""
+        connection = await self.connect(host)
+        self._ids += 1
+        name = request_id or f"request-{self._ids}"
+        data = request(
+            target, method, name, remaining_ms, key, body, more or {}
+        )
+        answered: asyncio.Future[t.Any] = asyncio.Future()
+        connection.request(
+            data,
+            lambda reply: True,
+            lambda used, result: answered.set_result(result),
+        )
+        if leave_after_s is not None:
+            await asyncio.sleep(leave_after_s)
+            connection.abort()
+            return None
+        result = await answered
+        connection.close()
+        return result
+
+    async def connect(self, host: Host) -> exchanges.Connection:
+        """Open a connection to a node's entry."""
+        opened: asyncio.Future[t.Any] = asyncio.Future()
+        address = options.Address(host.address, ENTRY_PORT)
+        pool.Pool(address).take(False, opened.set_result)
+        return await opened
+
+
+def request(
+    target: str,
+    method: str,
+    name: str,
+    remaining_ms: int | None,
+    key: str | None,
+    body: bytes,
+    more: dict[str, str],
+) -> bytes:
+    """Return the bytes of a caller's request."""
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        "host: seeds.example",
+        f"x-savorytally-attempt-id: {name}",
+    ]
+    if remaining_ms is not None:
+        lines.append(f"x-savorytally-deadline-ms: {remaining_ms}")
+    if key is not None:
+        lines.append(f"authorization: Token {key}")
+    if body:
+        lines.append(f"content-length: {len(body)}")
+    lines += [f"{header}: {value}" for header, value in more.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/test_dataplane.py
@@ -0,0 +1,601 @@
+"""Whole nodes on a network in memory and a virtual clock."""
+
+import asyncio
+
+from fakes import mesh
+from fakes import net
+import pytest
+
+from savorytally.dataplane import exchanges
+
+SERVICES = {"drawers": ["low-a", "low-b"], "desk": ["low-a", "low-b"]}
+
+
+def play(scenario, services=SERVICES, **changes):
+    """Run a scenario on a started mesh."""
+
+    async def work():
+        there = mesh.Mesh()
+        await there.start(services, **changes)
+        return await scenario(there)
+
+    return net.run(work)
+
+
+def of(there, service_name):
+    """Return the hosts of a service."""
+    return [host for host in there.hosts if host.service_name == service_name]
+
+
+def runs(there, service_name):
+    """Return the requests that ran at a service, in order."""
+    return [
+        name for host in of(there, service_name) for name in host.upstream.ran
+    ]
+
+
+class TestPath:
+    def test_answer_is_the_upstreams_own(self):
+        async def scenario(there):
+            return await there.send(there.hosts[2], request_id="a1")
+
+        reply = play(scenario)
+        assert (reply.status, reply.body) == (200, b"answer to a1")
+        assert reply.header(mesh.SIGNATURE.encode()) == b"sig-a1"
+
+    def test_upstream_is_told_caller_and_organisation_and_no_key(self):
+        async def scenario(there):
+            forged = {
+                "x-savorytally-tenant": "others",
+                "x-savorytally-caller-service": "others",
+            }
+            await there.send(there.hosts[2], more=forged)
+            return [
+                seen
+                for host in of(there, "drawers")
+                for seen in host.upstream.seen
+            ]
+
+        (seen,) = play(scenario)
+        assert seen["x-savorytally-tenant"] == "growers"
+        assert seen["x-savorytally-caller-service"] == "desk"
+        assert "authorization" not in seen
+        assert int(seen["x-savorytally-deadline-ms"]) <= 1000
+
+    @pytest.mark.parametrize(
+        ("target", "key", "status"),
+        [
+            ("/nowhere/1", mesh.KEY, 404),
+            ("/drawers/1", "wrong", 401),
+            ("/drawers/1", None, 401),
+        ],
+    )
+    def test_refuses_what_no_configuration_allows(self, target, key, status):
+        async def scenario(there):
+            reply = await there.send(there.hosts[0], target, key=key)
+            return reply.status, runs(there, "drawers")
+
+        assert play(scenario) == (status, [])
+
+    def test_longest_prefix_wins(self):
+        config = mesh.configuration(1)
+        config["routes"]["r-deep"] = mesh.route(
+            "desk", prefix="/drawers/rare/"
+        )
+
+        async def scenario(there):
+            await there.send(there.hosts[0], "/drawers/rare/1")
+            return runs(there, "drawers"), len(runs(there, "desk"))
+
+        assert play(scenario, config=config) == ([], 1)
+
+    def test_pipelined_requests_run_side_by_side_answered_in_order(self):
+        async def scenario(there):
+            loop = asyncio.get_running_loop()
+            for host in there.hosts:
+                host.upstream.work_s = 0.2
+            connection = await there.connect(there.hosts[0])
+            data = b"".join(
+                mesh.request(
+                    "/drawers/1", "GET", name, 2000, mesh.KEY, b"", {}
+                )
+                for name in ("p1", "p2", "p3")
+            )
+            bodies = []
+            done = asyncio.Event()
+
+            def wanted(reply):
+                bodies.append(reply.body)
+                if len(bodies) == 3:
+                    done.set()
+                return False
+
+            began = loop.time()
+            connection.request(data, wanted, lambda used, result: None)
+            await done.wait()
+            return bodies, loop.time() - began
+
+        bodies, took_s = play(scenario)
+        assert bodies == [b"answer to p1", b"answer to p2", b"answer to p3"]
+        assert took_s < 0.4
+
+    def test_malformed_request_harms_no_other_connection(self):
+        async def scenario(there):
+            connection = await there.connect(there.hosts[0])
+            answered = asyncio.Future()
+            connection.request(
+                b"GET /drawers/1 HTTP/1.1\r\ncontent-length: 3\r\n"
+                b"transfer-encoding: chunked\r\n\r\n",
+                lambda reply: True,
+                lambda used, result: answered.set_result(result),
+            )
+            bad = await answered
+            good = await there.send(there.hosts[0])
+            return bad.status, good.status
+
+        assert play(scenario) == (400, 200)
+
+    def test_unconfigured_node_is_not_ready_and_answers_503(self):
+        async def scenario(there):
+            host = mesh.Host(9, "desk", "low-a")
+            there.store.status = 503
+            await host.start_node()
+            reply = await there.send(host)
+            return reply.status, host.node.ready
+
+        assert play(scenario) == (503, False)
+
+
+class TestBrokenAnswers:
+    @pytest.mark.parametrize("part", [0.3, 0.9])
+    def test_truncated_answer_is_never_delivered(self, part):
+        def truncate(connection, name, answer):
+            connection.transport.write(answer[: int(len(answer) * part)])
+            connection.transport.close()
+
+        async def scenario(there):
+            for host in of(there, "desk"):
+                host.upstream.fault = truncate
+            reply = await there.send(
+                there.hosts[0], "/desk/1", "POST", body=b"lot"
+            )
+            return reply.status, len(runs(there, "desk"))
+
+        assert play(scenario) == (502, 1)
+
+    def test_second_answer_reaches_nobody(self):
+        def twice(connection, name, answer):
+            connection.transport.write(answer)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.005, connection.transport.write, answer)
+
+        async def scenario(there):
+            for host in of(there, "drawers"):
+                host.upstream.fault = twice
+            found = []
+            for number in range(6):
+                reply = await there.send(
+                    there.hosts[2], request_id=f"n{number}"
+                )
+                found.append(reply.body)
+                await asyncio.sleep(0.004)
+            return found
+
+        assert play(scenario) == [
+            f"answer to n{number}".encode() for number in range(6)
+        ]
+
+    def test_unframed_answer_is_whole_only_at_an_orderly_end(self):
+        def unframed(connection, name, answer):
+            head, _, body = answer.partition(b"\r\n\r\n")
+            lines = [
+                line
+                for line in head.split(b"\r\n")
+                if not line.startswith(b"content-length")
+            ]
+            data = b"\r\n".join(lines) + b"\r\n\r\n" + body
+            connection.transport.write(data)
+            if name == "whole":
+                connection.transport.close()
+            else:
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.01, connection.transport.abort)
+
+        async def scenario(there):
+            for host in of(there, "desk"):
+                host.upstream.fault = unframed
+            first = await there.send(
+                there.hosts[0], "/desk/1", "POST", request_id="whole"
+            )
+            second = await there.send(
+                there.hosts[0], "/desk/1", "POST", request_id="reset"
+            )
+            return first.status, first.body, second.status
+
+        assert play(scenario) == (200, b"answer to whole", 502)
+
+    def test_success_without_signature_is_not_passed_on(self):
+        def unsigned(connection, name, answer):
+            lines = answer.split(b"\r\n")
+            kept = [
+                line
+                for line in lines
+                if not line.startswith(mesh.SIGNATURE.encode())
+            ]
+            connection.transport.write(b"\r\n".join(kept))
+
+        async def scenario(there):
+            for host in of(there, "desk"):
+                host.upstream.fault = unsigned
+            return (await there.send(there.hosts[0], "/desk/1", "POST")).status
+
+        assert play(scenario) == 502
+
+
+class TestAtMostOnce:
+    def test_lost_answer_is_not_run_again_and_promises_nothing(self):
+        def reset(connection, name, answer):
+            connection.transport.abort()
+
+        async def scenario(there):
+            for host in of(there, "desk"):
+                host.upstream.fault = reset
+            reply = await there.send(there.hosts[0], "/desk/1", "POST")
+            return reply.status, len(runs(there, "desk"))
+
+        assert play(scenario) == (502, 1)
+
+    def test_idempotent_request_is_sent_to_another_upstream(self):
+        async def scenario(there):
+            first, second = of(there, "drawers")
+            first.upstream.fault = lambda connection, name, answer: (
+                connection.transport.abort()
+            )
+            found = [
+                (await there.send(there.hosts[2])).status for _ in range(12)
+            ]
+            return found, len(first.upstream.ran) > 0
+
+        found, reached = play(scenario)
+        assert reached
+        assert found.count(200) >= 10
+
+    def test_reservation_never_repeats_over_a_lost_stream(self):
+        async def scenario(there):
+            for host in of(there, "desk"):
+                host.upstream.work_s = 0.3
+            sender = of(there, "drawers")[0]
+            task = asyncio.ensure_future(
+                there.send(sender, "/desk/1", "POST", request_id="lot")
+            )
+            await asyncio.sleep(0.1)
+            for host in of(there, "desk"):
+                there.net.reset(host.address, mesh.PEER_PORT)
+            reply = await task
+            await asyncio.sleep(1)
+            return reply.status, runs(there, "desk")
+
+        status, ran = play(scenario)
+        assert status == 502
+        assert ran == ["lot"]
+
+    def test_refusal_says_not_run_and_is_true(self):
+        async def scenario(there):
+            for host in of(there, "desk"):
+                host.upstream.rejects = lambda: True
+            reply = await there.send(there.hosts[0], "/desk/1", "POST")
+            return reply, runs(there, "desk")
+
+        reply, ran = play(scenario)
+        assert reply.status == 503
+        assert float(reply.header(b"retry-after")) > 0
+        assert ran == []
+
+    def test_another_upstream_at_the_address_does_not_run_it(self):
+        async def scenario(there):
+            for host in of(there, "desk"):
+                host.upstream.instance_id = "i-somebody-else"
+            reply = await there.send(there.hosts[0], "/desk/1", "POST")
+            return reply.status, runs(there, "desk")
+
+        assert play(scenario) == (503, [])
+
+
+class TestTime:
+    def test_silent_upstream_is_given_up_at_the_routes_timeout(self):
+        async def scenario(there):
+            loop = asyncio.get_running_loop()
+            for host in of(there, "drawers"):
+                host.upstream.work_s = 60.0
+            began = loop.time()
+            reply = await there.send(there.hosts[2], remaining_ms=5000)
+            return reply.status, loop.time() - began
+
+        status, took_s = play(scenario)
+        assert status == 504
+        assert 1.0 <= took_s < 1.25
+
+    def test_work_ends_soon_after_its_caller_has_left(self):
+        async def scenario(there):
+            for host in of(there, "drawers"):
+                host.upstream.work_s = 0.8
+            await there.send(there.hosts[2], leave_after_s=0.2)
+            await asyncio.sleep(0.2)
+            busy = [host.node.gate.active for host in of(there, "drawers")]
+            await asyncio.sleep(1)
+            cut = [host.upstream.cut_off for host in of(there, "drawers")]
+            return busy, sum(cut, [])
+
+        busy, cut = play(scenario)
+        assert busy == [0, 0]
+        assert len(cut) == 1
+
+    def test_silent_stream_is_found_while_a_call_waits(self):
+        async def scenario(there):
+            loop = asyncio.get_running_loop()
+            sender = of(there, "desk")[0]
+            await there.send(sender)
+            for host in of(there, "drawers"):
+                host.upstream.work_s = 0.9
+                there.net.silence(host.address, mesh.PEER_PORT)
+            began = loop.time()
+            reply = await there.send(sender, remaining_ms=None)
+            return reply.status, loop.time() - began
+
+        config = mesh.configuration(1)
+        config["routes"]["r-lookup"]["timeout"] = "9s"
+        status, took_s = play(scenario, config=config)
+        assert status == 200
+        assert took_s < 3.0
+
+    def test_idle_stream_is_not_taken_as_silent(self):
+        async def scenario(there):
+            sender = of(there, "desk")[0]
+            for host in of(there, "drawers"):
+                host.upstream.work_s = 0.3
+            found = []
+            for _ in range(3):
+                found.append((await there.send(sender)).status)
+                await asyncio.sleep(5)
+            return found
+
+        assert play(scenario) == [200, 200, 200]
+
+
+class TestLeaving:
+    def test_draining_upstream_gets_nothing_new(self):
+        async def scenario(there):
+            first, second = of(there, "drawers")
+            there.store.put(
+                f"servers/{first.instance_id}", first.entry(8, "draining")
+            )
+            await asyncio.sleep(0.1)
+            for _ in range(8):
+                await there.send(there.hosts[2])
+            return len(first.upstream.ran), len(second.upstream.ran)
+
+        assert play(scenario) == (0, 8)
+
+    def test_stop_answers_what_is_in_progress_and_what_still_comes(self):
+        async def scenario(there):
+            host = of(there, "drawers")[0]
+            for other in of(there, "drawers"):
+                other.upstream.work_s = 0.3
+            running = [
+                asyncio.ensure_future(there.send(host)) for _ in range(4)
+            ]
+            kept = await there.connect(host)
+            await asyncio.sleep(0.1)
+            host.node.stop()
+            drained = asyncio.ensure_future(host.node._drain())
+            late = asyncio.Future()
+            kept.request(
+                mesh.request(
+                    "/drawers/1", "GET", "l", 2000, mesh.KEY, b"", {}
+                ),
+                lambda reply: True,
+                lambda used, result: late.set_result(result),
+            )
+            found = [(await task).status for task in running]
+            ready = host.node.ready
+            reply = await late
+            await drained
+            return found, ready, reply.status, reply.header(b"connection")
+
+        found, ready, late, connection = play(scenario)
+        assert found == [200] * 4
+        assert not ready
+        assert (late, connection) == (200, b"close")
+
+    def test_stopping_node_tells_its_peers(self):
+        async def scenario(there):
+            first, second = of(there, "drawers")
+            sender = of(there, "desk")[0]
+            for _ in range(6):
+                await there.send(sender)
+            first.node.stop()
+            await asyncio.sleep(0.05)
+            before = len(first.upstream.ran)
+            found = [(await there.send(sender)).status for _ in range(6)]
+            return found, len(first.upstream.ran) - before
+
+        assert play(scenario) == ([200] * 6, 0)
+
+
+class TestConfiguration:
+    def test_newer_version_is_in_force_at_once_and_never_goes_back(self):
+        async def scenario(there):
+            host = there.hosts[0]
+            there.store.put("op/config", mesh.configuration(7, routes={}))
+            await asyncio.sleep(0.1)
+            gone = (await there.send(host)).status
+            there.store.put("op/config", mesh.configuration(3))
+            await asyncio.sleep(0.1)
+            return gone, (await there.send(host)).status, host.node.version
+
+        assert play(scenario) == (404, 404, 7)
+
+    def test_malformed_version_leaves_the_old_one_in_force(self):
+        async def scenario(there):
+            broken = mesh.configuration(2)
+            del broken["routes"]["r-lookup"]["kind"]
+            there.store.put("op/config", broken)
+            await asyncio.sleep(0.1)
+            host = there.hosts[0]
+            return host.node.version, (await there.send(host)).status
+
+        assert play(scenario) == (1, 200)
+
+    def test_peers_tell_a_node_that_the_store_turns_away(self):
+        async def scenario(there):
+            away = there.hosts[0]
+            # Its watch is answered no more, and new connections hang.
+            for transport in there.net.open[mesh.STORE.host, mesh.STORE.port]:
+                owner = transport.protocol
+                pools = [away.calls_store._pool]
+                if any(owner in pool._open for pool in pools):
+                    transport.silent = True
+            there.store.put("op/config", mesh.configuration(5))
+            await asyncio.sleep(1.9)
+            return away.node.version
+
+        assert play(scenario) == 5
+
+    def test_withdrawn_key_ends_on_an_open_connection(self):
+        async def scenario(there):
+            host = there.hosts[0]
+            connection = await there.connect(host)
+            statuses = []
+            for version in (2, 3):
+                answered = asyncio.Future()
+                connection.request(
+                    mesh.request(
+                        "/drawers/1", "GET", "k", 900, mesh.KEY, b"", {}
+                    ),
+                    lambda reply: True,
+                    lambda used, result, to=answered: to.set_result(result),
+                )
+                statuses.append((await answered).status)
+                there.store.put(
+                    "op/config",
+                    mesh.configuration(
+                        version,
+                        tenants={
+                            "growers": {
+                                "api_keys": ["another"],
+                                "priority": 1,
+                            },
+                        },
+                    ),
+                )
+                await asyncio.sleep(0.2)
+            return statuses
+
+        assert play(scenario) == [200, 401]
+
+    def test_history_that_is_gone_is_read_anew(self):
+        async def scenario(there):
+            there.store.forget()
+            for transport in there.net.open[mesh.STORE.host, mesh.STORE.port]:
+                transport.abort()
+            there.store.revision += 5
+            there.store.forget()
+            there.store.items["op/config"]["value"] = _encoded(9)
+            await asyncio.sleep(2)
+            return [host.node.version for host in there.hosts]
+
+        assert play(scenario) == [9, 9, 9, 9]
+
+    def test_malformed_entry_names_no_upstream(self):
+        async def scenario(there):
+            there.store.put("servers/i-x", b"\xff\x00")
+            there.store.put("servers/i-y", {"service": 3})
+            there.store.put(
+                "servers/i-z",
+                {**there.hosts[0].entry(), "state": "confused"},
+            )
+            await asyncio.sleep(0.1)
+            return (
+                len(there.hosts[0].node._instances),
+                (await there.send(there.hosts[2])).status,
+            )
+
+        assert play(scenario) == (4, 200)
+
+
+def _encoded(version):
+    """Return a configuration as the store holds it."""
+    import base64
+    import json
+
+    raw = json.dumps(mesh.configuration(version)).encode()
+    return base64.b64encode(raw).decode()
+
+
+class TestChains:
+    def test_call_inherits_the_rank_of_the_request_it_belongs_to(self):
+        config = mesh.configuration(1)
+        config["routes"]["r-ledger"] = mesh.route(
+            "ledger", auth_exempt=True, priority=3
+        )
+        config["routes"]["r-lookup"]["priority"] = 2
+        ranks = []
+
+        async def scenario(there):
+            for host in of(there, "desk") + of(there, "drawers"):
+
+                async def calls(given, host=host):
+                    left_ms = int(given["x-savorytally-deadline-ms"])
+                    reply = await there.send(
+                        host,
+                        "/ledger/1",
+                        key=None,
+                        remaining_ms=min(left_ms, 600),
+                    )
+                    return 200 if reply.status == 200 else 500
+
+                host.upstream.calls = calls
+            ledger = of(there, "ledger")[0]
+            queue = ledger.node.gate.queue
+            offer = queue.offer
+
+            def watched(job, now):
+                ranks.append((job.rank, job.child))
+                return offer(job, now)
+
+            queue.offer = watched
+            await there.send(there.hosts[0], "/desk/1", "POST")
+            await there.send(there.hosts[0], "/drawers/1")
+
+        play(
+            scenario,
+            {"drawers": ["low-a"], "desk": ["low-a"], "ledger": ["low-a"]},
+            config=config,
+        )
+        assert ranks == [(16, True), (18, True)]
+
+    def test_callers_without_reply_are_not_left_waiting(self):
+        async def scenario(there):
+            for host in there.hosts:
+                there.net.reset(host.address, mesh.UPSTREAM_PORT)
+                there.net.servers.pop((host.address, mesh.UPSTREAM_PORT), None)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            reply = await there.send(there.hosts[0])
+            return reply.status, loop.time() - began
+
+        status, took_s = play(scenario)
+        assert status == 503
+        assert took_s < 0.1
+
+
+def test_exchange_without_connection_is_reported():
+    async def work():
+        ended = []
+        connection = exchanges.Connection(lambda lost: None)
+        connection.request(
+            b"", lambda reply: True, lambda used, result: ended.append(result)
+        )
+        return ended
+
+    assert net.run(work) == [exchanges.Broken.NOT_SENT]
