Use lapsed upstreams as a last resort; read close changes with one call

A call to the store is dear on the grown sites, and a start of all hosts wakes every watch once a host.

Change: an upstream whose entry lapsed while it was ready is offered requests if its service has no listed one left, and its gate first asks it whether it serves and stays. After a change the next watch begins 0.4 s later.

Ruled out: keeping lapsed entries in use as if they were listed, since some upstreams leave without a word.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -339,6 +339,9 @@
         if instance is None:
             self._fail(call, call.known or results.NO_HOST)
             return
+        flags = call.flags
+        if self.placement.unlisted(instance.instance_id):
+            flags |= frames.Flag.UNLISTED
         call.offers += 1
         call.tried.append(instance.instance_id)
         call.instance_id = instance.instance_id
@@ -359,7 +362,7 @@
             objective_ms=int(call.objective_s * 1000),
             rank=call.rank,
             place=call.place,
-            flags=int(call.flags),
+            flags=int(flags),
             organisation=call.organisation,
             caller_service=self._options.service,
             request_id=call.request_id,
--- a/src/savorytally/dataplane/feed.py
+++ b/src/savorytally/dataplane/feed.py
@@ -10,6 +10,8 @@
 # How long a watch waits for a change; a silent connection is found by the
 # kernel's probes, so that this only bounds what they miss.
 WATCH_S = 20.0
+# Changes that come close together are read with one call.
+WATCH_PAUSE_S = 0.4
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
 
@@ -106,5 +108,8 @@
             changes = await self._source.snapshot()
         else:
             changes = await self._source.changes(self._revision, WATCH_S)
+        news = changes.revision != self._revision
         self._revision = changes.revision
         self._subscriber.published(changes)
+        if news and not changes.whole:
+            await asyncio.sleep(WATCH_PAUSE_S)
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -39,6 +39,8 @@
     REPEAT = 4
     # Its caller came back after a refusal.
     RETURNED = 8
+    # Its upstream is no longer listed; the gate makes sure that it serves.
+    UNLISTED = 16
 
 
 class Call(t.NamedTuple):
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -12,6 +12,7 @@
 from . import dialect
 from . import exchanges
 from . import frames
+from . import health
 from . import pool
 
 # Time below which a request is not handed to the upstream any more.
@@ -98,6 +99,7 @@
         self._loop = asyncio.get_running_loop()
         self.lineage = lineage.Lineage()
         self.below = backpressure.ChainWaits()
+        self.health = health.Health(spoken, connections)
         self.leaving = False
 
     @property
@@ -116,7 +118,25 @@
         run = Run(call, now + call.remaining_ms / 1000, reply)
         if self.leaving:
             self._finish(run, results.HOST_LEAVING)
-            return run
+        elif call.flags & frames.Flag.UNLISTED:
+            self.health.ask(
+                call.instance_id, lambda good: self._judged(run, good)
+            )
+        else:
+            self._enqueue(run, now)
+        return run
+
+    def _judged(self, run: Run, serves: bool) -> None:
+        """Go on with a call whose upstream is not listed any more."""
+        if run.state is not State.WAITING:
+            return
+        if serves and not self.leaving:
+            self._enqueue(run, self._loop.time())
+        else:
+            self._finish(run, results.HOST_LEAVING)
+
+    def _enqueue(self, run: Run, now: float) -> None:
+        call = run.call
         run.job = gatequeue.Job(
             rank=call.rank,
             child=bool(call.flags & frames.Flag.CHILD),
@@ -130,7 +150,6 @@
             self._start(run)
         elif verdict is gatequeue.Verdict.REFUSE:
             self._finish(run, results.SHED_AT_GATE)
-        return run
 
     def cancel(self, run: Run) -> None:
         """Withdraw a call whose result nobody waits for.
@@ -142,7 +161,8 @@
         run.withdrawn = True
         if run.state is State.WAITING:
             run.state = State.DONE
-            self._queue.cancel(t.cast(gatequeue.Job, run.job))
+            if run.job is not None:
+                self._queue.cancel(run.job)
         elif run.state is State.RUNNING and run.idempotent:
             run.state = State.DONE
             self._stop(run)
--- /dev/null
+++ b/src/savorytally/dataplane/health.py
@@ -0,0 +1,83 @@
+"""Asks the local upstream whether it serves."""
+
+import asyncio
+import typing as t
+
+from . import dialect
+from . import exchanges
+from . import pool
+
+# How long an answer holds.
+HOLDS_S = 1.0
+_OK = 200
+
+Judged = t.Callable[[bool], None]
+
+
+class Health:
+    """The local upstream's health as it tells it.
+
+    :param spoken: names of the headers.
+    :param connections: connections to the upstream.
+    """
+
+    def __init__(
+        self, spoken: dialect.Dialect, connections: pool.Pool
+    ) -> None:
+        self._dialect = spoken
+        self._pool = connections
+        self._loop = asyncio.get_running_loop()
+        self._path = b""
+        self._instance = ""
+        self._asked = -HOLDS_S
+        self._waiting: list[tuple[str, Judged]] = []
+
+    def learn_path(self, path: str) -> None:
+        """Apply the path of the question; empty if there is none."""
+        self._path = path.encode()
+
+    def ask(self, instance_id: str, judged: Judged) -> None:
+        """Tell whether that start of the upstream serves and stays."""
+        if not self._path:
+            judged(False)
+        elif self._loop.time() - self._asked < HOLDS_S:
+            judged(self._instance == instance_id)
+        else:
+            self._waiting.append((instance_id, judged))
+            if len(self._waiting) == 1:
+                self._pool.take(False, self._opened)
+
+    def _opened(self, connection: exchanges.Connection | None) -> None:
+        if connection is None:
+            self._answered("")
+            return
+        host = self._pool.address.host.encode()
+        connection.request(
+            b"GET %s HTTP/1.1\r\nhost: %s\r\n\r\n" % (self._path, host),
+            lambda reply: True,
+            self._ended,
+        )
+        self._loop.call_later(HOLDS_S, self._silent, connection)
+
+    def _silent(self, connection: exchanges.Connection) -> None:
+        if self._waiting and connection.busy:
+            connection.abort()
+            self._answered("")
+
+    def _ended(
+        self,
+        connection: exchanges.Connection,
+        result: exchanges.Reply | exchanges.Broken,
+    ) -> None:
+        self._pool.give(connection)
+        instance = b""
+        if isinstance(result, exchanges.Reply) and result.status == _OK:
+            instance = result.header(self._dialect.answered_by)
+        self._answered(instance.decode("latin-1"))
+
+    def _answered(self, instance_id: str) -> None:
+        self._instance = instance_id
+        self._asked = self._loop.time()
+        waiting, self._waiting = self._waiting, []
+        for meant, judged in waiting:
+            judged(bool(instance_id) and meant == instance_id)
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -187,6 +187,9 @@
             return
         self._catalog, self._raw = newest, raw
         self.entry.learn_catalog(newest)
+        self.gate.health.learn_path(
+            newest.health_paths.get(self._options.service, "")
+        )
         self.rates.learn_catalog(newest)
         self.log.event("configuration", version=newest.version, origin=origin)
         self.peers.announce(newest.version)
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -4,6 +4,10 @@
 joined by a dear link: the expected time of an answer decides, learned from
 what gates report and from what became of earlier requests; another region
 is taken only for want of room in the own one.
+
+An upstream whose entry has lapsed may be cut off from the list only. Where a
+service has no listed upstream left, the unlisted ones are still offered
+requests; the node beside each of them makes sure that it serves.
 """
 
 import dataclasses
@@ -28,6 +32,8 @@
 COLD_FACTOR = 2.0
 # A report of a gate's load is trusted less with age.
 REPORT_FADES_S = 0.5
+# Time after which an unlisted upstream is forgotten.
+UNLISTED_MAX_S = 30.0
 # Random spread of scores, so that equal hosts share.
 SPREAD = 0.15
 
@@ -49,6 +55,8 @@
     failed_at: float = 0.0
     avoid_until: float = 0.0
     leaving: bool = False
+    # When its entry lapsed, 0 while it is listed.
+    unlisted: float = 0.0
 
 
 class Placement:
@@ -70,25 +78,33 @@
         self._random = source
         self._known: dict[str, _Known] = {}
         self._services: dict[str, list[_Known]] = {}
+        self._unlisted: dict[str, list[_Known]] = {}
 
     def learn_instances(
         self, instances: t.Mapping[str, catalog.Instance], now: float
     ) -> None:
         """Apply the upstreams that are listed."""
-        for identifier in list(self._known):
+        for identifier, known in list(self._known.items()):
             if identifier not in instances:
-                del self._known[identifier]
+                self._lapse(identifier, known, now)
         for identifier, instance in instances.items():
             known = self._known.get(identifier)
             if known is None:
                 self._known[identifier] = self._new(instance, now)
             else:
                 known.instance = instance
+                known.unlisted = 0.0
         self._services = {}
+        self._unlisted = {}
         for known in self._known.values():
             if known.instance.ready:
-                services = self._services
-                services.setdefault(known.instance.service, []).append(known)
+                table = self._unlisted if known.unlisted else self._services
+                table.setdefault(known.instance.service, []).append(known)
+
+    def unlisted(self, instance_id: str) -> bool:
+        """Return whether an upstream is offered requests unlisted."""
+        known = self._known.get(instance_id)
+        return known is not None and known.unlisted > 0.0
 
     def choose(
         self,
@@ -105,7 +121,10 @@
         """
         best: _Known | None = None
         best_score = float("inf")
-        for known in self._services.get(service, ()):
+        candidates = self._services.get(service)
+        if not candidates:
+            candidates = self._unlisted.get(service, [])
+        for known in candidates:
             name = known.instance.instance_id
             if known.leaving or name in tried:
                 continue
@@ -167,6 +186,14 @@
         if known is not None:
             known.leaving = True
 
+    def _lapse(self, identifier: str, known: _Known, now: float) -> None:
+        """Keep an upstream that has lapsed while it was ready, for a time."""
+        if not known.unlisted:
+            known.unlisted = now
+        gone = known.leaving or not known.instance.ready
+        if gone or now - known.unlisted > UNLISTED_MAX_S:
+            del self._known[identifier]
+
     def _new(self, instance: catalog.Instance, now: float) -> _Known:
         far = self._region(instance.data_centre) != self._region(
             self._data_centre
--- a/src/savorytally/platform/documents.py
+++ b/src/savorytally/platform/documents.py
@@ -51,11 +51,19 @@
             place = f"tenants/{name}"
             organisation = _organisation(name, value)
             keys.update(dict.fromkeys(value["api_keys"], organisation))
+        place = "services"
+        health_paths = {
+            name: value["health_path"]
+            for name, value in (document.get("services") or {}).items()
+            if isinstance(value.get("health_path"), str)
+        }
         place = "limits"
         limits = _limits(document.get("limits") or {})
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise Malformed(f"{place}: {error!r}") from error
-    return catalog.Catalog(version, routes, keys, limits, bool(tenants))
+    return catalog.Catalog(
+        version, routes, keys, limits, bool(tenants), health_paths
+    )
 
 
 def instance(key: str, body: bytes) -> catalog.Instance:
--- a/src/savorytally/world/catalog.py
+++ b/src/savorytally/world/catalog.py
@@ -88,9 +88,18 @@
     :param organisations: organisations by key.
     :param limits: limits of callers' requests.
     :param keyed: whether requests need a key at all.
+    :param health_paths: path of the health question by service.
     """
 
-    __slots__ = ("_by_host", "_keys", "keyed", "limits", "routes", "version")
+    __slots__ = (
+        "_by_host",
+        "_keys",
+        "health_paths",
+        "keyed",
+        "limits",
+        "routes",
+        "version",
+    )
 
     def __init__(
         self,
@@ -99,10 +108,12 @@
         organisations: t.Mapping[str, Organisation],
         limits: RequestLimits,
         keyed: bool,
+        health_paths: t.Mapping[str, str] = {},  # noqa: B006, not changed
     ) -> None:
         self.version = version
         self.limits = limits
         self.keyed = keyed
+        self.health_paths = health_paths
         self.routes = {route.name: route for route in routes}
         self._keys = organisations
         by_host: dict[str, list[Route]] = {}
--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -8,9 +8,9 @@
 import typing as t
 import urllib.parse
 
-from fakes import net
 import httptools
 
+from fakes import net
 from savorytally.dataplane import exchanges
 from savorytally.dataplane import options
 from savorytally.dataplane import pool
@@ -97,6 +97,7 @@
         # Says per arrival whether it is rejected.
         self.rejects: t.Callable[[], bool] = lambda: False
         self.calls: t.Callable[[dict[str, str]], t.Any] | None = None
+        self.leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -106,6 +107,11 @@
         )
 
     def _arrive(self, connection: HttpServer) -> None:
+        if connection.target == b"/healthz":
+            told = {"x-savorytally-instance-id": self.instance_id}
+            status = 503 if self.leaving else 200
+            connection.transport.write(response(status, b"", told))
+            return
         task = asyncio.ensure_future(
             self._run(connection, dict(connection.headers), connection.body)
         )
--- a/tests/fakes/net.py
+++ b/tests/fakes/net.py
@@ -5,7 +5,6 @@
 import typing as t
 
 from fakes import virtualloop
-
 from savorytally import clock
 
 DELAY_S = 0.0005
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -599,3 +599,45 @@
         return ended
 
     assert net.run(work) == [exchanges.Broken.NOT_SENT]
+
+
+class TestLapsedEntries:
+    def test_upstream_cut_off_from_the_list_serves_if_it_is_the_last(self):
+        async def scenario(there):
+            for host in of(there, "drawers"):
+                there.store.delete(f"servers/{host.instance_id}")
+            await asyncio.sleep(0.5)
+            return [
+                (await there.send(there.hosts[2])).status for _ in range(3)
+            ]
+
+        assert play(scenario, config=_with_health()) == [200, 200, 200]
+
+    def test_upstream_that_leaves_without_a_word_gets_nothing(self):
+        async def scenario(there):
+            for host in of(there, "drawers"):
+                there.store.delete(f"servers/{host.instance_id}")
+                host.upstream.leaving = True
+            await asyncio.sleep(0.5)
+            reply = await there.send(there.hosts[2])
+            return reply.status, runs(there, "drawers")
+
+        assert play(scenario, config=_with_health()) == (503, [])
+
+    def test_listed_upstreams_go_before_lapsed_ones(self):
+        async def scenario(there):
+            first, second = of(there, "drawers")
+            there.store.delete(f"servers/{first.instance_id}")
+            await asyncio.sleep(0.5)
+            for _ in range(6):
+                await there.send(there.hosts[2])
+            return len(first.upstream.ran), len(second.upstream.ran)
+
+        assert play(scenario, config=_with_health()) == (0, 6)
+
+
+def _with_health():
+    services = {
+        name: {"health_path": "/healthz"} for name in ("drawers", "desk")
+    }
+    return mesh.configuration(1, services=services)
