Spend scarce repeats on the chains that have got furthest

Change: a request leaves more of the budget the earlier its chain is; the number of calls that a chain makes is learned. The drawn place is gone.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -37,8 +37,6 @@
 # Priorities of organisations go before those of routes by this factor.
 ROUTE_RANKS = 16
 UNREACHED_S = 0.6
-# Places in the line for repeats that chains draw from.
-PLACES = 256
 _SERVER_ERROR = 500
 
 
@@ -71,7 +69,6 @@
         "offers",
         "organisation",
         "parent",
-        "place",
         "rank",
         "reached",
         "request",
@@ -92,7 +89,6 @@
         self.service = ""
         self.organisation = ""
         self.rank = 0
-        self.place = 0
         self.flags = 0
         self.deadline = 0.0
         self.clients_ms = 0
@@ -298,11 +294,9 @@
             run: gate.Run = call.parent.owner
             call.flags |= frames.Flag.CHILD
             call.rank = run.call.rank
-            call.place = run.call.place
             if run.repeat:
                 call.flags |= frames.Flag.REPEAT
             return
-        call.place = self._random.randrange(PLACES)
         usual_ms = self._usual_ms.get(route.name, 0)
         if call.clients_ms > usual_ms:
             self._usual_ms[route.name] = call.clients_ms
@@ -361,7 +355,6 @@
             remaining_ms=max(1, int(left_s * 1000)),
             objective_ms=int(call.objective_s * 1000),
             rank=call.rank,
-            place=call.place,
             flags=int(flags),
             organisation=call.organisation,
             caller_service=self._options.service,
@@ -495,11 +488,11 @@
             return False
         if call.deadline - now < max(REPEAT_USEFUL_S, result.run_ms / 1000):
             return False
-        claim = repeatbudget.Claim(
-            urgency=call.rank % ROUTE_RANKS,
-            place=call.place / PLACES,
-            answered=call.parent.answered if call.parent is not None else 0,
-        )
+        progress = 0.0
+        if call.parent is not None:
+            expected = self._gate.below.calls(call.parent.route)
+            progress = min(1.0, call.parent.answered / expected)
+        claim = repeatbudget.Claim(call.rank % ROUTE_RANKS, progress)
         return self.repeats.spend(call.service, claim, now)
 
     def _repeat(self, call: Call, counted: bool = True) -> None:
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -52,7 +52,6 @@
     :param remaining_ms: time in which an answer is of use.
     :param objective_ms: time in which it is worth most, from now.
     :param rank: 0 is the most urgent.
-    :param place: of its chain in the line for repeats, 0 to 255.
     :param flags: see :class:`Flag`.
     :param organisation: holder of the caller's key, empty if none.
     :param caller_service: service on the host where the request began.
@@ -69,7 +68,6 @@
     remaining_ms: int
     objective_ms: int
     rank: int
-    place: int
     flags: int
     organisation: str
     caller_service: str
--- a/src/savorytally/decisions/backpressure.py
+++ b/src/savorytally/decisions/backpressure.py
@@ -59,12 +59,16 @@
         known = self._calls.get(route, float(calls))
         self._calls[route] = known + CALLS_WEIGHT * (calls - known)
 
+    def calls(self, route: str) -> float:
+        """Return how many calls a request of the route makes, at least 1."""
+        return max(1.0, self._calls.get(route, 1.0))
+
     def expected_s(self, route: str, now: float) -> float:
         """Return how long a request of the route waits below."""
         wait = self._waits.get(route)
         if wait is None:
             return 0.0
-        return wait.now(now) * max(1.0, self._calls.get(route, 1.0))
+        return wait.now(now) * self.calls(route)
 
 
 class Backpressure:
--- a/src/savorytally/decisions/repeatbudget.py
+++ b/src/savorytally/decisions/repeatbudget.py
@@ -5,11 +5,9 @@
 arrivals in a sliding window, each host keeps its own account of it, and
 arrivals below a request that is itself a repeat are charged to it.
 
-Where the budget is short, it is spent on few chains rather than a little on
-all of them, since a chain is lost with the first of its calls that fails.
-Each chain draws a place in the line once, at its top; those in front may
-use all of the budget, the others leave a part of it. Urgent chains and ones
-that have got far stand further in front.
+Where the budget is short, it is spent on the chains that have got furthest,
+since a chain is lost with the first of its calls that fails; urgent chains
+go first. The others leave a part of the budget.
 """
 
 import collections
@@ -21,11 +19,10 @@
 SLACK_USED = 0.5
 # Steps into which the window is divided.
 STEPS = 20
-# Part of the budget that a chain leaves, by steps of urgency, for the last
-# place in the line, and less for each call of it that was answered.
+# Part of the budget that a request leaves, by steps of urgency, and one
+# whose chain has only begun.
 LEFT_URGENCY = 0.35
-LEFT_PLACE = 0.5
-LEFT_PROGRESS = 0.12
+LEFT_EARLY = 0.4
 LEFT_MAX = 0.95
 
 
@@ -34,20 +31,17 @@
     """What a request that would be repeated belongs to.
 
     :param urgency: priority at the top of the chain, 0 is the most urgent.
-    :param place: the chain's place in the line, 0 to 1.
-    :param answered: calls of its parent that were answered.
+    :param progress: part of its parent's calls that were answered, 0 to 1.
     """
 
     urgency: int = 0
-    place: float = 0.0
-    answered: int = 0
+    progress: float = 0.0
 
     @property
     def leaves(self) -> float:
         """Part of the budget that is left to others."""
-        left = LEFT_URGENCY * self.urgency + LEFT_PLACE * self.place
-        left -= LEFT_PROGRESS * self.answered
-        return min(LEFT_MAX, max(0.0, left))
+        early = LEFT_EARLY * (1.0 - self.progress)
+        return min(LEFT_MAX, LEFT_URGENCY * self.urgency + early)
 
 
 @dataclasses.dataclass(slots=True)
