--- a/src/savorytally/cli.py
+++ b/src/savorytally/cli.py
@@ -5,6 +5,7 @@
 from . import commands
 from .commands import base
 from .commands import config  # noqa: F401, registers a command
+from .commands import explain  # noqa: F401, registers a command
 from .commands import node  # noqa: F401, registers a command
 from .commands import replay  # noqa: F401, registers a command
 from .commands import status  # noqa: F401, registers a command
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -13,6 +13,7 @@
 from . import exchanges
 from . import frames
 from . import health
+from . import journal
 from . import pool
 
 # Time below which a request is not handed to the upstream any more.
@@ -85,6 +86,7 @@
     :param spoken: names of the headers.
     :param connections: connections to the upstream.
     :param queue: decides what runs, waits and is refused.
+    :param log: takes a line for each call that is not answered.
     """
 
     def __init__(
@@ -92,8 +94,10 @@
         spoken: dialect.Dialect,
         connections: pool.Pool,
         queue: gatequeue.GateQueue,
+        log: journal.Journal,
     ) -> None:
         self._dialect = spoken
+        self._log = log
         self._pool = connections
         self._queue = queue
         self._loop = asyncio.get_running_loop()
@@ -341,6 +345,20 @@
             until = run.started or now
             wait_s = max(wait_s, until - run.job.arrived)
         headers: callers.Headers = []
+        if code is not results.ANSWERED:
+            self._log.event(
+                "gate",
+                id=call.request_id.decode("latin-1"),
+                route=call.route,
+                code=code.number,
+                outcome=code.name,
+                rank=call.rank,
+                waited_ms=round(wait_s * 1000, 1),
+                left_ms=round((run.deadline - now) * 1000, 1),
+                running=queue.running,
+                waiting=queue.waiting,
+                limit=queue.limit,
+            )
         if reply is not None:
             headers = self._returned_headers(reply)
         run.reply(
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -62,7 +62,9 @@
         self.log = journal.Journal(chosen.host_id, log_descriptor)
         self.counts = counters.Counters()
         self._upstream = pool.Pool(chosen.upstream)
-        self.gate = gate.Gate(spoken, self._upstream, gatequeue.GateQueue())
+        self.gate = gate.Gate(
+            spoken, self._upstream, gatequeue.GateQueue(), self.log
+        )
         self.peers = peers.Peers(chosen.peer_port, self.gate, self)
         self.rates = rates.Rates(chosen, self.peers)
         self.entry = entry.Entry(
