Apply changed settings; offer a restarted node's host again

Cause: SIGHUP would have ended the process; a host whose node had stopped was never offered anything again by peers that had heard of it, since the upstream keeps its identifier while only the node is started anew.

Change: settings are read again on SIGHUP and when the file changes; a host that leaves is left out for 3 s; routes are looked up by prefix; the pause between two reads of the store follows the bound for leaving hosts.

Measured: tests only.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -172,6 +172,10 @@
         """Limits of callers' requests in force."""
         return self._limits
 
+    def learn_options(self, chosen: options.Options) -> None:
+        """Apply changed settings."""
+        self._options = chosen
+
     def learn_catalog(self, newest: catalog.Catalog) -> None:
         """Apply a newer configuration."""
         self._catalog = newest
@@ -441,7 +445,7 @@
         where, name = self.placement, instance.instance_id
         where.ended(name)
         if code is results.HOST_LEAVING or code is results.INSTANCE_GONE:
-            where.leaving(name)
+            where.leaving(name, now)
             return
         if code in (results.NOT_DISPATCHED, results.OUTCOME_UNKNOWN):
             where.avoid(name, now + UNREACHED_S)
--- a/src/savorytally/dataplane/feed.py
+++ b/src/savorytally/dataplane/feed.py
@@ -10,8 +10,6 @@
 # How long a watch waits for a change; a silent connection is found by the
 # kernel's probes, so that this only bounds what they miss.
 WATCH_S = 20.0
-# Changes that come close together are read with one call.
-WATCH_PAUSE_S = 0.4
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
 
@@ -76,14 +74,21 @@
     :param source: where publications are read.
     :param subscriber: takes them.
     :param rand: random source of the pauses after failures.
+    :param pause_s: pause after a change, so that changes that come close
+        together are read with one call.
     """
 
     def __init__(
-        self, source: Source, subscriber: Subscriber, rand: random.Random
+        self,
+        source: Source,
+        subscriber: Subscriber,
+        rand: random.Random,
+        pause_s: float,
     ) -> None:
         self._source = source
         self._subscriber = subscriber
         self._random = rand
+        self._pause_s = pause_s
         self._revision: int | None = None
 
     async def run(self) -> None:
@@ -112,4 +117,4 @@
         self._revision = changes.revision
         self._subscriber.published(changes)
         if news and not changes.whole:
-            await asyncio.sleep(WATCH_PAUSE_S)
+            await asyncio.sleep(self._pause_s)
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -1,6 +1,7 @@
 """A node on the data plane: its ports, its peers and its stop."""
 
 import asyncio
+import dataclasses
 import functools
 import random
 import signal
@@ -26,7 +27,10 @@
 # A second view of the configuration is asked of a neighbour that often.
 GOSSIP_S = 0.6
 # Time that the own view has to catch up before a peer is asked.
-CATCH_UP_S = 0.25
+CATCH_UP_S = 0.8
+# Part of the time in which leaving upstreams must be known that passes
+# between two reads of the store.
+WATCH_PAUSE_PART = 0.3
 # After the signal to stop, callers may still send on open connections.
 LINGER_MIN_S = 2.6
 STOP_MARGIN_S = 0.7
@@ -43,6 +47,7 @@
     :param read_configuration: turns published bytes into a catalog; raises
         ``ValueError`` if they are malformed.
     :param rand: random source of its decisions.
+    :param reread: returns the options if the settings have changed.
     :param log_descriptor: where log lines are written.
     """
 
@@ -54,7 +59,9 @@
         read_configuration: t.Callable[[bytes], catalog.Catalog],
         rand: random.Random,
         log_descriptor: int = 1,
+        reread: t.Callable[[], options.Options | None] = lambda: None,
     ) -> None:
+        self._reread = reread
         self._options = chosen
         self._loop = asyncio.get_running_loop()
         self._random = rand
@@ -77,7 +84,8 @@
             self.log,
             rand,
         )
-        self._feed = feed.Feed(source, self, rand)
+        pause_s = chosen.bounds.drain_s * WATCH_PAUSE_PART
+        self._feed = feed.Feed(source, self, rand, pause_s)
         self._ready_path = spoken.ready_path
         self._catalog: catalog.Catalog | None = None
         self._raw = b""
@@ -132,6 +140,7 @@
         """Serve until the process is told to stop."""
         for number in (signal.SIGINT, signal.SIGTERM):
             self._loop.add_signal_handler(number, self.stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self._stopping.wait()
         await self._drain()
@@ -147,6 +156,24 @@
         self.peers.leave()
         self.log.event("stop", active=self.entry.active, runs=self.gate.active)
 
+    def reload(self) -> None:
+        """Apply the settings if they have changed.
+
+        Addresses and ports take effect with the next start only.
+        """
+        newest = self._reread()
+        if newest is None or newest == self._options:
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(newest)
+            if getattr(newest, field.name)
+            != getattr(self._options, field.name)
+        ]
+        self._options = newest
+        self.entry.learn_options(newest)
+        self.log.event("reload", changed=changed)
+
     def published(self, changes: feed.Changes) -> None:
         """Apply what the platform has published."""
         now = self._loop.time()
@@ -223,7 +250,8 @@
         """Send nothing more to the gate of a host that stops."""
         for name, instance in self._instances.items():
             if instance.address == address:
-                self.entry.placement.leaving(name)
+                now = self._loop.time()
+                self.entry.placement.leaving(name, now)
 
     def _pull(self, stream: t.Any, version: int) -> None:
         if version > self.version:
@@ -267,6 +295,7 @@
                 self._upstream.sweep()
                 self._sweep_callers(now)
                 self._gossip()
+                self.reload()
 
     def _gossip(self) -> None:
         regions = self._options.regions
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -32,6 +32,9 @@
 COLD_FACTOR = 2.0
 # A report of a gate's load is trusted less with age.
 REPORT_FADES_S = 0.5
+# How long a host that leaves is not offered anything; its node may be
+# started again beside the same upstream.
+LEAVING_S = 3.0
 # Time after which an unlisted upstream is forgotten.
 UNLISTED_MAX_S = 30.0
 # Random spread of scores, so that equal hosts share.
@@ -54,7 +57,7 @@
     failing: float = 0.0
     failed_at: float = 0.0
     avoid_until: float = 0.0
-    leaving: bool = False
+    leaving_until: float = 0.0
     # When its entry lapsed, 0 while it is listed.
     unlisted: float = 0.0
 
@@ -126,7 +129,7 @@
             candidates = self._unlisted.get(service, [])
         for known in candidates:
             name = known.instance.instance_id
-            if known.leaving or name in tried:
+            if known.leaving_until > now or name in tried:
                 continue
             if only is not None and name not in only:
                 continue
@@ -180,17 +183,17 @@
         if known is not None:
             known.avoid_until = until
 
-    def leaving(self, instance_id: str) -> None:
-        """Note that an upstream has said that it leaves."""
+    def leaving(self, instance_id: str, now: float) -> None:
+        """Note that an upstream's host has said that it leaves."""
         known = self._known.get(instance_id)
         if known is not None:
-            known.leaving = True
+            known.leaving_until = now + LEAVING_S
 
     def _lapse(self, identifier: str, known: _Known, now: float) -> None:
         """Keep an upstream that has lapsed while it was ready, for a time."""
         if not known.unlisted:
             known.unlisted = now
-        gone = known.leaving or not known.instance.ready
+        gone = known.leaving_until > now or not known.instance.ready
         if gone or now - known.unlisted > UNLISTED_MAX_S:
             del self._known[identifier]
 
--- a/src/savorytally/platform/main.py
+++ b/src/savorytally/platform/main.py
@@ -11,6 +11,7 @@
 
 import uvloop
 
+from ..dataplane import options
 from ..dataplane import service
 from . import documents
 from . import headers
@@ -29,19 +30,32 @@
         format='{"event":"log","level":"%(levelname)s","text":"%(message)s"}',
     )
     path = os.environ.get(settings.PATH_VARIABLE, "")
-    options = settings.load(pathlib.Path(path))
-    if isinstance(options, settings.Refused):
-        for fault in options.faults:
+    watched = settings.Watched(pathlib.Path(path))
+    chosen = settings.load(watched.path)
+    if isinstance(chosen, settings.Refused):
+        for fault in chosen.faults:
             print(f"{path}: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
 
+    def reread() -> options.Options | None:
+        changed = watched.changed()
+        if not changed:
+            return None
+        newest = settings.load(watched.path)
+        if isinstance(newest, settings.Refused):
+            for fault in newest.faults:
+                logging.warning("settings not applied: %s", fault)
+            return None
+        return newest
+
     async def serve() -> None:
         node = service.Service(
-            options,
+            chosen,
             headers.DIALECT,
-            store.Store(options.store),
+            store.Store(chosen.store),
             documents.configuration,
             random.Random(secrets.randbits(64)),
+            reread=reread,
         )
         await node.run()
 
--- a/src/savorytally/platform/settings.py
+++ b/src/savorytally/platform/settings.py
@@ -22,6 +22,30 @@
     faults: tuple[str, ...]
 
 
+class Watched:
+    """A settings file that may change without a signal.
+
+    :param path: the file.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self.path = path
+        self._seen = self._state()
+
+    def changed(self) -> bool:
+        """Return whether the file is another one than at the last call."""
+        before, self._seen = self._seen, self._state()
+        return self._seen != before
+
+    def _state(self) -> tuple[int, int]:
+        try:
+            found = self.path.stat()
+        except OSError:
+            # It is being replaced; what comes next is another state.
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
+
+
 class _Reader:
     """Takes fields of the file and collects what is wrong with them."""
 
--- a/src/savorytally/world/catalog.py
+++ b/src/savorytally/world/catalog.py
@@ -116,19 +116,23 @@
         self.health_paths = health_paths
         self.routes = {route.name: route for route in routes}
         self._keys = organisations
-        by_host: dict[str, list[Route]] = {}
+        self._by_host: dict[str, dict[str, Route]] = {}
         for route in self.routes.values():
-            by_host.setdefault(route.host, []).append(route)
-        self._by_host = {
-            name: sorted(found, key=lambda route: -len(route.prefix))
-            for name, found in by_host.items()
-        }
+            known = self._by_host.setdefault(route.host, {})
+            known[route.prefix] = route
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of the path."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.prefix):
+        prefixes = self._by_host.get(host)
+        if prefixes is None:
+            return None
+        # Prefixes end with a slash, so that only those places count.
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
                 return route
+            end = path.rfind("/", 0, end)
         return None
 
     def organisation(self, key: str) -> Organisation | None:
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -422,6 +422,22 @@
         assert play(scenario) == ([200] * 6, 0)
 
 
+class TestSettings:
+    def test_changed_service_is_told_from_then_on(self):
+        async def scenario(there):
+            host = of(there, "desk")[0]
+            host.node._reread = lambda: host.options(service="moved")
+            host.node.reload()
+            await there.send(host)
+            return [
+                seen["x-savorytally-caller-service"]
+                for other in of(there, "drawers")
+                for seen in other.upstream.seen
+            ]
+
+        assert play(scenario) == ["moved"]
+
+
 class TestConfiguration:
     def test_newer_version_is_in_force_at_once_and_never_goes_back(self):
         async def scenario(there):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -364,6 +364,12 @@
         known = self.make(instance("a", ready=False), instance("b"))
         assert known.choose("almanac", "r", ("b",), 1.0) is None
 
+    def test_host_that_left_is_used_again_when_it_is_back(self):
+        known = self.make(instance("only"))
+        known.leaving("only", 1.0)
+        assert known.choose("almanac", "r", (), 2.0) is None
+        assert known.choose("almanac", "r", (), 5.0) is not None
+
     def test_new_upstream_is_used(self):
         known = self.make(instance("old"))
         for _ in range(5):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -72,6 +72,17 @@
         assert isinstance(refused, settings.Refused)
 
 
+class TestWatched:
+    def test_sees_a_change_once(self, tmp_path):
+        path = tmp_path / "local.conf"
+        path.write_text(SETTINGS)
+        watched = settings.Watched(path)
+        assert not watched.changed()
+        path.write_text(SETTINGS + "more=1\n")
+        assert watched.changed()
+        assert not watched.changed()
+
+
 class TestDurations:
     @pytest.mark.parametrize(
         ("text", "value"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)]
