Weigh the dear link by what an answer's time is worth

Change: the wait that another region must save is 0.3 of the objective, failures count in objectives; another data centre must save 20 ms. The network in memory keeps the order of what one end sends: timers of one moment fire in any order, so an end overtook an answer in one test.

Ruled out for the failing test: the node; it had written the answer first.

Measured: tests only.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -376,11 +376,15 @@
     ) -> catalog.Instance | None:
         """Return the best upstream that the route's attempts allow."""
         choose = self.placement.choose
+        name, objective_s = route.name, route.objective_s
         if len(call.reached) < route.attempts:
-            found = choose(call.service, route.name, call.tried, now)
+            tried = call.tried
+            found = choose(call.service, name, tried, objective_s, now)
             if found is not None or not call.reached:
                 return found
-        return choose(call.service, route.name, (), now, only=call.reached)
+        return choose(
+            call.service, name, (), objective_s, now, only=call.reached
+        )
 
     def _offer_own(
         self, call: Call, instance: catalog.Instance, sent: frames.Call
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -21,11 +21,14 @@
 # Assumed time of a run before one was seen.
 RUN_UNKNOWN_S = 0.1
 # Expected wait that a data centre further away must save.
-OTHER_CENTRE_S = 0.008
-# Expected wait that another region must save; its link is billed by volume.
-OTHER_REGION_S = 0.25
-# What a failure in all of the last requests adds to the expected time.
-FAILING_S = 1.5
+OTHER_CENTRE_S = 0.02
+# Expected wait that another region must save, as a part of the objective;
+# its link is billed by volume.
+OTHER_REGION_PART = 0.3
+OTHER_REGION_MIN_S = 0.08
+# What a failure in all of the last requests adds to the expected time, in
+# objectives.
+FAILING_PART = 1.5
 # Time after which half of a failure memory is gone.
 FAILURE_HALF_S = 2.0
 # Slower start of a cold upstream: its runs count as longer by this factor.
@@ -114,11 +117,13 @@
         service: str,
         route: str,
         tried: t.Container[str],
+        objective_s: float,
         now: float,
         only: t.Container[str] | None = None,
     ) -> catalog.Instance | None:
         """Return the upstream that should answer first, if there is any.
 
+        :param objective_s: time in which an answer is worth most.
         :param tried: upstreams that are left out.
         :param only: the upstreams to choose from, all if not given.
         """
@@ -133,7 +138,7 @@
                 continue
             if only is not None and name not in only:
                 continue
-            score = self._score(known, route, now)
+            score = self._score(known, route, objective_s, now)
             if score < best_score:
                 best, best_score = known, score
         return best.instance if best is not None else None
@@ -205,7 +210,7 @@
         distance_s = 0.0 if near else OTHER_CENTRE_S
         return _Known(
             instance=instance,
-            distance_s=OTHER_REGION_S if far else distance_s,
+            distance_s=distance_s,
             far=far,
             joined=now,
         )
@@ -213,7 +218,9 @@
     def _region(self, data_centre: str) -> str:
         return self._regions.get(data_centre, data_centre)
 
-    def _score(self, known: _Known, route: str, now: float) -> float:
+    def _score(
+        self, known: _Known, route: str, objective_s: float, now: float
+    ) -> float:
         run_s = known.run_s.get(route)
         if run_s is None:
             run_s = self._usual_run_s(known.instance.service, route)
@@ -229,7 +236,13 @@
         expected_s = (run_s + wait_s + fill_s) * (
             1.0 + SPREAD * self._random.random()
         )
-        expected_s += known.distance_s + FAILING_S * self._failing(known, now)
+        if known.far:
+            distance_s = OTHER_REGION_PART * objective_s
+            expected_s += max(OTHER_REGION_MIN_S, distance_s)
+        else:
+            expected_s += known.distance_s
+        failing = self._failing(known, now)
+        expected_s += FAILING_PART * objective_s * failing
         if known.avoid_until > now:
             expected_s += 10.0
         return expected_s
--- a/tests/fakes/net.py
+++ b/tests/fakes/net.py
@@ -29,6 +29,8 @@
         self.silent = False
         self.paused = False
         self.held: list[t.Any] = []
+        self.under_way: collections.deque[t.Callable[[Transport], None]]
+        self.under_way = collections.deque()
         self._address = address
 
     def get_extra_info(self, name: str, default: t.Any = None) -> t.Any:
@@ -91,12 +93,13 @@
         other = self.other
         if other is None or self.silent or other.silent:
             return
+        # Timers of one moment fire in any order; what is sent must not.
+        self.under_way.append(work)
         loop = asyncio.get_running_loop()
-        loop.call_later(DELAY_S, self._arrive, other, work)
+        loop.call_later(DELAY_S, self._arrive, other)
 
-    def _arrive(
-        self, other: "Transport", work: t.Callable[["Transport"], None]
-    ) -> None:
+    def _arrive(self, other: "Transport") -> None:
+        work = self.under_way.popleft()
         if not (self.silent or other.silent):
             work(other)
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -316,7 +316,7 @@
         """Return how often each upstream is chosen."""
         chosen = {}
         for _ in range(count):
-            found = known.choose("almanac", "r", (), 1.0)
+            found = known.choose("almanac", "r", (), 0.5, 1.0)
             name = found.instance_id
             chosen[name] = chosen.get(name, 0) + 1
         return chosen
@@ -342,6 +342,18 @@
         known.report("far", "r", 0.1, 0, 10, 1.0)
         assert self.spread(known) == {"far": 400}
 
+    @pytest.mark.parametrize(
+        ("objective_s", "chosen"), [(0.3, "far"), (2.0, "near")]
+    )
+    def test_dear_link_is_taken_for_urgent_answers_only(
+        self, objective_s, chosen
+    ):
+        known = self.make(instance("near", "low-b"), instance("far", "up-a"))
+        known.report("near", "r", 0.1, 35, 10, 1.0)
+        known.report("far", "r", 0.1, 0, 10, 1.0)
+        found = known.choose("almanac", "r", (), objective_s, 1.0)
+        assert found.instance_id == chosen
+
     def test_slow_upstream_gets_less(self):
         known = self.make(instance("fast"), instance("slow"))
         for _ in range(30):
@@ -355,20 +367,20 @@
             known.outcome("grey", False, 1.0)
         assert self.spread(known).get("grey", 0) == 0
         later = [
-            known.choose("almanac", "r", (), 30.0).instance_id
+            known.choose("almanac", "r", (), 0.5, 30.0).instance_id
             for _ in range(200)
         ]
         assert later.count("grey") > 20
 
     def test_draining_and_tried_upstreams_are_left_out(self):
         known = self.make(instance("a", ready=False), instance("b"))
-        assert known.choose("almanac", "r", ("b",), 1.0) is None
+        assert known.choose("almanac", "r", ("b",), 0.5, 1.0) is None
 
     def test_host_that_left_is_used_again_when_it_is_back(self):
         known = self.make(instance("only"))
         known.leaving("only", 1.0)
-        assert known.choose("almanac", "r", (), 2.0) is None
-        assert known.choose("almanac", "r", (), 5.0) is not None
+        assert known.choose("almanac", "r", (), 0.5, 2.0) is None
+        assert known.choose("almanac", "r", (), 0.5, 5.0) is not None
 
     def test_new_upstream_is_used(self):
         known = self.make(instance("old"))
