--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -98,6 +98,10 @@
         self.rejects: t.Callable[[], bool] = lambda: False
         self.calls: t.Callable[[dict[str, str]], t.Any] | None = None
         self.leaving = False
+        # Told of each arrival: identifier, whether it runs, headers.
+        self.observed: t.Callable[[str, bool, dict[str, str]], t.Any] = (
+            lambda name, ran, given: None
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -129,9 +133,11 @@
             connection.transport.write(response(421, b"", echo))
             return
         if self.rejects():
+            self.observed(name, False, given)
             echo["x-savorytally-not-executed"] = "1"
             connection.transport.write(response(503, b"", echo))
             return
+        self.observed(name, True, given)
         self.ran.append(name)
         self.seen.append(given)
         self.running += 1
@@ -167,10 +173,10 @@
         self.page = 500
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> None:
+    async def start(self, address: str = STORE.host) -> None:
         loop = asyncio.get_running_loop()
         await loop.create_server(
-            lambda: HttpServer(self._arrive), STORE.host, STORE.port
+            lambda: HttpServer(self._arrive), address, STORE.port
         )
 
     def put(self, key: str, value: t.Any) -> None:
--- a/tools/dataplane_cost.py
+++ b/tools/dataplane_cost.py
@@ -146,7 +146,7 @@
     """Start the store, the upstream and two nodes."""
     mesh.STORE = options.Address(STORE, 8545)
     store = mesh.Store()
-    await store.start()
+    await store.start(STORE)
     near, far = mesh.Host(1, "desk", "low-a"), mesh.Host(2, "drawers", "low-a")
     near.address, far.address = NEAR, FAR
     loop = asyncio.get_running_loop()
