Let a stopping node's upstream serve on while callers notice

Change: the gate goes on for 1.4 s, then refuses and tells the peers.

Ruled out: a shorter linger, since callers ask for readiness once a second and stop after two misses.

--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -31,7 +31,10 @@
 # Part of the time in which leaving upstreams must be known that passes
 # between two reads of the store.
 WATCH_PAUSE_PART = 0.3
-# After the signal to stop, callers may still send on open connections.
+# After the signal to stop, the upstream goes on with other hosts' calls
+# for this long, since it may outlive its node's restart.
+SERVE_ON_S = 1.4
+# Callers may still send on open connections until they have noticed.
 LINGER_MIN_S = 2.6
 STOP_MARGIN_S = 0.7
 QUIET_S = 0.5
@@ -152,8 +155,7 @@
         self._stop_began = self._loop.time()
         self._stopping.set()
         self.entry.closing = True
-        self.gate.leave()
-        self.peers.leave()
+        self._loop.call_later(SERVE_ON_S, self._leave)
         self.log.event("stop", active=self.entry.active, runs=self.gate.active)
 
     def reload(self) -> None:
@@ -174,6 +176,11 @@
         self.entry.learn_options(newest)
         self.log.event("reload", changed=changed)
 
+    def _leave(self) -> None:
+        """Take no more calls from other hosts, and tell them."""
+        self.gate.leave()
+        self.peers.leave()
+
     def published(self, changes: feed.Changes) -> None:
         """Apply what the platform has published."""
         now = self._loop.time()
