Keep the keepers of rates while entries lapse; hold early requests

Besides, nodes that had just started refused what came before the first configuration was read.

Change: a host that is no longer listed stays a keeper for 20 s unless it has said that it leaves; 0.6 instead of 0.7 of the tolerance is used. Requests are held for at most 0.3 s while the first configuration is read.

--- a/src/savorytally/dataplane/callers.py
+++ b/src/savorytally/dataplane/callers.py
@@ -180,9 +180,10 @@
         self._transport = None
         waiting, self._requests = self._requests, collections.deque()
         for request in waiting:
-            if request.answer is None and request.abandoned is not None:
+            if request.answer is None:
                 request.answer = b""
-                request.abandoned()
+                if request.abandoned is not None:
+                    request.abandoned()
 
     def eof_received(self) -> bool:
         # A caller that ends its side has left.
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -37,6 +37,8 @@
 # Priorities of organisations go before those of routes by this factor.
 ROUTE_RANKS = 16
 UNREACHED_S = 0.6
+# How long requests are held while the first configuration is being read.
+FIRST_READ_S = 0.3
 _SERVER_ERROR = 500
 
 
@@ -166,6 +168,7 @@
         self.backpressure = backpressure.Backpressure()
         self.active = 0
         self.closing = False
+        self._held: list[callers.Request] = []
 
     @property
     def limits(self) -> catalog.RequestLimits:
@@ -189,7 +192,27 @@
         request.respond(status, headers, body, close=True)
 
     def handle(self, request: callers.Request) -> None:
-        """Take a whole request."""
+        """Take a whole request.
+
+        While the first configuration is being read, it is held for a
+        moment: callers come back a few times only.
+        """
+        if self._catalog is not None:
+            self._take(request)
+            return
+        self._held.append(request)
+        if len(self._held) == 1:
+            self._loop.call_later(FIRST_READ_S, self.release)
+
+    def release(self) -> None:
+        """Take the requests that were held."""
+        held, self._held = self._held, []
+        for request in held:
+            # One whose caller has left counts as answered.
+            if request.answer is None:
+                self._take(request)
+
+    def _take(self, request: callers.Request) -> None:
         now = self._loop.time()
         call = Call(request, now)
         call.request_id = request.header(self._dialect.request_id)
--- a/src/savorytally/dataplane/rates.py
+++ b/src/savorytally/dataplane/rates.py
@@ -44,6 +44,7 @@
         )
         self._alone = ratepool.Alone()
         self._organisations: dict[str, catalog.Organisation] = {}
+        self._known = ratepool.Hosts()
         self._near: list[str] = []
         self._far: dict[str, list[str]] = {}
         self._keepers: dict[str, str] = {}
@@ -63,16 +64,22 @@
 
     def learn_instances(self, instances: t.Iterable[catalog.Instance]) -> None:
         """Apply the hosts that are listed."""
-        regions: dict[str, set[str]] = {}
+        region_of = self._options.regions
+        listed = {self._options.address: self._options.region}
+        leaving = set()
         for instance in instances:
-            region = self._options.regions.get(instance.data_centre, "")
-            regions.setdefault(region, set()).add(instance.address)
-        near = regions.pop(self._options.region, set())
-        near.add(self._options.address)
-        self._near = sorted(near)
-        self._far = {name: sorted(found) for name, found in regions.items()}
-        self._hosts = len(near) + sum(map(len, regions.values()))
-        self.pool.learn_hosts(len(near), self._hosts)
+            if instance.ready:
+                region = region_of.get(instance.data_centre, "")
+                listed[instance.address] = region
+            else:
+                leaving.add(instance.address)
+        leaving.difference_update(listed)
+        self._known.learn(listed, leaving, self._loop.time())
+        regions = self._known.regions()
+        self._hosts = sum(map(len, regions.values()))
+        self._near = regions.pop(self._options.region)
+        self._far = regions
+        self.pool.learn_hosts(len(self._near), self._hosts)
         self._keepers.clear()
 
     def take(self, organisation: str, urgency: int, decided: Decided) -> None:
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -202,6 +202,7 @@
                 removed=list(changes.removed),
             )
             self._apply_instances(now)
+        self.entry.release()
 
     def source_state(self, reachable: bool, why: str) -> None:
         """Note that the platform's store was lost or is back."""
--- a/src/savorytally/decisions/ratepool.py
+++ b/src/savorytally/decisions/ratepool.py
@@ -21,7 +21,7 @@
 
 # Part of the users' tolerance that is used; the rest covers keepers that
 # change and regions whose figures of each other's demand are old.
-TOLERANCE_USED = 0.7
+TOLERANCE_USED = 0.6
 # Part of the bucket that a route leaves untouched, by steps of urgency.
 RESERVE_STEP = 0.12
 RESERVE_MAX = 0.36
@@ -31,6 +31,8 @@
 PART_BY_HOSTS = 0.2
 # Age after which another region's demand is not trusted.
 DEMAND_FADES_S = 4.0
+# How long a host that is no longer listed stays a keeper.
+KEEPER_STAYS_S = 20.0
 # Part of the rate, divided by hosts, of one that can't reach the keeper.
 ALONE_PART = 0.6
 
@@ -44,6 +46,42 @@
     )
 
 
+class Hosts:
+    """The hosts that may keep buckets, by region.
+
+    A host whose upstream's entry lapses may only be cut off from the list,
+    by some hosts' reading and not by others'. It stays a keeper for a time,
+    since two hosts that both think themselves keeper grant a rate twice.
+    """
+
+    def __init__(self) -> None:
+        self._seen: dict[str, tuple[str, float]] = {}
+
+    def learn(
+        self,
+        listed: t.Mapping[str, str],
+        leaving: t.Container[str],
+        now: float,
+    ) -> None:
+        """Apply the list.
+
+        :param listed: region of each listed host.
+        :param leaving: hosts that have said that they leave.
+        """
+        for address, region in listed.items():
+            self._seen[address] = (region, now)
+        for address, (_, seen) in list(self._seen.items()):
+            if address in leaving or now - seen > KEEPER_STAYS_S:
+                del self._seen[address]
+
+    def regions(self) -> dict[str, list[str]]:
+        """Return the hosts of each region in order."""
+        found: dict[str, list[str]] = {}
+        for address, (region, _) in sorted(self._seen.items()):
+            found.setdefault(region, []).append(address)
+        return found
+
+
 @dataclasses.dataclass(slots=True)
 class _Bucket:
     tokens: float
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -145,6 +145,30 @@
 
         assert play(scenario) == (503, False)
 
+    def test_request_at_the_start_waits_for_the_first_configuration(self):
+        async def scenario(there):
+            host = mesh.Host(9, "desk", "low-a")
+            started = asyncio.ensure_future(host.start_node())
+            await asyncio.sleep(0)
+            await started
+            return (await there.send(host)).status
+
+        assert play(scenario) == 200
+
+    def test_held_request_is_refused_if_there_is_no_configuration(self):
+        async def scenario(there):
+            loop = asyncio.get_running_loop()
+            host = mesh.Host(9, "desk", "low-a")
+            there.store.status = 503
+            await host.start_node()
+            began = loop.time()
+            reply = await there.send(host)
+            return reply.status, loop.time() - began
+
+        status, took_s = play(scenario)
+        assert status == 503
+        assert took_s < 0.4
+
 
 class TestBrokenAnswers:
     @pytest.mark.parametrize("part", [0.3, 0.9])
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -529,6 +529,23 @@
             taken += alone.take(Regions.growers, 16, now)
         assert 0 < taken <= 88.0 / 16 * 10
 
+    def test_lapsed_host_stays_keeper_until_it_leaves(self):
+        hosts = ratepool.Hosts()
+        everyone = {f"10.1.0.{number}": "low" for number in range(8)}
+        hosts.learn(everyone, (), 0.0)
+        gone = ratepool.keeper("growers", everyone)
+        rest = {name: "low" for name in everyone if name != gone}
+        hosts.learn(rest, (), 5.0)
+        assert ratepool.keeper("growers", hosts.regions()["low"]) == gone
+        hosts.learn(rest, {gone}, 6.0)
+        assert ratepool.keeper("growers", hosts.regions()["low"]) != gone
+
+    def test_lapsed_host_is_forgotten_after_a_time(self):
+        hosts = ratepool.Hosts()
+        hosts.learn({"a": "low", "b": "low"}, (), 0.0)
+        hosts.learn({"a": "low"}, (), ratepool.KEEPER_STAYS_S + 1)
+        assert hosts.regions() == {"low": ["a"]}
+
     def test_all_hosts_find_the_same_keeper(self):
         hosts = [f"10.1.0.{number}" for number in range(30)]
         other = list(reversed(hosts))
