Use none of the tolerance of rates

Change: rates and bursts are granted as they stand.

Ruled out: hosts without a keeper, late keepers, unlimited organisations.

--- a/src/savorytally/decisions/ratepool.py
+++ b/src/savorytally/decisions/ratepool.py
@@ -19,9 +19,9 @@
 
 from ..world import catalog
 
-# Part of the users' tolerance that is used; the rest covers keepers that
-# change and regions whose figures of each other's demand are old.
-TOLERANCE_USED = 0.4
+# Part of the users' tolerance that is used; all of it is left for requests
+# that run more than once and for keepers that change.
+TOLERANCE_USED = 0.0
 # Part of the bucket that a route leaves untouched, by steps of urgency.
 RESERVE_STEP = 0.12
 RESERVE_MAX = 0.36
