Keep no rates on a host that leaves; use half of the tolerance

A host whose own upstream drains counted itself as listed for ever. In its region the others asked another keeper from then on, so that it granted the requests of its own callers from a second bucket of the region's whole part; with one organisation at eight times its rate that is about 80 requests in 5 s.

Change: a host that leaves is dropped from its own list of keepers as from the others', unless its address is listed anew; a region without others has its own host.

Lines of logs that were lost hid the grants of the second keeper in the earlier counts; cumulative counts by host showed three keepers for two regions from second 2.5 to 6.5.

--- a/src/savorytally/dataplane/rates.py
+++ b/src/savorytally/dataplane/rates.py
@@ -44,7 +44,7 @@
         )
         self._alone = ratepool.Alone()
         self._organisations: dict[str, catalog.Organisation] = {}
-        self._known = ratepool.Hosts()
+        self._known = ratepool.Hosts(chosen.address, chosen.region)
         self._near: list[str] = []
         self._far: dict[str, list[str]] = {}
         self._keepers: dict[str, str] = {}
@@ -65,7 +65,7 @@
     def learn_instances(self, instances: t.Iterable[catalog.Instance]) -> None:
         """Apply the hosts that are listed."""
         region_of = self._options.regions
-        listed = {self._options.address: self._options.region}
+        listed = {}
         leaving = set()
         for instance in instances:
             if instance.ready:
@@ -73,7 +73,6 @@
                 listed[instance.address] = region
             else:
                 leaving.add(instance.address)
-        leaving.difference_update(listed)
         self._known.learn(listed, leaving, self._loop.time())
         regions = self._known.regions()
         self._hosts = sum(map(len, regions.values()))
--- a/src/savorytally/decisions/ratepool.py
+++ b/src/savorytally/decisions/ratepool.py
@@ -19,9 +19,10 @@
 
 from ..world import catalog
 
-# Part of the users' tolerance that is used; all of it is left for requests
-# that run more than once and for keepers that change.
-TOLERANCE_USED = 0.0
+# Part of the users' tolerance that is used; the rest is left for requests
+# that arrive closer together than they were granted, and for keepers that
+# change.
+TOLERANCE_USED = 0.5
 # Part of the bucket that a route leaves untouched, by steps of urgency.
 RESERVE_STEP = 0.12
 RESERVE_MAX = 0.36
@@ -51,10 +52,17 @@
 
     A host whose upstream's entry lapses may only be cut off from the list,
     by some hosts' reading and not by others'. It stays a keeper for a time,
-    since two hosts that both think themselves keeper grant a rate twice.
+    since two hosts that both think themselves keeper grant a rate twice. For
+    the same reason a host that leaves stops to be its own keeper: the others
+    ask another one by then, while callers still send it requests.
+
+    :param own: the host that holds this list.
+    :param region: its region.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, own: str, region: str) -> None:
+        self._own = own
+        self._region = region
         self._seen: dict[str, tuple[str, float]] = {}
 
     def learn(
@@ -66,19 +74,28 @@
         """Apply the list.
 
         :param listed: region of each listed host.
-        :param leaving: hosts that have said that they leave.
+        :param leaving: hosts that have said that they leave; one that is
+            also listed has come back under the same address.
         """
+        if self._own not in leaving:
+            # Its upstream may only not be listed yet, or have lapsed.
+            listed = {self._own: self._region, **listed}
         for address, region in listed.items():
             self._seen[address] = (region, now)
         for address, (_, seen) in list(self._seen.items()):
-            if address in leaving or now - seen > KEEPER_STAYS_S:
+            gone = address in leaving and address not in listed
+            if gone or now - seen > KEEPER_STAYS_S:
                 del self._seen[address]
 
     def regions(self) -> dict[str, list[str]]:
-        """Return the hosts of each region in order."""
+        """Return the hosts of each region in order.
+
+        The own region has one at least: without others, its own host.
+        """
         found: dict[str, list[str]] = {}
         for address, (region, _) in sorted(self._seen.items()):
             found.setdefault(region, []).append(address)
+        found.setdefault(self._region, [self._own])
         return found
 
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -519,7 +519,7 @@
         assert 0 < taken <= 88.0 / 16 * 10
 
     def test_lapsed_host_stays_keeper_until_it_leaves(self):
-        hosts = ratepool.Hosts()
+        hosts = ratepool.Hosts("10.1.0.99", "up")
         everyone = {f"10.1.0.{number}": "low" for number in range(8)}
         hosts.learn(everyone, (), 0.0)
         gone = ratepool.keeper("growers", everyone)
@@ -530,11 +530,36 @@
         assert ratepool.keeper("growers", hosts.regions()["low"]) != gone
 
     def test_lapsed_host_is_forgotten_after_a_time(self):
-        hosts = ratepool.Hosts()
+        hosts = ratepool.Hosts("a", "low")
         hosts.learn({"a": "low", "b": "low"}, (), 0.0)
         hosts.learn({"a": "low"}, (), ratepool.KEEPER_STAYS_S + 1)
         assert hosts.regions() == {"low": ["a"]}
 
+    def test_host_that_leaves_asks_the_keeper_that_the_others_ask(self):
+        everyone = {f"10.1.0.{number}": "low" for number in range(8)}
+        leaver = ratepool.keeper("growers", everyone)
+        rest = {name: "low" for name in everyone if name != leaver}
+        keepers = set()
+        for own in everyone:
+            hosts = ratepool.Hosts(own, "low")
+            hosts.learn(everyone, (), 0.0)
+            hosts.learn(rest, {leaver}, 1.0)
+            near = hosts.regions()["low"]
+            keepers.add(ratepool.keeper("growers", near))
+        assert len(keepers) == 1
+        assert leaver not in keepers
+
+    def test_host_alone_that_leaves_is_its_own_keeper(self):
+        hosts = ratepool.Hosts("a", "low")
+        hosts.learn({"a": "low"}, (), 0.0)
+        hosts.learn({"b": "up"}, {"a"}, 1.0)
+        assert hosts.regions() == {"low": ["a"], "up": ["b"]}
+
+    def test_host_that_comes_back_under_its_address_is_a_keeper(self):
+        hosts = ratepool.Hosts("a", "low")
+        hosts.learn({"a": "low", "b": "low"}, {"a"}, 0.0)
+        assert hosts.regions() == {"low": ["a", "b"]}
+
     def test_all_hosts_find_the_same_keeper(self):
         hosts = [f"10.1.0.{number}" for number in range(30)]
         other = list(reversed(hosts))
