Refuse requests that have crashed three upstreams on the data plane

Change: the gate notices that its upstream broke off all that ran and takes no new connection; one host for each of these requests counts such crashes (decisions/culprits.py). A request in two is told to all connected hosts as a suspect, an answer by any of them clears it, a third crash has it refused by all gates for two minutes, with a 503.

Ruled out: telling all hosts of every request in every crash (86 requests to 31,000 hosts); convicting without an answer's say, since a popular request is in three of twenty crashes by chance.

The test fails on the state before by the count of crashes (8 instead of 4); the one of lost answers fails if a crash isn't asked for by a new connection.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -493,7 +493,7 @@
         now: float,
     ) -> bool:
         """Return whether another host should be offered the call."""
-        if code is results.DEADLINE_PASSED:
+        if code in (results.DEADLINE_PASSED, results.QUARANTINED):
             return False
         if code.not_run and not result.arrived:
             useful = call.deadline - now > REPEAT_USEFUL_S
@@ -544,7 +544,9 @@
     ) -> None:
         """End a call with the node's own answer."""
         status = code.http_status
-        if code.not_run and status >= _SERVER_ERROR:
+        if code is results.QUARANTINED or (
+            code.not_run and status >= _SERVER_ERROR
+        ):
             # Callers may repeat what is sure not to have run.
             status = 503
         self._close(call, code, status)
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -27,6 +27,8 @@
     ASK = 10
     GRANT = 11
     DEMAND = 12
+    CRASHED = 13
+    CULPRIT = 14
 
 
 class Flag:
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -9,6 +9,7 @@
 from ..decisions import gatequeue
 from ..decisions import lineage
 from . import callers
+from . import crashwatch
 from . import dialect
 from . import exchanges
 from . import frames
@@ -49,6 +50,7 @@
         "reply",
         "started",
         "state",
+        "ticket",
         "timer",
         "withdrawn",
     )
@@ -65,6 +67,8 @@
         # As what its own calls are recognised.
         self.parent: lineage.Parent | None = None
         self.timer: asyncio.TimerHandle | None = None
+        # As what crashes of the upstream are related to it.
+        self.ticket = 0
         self.state = State.WAITING
         # Nobody waits for its result any more.
         self.withdrawn = False
@@ -86,6 +90,7 @@
     :param spoken: names of the headers.
     :param connections: connections to the upstream.
     :param queue: decides what runs, waits and is refused.
+    :param watch: notices crashes of the upstream.
     :param log: takes a line for each call that is not answered.
     """
 
@@ -94,12 +99,14 @@
         spoken: dialect.Dialect,
         connections: pool.Pool,
         queue: gatequeue.GateQueue,
+        watch: crashwatch.CrashWatch,
         log: journal.Journal,
     ) -> None:
         self._dialect = spoken
         self._log = log
         self._pool = connections
         self._queue = queue
+        self._watch = watch
         self._loop = asyncio.get_running_loop()
         self.lineage = lineage.Lineage()
         self.below = backpressure.ChainWaits()
@@ -122,6 +129,8 @@
         run = Run(call, now + call.remaining_ms / 1000, reply)
         if self.leaving:
             self._finish(run, results.HOST_LEAVING)
+        elif self._watch.refused_s(call):
+            self._finish(run, results.QUARANTINED)
         elif call.flags & frames.Flag.UNLISTED:
             self.health.ask(
                 call.instance_id, lambda good: self._judged(run, good)
@@ -211,6 +220,7 @@
             run.call.route, now + left_ms / 1000, run, now
         )
         run.connection = connection
+        run.ticket = self._watch.started(run.call)
         run.timer = self._loop.call_at(run.deadline, self._expired, run)
         connection.request(
             self._encode(run.call, left_ms),
@@ -262,6 +272,8 @@
             code = results.UPSTREAM_BROKEN
             if result is exchanges.Broken.NOT_SENT:
                 code = results.NOT_DISPATCHED
+            else:
+                self._watch.broken(run.ticket)
             self._end(run, code, None)
             return
         if result.status == _NOT_EXECUTED_STATUS:
@@ -269,6 +281,7 @@
         elif self._not_executed(result) and result.status >= 429:
             self._end(run, results.UPSTREAM_SHED, None)
         elif self._whole(result):
+            self._watch.answered(run.ticket, run.call)
             self._end(run, results.ANSWERED, result)
         else:
             self._end(run, results.UPSTREAM_BROKEN, None)
@@ -315,6 +328,7 @@
     def _release(self, run: Run, ran_s: float | None) -> None:
         if run.timer is not None:
             run.timer.cancel()
+        self._watch.ended(run.ticket)
         if run.parent is not None:
             self.lineage.end(run.parent, self._loop.time())
             if ran_s is not None:
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -48,6 +48,12 @@
     def host_leaves(self, address: str) -> None:
         """Note that the node of a host takes no more calls."""
 
+    def crashed(self, fingerprints: list[int]) -> None:
+        """Count a crash of another host's upstream."""
+
+    def culprit(self, state: int, fingerprint: int) -> None:
+        """Take in what is known of a request that may crash upstreams."""
+
 
 class Peers:
     """Streams between this node and others.
@@ -90,10 +96,14 @@
 
     def announce(self, version: int) -> None:
         """Tell all connected nodes of a newer configuration."""
+        self.broadcast(frames.Kind.NEWS, version)
+
+    def broadcast(self, kind: frames.Kind, *fields: t.Any) -> None:
+        """Send a control frame to all connected nodes."""
         for link in self._links.values():
-            link.send(frames.Kind.NEWS, version)
+            link.send(kind, *fields)
         for stream in self._accepted:
-            stream.send(frames.Kind.NEWS, version)
+            stream.send(kind, *fields)
 
     def send(self, address: str, kind: frames.Kind, *fields: t.Any) -> bool:
         """Send a control frame; return whether the stream was up."""
@@ -191,6 +201,12 @@
     def _on_demand(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         self._owner.demand(frame[1], frame[2])
 
+    def _on_crashed(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        self._owner.crashed(frame[1])
+
+    def _on_culprit(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        self._owner.culprit(frame[1], frame[2])
+
     def _on_leaving(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         for address, link in self._links.items():
             if link.carries(stream):
@@ -212,4 +228,6 @@
     frames.Kind.ASK: Peers._on_ask,
     frames.Kind.GRANT: Peers._on_grant,
     frames.Kind.DEMAND: Peers._on_demand,
+    frames.Kind.CRASHED: Peers._on_crashed,
+    frames.Kind.CULPRIT: Peers._on_culprit,
 }
--- a/src/savorytally/dataplane/pool.py
+++ b/src/savorytally/dataplane/pool.py
@@ -54,6 +54,10 @@
                 continue
             opened(connection)
             return
+        self.open(opened)
+
+    def open(self, opened: Opened) -> None:
+        """Hand over a new connection, or ``None`` if none can be opened."""
         task = self._loop.create_task(self._connect(opened))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -11,6 +11,7 @@
 from ..world import catalog
 from . import callers
 from . import counters
+from . import crashwatch
 from . import dialect
 from . import entry
 from . import feed
@@ -72,10 +73,18 @@
         self.log = journal.Journal(chosen.host_id, log_descriptor)
         self.counts = counters.Counters()
         self._upstream = pool.Pool(chosen.upstream)
+        self.crashes = crashwatch.CrashWatch(
+            chosen.address, self._upstream, self.log
+        )
         self.gate = gate.Gate(
-            spoken, self._upstream, gatequeue.GateQueue(), self.log
+            spoken,
+            self._upstream,
+            gatequeue.GateQueue(),
+            self.crashes,
+            self.log,
         )
         self.peers = peers.Peers(chosen.peer_port, self.gate, self)
+        self.crashes.attach(self.peers)
         self.rates = rates.Rates(chosen, self.peers)
         self.entry = entry.Entry(
             chosen,
@@ -261,6 +270,14 @@
                 now = self._loop.time()
                 self.entry.placement.leaving(name, now)
 
+    def crashed(self, fingerprints: list[int]) -> None:
+        """Count a crash of another host's upstream."""
+        self.crashes.counted(fingerprints)
+
+    def culprit(self, state: int, fingerprint: int) -> None:
+        """Take in what is known of a request that may crash upstreams."""
+        self.crashes.told(state, fingerprint)
+
     def _pull(self, stream: t.Any, version: int) -> None:
         if version > self.version:
             stream.send(frames.Kind.PULL)
@@ -274,6 +291,7 @@
             if (instance.address, instance.port) == (own.host, own.port):
                 self.gate.queue.learn_slots(instance.slots)
         self.entry.repeats.learn_hosts(len(hosts))
+        self.crashes.learn_hosts(hosts)
         self.rates.learn_instances(self._instances.values())
 
     def _readiness(self) -> tuple[int, bytes]:
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -691,3 +691,84 @@
         name: {"health_path": "/healthz"} for name in ("drawers", "desk")
     }
     return mesh.configuration(1, services=services)
+
+
+class TestCulprits:
+    """A request that crashes each upstream that runs it comes again."""
+
+    BACK_S = 0.4
+
+    def crashing(self, there, crashes):
+        """Let requests named boom crash the upstream that runs them."""
+        for host in of(there, "drawers"):
+
+            async def calls(given, host=host):
+                if given["x-savorytally-attempt-id"].startswith("boom"):
+                    crashes.append(host.address)
+                    self.crash(there, host)
+                    await asyncio.sleep(self.BACK_S)
+                return 200
+
+            host.upstream.calls = calls
+
+    def crash(self, there, host):
+        place = (host.address, mesh.UPSTREAM_PORT)
+        server = there.net.servers.pop(place)
+        there.net.reset(*place)
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.BACK_S, there.net.servers.setdefault, place, server
+        )
+
+    def test_request_that_crashes_upstreams_is_refused_after_the_third(self):
+        crashes = []
+
+        async def scenario(there):
+            self.crashing(there, crashes)
+            statuses = []
+            for number in range(8):
+                host = there.hosts[number % len(there.hosts)]
+                reply = await there.send(
+                    host, "/drawers/bad", request_id=f"boom-{number}"
+                )
+                statuses.append(reply.status)
+                await asyncio.sleep(2 * self.BACK_S)
+            other = await there.send(there.hosts[2], "/drawers/good")
+            return statuses, other.status
+
+        statuses, other = play(scenario)
+        assert len(crashes) <= 4
+        assert statuses[-4:] == [503] * 4
+        assert other == 200
+
+    def test_request_that_is_answered_between_crashes_is_not_refused(self):
+        crashes = []
+
+        async def scenario(there):
+            self.crashing(there, crashes)
+            statuses = []
+            for number in range(6):
+                await there.send(
+                    there.hosts[2], "/drawers/hot", request_id=f"boom-{number}"
+                )
+                await asyncio.sleep(2 * self.BACK_S)
+                reply = await there.send(there.hosts[3], "/drawers/hot")
+                statuses.append(reply.status)
+            return statuses
+
+        assert play(scenario) == [200] * 6
+
+    def test_lost_answers_are_no_crash(self):
+        async def scenario(there):
+            for host in of(there, "drawers"):
+                host.upstream.fault = lambda connection, name, answer: (
+                    connection.transport.abort()
+                )
+            for _ in range(6):
+                await there.send(there.hosts[2], "/drawers/lost")
+            for host in of(there, "drawers"):
+                host.upstream.fault = None
+            await asyncio.sleep(1.0)
+            return (await there.send(there.hosts[2], "/drawers/lost")).status
+
+        assert play(scenario) == 200
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -7,6 +7,7 @@
 
 from savorytally.decisions import backpressure
 from savorytally.decisions import callmodel
+from savorytally.decisions import culprits
 from savorytally.decisions import gatequeue
 from savorytally.decisions import lineage
 from savorytally.decisions import placement
@@ -568,3 +569,63 @@
             assert ratepool.keeper(name, other) == keeper
             rest = [host for host in hosts if host != keeper]
             assert ratepool.keeper(name, rest) != keeper
+
+
+class TestCulprits:
+    def hosts(self, count=3):
+        """Return hosts that hear all news at once, and what counts."""
+        known = [culprits.Culprits() for _ in range(count)]
+
+        def crash(names, now):
+            for news in known[0].crashed(names, now):
+                for host in known:
+                    host.learn(news, now)
+
+        return known, crash
+
+    def test_third_crash_has_a_request_refused_by_all(self):
+        known, crash = self.hosts()
+        for now in (1.0, 5.0):
+            crash([7, 8], now)
+        assert [host.refused_s(7, 5.0) for host in known] == [0.0] * 3
+        crash([7], 9.0)
+        assert all(host.refused_s(7, 9.0) > 60.0 for host in known)
+        assert all(host.refused_s(8, 9.0) == 0.0 for host in known)
+
+    def test_answer_by_any_host_clears_a_suspect(self):
+        known, crash = self.hosts()
+        for now in (1.0, 5.0):
+            crash([7], now)
+        news = known[2].answered(7)
+        assert news is not None
+        assert all(host.learn(news, 6.0) for host in known)
+        assert not any(host.learn(news, 6.0) for host in known)
+        crash([7], 9.0)
+        assert known[0].refused_s(7, 9.0) == 0.0
+
+    def test_answer_to_what_is_no_suspect_is_not_told(self):
+        known, crash = self.hosts()
+        crash([7], 1.0)
+        assert known[0].answered(7) is None
+
+    def test_crashes_long_apart_are_not_counted_together(self):
+        known, crash = self.hosts()
+        apart_s = culprits.COUNTED_S + 1.0
+        for number in range(5):
+            crash([7], number * apart_s)
+        assert not any(host.watching for host in known)
+
+    def test_refusal_ends_after_a_time(self):
+        known, crash = self.hosts()
+        for now in (1.0, 2.0, 3.0):
+            crash([7], now)
+        assert known[1].refused_s(7, 3.0 + culprits.REFUSED_S) == 0.0
+
+    def test_same_request_has_the_same_fingerprint(self):
+        def of(caller=b"growers", target=b"/a", body=b""):
+            name = caller.decode()
+            return culprits.fingerprint(name, b"GET", target, body)
+
+        assert of() == of()
+        others = {of(b"agents"), of(target=b"/b"), of(body=b"x")}
+        assert len(others | {of()}) == 4
