Part a request's terms and its state from the entry

Change: calls.py holds a request in progress, terms.py sets route, key, time and rank; behaviour is unchanged.

--- /dev/null
+++ b/src/savorytally/dataplane/calls.py
@@ -0,0 +1,72 @@
+"""A request in progress at the entry."""
+
+import asyncio
+import typing as t
+
+from .. import results
+from ..decisions import lineage
+from ..world import catalog
+from . import callers
+from . import frames
+
+
+class Call:
+    """A request in progress at the entry."""
+
+    __slots__ = (
+        "clients_ms",
+        "deadline",
+        "done",
+        "flags",
+        "instance_id",
+        "known",
+        "objective_s",
+        "offers",
+        "organisation",
+        "parent",
+        "rank",
+        "reached",
+        "request",
+        "request_id",
+        "route",
+        "service",
+        "started",
+        "timer",
+        "tried",
+        "withdraw",
+    )
+
+    def __init__(self, request: callers.Request, started: float) -> None:
+        self.request = request
+        self.started = started
+        self.request_id = b""
+        self.route: catalog.Route | None = None
+        self.service = ""
+        self.organisation = ""
+        self.rank = 0
+        self.flags = 0
+        self.deadline = 0.0
+        self.clients_ms = 0
+        self.objective_s = 0.0
+        # The request at the local upstream that made this one.
+        self.parent: lineage.Parent | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.tried: list[str] = []
+        self.offers = 0
+        # Upstreams that the request has reached.
+        self.reached: list[str] = []
+        self.instance_id = ""
+        # The worst that is known of earlier attempts.
+        self.known: results.ResultCode | None = None
+        self.withdraw: t.Callable[[], bool] | None = None
+        self.done = False
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the request may run twice."""
+        return bool(self.flags & frames.Flag.IDEMPOTENT)
+
+    @property
+    def child(self) -> bool:
+        """Whether the local upstream made it for another request."""
+        return bool(self.flags & frames.Flag.CHILD)
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -7,13 +7,13 @@
 
 from .. import results
 from ..decisions import backpressure
-from ..decisions import lineage
 from ..decisions import placement
 from ..decisions import ratepool
 from ..decisions import repeatbudget
 from ..decisions import splits
 from ..world import catalog
 from . import callers
+from . import calls
 from . import counters
 from . import dialect
 from . import frames
@@ -21,21 +21,18 @@
 from . import journal
 from . import options
 from . import rates
+from . import terms
 
 # Times that a request may be offered to hosts; only upstreams that it
 # reached count as attempts of its route.
 OFFERS_MAX = 8
 # Offers to gates that refused before the request reached an upstream.
 GATES_MAX = 3
-# A caller that has less time than usual by this factor came back.
-RETURNED_FRACTION = 0.93
 # Time in which an answer must come for a repeat to be worth sending.
 REPEAT_USEFUL_S = 0.03
 # Part of the remaining time by which callers honour Retry-After.
 COME_BACK_PART = 0.33
 COME_BACK_MIN_S = 0.03
-# Priorities of organisations go before those of routes by this factor.
-ROUTE_RANKS = 16
 UNREACHED_S = 0.6
 # How long requests are held while the first configuration is being read.
 FIRST_READ_S = 0.3
@@ -57,68 +54,6 @@
         """
 
 
-class Call:
-    """A request in progress at the entry."""
-
-    __slots__ = (
-        "clients_ms",
-        "deadline",
-        "done",
-        "flags",
-        "instance_id",
-        "known",
-        "objective_s",
-        "offers",
-        "organisation",
-        "parent",
-        "rank",
-        "reached",
-        "request",
-        "request_id",
-        "route",
-        "service",
-        "started",
-        "timer",
-        "tried",
-        "withdraw",
-    )
-
-    def __init__(self, request: callers.Request, started: float) -> None:
-        self.request = request
-        self.started = started
-        self.request_id = b""
-        self.route: catalog.Route | None = None
-        self.service = ""
-        self.organisation = ""
-        self.rank = 0
-        self.flags = 0
-        self.deadline = 0.0
-        self.clients_ms = 0
-        self.objective_s = 0.0
-        # The request at the local upstream that made this one.
-        self.parent: lineage.Parent | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.tried: list[str] = []
-        self.offers = 0
-        # Upstreams that the request has reached.
-        self.reached: list[str] = []
-        self.instance_id = ""
-        # The worst that is known of earlier attempts.
-        self.known: results.ResultCode | None = None
-        self.withdraw: t.Callable[[], bool] | None = None
-        self.done = False
-
-    @property
-    def idempotent(self) -> bool:
-        """Whether the request may run twice."""
-        return bool(self.flags & frames.Flag.IDEMPOTENT)
-
-    @property
-    def child(self) -> bool:
-        """Whether the local upstream made it for another request."""
-        return bool(self.flags & frames.Flag.CHILD)
-
-
 class Entry:
     """Answers the requests of callers and of the local upstream.
 
@@ -153,9 +88,8 @@
         self._log = log
         self._random = source
         self._loop = asyncio.get_running_loop()
-        self._catalog: catalog.Catalog | None = None
+        self._terms = terms.Terms(spoken, own)
         self._limits = catalog.RequestLimits()
-        self._usual_ms: dict[str, int] = {}
         self.placement = placement.Placement(
             chosen.data_centre, chosen.regions, source
         )
@@ -181,7 +115,7 @@
 
     def learn_catalog(self, newest: catalog.Catalog) -> None:
         """Apply a newer configuration."""
-        self._catalog = newest
+        self._terms.learn_catalog(newest)
         self._limits = newest.limits
 
     def refuse(self, request: callers.Request, status: int, why: str) -> None:
@@ -197,7 +131,7 @@
         While the first configuration is being read, it is held for a
         moment: callers come back a few times only.
         """
-        if self._catalog is not None:
+        if self._terms.in_force is not None:
             self._take(request)
             return
         self._held.append(request)
@@ -214,10 +148,10 @@
 
     def _take(self, request: callers.Request) -> None:
         now = self._loop.time()
-        call = Call(request, now)
+        call = calls.Call(request, now)
         call.request_id = request.header(self._dialect.request_id)
         self.active += 1
-        refused = self._prepare(call, now)
+        refused = self._terms.set(call, now) or self._shed(call, now)
         if refused is not None:
             self._fail(call, refused)
             return
@@ -233,7 +167,7 @@
             lambda grant: self._admitted(call, grant),
         )
 
-    def _admitted(self, call: Call, grant: ratepool.Grant) -> None:
+    def _admitted(self, call: calls.Call, grant: ratepool.Grant) -> None:
         if call.done:
             return
         if grant.granted:
@@ -241,7 +175,7 @@
         else:
             self._fail(call, results.OVER_RATE, grant.wait_ms)
 
-    def _begin(self, call: Call) -> None:
+    def _begin(self, call: calls.Call) -> None:
         """Choose a call's service and offer the call to its hosts."""
         call.service = self.splits.choose(t.cast(catalog.Route, call.route))
         # Arrivals below a repeat count as repeats where they arrive.
@@ -252,94 +186,11 @@
             self.repeats.first(call.service, now)
         self._offer(call)
 
-    def _prepare(self, call: Call, now: float) -> results.ResultCode | None:
-        known = self._catalog
-        if known is None:
-            return results.NOT_CONFIGURED
-        request = call.request
-        target = request.target.decode("latin-1")
-        if not target.startswith("/"):
-            return results.MALFORMED_REQUEST
-        host = request.header(b"host").decode("latin-1").lower()
-        path = target.partition("?")[0]
-        route = known.match(host, path)
-        if route is None:
-            route = known.match(host.partition(":")[0], path)
-        if route is None:
-            return results.UNKNOWN_ROUTE
-        call.route = route
-        organisation = self._identify(call, known)
-        if isinstance(organisation, results.ResultCode):
-            return organisation
-        self._set_terms(call, route, organisation, now)
-        return self._shed(call, route, now)
-
-    def _identify(
-        self, call: Call, known: catalog.Catalog
-    ) -> catalog.Organisation | results.ResultCode | None:
-        """Return the holder of the caller's key."""
-        route = t.cast(catalog.Route, call.route)
-        sent = call.request.header(b"authorization")
-        scheme, _, key = sent.partition(b" ")
-        holder: catalog.Organisation | None = None
-        if scheme.lower() == self._dialect.key_scheme:
-            holder = known.organisation(key.strip().decode("latin-1"))
-        if holder is not None:
-            call.organisation = holder.name
-            return holder
-        if not known.keyed or route.open_to_all:
-            return None
-        return results.KEY_REJECTED if sent else results.KEY_MISSING
-
-    def _set_terms(
-        self,
-        call: Call,
-        route: catalog.Route,
-        organisation: catalog.Organisation | None,
-        now: float,
-    ) -> None:
-        """Set deadline, objective, rank and flags of a call."""
-        text = call.request.header(self._dialect.remaining_ms)
-        call.clients_ms = int(text) if text.isdigit() else 0
-        left_s = route.timeout_s
-        if call.clients_ms:
-            left_s = min(left_s, call.clients_ms / 1000)
-        call.deadline = now + left_s
-        call.objective_s = min(route.objective_s, left_s)
-        if route.idempotent:
-            call.flags |= frames.Flag.IDEMPOTENT
-        call.rank = route.priority
-        if organisation is not None and organisation.priority is not None:
-            call.rank += ROUTE_RANKS * organisation.priority
-        if organisation is None and call.clients_ms:
-            keyed = self._catalog is not None and self._catalog.keyed
-            given_up_at = now + call.clients_ms / 1000
-            call.parent = self._gate.lineage.call(
-                route.name, given_up_at, not keyed, now
-            )
-        if call.parent is not None:
-            run: gate.Run = call.parent.owner
-            call.flags |= frames.Flag.CHILD
-            call.rank = run.call.rank
-            if run.repeat:
-                call.flags |= frames.Flag.REPEAT
-            return
-        usual_ms = self._usual_ms.get(route.name, 0)
-        if call.clients_ms > usual_ms:
-            self._usual_ms[route.name] = call.clients_ms
-        elif call.clients_ms < usual_ms * RETURNED_FRACTION:
-            call.flags |= frames.Flag.RETURNED
-            gone_s = (usual_ms - call.clients_ms) / 1000
-            call.objective_s = max(
-                call.objective_s / 4, route.objective_s - gone_s
-            )
-
-    def _shed(
-        self, call: Call, route: catalog.Route, now: float
-    ) -> results.ResultCode | None:
+    def _shed(self, call: calls.Call, now: float) -> results.ResultCode | None:
         """Refuse a new request whose chain ends in an overload."""
         if call.child:
             return None
+        route = t.cast(catalog.Route, call.route)
         returned = bool(call.flags & frames.Flag.RETURNED)
         draw = self._random.random()
         useful_s = min(route.objective_s, route.timeout_s)
@@ -349,7 +200,7 @@
             return results.SHED_FOR_CHAIN
         return None
 
-    def _offer(self, call: Call) -> None:
+    def _offer(self, call: calls.Call) -> None:
         """Send a call to the best host that has not had it."""
         now = self._loop.time()
         route = t.cast(catalog.Route, call.route)
@@ -395,7 +246,7 @@
         )
 
     def _choose(
-        self, call: Call, route: catalog.Route, now: float
+        self, call: calls.Call, route: catalog.Route, now: float
     ) -> catalog.Instance | None:
         """Return the best upstream that the route's attempts allow."""
         choose = self.placement.choose
@@ -410,7 +261,7 @@
         )
 
     def _offer_own(
-        self, call: Call, instance: catalog.Instance, sent: frames.Call
+        self, call: calls.Call, instance: catalog.Instance, sent: frames.Call
     ) -> None:
         run: gate.Run | None = None
 
@@ -427,7 +278,10 @@
         )
 
     def _result(
-        self, call: Call, instance: catalog.Instance, result: frames.Result
+        self,
+        call: calls.Call,
+        instance: catalog.Instance,
+        result: frames.Result,
     ) -> None:
         now = self._loop.time()
         route = t.cast(catalog.Route, call.route)
@@ -486,7 +340,7 @@
 
     def _worth_another(
         self,
-        call: Call,
+        call: calls.Call,
         route: catalog.Route,
         result: frames.Result,
         code: results.ResultCode,
@@ -504,7 +358,7 @@
 
     def _repeat_pays(
         self,
-        call: Call,
+        call: calls.Call,
         route: catalog.Route,
         result: frames.Result,
         now: float,
@@ -523,22 +377,22 @@
         if call.parent is not None:
             expected = self._gate.below.calls(call.parent.route)
             progress = min(1.0, call.parent.answered / expected)
-        claim = repeatbudget.Claim(call.rank % ROUTE_RANKS, progress)
+        claim = repeatbudget.Claim(call.rank % terms.ROUTE_RANKS, progress)
         return self.repeats.spend(call.service, claim, now)
 
-    def _repeat(self, call: Call, counted: bool = True) -> None:
+    def _repeat(self, call: calls.Call, counted: bool = True) -> None:
         if counted:
             call.flags |= frames.Flag.REPEAT
         self._offer(call)
 
-    def _answer(self, call: Call, result: frames.Result) -> None:
+    def _answer(self, call: calls.Call, result: frames.Result) -> None:
         self._close(call, results.ANSWERED, result.status)
         headers = [(bytes(name), bytes(v)) for name, v in result.headers]
         call.request.respond(result.status, headers, result.body)
 
     def _fail(
         self,
-        call: Call,
+        call: calls.Call,
         code: results.ResultCode,
         retry_after_ms: int = 0,
     ) -> None:
@@ -559,7 +413,7 @@
         body = b'{"code":%d,"name":"%s"}' % (code.number, code.name.encode())
         call.request.respond(status, headers, body)
 
-    def _come_back_s(self, call: Call, retry_after_ms: int) -> float:
+    def _come_back_s(self, call: calls.Call, retry_after_ms: int) -> float:
         """Return when a refused caller should come back.
 
         Spread over a time that grows with the wait at the host that refused
@@ -575,7 +429,7 @@
         )
 
     def _close(
-        self, call: Call, code: results.ResultCode, status: int
+        self, call: calls.Call, code: results.ResultCode, status: int
     ) -> None:
         """Count and log the end of a call."""
         call.done = True
@@ -594,7 +448,7 @@
             self._log.event("request", **self._described(call, code, status))
 
     def _described(
-        self, call: Call, code: results.ResultCode, status: int
+        self, call: calls.Call, code: results.ResultCode, status: int
     ) -> dict[str, t.Any]:
         """Return the fields of the line on the end of a call."""
         now = self._loop.time()
@@ -613,7 +467,7 @@
             "hosts": call.tried,
             "reached": call.reached,
             "offers": call.offers,
-            "version": self._catalog.version if self._catalog else 0,
+            "version": self._terms.version,
         }
         if call.parent is not None:
             run: gate.Run = call.parent.owner
@@ -623,14 +477,14 @@
             fields["below_ms"] = round(wait_s * 1000, 1)
         return fields
 
-    def _abandoned(self, call: Call) -> None:
+    def _abandoned(self, call: calls.Call) -> None:
         """Withdraw a call whose caller has left."""
         if call.done:
             return
         self._withdraw(call)
         self._close(call, results.CANCELLED_AFTER_START, 499)
 
-    def _expired(self, call: Call) -> None:
+    def _expired(self, call: calls.Call) -> None:
         if call.done:
             return
         now = self._loop.time()
@@ -647,7 +501,7 @@
         else:
             self._fail(call, results.DEADLINE_UNKNOWN)
 
-    def _withdraw(self, call: Call) -> bool:
+    def _withdraw(self, call: calls.Call) -> bool:
         """Withdraw a call; return whether it is sure not to have run."""
         withdraw, call.withdraw = call.withdraw, None
         if withdraw is None:
--- /dev/null
+++ b/src/savorytally/dataplane/terms.py
@@ -0,0 +1,130 @@
+"""What a request may do and what its caller expects: route, key and time."""
+
+import typing as t
+
+from .. import results
+from ..world import catalog
+from . import calls
+from . import dialect
+from . import frames
+from . import gate
+
+# A caller that has less time than usual by this factor came back.
+RETURNED_FRACTION = 0.93
+# Priorities of organisations go before those of routes by this factor.
+ROUTE_RANKS = 16
+
+
+class Terms:
+    """Sets the terms of requests by the configuration in force.
+
+    :param spoken: names of the headers.
+    :param own: the gate of this host, whose runs make calls.
+    """
+
+    def __init__(self, spoken: dialect.Dialect, own: gate.Gate) -> None:
+        self._dialect = spoken
+        self._gate = own
+        self._catalog: catalog.Catalog | None = None
+        # The most time that callers have given by route.
+        self._usual_ms: dict[str, int] = {}
+
+    @property
+    def in_force(self) -> catalog.Catalog | None:
+        """The configuration in force."""
+        return self._catalog
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 for none."""
+        return self._catalog.version if self._catalog is not None else 0
+
+    def learn_catalog(self, newest: catalog.Catalog) -> None:
+        """Apply a newer configuration."""
+        self._catalog = newest
+
+    def set(self, call: calls.Call, now: float) -> results.ResultCode | None:
+        """Set a call's terms; return why it is refused, if it is.
+
+        :param now: loop time.
+        """
+        known = self._catalog
+        if known is None:
+            return results.NOT_CONFIGURED
+        request = call.request
+        target = request.target.decode("latin-1")
+        if not target.startswith("/"):
+            return results.MALFORMED_REQUEST
+        host = request.header(b"host").decode("latin-1").lower()
+        path = target.partition("?")[0]
+        route = known.match(host, path)
+        if route is None:
+            route = known.match(host.partition(":")[0], path)
+        if route is None:
+            return results.UNKNOWN_ROUTE
+        call.route = route
+        organisation = self._identify(call, known)
+        if isinstance(organisation, results.ResultCode):
+            return organisation
+        self._set_terms(call, route, organisation, now)
+        return None
+
+    def _identify(
+        self, call: calls.Call, known: catalog.Catalog
+    ) -> catalog.Organisation | results.ResultCode | None:
+        """Return the holder of the caller's key."""
+        route = t.cast(catalog.Route, call.route)
+        sent = call.request.header(b"authorization")
+        scheme, _, key = sent.partition(b" ")
+        holder: catalog.Organisation | None = None
+        if scheme.lower() == self._dialect.key_scheme:
+            holder = known.organisation(key.strip().decode("latin-1"))
+        if holder is not None:
+            call.organisation = holder.name
+            return holder
+        if not known.keyed or route.open_to_all:
+            return None
+        return results.KEY_REJECTED if sent else results.KEY_MISSING
+
+    def _set_terms(
+        self,
+        call: calls.Call,
+        route: catalog.Route,
+        organisation: catalog.Organisation | None,
+        now: float,
+    ) -> None:
+        """Set deadline, objective, rank and flags of a call."""
+        text = call.request.header(self._dialect.remaining_ms)
+        call.clients_ms = int(text) if text.isdigit() else 0
+        left_s = route.timeout_s
+        if call.clients_ms:
+            left_s = min(left_s, call.clients_ms / 1000)
+        call.deadline = now + left_s
+        call.objective_s = min(route.objective_s, left_s)
+        if route.idempotent:
+            call.flags |= frames.Flag.IDEMPOTENT
+        call.rank = route.priority
+        if organisation is not None and organisation.priority is not None:
+            call.rank += ROUTE_RANKS * organisation.priority
+        if organisation is None and call.clients_ms:
+            keyed = self._catalog is not None and self._catalog.keyed
+            given_up_at = now + call.clients_ms / 1000
+            call.parent = self._gate.lineage.call(
+                route.name, given_up_at, not keyed, now
+            )
+        if call.parent is not None:
+            run: gate.Run = call.parent.owner
+            call.flags |= frames.Flag.CHILD
+            call.rank = run.call.rank
+            if run.repeat:
+                call.flags |= frames.Flag.REPEAT
+            return
+        usual_ms = self._usual_ms.get(route.name, 0)
+        if call.clients_ms > usual_ms:
+            self._usual_ms[route.name] = call.clients_ms
+        elif call.clients_ms < usual_ms * RETURNED_FRACTION:
+            call.flags |= frames.Flag.RETURNED
+            gone_s = (usual_ms - call.clients_ms) / 1000
+            call.objective_s = max(
+                call.objective_s / 4, route.objective_s - gone_s
+            )
