Let asks of rates wait for their stream; begin buckets with a part

Cause: after all hosts have been off and on, requests within their rates got 429. An ask to a keeper without an open stream was answered as if there were no keeper, so that each host refused the first request to each keeper; an unreachable one was left out for a second, while all come back within a third; and a new keeper's bucket was empty, so that routes which leave a reserve got nothing at first. Besides, a host that became keeper later in the life of its first process began with a full bucket.

Change: control frames wait for the stream that is being opened; a keeper that did not answer is left out for 0.3 s; a bucket begins full only within 20 s of the first start of all hosts, else with half of the tolerance that is not used otherwise (an eighth of what a window allows at most).

--- a/src/savorytally/dataplane/crashwatch.py
+++ b/src/savorytally/dataplane/crashwatch.py
@@ -13,9 +13,6 @@
 from . import journal
 from . import pool
 
-# A host that has no stream to the one that counts tells it this much later.
-AGAIN_S = 0.3
-
 
 class Carrier(t.Protocol):
     """Sends control frames to other hosts."""
@@ -117,16 +114,7 @@
             if host == self._own:
                 self.counted(names)
             elif self._carrier is not None:
-                self._tell_counter(self._carrier, host, names)
-
-    def _tell_counter(
-        self, carrier: Carrier, host: str, names: list[int]
-    ) -> None:
-        if not carrier.send(host, frames.Kind.CRASHED, names):
-            # The stream is being opened by now.
-            self._loop.call_later(
-                AGAIN_S, carrier.send, host, frames.Kind.CRASHED, names
-            )
+                self._carrier.send(host, frames.Kind.CRASHED, names)
 
     def _spread(self, news: culprits.News) -> None:
         if not self._culprits.learn(news, self._loop.time()):
--- a/src/savorytally/dataplane/options.py
+++ b/src/savorytally/dataplane/options.py
@@ -22,7 +22,7 @@
     :param retry_slack: repeats beyond the ratio in a window.
     :param rate_overage: fraction by which a rate may be passed.
     :param rate_slack: requests by which a rate may be passed besides.
-    :param address_reuse_s: an address names no other service sooner.
+    :param rate_window_s: the time over which that is measured.
     """
 
     drain_s: float = 2.0
@@ -32,7 +32,7 @@
     retry_slack: float = 50.0
     rate_overage: float = 0.25
     rate_slack: float = 20.0
-    address_reuse_s: float = 2.0
+    rate_window_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -115,13 +115,13 @@
             stream.send(kind, *fields)
 
     def send(self, address: str, kind: frames.Kind, *fields: t.Any) -> bool:
-        """Send a control frame; return whether the stream was up."""
+        """Send a control frame, as soon as there is a stream.
+
+        :return: False if the host was not reached just now.
+        """
         link = self._link(address)
         link.last_used = self._loop.time()
-        if link.send(kind, *fields):
-            return True
-        link.open_stream()
-        return False
+        return link.send_opening(kind, *fields)
 
     def leave(self) -> None:
         """Tell all nodes that send calls to take them elsewhere."""
--- a/src/savorytally/dataplane/rates.py
+++ b/src/savorytally/dataplane/rates.py
@@ -10,10 +10,13 @@
 
 # How long a request waits for a keeper's answer.
 ANSWER_S = 0.06
-# How long a keeper that did not answer is not asked.
-AVOID_S = 1.0
+# How long a keeper that did not answer is not asked; after many hosts have
+# started together, it is there a moment later.
+AVOID_S = 0.3
 # How often demands are measured and told to other regions.
 PERIOD_S = 0.8
+# Time after the first start of all hosts in which buckets begin full.
+BEGINNING_S = 20.0
 # How long a refusal holds for requests of the same kind, at most.
 DRY_MAX_S = 0.1
 
@@ -39,8 +42,14 @@
         self._options = chosen
         self._carrier = carrier
         self._loop = asyncio.get_running_loop()
+        full_until = 0.0
+        if chosen.first_start:
+            full_until = self._loop.time() + BEGINNING_S
         self.pool = ratepool.RatePool(
-            bounds.rate_overage, bounds.rate_slack, chosen.first_start
+            bounds.rate_overage,
+            bounds.rate_slack,
+            bounds.rate_window_s,
+            full_until,
         )
         self._alone = ratepool.Alone()
         self._organisations: dict[str, catalog.Organisation] = {}
--- a/src/savorytally/dataplane/streams.py
+++ b/src/savorytally/dataplane/streams.py
@@ -11,6 +11,8 @@
 CONNECT_TIMEOUT_S = 0.5
 # Pause before a host that could not be reached is tried again.
 RECONNECT_S = 0.5
+# Control frames that wait for a stream to be opened.
+WAITING_MAX = 256
 # A stream with calls in progress that brings nothing is asked after this.
 PING_AFTER_S = 0.2
 # A stream that is silent for this long is not used for new calls, and its
@@ -127,6 +129,7 @@
         self._stream: Stream | None = None
         self._connecting: asyncio.Task[None] | None = None
         self._queued: dict[int, frames.Call] = {}
+        self._waiting: list[tuple[t.Any, ...]] = []
         self._calls: dict[int, Answered] = {}
         self._numbers = 0
         self._closed = False
@@ -197,6 +200,20 @@
         t.cast(Stream, self._stream).send(kind, *fields)
         return True
 
+    def send_opening(self, kind: frames.Kind, *fields: t.Any) -> bool:
+        """Send a control frame, as soon as the stream is up.
+
+        :return: False if the host was not reached just now; what waits for a
+            stream that can't be opened is dropped.
+        """
+        if self.open:
+            return self.send(kind, *fields)
+        self.open_stream()
+        if self._connecting is None or len(self._waiting) >= WAITING_MAX:
+            return False
+        self._waiting.append((kind, *fields))
+        return True
+
     def open_stream(self) -> None:
         """Open the stream, unless the host was not reached just now."""
         if not self.open and self._loop.time() > self._down_until:
@@ -262,6 +279,7 @@
             self._unreached = True
             self._down_until = self._loop.time() + RECONNECT_S
             self._connecting = None
+            self._waiting = []
             self._fail_queued()
             return
         self._connecting = None
@@ -272,6 +290,9 @@
         queued, self._queued = self._queued, {}
         for call in queued.values():
             stream.send(frames.Kind.CALL, *call)
+        waiting, self._waiting = self._waiting, []
+        for frame in waiting:
+            stream.send(*frame)
 
     def _fail_queued(self) -> None:
         queued, self._queued = self._queued, {}
--- a/src/savorytally/decisions/ratepool.py
+++ b/src/savorytally/decisions/ratepool.py
@@ -5,9 +5,9 @@
 one host per organisation, found by rendezvous hashing, keeps the region's
 part of the bucket and grants single requests from it; regions divide the
 rate by the demand that they tell each other. A host that can't reach the
-keeper lives on a small part of its own. Nothing is stored: a keeper that
-starts begins with an empty bucket, since its predecessor may have granted
-everything.
+keeper lives on a small part of its own. Nothing is stored: a host that
+becomes keeper begins with a bucket that holds no more than a part of the
+users' tolerance, since its predecessor may have granted everything.
 
 Urgent routes are served first from a bucket that runs low: the others leave
 a part of it in reserve.
@@ -23,6 +23,9 @@
 # that arrive closer together than they were granted, and for keepers that
 # change.
 TOLERANCE_USED = 0.5
+# Part of the rest that a bucket holds when a host becomes its keeper, so that
+# not all callers are refused when many hosts have been started again.
+BEGIN_PART = 0.5
 # Part of the bucket that a route leaves untouched, by steps of urgency.
 RESERVE_STEP = 0.12
 RESERVE_MAX = 0.36
@@ -126,13 +129,25 @@
 
     :param overage: fraction by which a rate may be passed.
     :param slack: requests by which it may be passed besides.
-    :param full: whether buckets begin full.
+    :param window_s: the time over which that is measured.
+    :param full_until: buckets begin full before that moment, when no host
+        has granted anything yet.
     """
 
-    def __init__(self, overage: float, slack: float, full: bool) -> None:
+    def __init__(
+        self,
+        overage: float,
+        slack: float,
+        window_s: float,
+        full_until: float = 0.0,
+    ) -> None:
         self._factor = 1.0 + overage * TOLERANCE_USED
         self._slack = slack * TOLERANCE_USED
-        self._full = full
+        unused = BEGIN_PART * (1.0 - TOLERANCE_USED)
+        self._begin_factor = unused * overage
+        self._begin_slack = unused * slack
+        self._window_s = window_s
+        self._full_until = full_until
         self._organisations: t.Mapping[str, catalog.Organisation] = {}
         self._buckets: dict[str, _Bucket] = {}
         self._hosts_part = 1.0
@@ -179,7 +194,9 @@
         size = max(1.0, (known.burst * self._factor + self._slack) * part)
         bucket = self._buckets.get(organisation)
         if bucket is None:
-            tokens = size if self._full else 0.0
+            tokens = size
+            if now >= self._full_until:
+                tokens = min(size, self._begin(known) * part)
             bucket = self._buckets[organisation] = _Bucket(tokens, now)
         gained = (now - bucket.filled) * rate
         bucket.tokens = min(size, bucket.tokens + gained)
@@ -211,6 +228,11 @@
             if bucket.demand_per_s >= 0.1
         }
 
+    def _begin(self, known: catalog.Organisation) -> float:
+        """Return what the bucket of a new keeper holds over all regions."""
+        allowed = known.rate_per_s * self._window_s + known.burst
+        return self._begin_factor * allowed + self._begin_slack
+
     def _part(
         self, name: str, known: catalog.Organisation, now: float
     ) -> float:
--- a/src/savorytally/platform/settings.py
+++ b/src/savorytally/platform/settings.py
@@ -135,8 +135,8 @@
         retry_slack=take("budget_slack", float, usual.retry_slack),
         rate_overage=take("quota_overage", float, usual.rate_overage),
         rate_slack=take("quota_slack", float, usual.rate_slack),
-        address_reuse_s=take(
-            "addr_reuse", durations.seconds, usual.address_reuse_s
+        rate_window_s=take(
+            "quota_window", durations.seconds, usual.rate_window_s
         ),
     )
 
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -513,6 +513,21 @@
         assert play(scenario) == ["moved"]
 
 
+class TestRates:
+    def test_first_requests_of_hosts_reach_the_keeper(self):
+        """All hosts have just been started and no stream is open."""
+
+        async def scenario(there):
+            replies = await asyncio.gather(
+                *(there.send(host) for host in there.hosts)
+            )
+            return [reply.status for reply in replies]
+
+        config = mesh.configuration(1)
+        config["tenants"]["growers"].update(rate_per_s=100, burst=100)
+        assert play(scenario, config=config) == [200] * 4
+
+
 class TestConfiguration:
     def test_newer_version_is_in_force_at_once_and_never_goes_back(self):
         async def scenario(there):
