Let a later start of an upstream take the place of earlier ones

Cause: entries of upstreams that ended without a word stay listed for three heartbeats. After all hosts had been off, 26 entries stood for 17 upstreams: half of the calls went to starts that no longer were, got 421 (152 in 4 s), used up the route's attempts and ended as 503.

Change: of the entries of one service at one address the one that was made last counts; an upstream that is not the one meant is no attempt. It still counts as a repeat.

Ruled out: trusting the 421 alone, which each host learns by its own tries.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -290,7 +290,9 @@
         if call.done:
             return
         call.withdraw = None
-        if result.arrived and call.instance_id not in call.reached:
+        # An upstream that is not the one meant does not count as reached.
+        arrived = result.arrived and code is not results.INSTANCE_GONE
+        if arrived and call.instance_id not in call.reached:
             call.reached.append(call.instance_id)
         self.backpressure.note(route.name, result.below_ms / 1000, now)
         if call.parent is not None:
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -291,17 +291,18 @@
             stream.send(frames.Kind.PULL)
 
     def _apply_instances(self, now: float) -> None:
-        self.entry.placement.learn_instances(self._instances, now)
+        instances = catalog.latest_starts(self._instances)
+        self.entry.placement.learn_instances(instances, now)
         own = self._options.upstream
         hosts: dict[str, list[str]] = {}
-        for name, instance in self._instances.items():
+        for name, instance in instances.items():
             hosts.setdefault(instance.address, []).append(name)
             if (instance.address, instance.port) == (own.host, own.port):
                 self.gate.queue.learn_slots(instance.slots)
         self._at_address = hosts
         self.entry.repeats.learn_hosts(len(hosts))
         self.crashes.learn_hosts(hosts)
-        self.rates.learn_instances(self._instances.values())
+        self.rates.learn_instances(instances.values())
 
     def _readiness(self) -> tuple[int, bytes]:
         return (200, b"ready\n") if self.ready else (503, b"not ready\n")
--- a/src/savorytally/platform/documents.py
+++ b/src/savorytally/platform/documents.py
@@ -66,9 +66,10 @@
     )
 
 
-def instance(key: str, body: bytes) -> catalog.Instance:
+def instance(key: str, body: bytes, created: int = 0) -> catalog.Instance:
     """Read an upstream's entry.
 
+    :param created: the store's revision at which it was made.
     :raises Malformed: if it names no upstream to use.
     """
     try:
@@ -89,6 +90,7 @@
             slots=slots,
             ready=_STATES[value["state"]],
             cold_s=durations.seconds(value.get("cold_remaining", "0ms")),
+            listed_at=created,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise Malformed(f"{key}: {error!r}") from error
--- a/src/savorytally/platform/store.py
+++ b/src/savorytally/platform/store.py
@@ -162,7 +162,8 @@
 
     def _instance(self, key: str, item: dict[str, t.Any]) -> t.Any:
         try:
-            return documents.instance(key, documents.value_of(item))
+            body = documents.value_of(item)
+            return documents.instance(key, body, int(item.get("created", 0)))
         except documents.Malformed as error:
             self._note_malformed(key, item, error)
             return None
--- a/src/savorytally/world/catalog.py
+++ b/src/savorytally/world/catalog.py
@@ -156,6 +156,7 @@
     :param slots: requests that it works on at once.
     :param ready: whether it takes new work.
     :param cold_s: how much longer it is slow after its start.
+    :param listed_at: place in the order of all registrations.
     """
 
     instance_id: str
@@ -166,3 +167,21 @@
     slots: int
     ready: bool
     cold_s: float
+    listed_at: int = 0
+
+
+def latest_starts(
+    instances: t.Mapping[str, Instance],
+) -> dict[str, Instance]:
+    """Leave out the starts of upstreams that a later one has followed.
+
+    Entries of upstreams that ended without a word stay for some seconds,
+    while the next start at the same address is listed already.
+    """
+    latest: dict[tuple[str, str, int], Instance] = {}
+    for item in instances.values():
+        place = (item.service, item.address, item.port)
+        known = latest.get(place)
+        if known is None or known.listed_at < item.listed_at:
+            latest[place] = item
+    return {item.instance_id: item for item in latest.values()}
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -7,6 +7,7 @@
 import pytest
 
 from savorytally.dataplane import exchanges
+from savorytally.dataplane import options
 
 SERVICES = {"drawers": ["low-a", "low-b"], "desk": ["low-a", "low-b"]}
 
@@ -742,6 +743,44 @@
         assert play(scenario, config=_with_health()) == (0, 6)
 
 
+class TestStarts:
+    """Upstreams start again while entries of earlier starts are listed."""
+
+    def test_later_start_takes_the_place_of_earlier_ones(self):
+        async def scenario(there):
+            for host in of(there, "drawers"):
+                for number in range(6):
+                    name = f"{host.instance_id}-{number}"
+                    there.store.put(f"servers/{name}", host.entry())
+                host.upstream.instance_id = name
+            await asyncio.sleep(0.5)
+            statuses = [
+                (await there.send(there.hosts[2])).status for _ in range(8)
+            ]
+            return set(statuses)
+
+        assert play(scenario) == {200}
+
+    def test_start_that_is_not_listed_yet_uses_up_no_attempt(self):
+        """Two of three upstreams have started again unseen."""
+
+        async def scenario(there):
+            for host in of(there, "drawers")[:2]:
+                host.upstream.instance_id = "i-unseen"
+            statuses = []
+            for sender in of(there, "desk"):
+                statuses.append((await there.send(sender)).status)
+            return statuses
+
+        services = {
+            "drawers": ["low-a"] * 3,
+            "desk": ["low-a"] * 12,
+        }
+        # The budget of repeats is not what this is about.
+        bounds = options.Bounds(retry_slack=500.0)
+        assert play(scenario, services, bounds=bounds) == [200] * 12
+
+
 def _with_health():
     services = {
         name: {"health_path": "/healthz"} for name in ("drawers", "desk")
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -658,3 +658,17 @@
         assert of() == of()
         others = {of(b"agents"), of(target=b"/b"), of(body=b"x")}
         assert len(others | {of()}) == 4
+
+
+class TestLatestStarts:
+    def test_another_service_at_the_address_takes_no_ones_place(self):
+        listed = {
+            "old": instance("old", address="a", listed_at=1),
+            "new": instance("new", address="a", listed_at=2),
+            "other": instance(
+                "other", address="a", service="desk", listed_at=3
+            ),
+            "beside": instance("beside", address="a", port=2, listed_at=0),
+        }
+        found = catalog.latest_starts(listed)
+        assert set(found) == {"new", "other", "beside"}
