Do not write to nodes that have been killed in the store stand-in

Cause: the soak printed exceptions of its own store stand-in when a node was killed while its watch waited.

--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -254,6 +254,9 @@
 
     def _send(self, connection: HttpServer, value: dict[str, t.Any]) -> None:
         value["current_rev"] = self.revision
+        if connection.lost:
+            # Its node has been killed while the watch waited.
+            return
         connection.transport.write(response(200, json.dumps(value).encode()))
 
 
