--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -529,6 +529,35 @@
         assert play(scenario, config=config) == [200] * 4
 
 
+class TestRecovery:
+    def kill(self, there, host):
+        """End a node without a word."""
+        for task in host.node._tasks:
+            task.cancel()
+        for server in host.node._servers:
+            server.close()
+        for port in (mesh.ENTRY_PORT, mesh.READY_PORT, mesh.PEER_PORT):
+            there.net.reset(host.address, port)
+
+    def test_requests_are_served_soon_after_all_nodes_were_killed(self):
+        async def scenario(there):
+            for host in there.hosts:
+                await there.send(host)
+            for host in there.hosts:
+                self.kill(there, host)
+            await asyncio.sleep(1.0)
+            for host in there.hosts:
+                await host.start_node(first_start=False)
+            replies = await asyncio.gather(
+                *(there.send(host) for host in there.hosts)
+            )
+            return [reply.status for reply in replies]
+
+        config = mesh.configuration(1)
+        config["tenants"]["growers"].update(rate_per_s=100, burst=100)
+        assert play(scenario, config=config) == [200] * 4
+
+
 class TestConfiguration:
     def test_newer_version_is_in_force_at_once_and_never_goes_back(self):
         async def scenario(there):
