--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -524,9 +524,7 @@
             )
             return [reply.status for reply in replies]
 
-        config = mesh.configuration(1)
-        config["tenants"]["growers"].update(rate_per_s=100, burst=100)
-        assert play(scenario, config=config) == [200] * 4
+        assert play(scenario, config=_rated()) == [200] * 4
 
 
 class TestRecovery:
@@ -553,9 +551,7 @@
             )
             return [reply.status for reply in replies]
 
-        config = mesh.configuration(1)
-        config["tenants"]["growers"].update(rate_per_s=100, burst=100)
-        assert play(scenario, config=config) == [200] * 4
+        assert play(scenario, config=_rated()) == [200] * 4
 
 
 class TestConfiguration:
@@ -810,6 +806,12 @@
         assert play(scenario, services, bounds=bounds) == [200] * 12
 
 
+def _rated():
+    config = mesh.configuration(1)
+    config["tenants"]["growers"].update(rate_per_s=100, burst=100)
+    return config
+
+
 def _with_health():
     services = {
         name: {"health_path": "/healthz"} for name in ("drawers", "desk")
