Show that a node behind asks all its peers for the whole configuration

Service.newer_at schedules a request for each notice of a newer version, and all of them leave before the first answer comes.

Measured: one node with 8 peers that the store turns away is sent the whole configuration 12 times (1 wanted).

Conclusion: open, to be mended first.

--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -593,6 +593,35 @@
 
         assert play(scenario) == 5
 
+    def test_large_configuration_is_asked_of_one_peer_at_a_time(self):
+        """The store turns a node away; all its peers have a newer version."""
+        sent = []
+
+        async def scenario(there):
+            for host in there.hosts:
+                await asyncio.gather(
+                    *(there.send(host) for _ in range(len(there.hosts)))
+                )
+            behind = of(there, "desk")[0]
+            behind.calls_store._pool.take = lambda fresh, take: take(None)
+            there.net.reset(mesh.STORE.host, mesh.STORE.port)
+            await asyncio.sleep(3)
+            for host in there.hosts:
+                configuration = host.node.configuration
+
+                def counted(host=host, configuration=configuration):
+                    sent.append(host.address)
+                    return configuration()
+
+                host.node.configuration = counted
+            there.store.put("op/config", mesh.configuration(2))
+            await asyncio.sleep(4)
+            return behind.node.version
+
+        services = {"drawers": ["low-a"] * 8, "desk": ["low-a"]}
+        assert play(scenario, services) == 2
+        assert len(sent) <= 1
+
     def test_withdrawn_key_ends_on_an_open_connection(self):
         async def scenario(there):
             host = there.hosts[0]
