Count repeats and matched calls by service

Cause: after a report of repeats beyond what is allowed, neither the logs nor the metrics told how many repeats a service had got from a node, on what ground, or how the calls of upstreams were matched to the requests that made them. Change: three counters on the metrics address (what is sent by service and kind, repeats refused by the budget, calls by how they were matched) and four fields of the request's line. Lineage.call returns how it told the parent; its three tests check that too. Requests without a repeat and without calls below them count one number more each. Conclusion: the bound can be checked over all nodes from the metrics.

--- a/src/savorytally/dataplane/calls.py
+++ b/src/savorytally/dataplane/calls.py
@@ -20,12 +20,15 @@
         "flags",
         "instance_id",
         "known",
+        "matched",
         "objective_s",
         "offers",
         "organisation",
         "parent",
         "rank",
         "reached",
+        "repeats",
+        "repeats_refused",
         "request",
         "request_id",
         "route",
@@ -50,9 +53,15 @@
         self.objective_s = 0.0
         # The request at the local upstream that made this one.
         self.parent: lineage.Parent | None = None
+        # How it was told, ``None`` for what no upstream can have made.
+        self.matched: lineage.How | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.tried: list[str] = []
         self.offers = 0
+        # Times that it was sent once more after it may have arrived.
+        self.repeats = 0
+        # Whether the budget left no room for one more.
+        self.repeats_refused = False
         # Upstreams that the request has reached.
         self.reached: list[str] = []
         self.instance_id = ""
--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from .. import results
+from ..decisions import lineage
 
 BOUNDS_S = (
     0.001,
@@ -23,6 +24,16 @@
 )
 
 
+class Sent:
+    """Why a request is sent to a service."""
+
+    FIRST = "first"
+    # It was sent before and may have arrived.
+    RETRY = "retry"
+    # The request that made it was sent before.
+    BELOW_RETRY = "below_retry"
+
+
 class Counters:
     """Counts requests in plain numbers."""
 
@@ -32,6 +43,26 @@
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
         self._gauges: dict[str, t.Callable[[], float]] = {}
+        self._sent: collections.Counter[tuple[str, str]]
+        self._sent = collections.Counter()
+        self._refused: collections.Counter[tuple[str, str]]
+        self._refused = collections.Counter()
+        self._matched: collections.Counter[str] = collections.Counter()
+
+    def sent(self, service: str, why: str) -> None:
+        """Count what is sent to a service's upstreams.
+
+        :param why: see :class:`Sent`.
+        """
+        self._sent[service, why] += 1
+
+    def refused(self, service: str, why: str) -> None:
+        """Count what the budget of a service left no room for."""
+        self._refused[service, why] += 1
+
+    def matched(self, how: lineage.How) -> None:
+        """Count a call by how the request that made it was told."""
+        self._matched[how.value] += 1
 
     def ended(
         self, route: str, code: results.ResultCode, taken_s: float
@@ -60,11 +91,30 @@
         lines.append("# TYPE savorytally_request_seconds histogram")
         for route, buckets in sorted(self._buckets.items()):
             lines += self._histogram(route, buckets)
+        lines += self._by_service("sent_total", self._sent)
+        lines += self._by_service("retries_refused_total", self._refused)
+        lines.append("# TYPE savorytally_calls_matched_total counter")
+        for how, count in sorted(self._matched.items()):
+            lines.append(
+                f'savorytally_calls_matched_total{{how="{how}"}} {count}'
+            )
         for name, read in self._gauges.items():
             lines.append(f"# TYPE savorytally_{name} gauge")
             lines.append(f"savorytally_{name} {read()}")
         return ("\n".join(lines) + "\n").encode()
 
+    @staticmethod
+    def _by_service(
+        name: str, counts: t.Mapping[tuple[str, str], int]
+    ) -> list[str]:
+        lines = [f"# TYPE savorytally_{name} counter"]
+        for (service, why), count in sorted(counts.items()):
+            lines.append(
+                f'savorytally_{name}{{service="{service}",'
+                f'kind="{why}"}} {count}'
+            )
+        return lines
+
     def _histogram(self, route: str, buckets: list[int]) -> list[str]:
         name = "savorytally_request_seconds"
         lines = []
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -180,10 +180,15 @@
         call.service = self.splits.choose(t.cast(catalog.Route, call.route))
         # Arrivals below a repeat count as repeats where they arrive.
         now = self._loop.time()
+        why = counters.Sent.FIRST
         if call.flags & frames.Flag.REPEAT:
             self.repeats.charge(call.service, now)
+            why = counters.Sent.BELOW_RETRY
         else:
             self.repeats.first(call.service, now)
+        self._counts.sent(call.service, why)
+        if call.matched is not None:
+            self._counts.matched(call.matched)
         self._offer(call)
 
     def _shed(self, call: calls.Call, now: float) -> results.ResultCode | None:
@@ -380,11 +385,17 @@
             expected = self._gate.below.calls(call.parent.route)
             progress = min(1.0, call.parent.answered / expected)
         claim = repeatbudget.Claim(call.rank % terms.ROUTE_RANKS, progress)
-        return self.repeats.spend(call.service, claim, now)
+        if self.repeats.spend(call.service, claim, now):
+            return True
+        call.repeats_refused = True
+        self._counts.refused(call.service, counters.Sent.RETRY)
+        return False
 
     def _repeat(self, call: calls.Call, counted: bool = True) -> None:
         if counted:
             call.flags |= frames.Flag.REPEAT
+            call.repeats += 1
+            self._counts.sent(call.service, counters.Sent.RETRY)
         self._offer(call)
 
     def _answer(self, call: calls.Call, result: frames.Result) -> None:
@@ -469,11 +480,18 @@
             "hosts": call.tried,
             "reached": call.reached,
             "offers": call.offers,
+            "repeats": call.repeats,
             "version": self._terms.version,
         }
         if call.parent is not None:
             run: gate.Run = call.parent.owner
             fields["parent"] = run.call.request_id.decode("latin-1")
+            # Whether its arrival itself counts as a repeat.
+            fields["below_repeat"] = run.repeat
+        if call.matched is not None:
+            fields["matched"] = call.matched.value
+        if call.repeats_refused:
+            fields["repeats_refused"] = True
         if code is not results.ANSWERED and call.route is not None:
             wait_s = self.backpressure.wait_s(route, now)
             fields["below_ms"] = round(wait_s * 1000, 1)
--- a/src/savorytally/dataplane/terms.py
+++ b/src/savorytally/dataplane/terms.py
@@ -109,9 +109,10 @@
         if organisation is None and call.clients_ms:
             keyed = self._catalog is not None and self._catalog.keyed
             given_up_at = now + call.clients_ms / 1000
-            call.parent = self._gate.lineage.call(
+            match = self._gate.lineage.call(
                 route.name, given_up_at, not keyed, now
             )
+            call.parent, call.matched = match
         if call.parent is not None:
             run: gate.Run = call.parent.owner
             call.flags |= frames.Flag.CHILD
--- a/src/savorytally/decisions/lineage.py
+++ b/src/savorytally/decisions/lineage.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import enum
 import typing as t
 
 from . import callmodel
@@ -20,6 +21,33 @@
 LATE_S = 0.002
 
 
+class How(enum.Enum):
+    """How the request that made a call was told.
+
+    :cvar EXACT: both end together.
+    :cvar ORDER: it is the idle request with the latest event.
+    :cvar NONE: not at all.
+    """
+
+    EXACT = "exact"
+    ORDER = "order"
+    NONE = "none"
+
+
+class Match(t.NamedTuple):
+    """The request that made a call.
+
+    :param parent: the request, ``None`` if it is not known.
+    :param how: how it was told.
+    """
+
+    parent: "Parent | None"
+    how: How
+
+
+NO_MATCH = Match(None, How.NONE)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Parent:
     """A request in progress.
@@ -65,18 +93,18 @@
 
     def call(
         self, route: str, deadline: float, exact_only: bool, now: float
-    ) -> Parent | None:
+    ) -> Match:
         """Return the request that a new call belongs to.
 
         :param route: the called route.
         :param deadline: when the upstream gives the call up.
         :param exact_only: whether callers' own requests may look alike.
         """
-        parent = self._choose(route, deadline, exact_only)
-        if parent is not None:
-            parent.calls += 1
+        match = self._choose(route, deadline, exact_only)
+        if match.parent is not None:
+            match.parent.calls += 1
             self._model.called(route, now)
-        return parent
+        return match
 
     def answered(self, parent: Parent, good: bool, now: float) -> None:
         """Note that a call of a request has ended."""
@@ -87,9 +115,7 @@
         else:
             parent.failed += 1
 
-    def _choose(
-        self, route: str, deadline: float, exact_only: bool
-    ) -> Parent | None:
+    def _choose(self, route: str, deadline: float, exact_only: bool) -> Match:
         exact: Parent | None = None
         latest: Parent | None = None
         exact_s = 1.0
@@ -103,6 +129,8 @@
                 continue
             if latest is None or parent.last > latest.last:
                 latest = parent
-        if exact is not None or exact_only:
-            return exact
-        return latest
+        if exact is not None:
+            return Match(exact, How.EXACT)
+        if latest is None or exact_only:
+            return NO_MATCH
+        return Match(latest, How.ORDER)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -231,8 +231,9 @@
         known = lineage.Lineage()
         known.begin("page", 5.000, "first", 0.0)
         known.begin("page", 5.020, "second", 0.1)
-        parent = known.call("lookup", 4.9995, False, 0.2)
-        assert parent.owner == "first"
+        match = known.call("lookup", 4.9995, False, 0.2)
+        assert match.parent.owner == "first"
+        assert match.how is lineage.How.EXACT
 
     def test_next_call_follows_the_last_answer(self):
         known = lineage.Lineage()
@@ -240,12 +241,14 @@
         known.begin("page", 6.0, "second", 0.1)
         first.calls = 1
         known.answered(first, True, 0.2)
-        assert known.call("lookup", 0.7, False, 0.201).owner == "first"
+        match = known.call("lookup", 0.7, False, 0.201)
+        assert match.parent.owner == "first"
+        assert match.how is lineage.How.ORDER
 
     def test_callers_requests_are_not_taken_for_calls(self):
         known = lineage.Lineage()
         known.begin("page", 5.0, "first", 0.0)
-        assert known.call("page", 3.0, True, 0.1) is None
+        assert known.call("page", 3.0, True, 0.1) is lineage.NO_MATCH
 
 
 class TestRepeatBudget:
