--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -413,6 +413,9 @@
     ) -> exchanges.Reply | exchanges.Broken | None:
         """Send a request on a connection of its own."""
         connection = await self.connect(host)
+        if connection is None:
+            # The node does not listen.
+            return None
         self._ids += 1
         name = request_id or f"request-{self._ids}"
         data = request(
@@ -432,7 +435,7 @@
         connection.close()
         return result
 
-    async def connect(self, host: Host) -> exchanges.Connection:
+    async def connect(self, host: Host) -> exchanges.Connection | None:
         """Open a connection to a node's entry."""
         opened: asyncio.Future[t.Any] = asyncio.Future()
         address = options.Address(host.address, ENTRY_PORT)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -1,9 +1,15 @@
 """Repeats over all hosts, chains included, against the users' bound."""
 
 import asyncio
+import functools
+import random
 
 from fakes import mesh
 from fakes import net
+from fakes import repeats
+import pytest
+
+from savorytally.decisions import lineage
 
 TOP, DEEP = "drawers", "ledger"
 
@@ -11,6 +17,7 @@
 def config():
     """Return a configuration with a service that only upstreams call."""
     made = mesh.configuration(1)
+    made["routes"]["r-lookup"]["priority"] = 0
     made["routes"]["r-ledger"] = mesh.route(DEEP, auth_exempt=True)
     return made
 
@@ -23,6 +30,8 @@
 def chain(there, calls, budget_ms=2000, named=True):
     """Have each run at the top make calls of the deep service in turn.
 
+    Calls of a run after a request's first arrival say so in their name.
+
     :param named: whether calls carry their parent's identifier.
     """
 
@@ -32,15 +41,21 @@
             left_s = int(given["x-savorytally-deadline-ms"]) / 1000
             until = loop.time() + left_s
             name = given["x-savorytally-attempt-id"]
+            arrivals = sum(
+                other.upstream.arrived.count(name) for other in of(there, TOP)
+            )
+            again = "-again" if arrivals > 1 else ""
             for number in range(calls):
                 left_ms = int((until - loop.time()) * 1000)
-                made_by = f"{name}.{number}-{loop.time()}"
+                made_by = f"{name}.{number}{again}-{loop.time()}"
+                if not named:
+                    made_by = made_by.replace(".", "-")
                 reply = await there.send(
                     host,
                     f"/{DEEP}/{number}",
                     key=None,
                     remaining_ms=max(1, min(left_ms, budget_ms)),
-                    request_id=made_by if named else "",
+                    request_id=made_by,
                 )
                 if getattr(reply, "status", 0) != 200:
                     return 500
@@ -63,6 +78,37 @@
     return net.run(work)
 
 
+def kill(there, host):
+    """End a node without a word."""
+    for task in host.node._tasks:
+        task.cancel()
+    for server in host.node._servers:
+        server.close()
+    for port in (mesh.ENTRY_PORT, mesh.READY_PORT, mesh.PEER_PORT):
+        there.net.reset(host.address, port)
+
+
+def observe(there, judge):
+    """Have a judge told of all requests and repeats.
+
+    Calls made by a repeated run count as repeats where they arrive.
+    """
+    loop = asyncio.get_running_loop()
+    seen = set()
+
+    def arrived(host, name, ran, given):
+        again = name in seen or "-again-" in name
+        seen.add(name)
+        if again:
+            judge.repeat(host.service_name, loop.time())
+        elif host.service_name == DEEP:
+            judge.request(DEEP, loop.time())
+
+    for host in there.hosts:
+        host.upstream.observed = functools.partial(arrived, host)
+    return seen
+
+
 def metric(there, series):
     """Return a counter summed over all nodes."""
     total = 0
@@ -74,6 +120,16 @@
     return total
 
 
+def begin(known, deadline, name, now):
+    """Note a request that is handed to the upstream."""
+    return known.begin("page", deadline, name, now)
+
+
+def call(known, deadline, hint, left_ms, now):
+    """Return how a call is matched."""
+    return known.call("lookup", deadline, False, now)
+
+
 class TestCounters:
     def test_tell_first_arrivals_repeats_and_matched_calls(self):
         async def scenario(there):
@@ -102,3 +158,263 @@
         assert sent[DEEP, "below_retry"] == 2 * sent[TOP, "retry"]
         assert sent[DEEP, "first"] + sent[DEEP, "below_retry"] == arrived[2]
         assert matched == arrived[2]
+
+
+class TestBound:
+    """In any window, over all hosts, at every service."""
+
+    def hosts(self, source, services, per_s, seconds, **chain):
+        """Send requests for some time; return the fleet."""
+        fleet = repeats.Fleet(services, source)
+        fleet.learn(0.0)
+        now = 0.0
+        while now < seconds:
+            now += source.expovariate(per_s)
+            fleet.run(now, **chain)
+        return fleet
+
+    @pytest.mark.parametrize("calls", [1, 4])
+    @pytest.mark.parametrize("per_s", [5, 60])
+    def test_calls_below_a_repeat_are_within_the_bound(self, per_s, calls):
+        services = {"page": 6, "reserve": 5, "lookup": 6}
+        fleet = self.hosts(
+            random.Random(1),
+            services,
+            per_s,
+            40.0,
+            calls=calls,
+            rejected={"page": 0.5, "reserve": 0.1},
+        )
+        assert max(fleet.judge.excess().values()) <= 0
+        assert fleet.judge.repeats("page") > 0
+
+    @pytest.mark.parametrize("hosts", [68, 310])
+    def test_many_hosts_have_no_repeat_each(self, hosts):
+        fleet = self.hosts(
+            random.Random(2),
+            {"page": hosts},
+            hosts / 8,
+            30.0,
+            calls=0,
+            rejected={"page": 0.7},
+        )
+        assert fleet.judge.excess()["page"] <= 0
+
+    @pytest.mark.parametrize("part", [0.0, 0.2])
+    def test_list_that_shrinks_leaves_the_shares_as_they_were(self, part):
+        source = random.Random(3)
+        fleet = repeats.Fleet({"page": 17}, source)
+        now = 0.0
+        while now < 60.0:
+            now += source.expovariate(4.0)
+            # Entries lapse for ten seconds.
+            fleet.learn(now, part if 40.0 < now < 50.0 else 1.0)
+            fleet.run(now, calls=0, rejected={"page": 0.8})
+        assert fleet.judge.excess()["page"] <= 0
+
+    def test_node_without_a_list_takes_no_share(self):
+        source = random.Random(4)
+        fleet = repeats.Fleet({"page": 17}, source)
+        for number in range(300):
+            fleet.run(0.01 * number, calls=0, rejected={"page": 0.8})
+        assert fleet.judge.excess()["page"] <= 0
+
+    @pytest.mark.parametrize("every_s", [0.3, 1.0])
+    def test_nodes_that_start_anew_in_series_take_no_second_share(
+        self, every_s
+    ):
+        source = random.Random(5)
+        fleet = repeats.Fleet({"page": 5}, source)
+        fleet.learn(0.0)
+        now, next_s = 0.0, 30.0
+        while now < 60.0:
+            now += source.expovariate(6.0)
+            while now > next_s:
+                next_s += every_s
+                fleet.restart(source.choice(fleet.hosts), now)
+            fleet.run(now, calls=0, rejected={"page": 0.8})
+        assert fleet.judge.excess()["page"] <= 0
+
+    def test_repeats_that_are_held_up_arrive_within_the_bound(self):
+        source = random.Random(6)
+        fleet = repeats.Fleet({"page": 17}, source)
+        fleet.learn(0.0)
+        held = []
+        now = 0.0
+        while now < 50.0:
+            now += source.expovariate(400.0)
+            sender = source.choice(fleet.hosts)
+            sender.budget.first("page", now)
+            fleet.judge.request("page", now)
+            # What is sent in four seconds arrives at their end.
+            delayed = 36.0 <= now < 40.0
+            if held and now >= 40.0:
+                for host in held:
+                    host.arrived("page", now)
+                    fleet.judge.repeat("page", now)
+                held = []
+            if not sender.repeat("page", now):
+                continue
+            if delayed:
+                held.append(sender)
+                continue
+            sender.arrived("page", now)
+            fleet.judge.repeat("page", now)
+        assert fleet.judge.excess()["page"] <= 0
+
+    def test_most_of_the_budget_is_used(self):
+        fleet = self.hosts(
+            random.Random(7),
+            {"page": 17},
+            100,
+            40.0,
+            calls=0,
+            rejected={"page": 0.6},
+        )
+        allowed = repeats.RATIO * 100 * 40 + 4 * repeats.SLACK
+        assert fleet.judge.repeats("page") > 0.7 * allowed
+
+
+class TestNodes:
+    """Whole nodes, judged by what the upstreams have seen."""
+
+    def excess(self, trouble, per_s=2, seconds=40, calls=16, **chained):
+        """Return the most repeats beyond the bound, and what was served.
+
+        :param trouble: a coroutine function that harms the mesh meanwhile.
+        """
+        source = random.Random(8)
+        judge = repeats.Judge()
+
+        async def scenario(there):
+            loop = asyncio.get_running_loop()
+            chain(there, calls, **chained)
+            observe(there, judge)
+
+            def cut(connection, name, answer):
+                if source.random() < 0.8:
+                    connection.transport.abort()
+                else:
+                    connection.transport.write(answer)
+
+            for host in of(there, TOP):
+                host.upstream.fault = cut
+            harm = asyncio.ensure_future(trouble(there, source))
+            sent = []
+            end = loop.time() + seconds
+            while loop.time() < end:
+                await asyncio.sleep(source.expovariate(per_s))
+                judge.request(TOP, loop.time())
+                host = source.choice(there.hosts)
+                sent.append(
+                    asyncio.ensure_future(there.send(host, f"/{TOP}/1"))
+                )
+            harm.cancel()
+            replies = await asyncio.gather(*sent, return_exceptions=True)
+            return sum(getattr(got, "status", 0) == 200 for got in replies)
+
+        services = {
+            TOP: ["low-a", "low-b", "up-a", "low-a"] * 2,
+            DEEP: ["low-a", "low-b"],
+        }
+        served = play(scenario, services, slots=40)
+        return judge.excess(), served
+
+    async def calm(self, there, source):
+        """Harm nothing."""
+
+    async def cut_streams(self, there, source):
+        """Reset the streams to random nodes in series."""
+        while True:
+            await asyncio.sleep(source.uniform(0.1, 0.5))
+            host = source.choice(there.hosts)
+            there.net.reset(host.address, mesh.PEER_PORT)
+
+    async def kill_nodes(self, there, source):
+        """Kill random nodes in series and start them again."""
+        while True:
+            await asyncio.sleep(source.uniform(0.3, 1.2))
+            host = source.choice(there.hosts)
+            kill(there, host)
+            await asyncio.sleep(0.2)
+            await host.start_node(first_start=False)
+
+    @pytest.mark.parametrize("trouble", ["calm", "cut_streams", "kill_nodes"])
+    def test_calls_below_repeats_are_within_the_bound(self, trouble):
+        excess, served = self.excess(getattr(self, trouble))
+        assert max(excess.values()) <= 0
+        assert served > 0
+
+    def test_calls_with_their_own_time_are_within_the_bound(self):
+        excess, served = self.excess(self.calm, budget_ms=300)
+        assert max(excess.values()) <= 0
+        assert served > 0
+
+
+class TestMatching:
+    """Calls and the requests that made them, on loops that are late."""
+
+    def share(self, lag_s, named, seed=0, budget_ms=700):
+        """Return the part of the calls that were matched rightly.
+
+        :param lag_s: the most by which a loop is late.
+        :param budget_ms: the most time that the calls have.
+        """
+        source = random.Random(seed)
+        known = lineage.Lineage()
+        events = []
+        for number in range(1500):
+            begun = source.uniform(0.0, 30.0)
+            events.append((begun, number, 0, 0.0))
+        parents, rightly, calls = {}, 0, 0
+        while events:
+            events.sort(reverse=True)
+            now, number, step, until = events.pop()
+            name = b"request-%d" % number
+            if step == 0:
+                left_s = int(source.uniform(300, 5000)) / 1000
+                # When the upstream has read it.
+                read = now + 0.0005 + source.random() * lag_s
+                parents[number] = begin(known, now + left_s, name, now)
+                until = read + left_s
+                now = read
+            elif step in (1, 3):
+                # The upstream makes a call; the node reads it later.
+                left_ms = min(int((until - now) * 1000), budget_ms)
+                if left_ms <= 0:
+                    known.end(parents[number], now)
+                    continue
+                seen = now + 0.0005 + source.random() * lag_s
+                events.append((seen, number, step + 0.5, (until, left_ms)))
+                continue
+            elif step in (1.5, 3.5):
+                until, left_ms = until
+                hint = name + b".%d" % step if named else b"other"
+                match = call(known, now + left_ms / 1000, hint, left_ms, now)
+                calls += 1
+                rightly += match.parent is parents[number]
+                done = now + source.uniform(0.01, 0.08)
+                events.append((done, number, step + 0.5, (match, until)))
+                continue
+            elif step in (2, 4):
+                match, until = until
+                if match.parent is not None:
+                    known.answered(match.parent, True, now)
+                now += 0.0005 + source.random() * lag_s
+            else:
+                known.end(parents[number], now)
+                continue
+            work_s = source.uniform(0.05, 0.2)
+            events.append((now + work_s, number, int(step) + 1, until))
+        return rightly / calls
+
+    @pytest.mark.parametrize("lag_ms", [0, 5, 20, 50])
+    def test_call_that_names_its_parent_is_matched_rightly(self, lag_ms):
+        assert self.share(lag_ms / 1000, named=True) == 1.0
+
+    @pytest.mark.parametrize("lag_ms", [5, 20, 50])
+    def test_late_loop_hides_no_parent(self, lag_ms):
+        """A call's time seems to end after that of its parent."""
+        late = self.share(lag_ms / 1000, named=False, budget_ms=5000)
+        exact = self.share(0.0, named=False, budget_ms=5000)
+        assert late > 0.8 * exact
