Deal the slack of repeats so that the parts never add up to more

Cause: each host took the slack divided by the hosts listed at the moment and one repeat in any case: lists that shrink, a node without a list, nodes that start again and many hosts each added to the whole. Change: decisions/slackshare.py deals the slack one by one to all hosts in a fixed order, so that a host's part only shrinks when it knows of more hosts. A host that lapses is counted on for 45 s; one whose list or own entry is older than 25 s uses no part; one that has just been listed waits 45 s, but for the first start of all. Then a host that uses a part is known to all others that do. max(1.0, allowed) is gone; less than two repeats go to who comes first, whatever the urgency, as before. New: TestShares plays 600 s of hosts that come, go, lapse, are cut off and start again and use their part at once; the most in a window is the whole of 50. Now the list is taken to be whole when the first requests come. Still red: calls below repeats, repeats that are held up, matching.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -10,6 +10,7 @@
 from ..decisions import placement
 from ..decisions import ratepool
 from ..decisions import repeatbudget
+from ..decisions import slackshare
 from ..decisions import splits
 from ..world import catalog
 from . import callers
@@ -30,6 +31,9 @@
 GATES_MAX = 3
 # Time in which an answer must come for a repeat to be worth sending.
 REPEAT_USEFUL_S = 0.03
+# Part of the users' slack that is used; arrivals below repeats are charged
+# only after they happened.
+SLACK_USED = 0.5
 # Part of the remaining time by which callers honour Retry-After.
 COME_BACK_PART = 0.33
 COME_BACK_MIN_S = 0.03
@@ -94,10 +98,15 @@
             chosen.data_centre, chosen.regions, source
         )
         self.splits = splits.Splits(source)
+        bounds = chosen.bounds
+        self.share = slackshare.SlackShare(
+            bounds.retry_slack * SLACK_USED,
+            chosen.address,
+            bounds.retry_window_s,
+            chosen.first_start,
+        )
         self.repeats = repeatbudget.RepeatBudget(
-            chosen.bounds.retry_ratio,
-            chosen.bounds.retry_slack,
-            chosen.bounds.retry_window_s,
+            bounds.retry_ratio, bounds.retry_window_s, self.share
         )
         self.backpressure = backpressure.Backpressure()
         self.active = 0
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -214,6 +214,7 @@
                 removed=list(changes.removed),
             )
             self._apply_instances(now)
+        self.entry.share.confirm(now)
         self.entry.release()
 
     def source_state(self, reachable: bool, why: str) -> None:
@@ -300,7 +301,7 @@
             if (instance.address, instance.port) == (own.host, own.port):
                 self.gate.queue.learn_slots(instance.slots)
         self._at_address = hosts
-        self.entry.repeats.learn_hosts(len(hosts))
+        self.entry.share.learn(hosts, now)
         self.crashes.learn_hosts(hosts)
         self.rates.learn_instances(instances.values())
 
--- a/src/savorytally/decisions/repeatbudget.py
+++ b/src/savorytally/decisions/repeatbudget.py
@@ -13,10 +13,11 @@
 import collections
 import dataclasses
 
-# Part of the users' ratio and slack that is used; arrivals below repeats
-# are charged only after they happened.
+from . import slackshare
+
+# Part of the users' ratio that is used; arrivals below repeats are charged
+# only after they happened.
 RATIO_USED = 0.8
-SLACK_USED = 0.5
 # Steps into which the window is divided.
 STEPS = 20
 # Part of the budget that a request leaves, by steps of urgency, and one
@@ -64,21 +65,18 @@
     """Repeats by service.
 
     :param ratio: repeats per first arrival that all hosts may send.
-    :param slack: repeats beyond that in a window, over all hosts.
     :param window_s: the window.
+    :param share: the host's part of what is allowed beyond the ratio.
     """
 
-    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(
+        self, ratio: float, window_s: float, share: slackshare.SlackShare
+    ) -> None:
         self._ratio = ratio * RATIO_USED
-        self._slack = slack * SLACK_USED
         self._step_s = window_s / STEPS
-        self._own_slack = self._slack
+        self._share = share
         self._accounts: dict[str, _Account] = {}
 
-    def learn_hosts(self, hosts: int) -> None:
-        """Apply the number of hosts that share the budget."""
-        self._own_slack = self._slack / max(1, hosts)
-
     def first(self, service: str, now: float) -> None:
         """Note the first arrival of a request at a service."""
         account = self._at(service, now)
@@ -94,9 +92,10 @@
     def spend(self, service: str, claim: Claim, now: float) -> bool:
         """Return whether one more repeat may be sent, and charge it."""
         account = self._at(service, now)
-        allowed = self._ratio * account.firsts + self._own_slack
-        allowed *= 1.0 - claim.leaves
-        if account.repeats + 1 > max(1.0, allowed):
+        allowed = self._ratio * account.firsts + self._share.part(now)
+        # What is too little to be divided goes to who comes first.
+        allowed = max(min(1.0, allowed), allowed * (1.0 - claim.leaves))
+        if account.repeats + 1 > allowed:
             return False
         self.charge(service, now)
         return True
--- a/tests/fakes/repeats.py
+++ b/tests/fakes/repeats.py
@@ -2,10 +2,10 @@
 
 import bisect
 import collections
-import dataclasses
 import random
 
 from savorytally.decisions import repeatbudget
+from savorytally.decisions import slackshare
 
 RATIO = 0.2
 SLACK = 50.0
@@ -69,7 +69,6 @@
         return count - RATIO * most - self._slack
 
 
-@dataclasses.dataclass
 class Host:
     """A host's budget.
 
@@ -77,13 +76,21 @@
     :param service: the service of its upstream.
     """
 
-    name: str
-    service: str
-    budget: repeatbudget.RepeatBudget
+    def __init__(self, name: str, service: str) -> None:
+        self.name = name
+        self.service = service
+        self.start(first_start=True)
+
+    def start(self, first_start: bool) -> None:
+        """Begin with an empty account."""
+        self.share = slackshare.SlackShare(
+            SLACK / 2, self.name, WINDOW_S, first_start
+        )
+        self.budget = repeatbudget.RepeatBudget(RATIO, WINDOW_S, self.share)
 
     def learn(self, listed: list[str], now: float) -> None:
         """Apply the list of hosts."""
-        self.budget.learn_hosts(len(listed))
+        self.share.learn(listed, now)
 
     def repeat(self, service: str, now: float) -> bool:
         """Return whether a repeat may be sent."""
@@ -119,11 +126,12 @@
         self.random = source
         self.served = 0
         self.hosts = [
-            Host(f"10.0.{place}.{number}", service, self._budget())
+            Host(f"10.0.{place}.{number}", service)
             for place, (service, count) in enumerate(services.items())
             for number in range(count)
         ]
         self._order = list(services)
+        self._confirmed = 0.0
 
     def learn(self, now: float, part: float = 1.0) -> None:
         """Have each host read a list of a part of the hosts."""
@@ -132,9 +140,17 @@
             listed = self.random.sample(names, int(part * len(names)))
             host.learn(listed, now)
 
+    def confirm(self, now: float) -> None:
+        """Have each host read that its list has not changed."""
+        if now - self._confirmed < 1.0:
+            return
+        self._confirmed = now
+        for host in self.hosts:
+            host.share.confirm(now)
+
     def restart(self, host: Host, now: float) -> None:
         """Start a host's node anew."""
-        host.budget = self._budget()
+        host.start(first_start=False)
         host.learn([other.name for other in self.hosts], now)
 
     def of(self, service: str) -> list[Host]:
@@ -148,6 +164,7 @@
         :param rejected: part of the arrivals that each service rejects.
         :return: whether it was served.
         """
+        self.confirm(now)
         sender = self.random.choice(self.hosts)
         served = self._send(sender, 0, now, calls, rejected, False)
         self.served += served
@@ -202,6 +219,3 @@
         if repeat:
             host.ended(called)
         return good
-
-    def _budget(self) -> repeatbudget.RepeatBudget:
-        return repeatbudget.RepeatBudget(RATIO, SLACK, WINDOW_S)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -13,6 +13,7 @@
 from savorytally.decisions import placement
 from savorytally.decisions import ratepool
 from savorytally.decisions import repeatbudget
+from savorytally.decisions import slackshare
 from savorytally.decisions import splits
 from savorytally.world import catalog
 
@@ -255,15 +256,20 @@
     @pytest.mark.parametrize("seed", SEEDS)
     def test_stays_within_the_bound_when_half_is_rejected(self, seed):
         source = random.Random(seed)
-        nodes = 5
+        names = [f"10.0.0.{number}" for number in range(5)]
+        shares = [
+            slackshare.SlackShare(50.0, name, 10.0, True) for name in names
+        ]
         budgets = [
-            repeatbudget.RepeatBudget(0.2, 50.0, 10.0) for _ in range(nodes)
+            repeatbudget.RepeatBudget(0.2, 10.0, share) for share in shares
         ]
-        for budget in budgets:
-            budget.learn_hosts(nodes)
+        for share in shares:
+            share.learn(names, -10.0)
         events = []
         now = 0.0
         while now < 40.0:
+            for share in shares:
+                share.confirm(now)
             now += source.expovariate(300.0)
             budget = source.choice(budgets)
             budget.first("almanac", now)
@@ -286,10 +292,16 @@
         first_come = self.chains(seed, lambda answered: 1.0)
         assert by_progress > 1.2 * first_come
 
+    def budget(self, slack):
+        """Return the budget of a host that shares with none."""
+        share = slackshare.SlackShare(slack, "10.0.0.1", 10.0, True)
+        share.learn(["10.0.0.1"], -10.0)
+        return repeatbudget.RepeatBudget(0.2, 10.0, share)
+
     def chains(self, seed, progress):
         """Return how many of 4,000 chains of four calls end well."""
         source = random.Random(seed)
-        budget = repeatbudget.RepeatBudget(0.2, 10.0, 10.0)
+        budget = self.budget(10.0)
         now = 0.0
         whole = 0
         for _ in range(4000):
@@ -306,7 +318,7 @@
         return whole
 
     def test_urgent_requests_may_use_what_others_leave(self):
-        budget = repeatbudget.RepeatBudget(0.2, 0.0, 10.0)
+        budget = self.budget(0.0)
         for _ in range(1000):
             budget.first("almanac", 0.0)
         low = repeatbudget.Claim(urgency=2)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -1,6 +1,8 @@
 """Repeats over all hosts, chains included, against the users' bound."""
 
 import asyncio
+import bisect
+import collections
 import functools
 import random
 
@@ -10,6 +12,7 @@
 import pytest
 
 from savorytally.decisions import lineage
+from savorytally.decisions import slackshare
 
 TOP, DEEP = "drawers", "ledger"
 
@@ -243,6 +246,7 @@
         now = 0.0
         while now < 50.0:
             now += source.expovariate(400.0)
+            fleet.confirm(now)
             sender = source.choice(fleet.hosts)
             sender.budget.first("page", now)
             fleet.judge.request("page", now)
@@ -275,6 +279,95 @@
         assert fleet.judge.repeats("page") > 0.7 * allowed
 
 
+class Sharer:
+    """A host that uses its part of the slack as soon as it may."""
+
+    def __init__(self, name, first_start):
+        self.name = name
+        self.cut_until = 0.0
+        self.lapsed_until = 0.0
+        self.down_until = 0.0
+        self.start(first_start)
+
+    def start(self, first_start):
+        """Begin anew."""
+        self.share = slackshare.SlackShare(
+            WHOLE, self.name, repeats.WINDOW_S, first_start
+        )
+        self.view = frozenset()
+        self.sent = collections.deque()
+
+    def read(self, listed, now):
+        """Read the list unless it can't be reached."""
+        if now < self.cut_until:
+            return
+        if listed == self.view:
+            self.share.confirm(now)
+            return
+        self.view = listed
+        self.share.learn(listed, now)
+
+    def use(self, now):
+        """Return how many repeats the host sends now."""
+        while self.sent and now - self.sent[0] > repeats.WINDOW_S:
+            self.sent.popleft()
+        more = max(0, self.share.part(now) - len(self.sent))
+        self.sent.extend([now] * more)
+        return more
+
+
+WHOLE = 50
+
+
+class TestShares:
+    @pytest.mark.parametrize("seed", range(4))
+    def test_parts_add_up_to_the_whole_while_hosts_come_and_go(self, seed):
+        source = random.Random(seed)
+        hosts = [Sharer(f"10.0.0.{number}", True) for number in range(12)]
+        used = []
+        for tick in range(3000):
+            now = 0.2 * tick
+            up = [host for host in hosts if now >= host.down_until]
+            if source.random() < 0.05:
+                host = source.choice(up)
+                kind = source.randrange(5)
+                if kind == 0:
+                    host.cut_until = now + source.uniform(1.0, 90.0)
+                elif kind == 1:
+                    host.lapsed_until = now + source.uniform(1.0, 90.0)
+                elif kind == 2:
+                    host.start(first_start=False)
+                elif kind == 3 and len(hosts) < 40:
+                    hosts.append(Sharer(f"10.0.1.{tick}", False))
+                elif kind == 4:
+                    host.down_until = now + source.uniform(1.0, 90.0)
+                    host.lapsed_until = host.down_until
+                    host.start(first_start=False)
+            listed = frozenset(
+                host.name for host in hosts if now >= host.lapsed_until
+            )
+            for host in up:
+                host.read(listed, now)
+                used += [now] * host.use(now)
+        window_s = repeats.WINDOW_S - 0.1
+        most = max(
+            bisect.bisect_right(used, begin + window_s) - place
+            for place, begin in enumerate(used)
+        )
+        assert 0.5 * WHOLE < most <= WHOLE
+
+    @pytest.mark.parametrize("hosts", [1, 17, 68, 310])
+    def test_whole_is_dealt_at_any_number_of_hosts(self, hosts):
+        names = [f"10.0.{n % 4}.{n}" for n in range(hosts)]
+        parts = []
+        for name in names:
+            share = slackshare.SlackShare(WHOLE, name, 10.0, True)
+            share.learn(names, 0.0)
+            parts.append(share.part(0.0))
+        assert sum(parts) == WHOLE
+        assert max(parts) - min(parts) <= 1
+
+
 class TestNodes:
     """Whole nodes, judged by what the upstreams have seen."""
 
