Move decisions on repeats out of the entry

Change: dataplane/repeats.py holds what an entry decides on repeats; the service makes the budget and hands it to the gate, which needs it for repeats that make calls. No behaviour changes.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -9,8 +9,6 @@
 from ..decisions import backpressure
 from ..decisions import placement
 from ..decisions import ratepool
-from ..decisions import repeatbudget
-from ..decisions import slackshare
 from ..decisions import splits
 from ..world import catalog
 from . import callers
@@ -22,18 +20,9 @@
 from . import journal
 from . import options
 from . import rates
+from . import repeats
 from . import terms
 
-# Times that a request may be offered to hosts; only upstreams that it
-# reached count as attempts of its route.
-OFFERS_MAX = 8
-# Offers to gates that refused before the request reached an upstream.
-GATES_MAX = 3
-# Time in which an answer must come for a repeat to be worth sending.
-REPEAT_USEFUL_S = 0.03
-# Part of the users' slack that is used; arrivals below repeats are charged
-# only after they happened.
-SLACK_USED = 0.5
 # Part of the remaining time by which callers honour Retry-After.
 COME_BACK_PART = 0.33
 COME_BACK_MIN_S = 0.03
@@ -98,16 +87,7 @@
             chosen.data_centre, chosen.regions, source
         )
         self.splits = splits.Splits(source)
-        bounds = chosen.bounds
-        self.share = slackshare.SlackShare(
-            bounds.retry_slack * SLACK_USED,
-            chosen.address,
-            bounds.retry_window_s,
-            chosen.first_start,
-        )
-        self.repeats = repeatbudget.RepeatBudget(
-            bounds.retry_ratio, bounds.retry_window_s, self.share
-        )
+        self._repeats = repeats.Repeats(own.budget, own, counts)
         self.backpressure = backpressure.Backpressure()
         self.active = 0
         self.closing = False
@@ -187,17 +167,7 @@
     def _begin(self, call: calls.Call) -> None:
         """Choose a call's service and offer the call to its hosts."""
         call.service = self.splits.choose(t.cast(catalog.Route, call.route))
-        # Arrivals below a repeat count as repeats where they arrive.
-        now = self._loop.time()
-        why = counters.Sent.FIRST
-        if call.flags & frames.Flag.REPEAT:
-            self.repeats.charge(call.service, now)
-            why = counters.Sent.BELOW_RETRY
-        else:
-            self.repeats.first(call.service, now)
-        self._counts.sent(call.service, why)
-        if call.matched is not None:
-            self._counts.matched(call.matched)
+        self._repeats.begin(call, self._loop.time())
         self._offer(call)
 
     def _shed(self, call: calls.Call, now: float) -> results.ResultCode | None:
@@ -316,7 +286,7 @@
             # What failed below would fail again, and all that it calls
             # would be called again.
             failed = result.status >= _SERVER_ERROR and not result.chained
-            if failed and self._repeat_pays(call, route, result, now):
+            if failed and self._repeats.pays(call, route, result, now):
                 self._repeat(call)
                 return
             self._answer(call, result)
@@ -325,7 +295,7 @@
             call.known = code
         elif call.known is None:
             call.known = code
-        if self._worth_another(call, route, result, code, now):
+        if self._repeats.worth_another(call, route, result, now):
             self._repeat(call, counted=result.arrived or not code.not_run)
             return
         self._fail(call, call.known or code, result.retry_after_ms)
@@ -354,57 +324,9 @@
         good = result.answered and result.status < _SERVER_ERROR
         where.outcome(name, good, now)
 
-    def _worth_another(
-        self,
-        call: calls.Call,
-        route: catalog.Route,
-        result: frames.Result,
-        code: results.ResultCode,
-        now: float,
-    ) -> bool:
-        """Return whether another host should be offered the call."""
-        if code in (results.DEADLINE_PASSED, results.QUARANTINED):
-            return False
-        if code.not_run and not result.arrived:
-            useful = call.deadline - now > REPEAT_USEFUL_S
-            return useful and call.offers < GATES_MAX
-        if not code.not_run and not call.idempotent:
-            return False
-        return self._repeat_pays(call, route, result, now)
-
-    def _repeat_pays(
-        self,
-        call: calls.Call,
-        route: catalog.Route,
-        result: frames.Result,
-        now: float,
-    ) -> bool:
-        """Return whether a repeat is allowed and may still be answered."""
-        if result.answered and not call.idempotent:
-            return False
-        if call.offers >= OFFERS_MAX:
-            return False
-        ran = not results.by_number(result.code).not_run
-        if ran and len(call.reached) >= route.attempts:
-            return False
-        if call.deadline - now < max(REPEAT_USEFUL_S, result.run_ms / 1000):
-            return False
-        progress = 0.0
-        if call.parent is not None:
-            expected = self._gate.below.calls(call.parent.route)
-            progress = min(1.0, call.parent.answered / expected)
-        claim = repeatbudget.Claim(call.rank % terms.ROUTE_RANKS, progress)
-        if self.repeats.spend(call.service, claim, now):
-            return True
-        call.repeats_refused = True
-        self._counts.refused(call.service, counters.Sent.RETRY)
-        return False
-
     def _repeat(self, call: calls.Call, counted: bool = True) -> None:
         if counted:
-            call.flags |= frames.Flag.REPEAT
-            call.repeats += 1
-            self._counts.sent(call.service, counters.Sent.RETRY)
+            self._repeats.again(call)
         self._offer(call)
 
     def _answer(self, call: calls.Call, result: frames.Result) -> None:
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -8,6 +8,7 @@
 from ..decisions import backpressure
 from ..decisions import gatequeue
 from ..decisions import lineage
+from ..decisions import repeatbudget
 from . import callers
 from . import crashwatch
 from . import dialect
@@ -91,6 +92,7 @@
     :param connections: connections to the upstream.
     :param queue: decides what runs, waits and is refused.
     :param watch: notices crashes of the upstream.
+    :param budget: repeats that this host may send.
     :param log: takes a line for each call that is not answered.
     """
 
@@ -100,6 +102,7 @@
         connections: pool.Pool,
         queue: gatequeue.GateQueue,
         watch: crashwatch.CrashWatch,
+        budget: repeatbudget.RepeatBudget,
         log: journal.Journal,
     ) -> None:
         self._dialect = spoken
@@ -110,6 +113,7 @@
         self._loop = asyncio.get_running_loop()
         self.lineage = lineage.Lineage()
         self.below = backpressure.ChainWaits()
+        self.budget = budget
         self.health = health.Health(spoken, connections)
         self.leaving = False
 
--- /dev/null
+++ b/src/savorytally/dataplane/repeats.py
@@ -0,0 +1,102 @@
+"""What an entry may send once more, and what that is charged to."""
+
+from .. import results
+from ..decisions import repeatbudget
+from ..world import catalog
+from . import calls
+from . import counters
+from . import frames
+from . import gate
+from . import terms
+
+# Times that a request may be offered to hosts; only upstreams that it
+# reached count as attempts of its route.
+OFFERS_MAX = 8
+# Offers to gates that refused before the request reached an upstream.
+GATES_MAX = 3
+# Time in which an answer must come for a repeat to be worth sending.
+USEFUL_S = 0.03
+
+
+class Repeats:
+    """Decides on repeats for an entry.
+
+    :param budget: repeats that this host may send.
+    :param own: the gate of this host, whose runs make calls.
+    :param counts: counts what is sent and refused.
+    """
+
+    def __init__(
+        self,
+        budget: repeatbudget.RepeatBudget,
+        own: gate.Gate,
+        counts: counters.Counters,
+    ) -> None:
+        self._budget = budget
+        self._gate = own
+        self._counts = counts
+
+    def begin(self, call: calls.Call, now: float) -> None:
+        """Note that a call is sent for the first time."""
+        why = counters.Sent.FIRST
+        if call.flags & frames.Flag.REPEAT:
+            # Arrivals below a repeat count as repeats where they arrive.
+            self._budget.charge(call.service, now)
+            why = counters.Sent.BELOW_RETRY
+        else:
+            self._budget.first(call.service, now)
+        self._counts.sent(call.service, why)
+        if call.matched is not None:
+            self._counts.matched(call.matched)
+
+    def worth_another(
+        self,
+        call: calls.Call,
+        route: catalog.Route,
+        result: frames.Result,
+        now: float,
+    ) -> bool:
+        """Return whether another host should be offered a failed call."""
+        code = results.by_number(result.code)
+        if code in (results.DEADLINE_PASSED, results.QUARANTINED):
+            return False
+        if code.not_run and not result.arrived:
+            useful = call.deadline - now > USEFUL_S
+            return useful and call.offers < GATES_MAX
+        if not code.not_run and not call.idempotent:
+            return False
+        return self.pays(call, route, result, now)
+
+    def pays(
+        self,
+        call: calls.Call,
+        route: catalog.Route,
+        result: frames.Result,
+        now: float,
+    ) -> bool:
+        """Return whether a repeat is allowed and may still be answered."""
+        if result.answered and not call.idempotent:
+            return False
+        if call.offers >= OFFERS_MAX:
+            return False
+        ran = not results.by_number(result.code).not_run
+        if ran and len(call.reached) >= route.attempts:
+            return False
+        if call.deadline - now < max(USEFUL_S, result.run_ms / 1000):
+            return False
+        progress = 0.0
+        if call.parent is not None:
+            expected = self._gate.below.calls(call.parent.route)
+            progress = min(1.0, call.parent.answered / expected)
+        claim = repeatbudget.Claim(call.rank % terms.ROUTE_RANKS, progress)
+        if self._budget.spend(call.service, claim, now):
+            return True
+        call.repeats_refused = True
+        self._counts.refused(call.service, counters.Sent.RETRY)
+        return False
+
+    def again(self, call: calls.Call) -> None:
+        """Note that a call that may have arrived is sent once more."""
+        call.flags |= frames.Flag.REPEAT
+        call.repeats += 1
+        self._counts.sent(call.service, counters.Sent.RETRY)
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -8,6 +8,8 @@
 import typing as t
 
 from ..decisions import gatequeue
+from ..decisions import repeatbudget
+from ..decisions import slackshare
 from ..world import catalog
 from . import callers
 from . import counters
@@ -42,6 +44,9 @@
 STOP_MARGIN_S = 0.7
 QUIET_S = 0.5
 BACKLOG = 1024
+# Part of the users' slack that is used; arrivals below repeats are charged
+# only after they happened.
+SLACK_USED = 0.5
 
 
 class Service:
@@ -78,11 +83,22 @@
         self.crashes = crashwatch.CrashWatch(
             chosen.address, self._upstream, self.log
         )
+        bounds = chosen.bounds
+        self._share = slackshare.SlackShare(
+            bounds.retry_slack * SLACK_USED,
+            chosen.address,
+            bounds.retry_window_s,
+            chosen.first_start,
+        )
+        budget = repeatbudget.RepeatBudget(
+            bounds.retry_ratio, bounds.retry_window_s, self._share
+        )
         self.gate = gate.Gate(
             spoken,
             self._upstream,
             gatequeue.GateQueue(),
             self.crashes,
+            budget,
             self.log,
         )
         self.peers = peers.Peers(chosen.peer_port, self.gate, self)
@@ -214,7 +230,7 @@
                 removed=list(changes.removed),
             )
             self._apply_instances(now)
-        self.entry.share.confirm(now)
+        self._share.confirm(now)
         self.entry.release()
 
     def source_state(self, reachable: bool, why: str) -> None:
@@ -301,7 +317,7 @@
             if (instance.address, instance.port) == (own.host, own.port):
                 self.gate.queue.learn_slots(instance.slots)
         self._at_address = hosts
-        self.entry.share.learn(hosts, now)
+        self._share.learn(hosts, now)
         self.crashes.learn_hosts(hosts)
         self.rates.learn_instances(instances.values())
 
