Count a repeat until a window after it is known to have arrived

Cause: a repeat was dated by its sending. What a slow link or a long queue holds up arrives together with what is sent later. Change: a repeat counts from its sending on and is dated by its result; one that certainly did not arrive (a gate that refused it, a stream that was not open) is given back. It is sent if, in each window that begins by now, repeats are at most the host's part of the slack and half the ratio of the requests since a window before. Two windows that follow each other hold at most twice the requests of the larger one, so the sum over hosts keeps the users' bound however the load changes. The margin of a fifth of the ratio goes. Ruled out: dating by requests of the same window alone; a window may begin right after the last request. Conclusion: the bound on own repeats holds for any load and delay. The one term left: hosts that send nothing after a window has begun, if the load falls meanwhile by what came in the delay.

--- a/src/savorytally/dataplane/calls.py
+++ b/src/savorytally/dataplane/calls.py
@@ -14,6 +14,7 @@
     """A request in progress at the entry."""
 
     __slots__ = (
+        "charged",
         "clients_ms",
         "deadline",
         "done",
@@ -60,6 +61,8 @@
         self.offers = 0
         # Times that it was sent once more after it may have arrived.
         self.repeats = 0
+        # Whether the budget holds a repeat of it that may be on its way.
+        self.charged = False
         # Whether the budget left no room for one more.
         self.repeats_refused = False
         # Upstreams that the request has reached.
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -274,6 +274,8 @@
         if call.done:
             return
         call.withdraw = None
+        if result.arrived or not code.not_run:
+            self._repeats.settle(call, True, now)
         # An upstream that is not the one meant does not count as reached.
         arrived = result.arrived and code is not results.INSTANCE_GONE
         if arrived and call.instance_id not in call.reached:
@@ -382,6 +384,7 @@
             call.timer.cancel()
         call.request.abandoned = None
         now = self._loop.time()
+        self._repeats.settle(call, False, now)
         served = code is results.ANSWERED and status < _SERVER_ERROR
         if call.parent is not None:
             self._gate.lineage.answered(call.parent, served, now)
@@ -458,5 +461,6 @@
         if withdraw is None:
             return False
         not_sent = withdraw()
+        self._repeats.settle(call, not not_sent, self._loop.time())
         self.placement.ended(call.instance_id)
         return not_sent
--- a/src/savorytally/dataplane/repeats.py
+++ b/src/savorytally/dataplane/repeats.py
@@ -90,11 +90,22 @@
             progress = min(1.0, call.parent.answered / expected)
         claim = repeatbudget.Claim(call.rank % terms.ROUTE_RANKS, progress)
         if self._budget.spend(call.service, claim, now):
+            call.charged = True
             return True
         call.repeats_refused = True
         self._counts.refused(call.service, counters.Sent.RETRY)
         return False
 
+    def settle(self, call: calls.Call, arrived: bool, now: float) -> None:
+        """Note whether a repeat of a call has arrived."""
+        if not call.charged:
+            return
+        call.charged = False
+        if arrived:
+            self._budget.arrived(call.service, now)
+        else:
+            self._budget.unused(call.service, now)
+
     def again(self, call: calls.Call) -> None:
         """Note that a call that may have arrived is sent once more."""
         call.flags |= frames.Flag.REPEAT
--- a/src/savorytally/decisions/repeatbudget.py
+++ b/src/savorytally/decisions/repeatbudget.py
@@ -10,16 +10,12 @@
 go first. The others leave a part of the budget.
 """
 
-import collections
 import dataclasses
 
 from . import slackshare
 
-# Part of the users' ratio that is used; arrivals below repeats are charged
-# only after they happened.
-RATIO_USED = 0.8
 # Steps into which the window is divided.
-STEPS = 20
+STEPS = 40
 # Part of the budget that a request leaves, by steps of urgency, and one
 # whose chain has only begun.
 LEFT_URGENCY = 0.35
@@ -45,26 +41,40 @@
         return min(LEFT_MAX, LEFT_URGENCY * self.urgency + early)
 
 
-@dataclasses.dataclass(slots=True)
-class _Step:
-    number: int
-    firsts: int = 0
-    repeats: int = 0
+class _Account:
+    """Requests and repeats at a service by step, the latest one last."""
 
+    __slots__ = ("arrived", "firsts", "on_way", "step")
 
-@dataclasses.dataclass(slots=True)
-class _Account:
-    """Arrivals at a service in the last window."""
+    def __init__(self, step: int) -> None:
+        self.step = step
+        self.firsts = [0] * (2 * STEPS)
+        # Repeats by the step in which they were known to have arrived.
+        self.arrived = [0] * (STEPS + 1)
+        # Repeats that were sent and may not have arrived yet.
+        self.on_way = 0
 
-    steps: collections.deque[_Step]
-    firsts: int = 0
-    repeats: int = 0
+    def advance(self, step: int) -> None:
+        """Move on to a later step."""
+        passed = min(step - self.step, 2 * STEPS)
+        self.step = step
+        for counts in (self.firsts, self.arrived):
+            del counts[:passed]
+            counts += [0] * passed
+        del self.arrived[: -STEPS - 1]
 
 
 class RepeatBudget:
     """Repeats by service.
 
-    :param ratio: repeats per first arrival that all hosts may send.
+    A repeat belongs to every window that begins before it is known to have
+    arrived. It is sent if, in each of these, the repeats are at most the
+    host's part of the slack and half the ratio of the requests that came
+    since a window before. The requests of two windows that follow each other
+    are at most twice those of the larger one, so that the bound holds for all
+    hosts together however the load changes.
+
+    :param ratio: repeats per request that all hosts may send.
     :param window_s: the window.
     :param share: the host's part of what is allowed beyond the ratio.
     """
@@ -72,46 +82,60 @@
     def __init__(
         self, ratio: float, window_s: float, share: slackshare.SlackShare
     ) -> None:
-        self._ratio = ratio * RATIO_USED
+        self._half_ratio = ratio / 2
         self._step_s = window_s / STEPS
         self._share = share
         self._accounts: dict[str, _Account] = {}
 
     def first(self, service: str, now: float) -> None:
-        """Note the first arrival of a request at a service."""
-        account = self._at(service, now)
-        account.steps[-1].firsts += 1
-        account.firsts += 1
+        """Note a new request for a service."""
+        self._at(service, now).firsts[-1] += 1
 
     def charge(self, service: str, now: float) -> None:
         """Note an arrival that repeats one, allowed or not."""
-        account = self._at(service, now)
-        account.steps[-1].repeats += 1
-        account.repeats += 1
+        self._at(service, now).arrived[-1] += 1
 
     def spend(self, service: str, claim: Claim, now: float) -> bool:
-        """Return whether one more repeat may be sent, and charge it."""
+        """Return whether one more repeat may be sent, and charge it.
+
+        It counts until a window after :meth:`arrived`, or until
+        :meth:`unused`.
+        """
         account = self._at(service, now)
-        allowed = self._ratio * account.firsts + self._share.part(now)
-        # What is too little to be divided goes to who comes first.
-        allowed = max(min(1.0, allowed), allowed * (1.0 - claim.leaves))
-        if account.repeats + 1 > allowed:
-            return False
-        self.charge(service, now)
+        part = self._share.part(now)
+        left = 1.0 - claim.leaves
+        repeats = account.on_way + 1
+        firsts = sum(account.firsts[1 - STEPS :])
+        # For windows that begin in each step, from now back.
+        for steps in range(STEPS + 1):
+            repeats += account.arrived[-1 - steps]
+            if steps:
+                # The step at the far end is left out: it is not whole, and
+                # requests are noted a moment after they were sent.
+                firsts += account.firsts[1 - STEPS - steps]
+            allowed = self._half_ratio * firsts + part
+            # What is too little to be divided goes to who comes first.
+            if repeats > max(min(1.0, allowed), allowed * left):
+                return False
+        account.on_way += 1
         return True
 
+    def arrived(self, service: str, now: float) -> None:
+        """Note that a repeat that was charged has arrived by now."""
+        account = self._at(service, now)
+        account.on_way -= 1
+        account.arrived[-1] += 1
+
+    def unused(self, service: str, now: float) -> None:
+        """Note that a repeat that was charged will not arrive."""
+        self._at(service, now).on_way -= 1
+
     def _at(self, service: str, now: float) -> _Account:
-        """Return a service's account with its window moved to now."""
+        """Return a service's account with its steps moved to now."""
+        step = int(now / self._step_s)
         account = self._accounts.get(service)
         if account is None:
-            account = _Account(collections.deque())
-            self._accounts[service] = account
-        number = int(now / self._step_s)
-        steps = account.steps
-        if not steps or steps[-1].number != number:
-            steps.append(_Step(number))
-            while steps[0].number <= number - STEPS:
-                steps.popleft()
-            account.firsts = sum(step.firsts for step in steps)
-            account.repeats = sum(step.repeats for step in steps)
+            account = self._accounts[service] = _Account(step)
+        elif account.step != step:
+            account.advance(step)
         return account
--- a/tests/fakes/repeats.py
+++ b/tests/fakes/repeats.py
@@ -98,6 +98,7 @@
 
     def arrived(self, service: str, now: float) -> None:
         """Note that a repeat has arrived."""
+        self.budget.arrived(service, now)
 
     def below(self, service: str, now: float) -> bool:
         """Return whether a call below a repeat may be sent."""
@@ -184,7 +185,6 @@
             if not sender.below(service, now):
                 return False
             self.judge.repeat(service, now)
-            sender.arrived(service, now)
         else:
             sender.budget.first(service, now)
             self.judge.request(service, now)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -278,6 +278,7 @@
             while source.random() < 0.55:
                 if not budget.spend("almanac", claim, now):
                     break
+                budget.arrived("almanac", now)
                 events.append((now, True))
         for start in range(0, 30, 1):
             within = [
@@ -312,6 +313,8 @@
                 claim = repeatbudget.Claim(progress=progress(answered))
                 while good and source.random() < 0.55:
                     good = budget.spend("almanac", claim, now)
+                    if good:
+                        budget.arrived("almanac", now)
                 if not good:
                     break
             whole += good
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -4,6 +4,7 @@
 import bisect
 import collections
 import functools
+import heapq
 import random
 
 from fakes import mesh
@@ -266,6 +267,34 @@
             fleet.judge.repeat("page", now)
         assert fleet.judge.excess()["page"] <= 0
 
+    @pytest.mark.parametrize("seed", range(12))
+    def test_load_in_bursts_and_delays_are_within_the_bound(self, seed):
+        source = random.Random(seed)
+        fleet = repeats.Fleet({"page": 4}, source)
+        fleet.learn(0.0)
+        delay_s = source.choice([0.05, 0.5, 3.0])
+        on_way = []
+        now, change, per_s = 0.0, 0.0, 0.0
+        while now < 80.0:
+            if now >= change:
+                change = now + source.uniform(0.5, 12.0)
+                per_s = source.choice([2.0, 20.0, 200.0])
+            now += source.expovariate(per_s)
+            fleet.confirm(now)
+            while on_way and on_way[0][0] <= now:
+                at, _, host = heapq.heappop(on_way)
+                host.arrived("page", at)
+                fleet.judge.repeat("page", at)
+            host = source.choice(fleet.hosts)
+            host.budget.first("page", now)
+            fleet.judge.request("page", now)
+            # Sends more than it may, whenever it may.
+            while host.repeat("page", now):
+                at = now + source.uniform(0.0, delay_s)
+                heapq.heappush(on_way, (at, source.random(), host))
+        assert fleet.judge.excess()["page"] <= 0
+        assert fleet.judge.repeats("page") > 500
+
     def test_most_of_the_budget_is_used(self):
         fleet = self.hosts(
             random.Random(7),
