Tell the request that made a call although loops are late

Cause: a call's deadline is read later than its upstream counted from, by the lateness of both loops. A call that seemed to end over 1 ms after its parent ruled it out, by order too, so that another request or none was taken for the parent. Change: a call that names a request in progress at this upstream belongs to it (the part of its identifier before the last dot; the convention is in platform/headers.py, behind Dialect.parent_of). Else a call that has less time than its route's calls usually have was cut to its parent's and goes to the one that ends nearest, at most 0.15 s earlier, the mean lag taken off; the rest goes by order as before. Ruled out: a wider tolerance for all calls; those with a time of their own would often be near the end of another request. Still red: calls below repeats that are charged after the fact.

--- a/src/savorytally/dataplane/dialect.py
+++ b/src/savorytally/dataplane/dialect.py
@@ -16,6 +16,9 @@
     :param not_executed: an upstream's word that it did not run a request.
     :param load: an upstream's running, waiting and slots.
     :param answered_by: the upstream that answers.
+    :param below: what upstreams put between the identifier of a request and
+        their own part in those of the calls that they make for it, empty
+        if these don't name it.
     :param key_scheme: scheme of the ``Authorization`` header, lower case.
     :param ready_path: path of the readiness question.
     """
@@ -29,9 +32,16 @@
     not_executed: bytes
     load: bytes
     answered_by: bytes
+    below: bytes
     key_scheme: bytes
     ready_path: bytes
 
+    def parent_of(self, request_id: bytes) -> bytes:
+        """Return the request that a call's identifier names, if any."""
+        if not self.below:
+            return b""
+        return request_id.rpartition(self.below)[0]
+
     @property
     def set_by_node(self) -> frozenset[bytes]:
         """Request headers that a caller can't set."""
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -221,7 +221,11 @@
         run.state = State.RUNNING
         run.started = now
         run.parent = self.lineage.begin(
-            run.call.route, now + left_ms / 1000, run, now
+            run.call.route,
+            now + left_ms / 1000,
+            run,
+            now,
+            run.call.request_id,
         )
         run.connection = connection
         run.ticket = self._watch.started(run.call)
--- a/src/savorytally/dataplane/terms.py
+++ b/src/savorytally/dataplane/terms.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from .. import results
+from ..decisions import lineage
 from ..world import catalog
 from . import calls
 from . import dialect
@@ -109,10 +110,14 @@
         if organisation is None and call.clients_ms:
             keyed = self._catalog is not None and self._catalog.keyed
             given_up_at = now + call.clients_ms / 1000
-            match = self._gate.lineage.call(
-                route.name, given_up_at, not keyed, now
+            seen = lineage.Seen(
+                route.name,
+                given_up_at,
+                call.clients_ms / 1000,
+                self._dialect.parent_of(call.request_id),
+                not keyed,
             )
-            call.parent, call.matched = match
+            call.parent, call.matched = self._gate.lineage.call(seen, now)
         if call.parent is not None:
             run: gate.Run = call.parent.owner
             call.flags |= frames.Flag.CHILD
--- a/src/savorytally/decisions/lineage.py
+++ b/src/savorytally/decisions/lineage.py
@@ -2,38 +2,67 @@
 
 Answers chains whose calls do not name their parent: a call inherits its
 root's rank and tells its parent how long it waited, so that an overload at
-the lower end of a chain is seen at its top. A call that ends exactly with a
-request's own time belongs to it. Other calls are given to the idle request
-with the latest event, since upstreams that call one after the other send
-the next call when the last one was answered. Only routes that make such
-calls are considered.
+the lower end of a chain is seen at its top. A call that names a request in
+progress belongs to it; not all upstreams have their calls do so. A call that
+has less time than usual was cut to its parent's time: it belongs to the
+request that ends when it ends. It seems to end later by as much as the loops
+of upstream and node were late. Other calls are given to the idle request with
+the latest event, since upstreams that call one after the other send the next
+call when the last one was answered. Only routes that make such calls are
+considered.
 """
 
 import dataclasses
 import enum
+import math
 import typing as t
 
 from . import callmodel
 
-# Upstreams hand down whole milliseconds of what is left of their time; a
-# call is seen up to this time before or after the request's own end.
-EARLY_S = 0.001
-LATE_S = 0.002
+# Upstreams hand down whole milliseconds of what is left of their time: a call
+# ends by so much before its parent, or after it, if no loop is late.
+EARLY_S = 0.002
+LATE_S = 0.001
+# The most by which loops that are late make a call end later.
+LAG_MAX_S = 0.15
+# Weight of the latest call in the mean lag.
+LAG_WEIGHT = 0.05
+# What the most time that calls of a route had keeps with each call.
+USUAL_KEPT = 0.999
 
 
 class How(enum.Enum):
     """How the request that made a call was told.
 
+    :cvar NAMED: the call names it.
     :cvar EXACT: both end together.
     :cvar ORDER: it is the idle request with the latest event.
     :cvar NONE: not at all.
     """
 
+    NAMED = "named"
     EXACT = "exact"
     ORDER = "order"
     NONE = "none"
 
 
+class Seen(t.NamedTuple):
+    """What is seen of a call.
+
+    :param route: the called route.
+    :param deadline: when the upstream gives it up.
+    :param left_s: time until then as the call says.
+    :param named: the request that the call names, empty if none.
+    :param exact_only: whether callers' own requests may look alike.
+    """
+
+    route: str
+    deadline: float
+    left_s: float
+    named: bytes = b""
+    exact_only: bool = False
+
+
 class Match(t.NamedTuple):
     """The request that made a call.
 
@@ -55,6 +84,7 @@
     :param route: its route's name.
     :param deadline: when the upstream was told to give up.
     :param owner: what the gate knows it by.
+    :param name: its identifier.
     :param last: when it was started or got its latest answer.
     :param calls: calls of it that have no answer yet.
     :param answered: calls of it that were answered.
@@ -64,6 +94,7 @@
     route: str
     deadline: float
     owner: t.Any
+    name: bytes
     last: float
     calls: int = 0
     answered: int = 0
@@ -75,35 +106,45 @@
 
     def __init__(self) -> None:
         self._parents: set[Parent] = set()
+        self._names: dict[bytes, Parent] = {}
+        # The most time that calls of a route had.
+        self._usual_s: dict[str, float] = {}
+        self._lag_s = 0.0
         self._model = callmodel.CallModel()
 
     def begin(
-        self, route: str, deadline: float, owner: t.Any, now: float
+        self,
+        route: str,
+        deadline: float,
+        owner: t.Any,
+        now: float,
+        name: bytes = b"",
     ) -> Parent:
         """Note that a request was handed to the upstream."""
-        parent = Parent(route, deadline, owner, now)
+        parent = Parent(route, deadline, owner, name, now)
         self._parents.add(parent)
+        if name:
+            self._names[name] = parent
         self._model.ran(route, now)
         return parent
 
     def end(self, parent: Parent, now: float) -> None:
         """Note that a request has ended."""
         self._parents.discard(parent)
+        if self._names.get(parent.name) is parent:
+            del self._names[parent.name]
         self._model.ran(parent.route, now)
 
-    def call(
-        self, route: str, deadline: float, exact_only: bool, now: float
-    ) -> Match:
-        """Return the request that a new call belongs to.
-
-        :param route: the called route.
-        :param deadline: when the upstream gives the call up.
-        :param exact_only: whether callers' own requests may look alike.
-        """
-        match = self._choose(route, deadline, exact_only)
+    def call(self, seen: Seen, now: float) -> Match:
+        """Return the request that a new call belongs to."""
+        parent = self._names.get(seen.named)
+        if parent is None:
+            match = self._choose(seen)
+        else:
+            match = Match(parent, How.NAMED)
         if match.parent is not None:
             match.parent.calls += 1
-            self._model.called(route, now)
+            self._model.called(seen.route, now)
         return match
 
     def answered(self, parent: Parent, good: bool, now: float) -> None:
@@ -115,22 +156,34 @@
         else:
             parent.failed += 1
 
-    def _choose(self, route: str, deadline: float, exact_only: bool) -> Match:
-        exact: Parent | None = None
+    def _choose(self, seen: Seen) -> Match:
+        usual_s = self._usual_s.get(seen.route, 0.0) * USUAL_KEPT
+        self._usual_s[seen.route] = max(seen.left_s, usual_s)
+        # One with all its time may end with any request by chance.
+        cut = seen.left_s < usual_s and not seen.exact_only
+        lag_max_s = LAG_MAX_S if cut else LATE_S
+        lag_s = self._lag_s if cut else 0.0
+        nearest: Parent | None = None
         latest: Parent | None = None
-        exact_s = 1.0
+        nearest_s = math.inf
         for parent in self._parents:
-            off_s = parent.deadline - deadline
-            if off_s < -EARLY_S or not self._model.calls(parent.route, route):
+            late_s = seen.deadline - parent.deadline
+            if late_s > LAG_MAX_S:
+                continue
+            if not self._model.calls(parent.route, seen.route):
                 continue
-            if off_s <= LATE_S and abs(off_s) < exact_s:
-                exact, exact_s = parent, abs(off_s)
+            if -EARLY_S <= late_s <= lag_max_s:
+                off_s = abs(late_s - lag_s)
+                if off_s < nearest_s:
+                    nearest, nearest_s = parent, off_s
             if parent.calls:
                 continue
             if latest is None or parent.last > latest.last:
                 latest = parent
-        if exact is not None:
-            return Match(exact, How.EXACT)
-        if latest is None or exact_only:
+        if nearest is not None:
+            late_s = seen.deadline - nearest.deadline
+            self._lag_s += LAG_WEIGHT * (late_s - self._lag_s)
+            return Match(nearest, How.EXACT)
+        if latest is None or seen.exact_only:
             return NO_MATCH
         return Match(latest, How.ORDER)
--- a/src/savorytally/platform/headers.py
+++ b/src/savorytally/platform/headers.py
@@ -12,6 +12,8 @@
     not_executed=b"x-savorytally-not-executed",
     load=b"x-savorytally-server-load",
     answered_by=b"x-savorytally-instance-id",
+    # Not promised: calls that don't follow it are told by their time.
+    below=b".",
     key_scheme=b"token",
     ready_path=b"/-/readyz",
 )
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -232,7 +232,7 @@
         known = lineage.Lineage()
         known.begin("page", 5.000, "first", 0.0)
         known.begin("page", 5.020, "second", 0.1)
-        match = known.call("lookup", 4.9995, False, 0.2)
+        match = known.call(lineage.Seen("lookup", 4.9995, 4.8), 0.2)
         assert match.parent.owner == "first"
         assert match.how is lineage.How.EXACT
 
@@ -242,14 +242,15 @@
         known.begin("page", 6.0, "second", 0.1)
         first.calls = 1
         known.answered(first, True, 0.2)
-        match = known.call("lookup", 0.7, False, 0.201)
+        match = known.call(lineage.Seen("lookup", 0.7, 0.499), 0.201)
         assert match.parent.owner == "first"
         assert match.how is lineage.How.ORDER
 
     def test_callers_requests_are_not_taken_for_calls(self):
         known = lineage.Lineage()
         known.begin("page", 5.0, "first", 0.0)
-        assert known.call("page", 3.0, True, 0.1) is lineage.NO_MATCH
+        seen = lineage.Seen("page", 3.0, 2.9, exact_only=True)
+        assert known.call(seen, 0.1) is lineage.NO_MATCH
 
 
 class TestRepeatBudget:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -3,6 +3,7 @@
 import asyncio
 import bisect
 import collections
+import dataclasses
 import functools
 import heapq
 import random
@@ -14,6 +15,7 @@
 
 from savorytally.decisions import lineage
 from savorytally.decisions import slackshare
+from savorytally.platform import headers
 
 TOP, DEEP = "drawers", "ledger"
 
@@ -126,12 +128,14 @@
 
 def begin(known, deadline, name, now):
     """Note a request that is handed to the upstream."""
-    return known.begin("page", deadline, name, now)
+    return known.begin("page", deadline, name, now, name)
 
 
 def call(known, deadline, hint, left_ms, now):
     """Return how a call is matched."""
-    return known.call("lookup", deadline, False, now)
+    named = hint.rpartition(b".")[0]
+    seen = lineage.Seen("lookup", deadline, left_ms / 1000, named)
+    return known.call(seen, now)
 
 
 class TestCounters:
@@ -534,6 +538,28 @@
     def test_call_that_names_its_parent_is_matched_rightly(self, lag_ms):
         assert self.share(lag_ms / 1000, named=True) == 1.0
 
+    def test_call_that_names_no_request_in_progress_is_told_by_time(self):
+        known = lineage.Lineage()
+        parent = begin(known, 5.0, b"here", 0.0)
+        gone = begin(known, 7.0, b"gone", 0.0)
+        known.end(gone, 0.5)
+        match = call(known, 5.0, b"gone.1", 4400, 0.6)
+        assert match == lineage.Match(parent, lineage.How.EXACT)
+
+    @pytest.mark.parametrize(
+        ("request_id", "parent"),
+        [
+            (b"b4dc4d77d0b1feaf", b""),
+            (b"b4dc4d77d0b1feaf.b8b390db", b"b4dc4d77d0b1feaf"),
+            (b"36e0.1f0f.9f75", b"36e0.1f0f"),
+            (b"", b""),
+        ],
+    )
+    def test_parent_is_read_from_the_identifier(self, request_id, parent):
+        assert headers.DIALECT.parent_of(request_id) == parent
+        silent = dataclasses.replace(headers.DIALECT, below=b"")
+        assert silent.parent_of(request_id) == b""
+
     @pytest.mark.parametrize("lag_ms", [5, 20, 50])
     def test_late_loop_hides_no_parent(self, lag_ms):
         """A call's time seems to end after that of its parent."""
