Charge the calls below a repeat before they are sent

Cause: the calls that a repeated run makes were charged after they had been sent and never refused. Each service's slack was spent at the top once for each call below, and again at the next service. Change: decisions/chainbudget.py learns how many calls a run of a route makes of which service. The gate sets them aside in its host's budget before it runs a repeat and refuses a repeat for which there is no room (1026, not run), so that it is offered to another host; what was not called is given back. A call for which nothing is left is refused, not sent. The whole slack is used now. Sends are counted when they have arrived. The room in an account is measured once a step. Ruled out: a call below a repeat that finds no room and is sent anyway.

--- a/src/savorytally/dataplane/calls.py
+++ b/src/savorytally/dataplane/calls.py
@@ -61,8 +61,8 @@
         self.offers = 0
         # Times that it was sent once more after it may have arrived.
         self.repeats = 0
-        # Whether the budget holds a repeat of it that may be on its way.
-        self.charged = False
+        # As what it is charged to the budget while it may be on its way.
+        self.charged = ""
         # Whether the budget left no room for one more.
         self.repeats_refused = False
         # Upstreams that the request has reached.
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -167,8 +167,10 @@
     def _begin(self, call: calls.Call) -> None:
         """Choose a call's service and offer the call to its hosts."""
         call.service = self.splits.choose(t.cast(catalog.Route, call.route))
-        self._repeats.begin(call, self._loop.time())
-        self._offer(call)
+        if self._repeats.begin(call, self._loop.time()):
+            self._offer(call)
+        else:
+            self._fail(call, results.RETRIES_SPENT)
 
     def _shed(self, call: calls.Call, now: float) -> results.ResultCode | None:
         """Refuse a new request whose chain ends in an overload."""
@@ -321,7 +323,7 @@
         if result.limit:
             run_s = result.run_ms / 1000 if result.run_ms else None
             where.report(name, route, run_s, result.load, result.limit, now)
-        if code is results.SHED_AT_GATE:
+        if code is results.SHED_AT_GATE or code is results.RETRIES_SPENT:
             return
         good = result.answered and result.status < _SERVER_ERROR
         where.outcome(name, good, now)
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -6,6 +6,7 @@
 
 from .. import results
 from ..decisions import backpressure
+from ..decisions import chainbudget
 from ..decisions import gatequeue
 from ..decisions import lineage
 from ..decisions import repeatbudget
@@ -114,6 +115,7 @@
         self.lineage = lineage.Lineage()
         self.below = backpressure.ChainWaits()
         self.budget = budget
+        self.chain = chainbudget.ChainBudget(budget)
         self.health = health.Health(spoken, connections)
         self.leaving = False
 
@@ -135,6 +137,8 @@
             self._finish(run, results.HOST_LEAVING)
         elif self._watch.refused_s(call):
             self._finish(run, results.QUARANTINED)
+        elif run.repeat and not self.chain.has_room(call.route, now):
+            self._finish(run, results.RETRIES_SPENT)
         elif call.flags & frames.Flag.UNLISTED:
             self.health.ask(
                 call.instance_id, lambda good: self._judged(run, good)
@@ -217,6 +221,13 @@
             self._pool.give(connection)
             self._end(run, results.DEADLINE_TOO_SHORT, None)
             return
+        reserved = None
+        if run.repeat:
+            reserved = self.chain.reserve(run.call.route, now)
+            if reserved is None:
+                self._pool.give(connection)
+                self._end(run, results.RETRIES_SPENT, None)
+                return
         left_ms = int(left_s * 1000)
         run.state = State.RUNNING
         run.started = now
@@ -227,6 +238,7 @@
             now,
             run.call.request_id,
         )
+        run.parent.reserved = reserved
         run.connection = connection
         run.ticket = self._watch.started(run.call)
         run.timer = self._loop.call_at(run.deadline, self._expired, run)
@@ -337,12 +349,18 @@
         if run.timer is not None:
             run.timer.cancel()
         self._watch.ended(run.ticket)
-        if run.parent is not None:
-            self.lineage.end(run.parent, self._loop.time())
+        now = self._loop.time()
+        whole = ran_s is not None
+        parent = run.parent
+        if parent is not None:
+            self.lineage.end(parent, now)
             if ran_s is not None:
-                self.below.ran(run.call.route, run.parent.answered)
+                self.below.ran(run.call.route, parent.answered)
+            self.chain.ran(run.call.route, parent.made or {}, whole)
+            if parent.reserved:
+                self.chain.release(parent.reserved, now)
         job = t.cast(gatequeue.Job, run.job)
-        change = self._queue.finish(job, ran_s, self._loop.time())
+        change = self._queue.finish(job, ran_s, now)
         for late in change.dropped:
             self._finish(late.owner, results.SHED_AT_GATE)
         for next_job in change.started:
--- a/src/savorytally/dataplane/repeats.py
+++ b/src/savorytally/dataplane/repeats.py
@@ -36,18 +36,27 @@
         self._gate = own
         self._counts = counts
 
-    def begin(self, call: calls.Call, now: float) -> None:
-        """Note that a call is sent for the first time."""
-        why = counters.Sent.FIRST
-        if call.flags & frames.Flag.REPEAT:
-            # Arrivals below a repeat count as repeats where they arrive.
-            self._budget.charge(call.service, now)
-            why = counters.Sent.BELOW_RETRY
-        else:
-            self._budget.first(call.service, now)
-        self._counts.sent(call.service, why)
+    def begin(self, call: calls.Call, now: float) -> bool:
+        """Return whether a call may be sent, and charge it.
+
+        What is called below a repeat is a repeat where it arrives.
+        """
         if call.matched is not None:
             self._counts.matched(call.matched)
+        parent = call.parent
+        if parent is not None:
+            parent.made = made = parent.made or {}
+            made[call.service] = made.get(call.service, 0) + 1
+        if parent is None or not call.flags & frames.Flag.REPEAT:
+            self._budget.first(call.service, now)
+            self._counts.sent(call.service, counters.Sent.FIRST)
+            return True
+        if self._gate.chain.take(parent.reserved, call.service, now):
+            call.charged = counters.Sent.BELOW_RETRY
+            return True
+        call.repeats_refused = True
+        self._counts.refused(call.service, counters.Sent.BELOW_RETRY)
+        return False
 
     def worth_another(
         self,
@@ -90,7 +99,7 @@
             progress = min(1.0, call.parent.answered / expected)
         claim = repeatbudget.Claim(call.rank % terms.ROUTE_RANKS, progress)
         if self._budget.spend(call.service, claim, now):
-            call.charged = True
+            call.charged = counters.Sent.RETRY
             return True
         call.repeats_refused = True
         self._counts.refused(call.service, counters.Sent.RETRY)
@@ -100,14 +109,14 @@
         """Note whether a repeat of a call has arrived."""
         if not call.charged:
             return
-        call.charged = False
         if arrived:
             self._budget.arrived(call.service, now)
+            self._counts.sent(call.service, call.charged)
         else:
             self._budget.unused(call.service, now)
+        call.charged = ""
 
     def again(self, call: calls.Call) -> None:
         """Note that a call that may have arrived is sent once more."""
         call.flags |= frames.Flag.REPEAT
         call.repeats += 1
-        self._counts.sent(call.service, counters.Sent.RETRY)
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -44,9 +44,6 @@
 STOP_MARGIN_S = 0.7
 QUIET_S = 0.5
 BACKLOG = 1024
-# Part of the users' slack that is used; arrivals below repeats are charged
-# only after they happened.
-SLACK_USED = 0.5
 
 
 class Service:
@@ -85,7 +82,7 @@
         )
         bounds = chosen.bounds
         self._share = slackshare.SlackShare(
-            bounds.retry_slack * SLACK_USED,
+            bounds.retry_slack,
             chosen.address,
             bounds.retry_window_s,
             chosen.first_start,
--- a/src/savorytally/decisions/lineage.py
+++ b/src/savorytally/decisions/lineage.py
@@ -89,6 +89,9 @@
     :param calls: calls of it that have no answer yet.
     :param answered: calls of it that were answered.
     :param failed: calls of it that failed.
+    :param made: calls that it has made by service.
+    :param reserved: calls by service that it may make as a repeat, ``None``
+        if it is none.
     """
 
     route: str
@@ -99,6 +102,8 @@
     calls: int = 0
     answered: int = 0
     failed: int = 0
+    made: dict[str, int] | None = None
+    reserved: dict[str, int] | None = None
 
 
 class Lineage:
--- a/src/savorytally/decisions/repeatbudget.py
+++ b/src/savorytally/decisions/repeatbudget.py
@@ -1,9 +1,9 @@
 """How many requests may be sent a second time, over all hosts together.
 
 Answers retries that multiply along a chain, and upstreams that reject a part
-of all requests: each service has a budget in proportion to its first
-arrivals in a sliding window, each host keeps its own account of it, and
-arrivals below a request that is itself a repeat are charged to it.
+of all requests: each service has a budget in proportion to the requests for
+it, each host keeps its own account of it, and what is sent below a request
+that is itself a repeat is charged like one, before it is sent.
 
 Where the budget is short, it is spent on the chains that have got furthest,
 since a chain is lost with the first of its calls that fails; urgent chains
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import typing as t
 
 from . import slackshare
 
@@ -41,10 +42,29 @@
         return min(LEFT_MAX, LEFT_URGENCY * self.urgency + early)
 
 
+class _Room(t.NamedTuple):
+    """What the windows that begin by now leave, without the slack.
+
+    What comes later in the same step belongs to all of them.
+
+    :param least: the least that one of them leaves.
+    :param allowed: repeats in the longest of them.
+    :param repeats: repeats that have arrived in it.
+    :param firsts: requests in the latest step when this was measured.
+    :param arrived: repeats in the latest step then.
+    """
+
+    least: float
+    allowed: float
+    repeats: int
+    firsts: int
+    arrived: int
+
+
 class _Account:
     """Requests and repeats at a service by step, the latest one last."""
 
-    __slots__ = ("arrived", "firsts", "on_way", "step")
+    __slots__ = ("arrived", "firsts", "on_way", "room", "step")
 
     def __init__(self, step: int) -> None:
         self.step = step
@@ -53,11 +73,14 @@
         self.arrived = [0] * (STEPS + 1)
         # Repeats that were sent and may not have arrived yet.
         self.on_way = 0
+        # ``None`` until it is asked for in this step.
+        self.room: _Room | None = None
 
     def advance(self, step: int) -> None:
         """Move on to a later step."""
         passed = min(step - self.step, 2 * STEPS)
         self.step = step
+        self.room = None
         for counts in (self.firsts, self.arrived):
             del counts[:passed]
             counts += [0] * passed
@@ -91,34 +114,38 @@
         """Note a new request for a service."""
         self._at(service, now).firsts[-1] += 1
 
-    def charge(self, service: str, now: float) -> None:
-        """Note an arrival that repeats one, allowed or not."""
-        self._at(service, now).arrived[-1] += 1
-
     def spend(self, service: str, claim: Claim, now: float) -> bool:
-        """Return whether one more repeat may be sent, and charge it.
+        """Return whether one more repeat may be sent, and charge it."""
+        if not self.has_room(service, claim, now):
+            return False
+        self.charge(service, now)
+        return True
+
+    def charge(self, service: str, now: float, count: int = 1) -> None:
+        """Charge repeats that will be sent.
 
-        It counts until a window after :meth:`arrived`, or until
+        Each counts until a window after :meth:`arrived`, or until
         :meth:`unused`.
         """
+        self._at(service, now).on_way += count
+
+    def has_room(
+        self, service: str, claim: Claim, now: float, count: int = 1
+    ) -> bool:
+        """Return whether so many more repeats may be sent."""
         account = self._at(service, now)
+        if account.room is None:
+            account.room = self._measure(account)
+        room = account.room
+        earned = self._half_ratio * (account.firsts[-1] - room.firsts)
+        came = account.arrived[-1] - room.arrived
         part = self._share.part(now)
-        left = 1.0 - claim.leaves
-        repeats = account.on_way + 1
-        firsts = sum(account.firsts[1 - STEPS :])
-        # For windows that begin in each step, from now back.
-        for steps in range(STEPS + 1):
-            repeats += account.arrived[-1 - steps]
-            if steps:
-                # The step at the far end is left out: it is not whole, and
-                # requests are noted a moment after they were sent.
-                firsts += account.firsts[1 - STEPS - steps]
-            allowed = self._half_ratio * firsts + part
-            # What is too little to be divided goes to who comes first.
-            if repeats > max(min(1.0, allowed), allowed * left):
-                return False
-        account.on_way += 1
-        return True
+        if account.on_way + came + count > room.least + earned + part:
+            return False
+        # What is too little to be divided goes to who comes first.
+        allowed = room.allowed + earned + part
+        allowed = max(min(1.0, allowed), allowed * (1.0 - claim.leaves))
+        return account.on_way + room.repeats + came + count <= allowed
 
     def arrived(self, service: str, now: float) -> None:
         """Note that a repeat that was charged has arrived by now."""
@@ -126,9 +153,24 @@
         account.on_way -= 1
         account.arrived[-1] += 1
 
-    def unused(self, service: str, now: float) -> None:
-        """Note that a repeat that was charged will not arrive."""
-        self._at(service, now).on_way -= 1
+    def unused(self, service: str, now: float, count: int = 1) -> None:
+        """Note that repeats that were charged will not arrive."""
+        self._at(service, now).on_way -= count
+
+    def _measure(self, account: _Account) -> _Room:
+        """Return the room in the windows that begin in each step."""
+        firsts, arrived = account.firsts, account.arrived
+        requests = sum(firsts[1 - STEPS :])
+        repeats = arrived[-1]
+        least = self._half_ratio * requests - repeats
+        for steps in range(1, STEPS + 1):
+            # The step at the far end is left out: it is not whole, and
+            # requests are noted a moment after they were sent.
+            requests += firsts[1 - STEPS - steps]
+            repeats += arrived[-1 - steps]
+            least = min(least, self._half_ratio * requests - repeats)
+        allowed = self._half_ratio * requests
+        return _Room(least, allowed, repeats, firsts[-1], arrived[-1])
 
     def _at(self, service: str, now: float) -> _Account:
         """Return a service's account with its steps moved to now."""
@@ -136,6 +178,6 @@
         account = self._accounts.get(service)
         if account is None:
             account = self._accounts[service] = _Account(step)
-        elif account.step != step:
+        elif step > account.step:
             account.advance(step)
         return account
--- a/tests/fakes/repeats.py
+++ b/tests/fakes/repeats.py
@@ -4,6 +4,7 @@
 import collections
 import random
 
+from savorytally.decisions import chainbudget
 from savorytally.decisions import repeatbudget
 from savorytally.decisions import slackshare
 
@@ -12,6 +13,8 @@
 WINDOW_S = 10.0
 # A repeat that leaves nothing to more urgent ones.
 USUAL = repeatbudget.Claim(progress=1.0)
+# Hosts that a request is offered to.
+GATES = 8
 
 
 class Judge:
@@ -84,9 +87,10 @@
     def start(self, first_start: bool) -> None:
         """Begin with an empty account."""
         self.share = slackshare.SlackShare(
-            SLACK / 2, self.name, WINDOW_S, first_start
+            SLACK, self.name, WINDOW_S, first_start
         )
         self.budget = repeatbudget.RepeatBudget(RATIO, WINDOW_S, self.share)
+        self.chain = chainbudget.ChainBudget(self.budget)
 
     def learn(self, listed: list[str], now: float) -> None:
         """Apply the list of hosts."""
@@ -100,18 +104,6 @@
         """Note that a repeat has arrived."""
         self.budget.arrived(service, now)
 
-    def below(self, service: str, now: float) -> bool:
-        """Return whether a call below a repeat may be sent."""
-        self.budget.charge(service, now)
-        return True
-
-    def admits(self, called: str, calls: int, now: float) -> bool:
-        """Return whether the gate runs a repeat that makes these calls."""
-        return True
-
-    def ended(self, called: str) -> None:
-        """Note that such a run has ended."""
-
 
 class Fleet:
     """Hosts of a chain of services.
@@ -126,6 +118,8 @@
         self.judge = Judge()
         self.random = source
         self.served = 0
+        # Calls below repeats that were refused.
+        self.turned_away = 0
         self.hosts = [
             Host(f"10.0.{place}.{number}", service)
             for place, (service, count) in enumerate(services.items())
@@ -167,7 +161,7 @@
         """
         self.confirm(now)
         sender = self.random.choice(self.hosts)
-        served = self._send(sender, 0, now, calls, rejected, False)
+        served = self._send(sender, 0, now, calls, rejected, False, None)
         self.served += served
         return served
 
@@ -179,26 +173,41 @@
         calls: int,
         rejected: dict[str, float],
         repeat: bool,
+        reserved: dict[str, int] | None,
     ) -> bool:
         service = self._order[depth]
-        if repeat:
-            if not sender.below(service, now):
-                return False
-            self.judge.repeat(service, now)
-        else:
+        if not repeat:
             sender.budget.first(service, now)
             self.judge.request(service, now)
-        while True:
+        elif not sender.chain.take(reserved, service, now):
+            self.turned_away += 1
+            return False
+        charged = repeat
+        for _ in range(GATES):
             target = self.random.choice(self.of(service))
+            below = None
+            if repeat:
+                below = target.chain.reserve(service, now)
+                if below is None:
+                    continue
+            if charged:
+                self.judge.repeat(service, now)
+                sender.arrived(service, now)
+                charged = False
             if self.random.random() >= rejected.get(service, 0.0):
-                return self._below(target, depth, now, calls, rejected, repeat)
+                return self._run(
+                    target, depth, now, calls, rejected, repeat, below
+                )
+            if below:
+                target.chain.release(below, now)
             if not sender.repeat(service, now):
                 return False
-            repeat = True
-            self.judge.repeat(service, now)
-            sender.arrived(service, now)
+            charged = repeat = True
+        if charged:
+            sender.budget.unused(service, now)
+        return False
 
-    def _below(
+    def _run(
         self,
         host: Host,
         depth: int,
@@ -206,16 +215,18 @@
         calls: int,
         rejected: dict[str, float],
         repeat: bool,
+        reserved: dict[str, int] | None,
     ) -> bool:
+        service = self._order[depth]
         if depth + 1 == len(self._order):
             return True
         called = self._order[depth + 1]
-        if repeat and not host.admits(called, calls, now):
-            return False
         good = all(
-            self._send(host, depth + 1, now, calls, rejected, repeat)
+            self._send(host, depth + 1, now, calls, rejected, repeat, reserved)
             for _ in range(calls)
         )
-        if repeat:
-            host.ended(called)
+        if good:
+            host.chain.ran(service, {called: calls}, True)
+        if reserved:
+            host.chain.release(reserved, now)
         return good
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -13,7 +13,9 @@
 from fakes import repeats
 import pytest
 
+from savorytally.decisions import chainbudget
 from savorytally.decisions import lineage
+from savorytally.decisions import repeatbudget
 from savorytally.decisions import slackshare
 from savorytally.platform import headers
 
@@ -312,6 +314,47 @@
         assert fleet.judge.repeats("page") > 0.7 * allowed
 
 
+class TestChainBudget:
+    def chain(self, firsts):
+        """Return a chain budget without slack, and its budget."""
+        share = slackshare.SlackShare(0, "10.0.0.1", 10.0, True)
+        share.learn(["10.0.0.1"], 0.0)
+        budget = repeatbudget.RepeatBudget(0.2, 10.0, share)
+        for _ in range(firsts):
+            budget.first("lookup", 0.0)
+        return chainbudget.ChainBudget(budget), budget
+
+    def test_calls_of_a_run_are_learned(self):
+        chain, _ = self.chain(0)
+        chain.ran("page", {}, True)
+        assert chain.expected("page") == {}
+        for _ in range(60):
+            chain.ran("page", {"lookup": 2}, True)
+            chain.ran("page", {"lookup": 1, "map": 1}, True)
+        assert chain.expected("page") == {"lookup": 2, "map": 1}
+        for _ in range(60):
+            chain.ran("page", {"lookup": 2}, True)
+        assert chain.expected("page") == {"lookup": 2}
+
+    def test_repeat_without_room_for_all_its_calls_is_not_run(self):
+        chain, _ = self.chain(50)
+        chain.ran("page", {"lookup": 3}, True)
+        assert chain.reserve("page", 0.1) is not None
+        # Five may be sent in all.
+        assert chain.reserve("page", 0.1) is None
+
+    def test_what_is_set_aside_is_called_or_given_back(self):
+        chain, budget = self.chain(50)
+        chain.ran("page", {"lookup": 5}, True)
+        reserved = chain.reserve("page", 0.1)
+        assert not chain.take(None, "lookup", 0.1)
+        assert chain.take(reserved, "lookup", 0.1)
+        budget.arrived("lookup", 0.2)
+        chain.release(reserved, 0.2)
+        taken = [chain.take(None, "lookup", 0.3) for _ in range(5)]
+        assert taken == [True] * 4 + [False]
+
+
 class Sharer:
     """A host that uses its part of the slack as soon as it may."""
 
@@ -471,6 +514,23 @@
         assert max(excess.values()) <= 0
         assert served > 0
 
+    def test_chain_of_a_repeat_is_seldom_cut_in_its_middle(self):
+        told = []
+
+        async def watch(there, source):
+            try:
+                await asyncio.sleep(1000.0)
+            finally:
+                for series in ("sent", "retries_refused"):
+                    series += f'_total{{service="{DEEP}",kind="below_retry"}}'
+                    told.append(metric(there, series))
+
+        excess, _ = self.excess(watch, per_s=8, calls=4)
+        sent, refused = told
+        assert max(excess.values()) <= 0
+        assert sent > 100
+        assert refused <= 0.05 * sent
+
     def test_calls_with_their_own_time_are_within_the_bound(self):
         excess, served = self.excess(self.calm, budget_ms=300)
         assert max(excess.values()) <= 0
