Show that calls of a repeat that was given up count as first ones

When a caller leaves, the gate ends the connection and forgets the run, while some upstreams work on and make its further calls. Conclusion: open, to be mended next.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -620,6 +620,31 @@
         silent = dataclasses.replace(headers.DIALECT, below=b"")
         assert silent.parent_of(request_id) == b""
 
+    def test_calls_of_a_repeat_that_was_given_up_are_no_first_ones(self):
+        """Some upstreams work on when their connection has ended."""
+
+        async def scenario(there):
+            chain(there, calls=4)
+            first, second = of(there, TOP)
+            first.upstream.rejects = lambda: True
+            for host in of(there, DEEP):
+                host.upstream.work_s = 0.05
+            while not second.upstream.ran:
+                await there.send(
+                    there.hosts[-1], f"/{TOP}/1", leave_after_s=0.09
+                )
+                await asyncio.sleep(0.5)
+            arrived = len(first.upstream.arrived)
+            kind = f'sent_total{{service="{DEEP}",kind="first"}}'
+            made = len(of(there, DEEP)[0].upstream.arrived)
+            return arrived, made, metric(there, kind)
+
+        services = {TOP: ["low-a", "low-b"], DEEP: ["low-a"]}
+        arrived, made, first = play(scenario, services)
+        assert arrived
+        assert made > 1
+        assert first == 0
+
     @pytest.mark.parametrize("lag_ms", [5, 20, 50])
     def test_late_loop_hides_no_parent(self, lag_ms):
         """A call's time seems to end after that of its parent."""
