Keep the name of a run that was given up until its deadline

Cause: when a caller leaves or a connection breaks, the gate forgets the run; an upstream that works on makes its further calls as new requests, or as those of another run. Change: lineage keeps such a run by its name until its deadline; what it calls is charged as what it is. The test's upstreams name calls as the users' do, with one dot; before, no call of the whole-node tests was told by name. They are played both ways now, TestCounters too. Conclusion: left are calls that name nothing, and those of a run whose node has been started again.

--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -187,7 +187,7 @@
         elif run.state is State.RUNNING and run.idempotent:
             run.state = State.DONE
             self._stop(run)
-            self._release(run, None)
+            self._release(run, None, at_work=True)
 
     def tick(self) -> None:
         """Refuse what has waited too long."""
@@ -343,9 +343,15 @@
         elif code is results.DEADLINE_PASSED:
             ran_s = now - run.started
         self._finish(run, code, reply, ran_s)
-        self._release(run, ran_s)
+        self._release(run, ran_s, at_work=code is results.UPSTREAM_BROKEN)
+
+    def _release(
+        self, run: Run, ran_s: float | None, at_work: bool = False
+    ) -> None:
+        """Make room for what waits.
 
-    def _release(self, run: Run, ran_s: float | None) -> None:
+        :param at_work: whether the upstream may not have noticed the end.
+        """
         if run.timer is not None:
             run.timer.cancel()
         self._watch.ended(run.ticket)
@@ -353,7 +359,7 @@
         whole = ran_s is not None
         parent = run.parent
         if parent is not None:
-            self.lineage.end(parent, now)
+            self.lineage.end(parent, now, at_work)
             if ran_s is not None:
                 self.below.ran(run.call.route, parent.answered)
             self.chain.ran(run.call.route, parent.made or {}, whole)
--- a/src/savorytally/decisions/lineage.py
+++ b/src/savorytally/decisions/lineage.py
@@ -12,6 +12,7 @@
 considered.
 """
 
+import collections
 import dataclasses
 import enum
 import math
@@ -112,6 +113,7 @@
     def __init__(self) -> None:
         self._parents: set[Parent] = set()
         self._names: dict[bytes, Parent] = {}
+        self._given_up: collections.deque[Parent] = collections.deque()
         # The most time that calls of a route had.
         self._usual_s: dict[str, float] = {}
         self._lag_s = 0.0
@@ -133,11 +135,19 @@
         self._model.ran(route, now)
         return parent
 
-    def end(self, parent: Parent, now: float) -> None:
-        """Note that a request has ended."""
+    def end(self, parent: Parent, now: float, at_work: bool = False) -> None:
+        """Note that a request has ended.
+
+        :param at_work: whether the upstream may go on with it and make
+            calls that name it, at most until its deadline.
+        """
         self._parents.discard(parent)
-        if self._names.get(parent.name) is parent:
-            del self._names[parent.name]
+        if at_work:
+            self._given_up.append(parent)
+        else:
+            self._forget(parent)
+        while self._given_up and self._given_up[0].deadline < now:
+            self._forget(self._given_up.popleft())
         self._model.ran(parent.route, now)
 
     def call(self, seen: Seen, now: float) -> Match:
@@ -161,6 +171,10 @@
         else:
             parent.failed += 1
 
+    def _forget(self, parent: Parent) -> None:
+        if self._names.get(parent.name) is parent:
+            del self._names[parent.name]
+
     def _choose(self, seen: Seen) -> Match:
         usual_s = self._usual_s.get(seen.route, 0.0) * USUAL_KEPT
         self._usual_s[seen.route] = max(seen.left_s, usual_s)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -55,7 +55,8 @@
             again = "-again" if arrivals > 1 else ""
             for number in range(calls):
                 left_ms = int((until - loop.time()) * 1000)
-                made_by = f"{name}.{number}{again}-{loop.time()}"
+                at = int(loop.time() * 1e6)
+                made_by = f"{name}.{number}{again}-{at}"
                 if not named:
                     made_by = made_by.replace(".", "-")
                 reply = await there.send(
@@ -141,9 +142,10 @@
 
 
 class TestCounters:
-    def test_tell_first_arrivals_repeats_and_matched_calls(self):
+    @pytest.mark.parametrize("how", ["named", "order"])
+    def test_tell_first_arrivals_repeats_and_matched_calls(self, how):
         async def scenario(there):
-            chain(there, calls=2, budget_ms=300)
+            chain(there, calls=2, budget_ms=300, named=how == "named")
             first = of(there, TOP)[0]
             first.upstream.rejects = lambda: True
             for _ in range(20):
@@ -156,7 +158,7 @@
                 for service_name in (TOP, DEEP)
                 for kind in ("first", "retry", "below_retry")
             }
-            matched = metric(there, 'calls_matched_total{how="order"}')
+            matched = metric(there, f'calls_matched_total{{how="{how}"}}')
             arrived = [len(host.upstream.arrived) for host in there.hosts]
             return sent, matched, arrived
 
@@ -531,6 +533,11 @@
         assert sent > 100
         assert refused <= 0.05 * sent
 
+    def test_calls_that_name_no_parent_are_within_the_bound(self):
+        excess, served = self.excess(self.calm, named=False)
+        assert max(excess.values()) <= 0
+        assert served > 0
+
     def test_calls_with_their_own_time_are_within_the_bound(self):
         excess, served = self.excess(self.calm, budget_ms=300)
         assert max(excess.values()) <= 0
