Replay a chain that fans out at its end against the bound

Change: a test with the users' chain of four services, of which the third makes four calls of the last; tests/fakes/repeats.py takes the calls by service. Measured: pytest tests/test_repeats.py -k fans_out: five loads within the bound, at most one call below a repeat refused a host.

--- a/tests/fakes/repeats.py
+++ b/tests/fakes/repeats.py
@@ -152,14 +152,22 @@
         """Return the hosts of a service."""
         return [host for host in self.hosts if host.service == service]
 
-    def run(self, now: float, calls: int, rejected: dict[str, float]) -> bool:
+    def run(
+        self,
+        now: float,
+        calls: int | dict[str, int],
+        rejected: dict[str, float],
+    ) -> bool:
         """Send a request from the top down the chain.
 
-        :param calls: calls that each run makes of the next service.
+        :param calls: calls that each run makes of the next service, by its
+            own service if they differ.
         :param rejected: part of the arrivals that each service rejects.
         :return: whether it was served.
         """
         self.confirm(now)
+        if isinstance(calls, int):
+            calls = dict.fromkeys(self._order, calls)
         sender = self.random.choice(self.hosts)
         served = self._send(sender, 0, now, calls, rejected, False, None)
         self.served += served
@@ -170,7 +178,7 @@
         sender: Host,
         depth: int,
         now: float,
-        calls: int,
+        calls: dict[str, int],
         rejected: dict[str, float],
         repeat: bool,
         reserved: dict[str, int] | None,
@@ -212,7 +220,7 @@
         host: Host,
         depth: int,
         now: float,
-        calls: int,
+        calls: dict[str, int],
         rejected: dict[str, float],
         repeat: bool,
         reserved: dict[str, int] | None,
@@ -223,10 +231,10 @@
         called = self._order[depth + 1]
         good = all(
             self._send(host, depth + 1, now, calls, rejected, repeat, reserved)
-            for _ in range(calls)
+            for _ in range(calls[service])
         )
         if good:
-            host.chain.ran(service, {called: calls}, True)
+            host.chain.ran(service, {called: calls[service]}, True)
         if reserved:
             host.chain.release(reserved, now)
         return good
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -200,6 +200,31 @@
         assert max(fleet.judge.excess().values()) <= 0
         assert fleet.judge.repeats("page") > 0
 
+    @pytest.mark.parametrize(
+        "rejected",
+        [
+            {"checklist": 0.2},
+            {"checklist": 0.4},
+            {"ranges": 0.3},
+            {"species": 0.5},
+            {"species": 0.3, "checklist": 0.2},
+        ],
+    )
+    def test_chain_that_fans_out_at_its_end_is_within_the_bound(
+        self, rejected
+    ):
+        fleet = self.hosts(
+            random.Random(9),
+            {"species": 4, "sightings": 4, "ranges": 5, "checklist": 4},
+            50,
+            40.0,
+            calls={"species": 1, "sightings": 1, "ranges": 4},
+            rejected=rejected,
+        )
+        assert max(fleet.judge.excess().values()) <= 0
+        # A host learns from its first run what a route calls.
+        assert fleet.turned_away <= len(fleet.hosts)
+
     @pytest.mark.parametrize("hosts", [68, 310])
     def test_many_hosts_have_no_repeat_each(self, hosts):
         fleet = self.hosts(
