--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -9,7 +9,6 @@
 from ..decisions import backpressure
 from ..decisions import placement
 from ..decisions import ratepool
-from ..decisions import repeatbudget
 from ..decisions import splits
 from ..world import catalog
 from . import callers
@@ -21,15 +20,9 @@
 from . import journal
 from . import options
 from . import rates
+from . import repeats
 from . import terms
 
-# Times that a request may be offered to hosts; only upstreams that it
-# reached count as attempts of its route.
-OFFERS_MAX = 8
-# Offers to gates that refused before the request reached an upstream.
-GATES_MAX = 3
-# Time in which an answer must come for a repeat to be worth sending.
-REPEAT_USEFUL_S = 0.03
 # Part of the remaining time by which callers honour Retry-After.
 COME_BACK_PART = 0.33
 COME_BACK_MIN_S = 0.03
@@ -94,11 +87,7 @@
             chosen.data_centre, chosen.regions, source
         )
         self.splits = splits.Splits(source)
-        self.repeats = repeatbudget.RepeatBudget(
-            chosen.bounds.retry_ratio,
-            chosen.bounds.retry_slack,
-            chosen.bounds.retry_window_s,
-        )
+        self._repeats = repeats.Repeats(own.budget, own, counts)
         self.backpressure = backpressure.Backpressure()
         self.active = 0
         self.closing = False
@@ -178,13 +167,10 @@
     def _begin(self, call: calls.Call) -> None:
         """Choose a call's service and offer the call to its hosts."""
         call.service = self.splits.choose(t.cast(catalog.Route, call.route))
-        # Arrivals below a repeat count as repeats where they arrive.
-        now = self._loop.time()
-        if call.flags & frames.Flag.REPEAT:
-            self.repeats.charge(call.service, now)
+        if self._repeats.begin(call, self._loop.time()):
+            self._offer(call)
         else:
-            self.repeats.first(call.service, now)
-        self._offer(call)
+            self._fail(call, results.RETRIES_SPENT)
 
     def _shed(self, call: calls.Call, now: float) -> results.ResultCode | None:
         """Refuse a new request whose chain ends in an overload."""
@@ -290,6 +276,8 @@
         if call.done:
             return
         call.withdraw = None
+        if result.arrived or not code.not_run:
+            self._repeats.settle(call, True, now)
         # An upstream that is not the one meant does not count as reached.
         arrived = result.arrived and code is not results.INSTANCE_GONE
         if arrived and call.instance_id not in call.reached:
@@ -302,7 +290,7 @@
             # What failed below would fail again, and all that it calls
             # would be called again.
             failed = result.status >= _SERVER_ERROR and not result.chained
-            if failed and self._repeat_pays(call, route, result, now):
+            if failed and self._repeats.pays(call, route, result, now):
                 self._repeat(call)
                 return
             self._answer(call, result)
@@ -311,7 +299,7 @@
             call.known = code
         elif call.known is None:
             call.known = code
-        if self._worth_another(call, route, result, code, now):
+        if self._repeats.worth_another(call, route, result, now):
             self._repeat(call, counted=result.arrived or not code.not_run)
             return
         self._fail(call, call.known or code, result.retry_after_ms)
@@ -335,56 +323,14 @@
         if result.limit:
             run_s = result.run_ms / 1000 if result.run_ms else None
             where.report(name, route, run_s, result.load, result.limit, now)
-        if code is results.SHED_AT_GATE:
+        if code is results.SHED_AT_GATE or code is results.RETRIES_SPENT:
             return
         good = result.answered and result.status < _SERVER_ERROR
         where.outcome(name, good, now)
 
-    def _worth_another(
-        self,
-        call: calls.Call,
-        route: catalog.Route,
-        result: frames.Result,
-        code: results.ResultCode,
-        now: float,
-    ) -> bool:
-        """Return whether another host should be offered the call."""
-        if code in (results.DEADLINE_PASSED, results.QUARANTINED):
-            return False
-        if code.not_run and not result.arrived:
-            useful = call.deadline - now > REPEAT_USEFUL_S
-            return useful and call.offers < GATES_MAX
-        if not code.not_run and not call.idempotent:
-            return False
-        return self._repeat_pays(call, route, result, now)
-
-    def _repeat_pays(
-        self,
-        call: calls.Call,
-        route: catalog.Route,
-        result: frames.Result,
-        now: float,
-    ) -> bool:
-        """Return whether a repeat is allowed and may still be answered."""
-        if result.answered and not call.idempotent:
-            return False
-        if call.offers >= OFFERS_MAX:
-            return False
-        ran = not results.by_number(result.code).not_run
-        if ran and len(call.reached) >= route.attempts:
-            return False
-        if call.deadline - now < max(REPEAT_USEFUL_S, result.run_ms / 1000):
-            return False
-        progress = 0.0
-        if call.parent is not None:
-            expected = self._gate.below.calls(call.parent.route)
-            progress = min(1.0, call.parent.answered / expected)
-        claim = repeatbudget.Claim(call.rank % terms.ROUTE_RANKS, progress)
-        return self.repeats.spend(call.service, claim, now)
-
     def _repeat(self, call: calls.Call, counted: bool = True) -> None:
         if counted:
-            call.flags |= frames.Flag.REPEAT
+            self._repeats.again(call)
         self._offer(call)
 
     def _answer(self, call: calls.Call, result: frames.Result) -> None:
@@ -440,6 +386,7 @@
             call.timer.cancel()
         call.request.abandoned = None
         now = self._loop.time()
+        self._repeats.settle(call, False, now)
         served = code is results.ANSWERED and status < _SERVER_ERROR
         if call.parent is not None:
             self._gate.lineage.answered(call.parent, served, now)
@@ -469,11 +416,18 @@
             "hosts": call.tried,
             "reached": call.reached,
             "offers": call.offers,
+            "repeats": call.repeats,
             "version": self._terms.version,
         }
         if call.parent is not None:
             run: gate.Run = call.parent.owner
             fields["parent"] = run.call.request_id.decode("latin-1")
+            # Whether its arrival itself counts as a repeat.
+            fields["below_repeat"] = run.repeat
+        if call.matched is not None:
+            fields["matched"] = call.matched.value
+        if call.repeats_refused:
+            fields["repeats_refused"] = True
         if code is not results.ANSWERED and call.route is not None:
             wait_s = self.backpressure.wait_s(route, now)
             fields["below_ms"] = round(wait_s * 1000, 1)
@@ -509,5 +463,6 @@
         if withdraw is None:
             return False
         not_sent = withdraw()
+        self._repeats.settle(call, not not_sent, self._loop.time())
         self.placement.ended(call.instance_id)
         return not_sent
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -6,8 +6,10 @@
 
 from .. import results
 from ..decisions import backpressure
+from ..decisions import chainbudget
 from ..decisions import gatequeue
 from ..decisions import lineage
+from ..decisions import repeatbudget
 from . import callers
 from . import crashwatch
 from . import dialect
@@ -91,6 +93,7 @@
     :param connections: connections to the upstream.
     :param queue: decides what runs, waits and is refused.
     :param watch: notices crashes of the upstream.
+    :param budget: repeats that this host may send.
     :param log: takes a line for each call that is not answered.
     """
 
@@ -100,6 +103,7 @@
         connections: pool.Pool,
         queue: gatequeue.GateQueue,
         watch: crashwatch.CrashWatch,
+        budget: repeatbudget.RepeatBudget,
         log: journal.Journal,
     ) -> None:
         self._dialect = spoken
@@ -110,6 +114,8 @@
         self._loop = asyncio.get_running_loop()
         self.lineage = lineage.Lineage()
         self.below = backpressure.ChainWaits()
+        self.budget = budget
+        self.chain = chainbudget.ChainBudget(budget)
         self.health = health.Health(spoken, connections)
         self.leaving = False
 
@@ -131,6 +137,8 @@
             self._finish(run, results.HOST_LEAVING)
         elif self._watch.refused_s(call):
             self._finish(run, results.QUARANTINED)
+        elif run.repeat and not self.chain.has_room(call.route, now):
+            self._finish(run, results.RETRIES_SPENT)
         elif call.flags & frames.Flag.UNLISTED:
             self.health.ask(
                 call.instance_id, lambda good: self._judged(run, good)
@@ -179,7 +187,7 @@
         elif run.state is State.RUNNING and run.idempotent:
             run.state = State.DONE
             self._stop(run)
-            self._release(run, None)
+            self._release(run, None, at_work=True)
 
     def tick(self) -> None:
         """Refuse what has waited too long."""
@@ -213,12 +221,24 @@
             self._pool.give(connection)
             self._end(run, results.DEADLINE_TOO_SHORT, None)
             return
+        reserved = None
+        if run.repeat:
+            reserved = self.chain.reserve(run.call.route, now)
+            if reserved is None:
+                self._pool.give(connection)
+                self._end(run, results.RETRIES_SPENT, None)
+                return
         left_ms = int(left_s * 1000)
         run.state = State.RUNNING
         run.started = now
         run.parent = self.lineage.begin(
-            run.call.route, now + left_ms / 1000, run, now
+            run.call.route,
+            now + left_ms / 1000,
+            run,
+            now,
+            run.call.request_id,
         )
+        run.parent.reserved = reserved
         run.connection = connection
         run.ticket = self._watch.started(run.call)
         run.timer = self._loop.call_at(run.deadline, self._expired, run)
@@ -323,18 +343,30 @@
         elif code is results.DEADLINE_PASSED:
             ran_s = now - run.started
         self._finish(run, code, reply, ran_s)
-        self._release(run, ran_s)
+        self._release(run, ran_s, at_work=code is results.UPSTREAM_BROKEN)
+
+    def _release(
+        self, run: Run, ran_s: float | None, at_work: bool = False
+    ) -> None:
+        """Make room for what waits.
 
-    def _release(self, run: Run, ran_s: float | None) -> None:
+        :param at_work: whether the upstream may not have noticed the end.
+        """
         if run.timer is not None:
             run.timer.cancel()
         self._watch.ended(run.ticket)
-        if run.parent is not None:
-            self.lineage.end(run.parent, self._loop.time())
+        now = self._loop.time()
+        whole = ran_s is not None
+        parent = run.parent
+        if parent is not None:
+            self.lineage.end(parent, now, at_work)
             if ran_s is not None:
-                self.below.ran(run.call.route, run.parent.answered)
+                self.below.ran(run.call.route, parent.answered)
+            self.chain.ran(run.call.route, parent.made or {}, whole)
+            if parent.reserved:
+                self.chain.release(parent.reserved, now)
         job = t.cast(gatequeue.Job, run.job)
-        change = self._queue.finish(job, ran_s, self._loop.time())
+        change = self._queue.finish(job, ran_s, now)
         for late in change.dropped:
             self._finish(late.owner, results.SHED_AT_GATE)
         for next_job in change.started:
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -8,6 +8,8 @@
 import typing as t
 
 from ..decisions import gatequeue
+from ..decisions import repeatbudget
+from ..decisions import slackshare
 from ..world import catalog
 from . import callers
 from . import counters
@@ -78,11 +80,22 @@
         self.crashes = crashwatch.CrashWatch(
             chosen.address, self._upstream, self.log
         )
+        bounds = chosen.bounds
+        self._share = slackshare.SlackShare(
+            bounds.retry_slack,
+            chosen.address,
+            bounds.retry_window_s,
+            chosen.first_start,
+        )
+        budget = repeatbudget.RepeatBudget(
+            bounds.retry_ratio, bounds.retry_window_s, self._share
+        )
         self.gate = gate.Gate(
             spoken,
             self._upstream,
             gatequeue.GateQueue(),
             self.crashes,
+            budget,
             self.log,
         )
         self.peers = peers.Peers(chosen.peer_port, self.gate, self)
@@ -214,6 +227,7 @@
                 removed=list(changes.removed),
             )
             self._apply_instances(now)
+        self._share.confirm(now)
         self.entry.release()
 
     def source_state(self, reachable: bool, why: str) -> None:
@@ -300,7 +314,7 @@
             if (instance.address, instance.port) == (own.host, own.port):
                 self.gate.queue.learn_slots(instance.slots)
         self._at_address = hosts
-        self.entry.repeats.learn_hosts(len(hosts))
+        self._share.learn(hosts, now)
         self.crashes.learn_hosts(hosts)
         self.rates.learn_instances(instances.values())
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -13,6 +13,7 @@
 from savorytally.decisions import placement
 from savorytally.decisions import ratepool
 from savorytally.decisions import repeatbudget
+from savorytally.decisions import slackshare
 from savorytally.decisions import splits
 from savorytally.world import catalog
 
@@ -231,8 +232,9 @@
         known = lineage.Lineage()
         known.begin("page", 5.000, "first", 0.0)
         known.begin("page", 5.020, "second", 0.1)
-        parent = known.call("lookup", 4.9995, False, 0.2)
-        assert parent.owner == "first"
+        match = known.call(lineage.Seen("lookup", 4.9995, 4.8), 0.2)
+        assert match.parent.owner == "first"
+        assert match.how is lineage.How.EXACT
 
     def test_next_call_follows_the_last_answer(self):
         known = lineage.Lineage()
@@ -240,27 +242,35 @@
         known.begin("page", 6.0, "second", 0.1)
         first.calls = 1
         known.answered(first, True, 0.2)
-        assert known.call("lookup", 0.7, False, 0.201).owner == "first"
+        match = known.call(lineage.Seen("lookup", 0.7, 0.499), 0.201)
+        assert match.parent.owner == "first"
+        assert match.how is lineage.How.ORDER
 
     def test_callers_requests_are_not_taken_for_calls(self):
         known = lineage.Lineage()
         known.begin("page", 5.0, "first", 0.0)
-        assert known.call("page", 3.0, True, 0.1) is None
+        seen = lineage.Seen("page", 3.0, 2.9, exact_only=True)
+        assert known.call(seen, 0.1) is lineage.NO_MATCH
 
 
 class TestRepeatBudget:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_stays_within_the_bound_when_half_is_rejected(self, seed):
         source = random.Random(seed)
-        nodes = 5
+        names = [f"10.0.0.{number}" for number in range(5)]
+        shares = [
+            slackshare.SlackShare(50.0, name, 10.0, True) for name in names
+        ]
         budgets = [
-            repeatbudget.RepeatBudget(0.2, 50.0, 10.0) for _ in range(nodes)
+            repeatbudget.RepeatBudget(0.2, 10.0, share) for share in shares
         ]
-        for budget in budgets:
-            budget.learn_hosts(nodes)
+        for share in shares:
+            share.learn(names, -10.0)
         events = []
         now = 0.0
         while now < 40.0:
+            for share in shares:
+                share.confirm(now)
             now += source.expovariate(300.0)
             budget = source.choice(budgets)
             budget.first("almanac", now)
@@ -269,6 +279,7 @@
             while source.random() < 0.55:
                 if not budget.spend("almanac", claim, now):
                     break
+                budget.arrived("almanac", now)
                 events.append((now, True))
         for start in range(0, 30, 1):
             within = [
@@ -283,10 +294,16 @@
         first_come = self.chains(seed, lambda answered: 1.0)
         assert by_progress > 1.2 * first_come
 
+    def budget(self, slack):
+        """Return the budget of a host that shares with none."""
+        share = slackshare.SlackShare(slack, "10.0.0.1", 10.0, True)
+        share.learn(["10.0.0.1"], -10.0)
+        return repeatbudget.RepeatBudget(0.2, 10.0, share)
+
     def chains(self, seed, progress):
         """Return how many of 4,000 chains of four calls end well."""
         source = random.Random(seed)
-        budget = repeatbudget.RepeatBudget(0.2, 10.0, 10.0)
+        budget = self.budget(10.0)
         now = 0.0
         whole = 0
         for _ in range(4000):
@@ -297,13 +314,15 @@
                 claim = repeatbudget.Claim(progress=progress(answered))
                 while good and source.random() < 0.55:
                     good = budget.spend("almanac", claim, now)
+                    if good:
+                        budget.arrived("almanac", now)
                 if not good:
                     break
             whole += good
         return whole
 
     def test_urgent_requests_may_use_what_others_leave(self):
-        budget = repeatbudget.RepeatBudget(0.2, 0.0, 10.0)
+        budget = self.budget(0.0)
         for _ in range(1000):
             budget.first("almanac", 0.0)
         low = repeatbudget.Claim(urgency=2)
