Say in logs and metrics why a request has not run

Change: each "not run" has a ground. The gate's line has it with whether the answer named the request and how many requests its connection has carried; the entry's line says whether a gate told it, or the request never left. savorytally_not_run_total counts both. What is sent to upstreams and what their answers say moved from gate.py to answers.py. No decision changes, and the frames between nodes are as before.

--- /dev/null
+++ b/src/savorytally/dataplane/answers.py
@@ -0,0 +1,102 @@
+"""What is sent to an upstream, and what its answers say of a request."""
+
+import dataclasses
+
+from .. import results
+from . import callers
+from . import dialect
+from . import exchanges
+from . import frames
+from . import grounds
+
+_MISDIRECTED_STATUS = 421
+_REFUSED_STATUS_MIN = 429
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What an answer says of its request.
+
+    :param code: the request's result.
+    :param ground: what shows that it has not run, ``None`` if it may have.
+    :param named: whether the answer names the request.
+    """
+
+    code: results.ResultCode
+    ground: grounds.Ground | None
+    named: bool
+
+
+class Answers:
+    """Writes requests to upstreams and reads their answers.
+
+    :param spoken: names of the headers.
+    """
+
+    def __init__(self, spoken: dialect.Dialect) -> None:
+        self._dialect = spoken
+        self._hidden = (spoken.load, spoken.answered_by)
+
+    def encode(self, call: frames.Call, left_ms: int) -> bytes:
+        """Return the bytes of a request."""
+        named = self._dialect
+        parts = [call.method, b" ", call.target, b" HTTP/1.1\r\n"]
+        for name, value in call.headers:
+            parts += (name, b": ", value, b"\r\n")
+        for name, text in (
+            (named.request_id, call.request_id),
+            (named.remaining_ms, b"%d" % left_ms),
+            (named.instance, call.instance_id.encode()),
+            (named.caller_service, call.caller_service.encode()),
+            (named.organisation, call.organisation.encode()),
+        ):
+            if text:
+                parts += (name, b": ", text, b"\r\n")
+        if call.body or call.method not in (b"GET", b"HEAD"):
+            parts.append(b"content-length: %d\r\n" % len(call.body))
+        parts += (b"\r\n", call.body)
+        return b"".join(parts)
+
+    def belongs(self, call: frames.Call, reply: exchanges.Reply) -> bool:
+        """Return whether an answer is the one to a request."""
+        echoed = reply.header(self._dialect.request_id)
+        if echoed:
+            return echoed == call.request_id
+        # Upstreams leave it out only where they did not run a request.
+        return self._not_executed(reply) or reply.status >= 400
+
+    def judge(self, reply: exchanges.Reply) -> Verdict:
+        """Return what an answer says of the request it belongs to."""
+        named = bool(reply.header(self._dialect.request_id))
+        if reply.status == _MISDIRECTED_STATUS:
+            ground = grounds.Ground.MISDIRECTED
+            return Verdict(results.INSTANCE_GONE, ground, named)
+        refused = reply.status >= _REFUSED_STATUS_MIN
+        if refused and self._not_executed(reply):
+            ground = grounds.Ground.MARK
+            return Verdict(results.UPSTREAM_SHED, ground, named)
+        if self._whole(reply):
+            return Verdict(results.ANSWERED, None, named)
+        return Verdict(results.UPSTREAM_BROKEN, None, named)
+
+    def returned_headers(self, reply: exchanges.Reply) -> callers.Headers:
+        """Return the headers that go back to the caller."""
+        return [
+            pair
+            for pair in callers.end_to_end(reply.headers)
+            if pair[0] not in self._hidden
+        ]
+
+    def _not_executed(self, reply: exchanges.Reply) -> bool:
+        if reply.status == _MISDIRECTED_STATUS:
+            return True
+        return bool(reply.header(self._dialect.not_executed))
+
+    def _whole(self, reply: exchanges.Reply) -> bool:
+        """Return whether an answer may be delivered as the upstream's."""
+        if reply.status >= 300:
+            return True
+        return bool(
+            reply.header(self._dialect.signature)
+            and not reply.header(b"content-encoding")
+        )
--- a/src/savorytally/dataplane/calls.py
+++ b/src/savorytally/dataplane/calls.py
@@ -8,6 +8,7 @@
 from ..world import catalog
 from . import callers
 from . import frames
+from . import grounds
 
 
 class Call:
@@ -18,6 +19,7 @@
         "deadline",
         "done",
         "flags",
+        "ground",
         "instance_id",
         "known",
         "objective_s",
@@ -58,6 +60,8 @@
         self.instance_id = ""
         # The worst that is known of earlier attempts.
         self.known: results.ResultCode | None = None
+        # What shows that no attempt has run, as far as that is known.
+        self.ground = grounds.Ground.NOT_OFFERED
         self.withdraw: t.Callable[[], bool] | None = None
         self.done = False
 
--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from .. import results
+from . import grounds
 
 BOUNDS_S = (
     0.001,
@@ -29,6 +30,8 @@
     def __init__(self) -> None:
         self._ended: collections.Counter[tuple[str, int]]
         self._ended = collections.Counter()
+        self._not_run: collections.Counter[tuple[str, str]]
+        self._not_run = collections.Counter()
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
         self._gauges: dict[str, t.Callable[[], float]] = {}
@@ -44,6 +47,17 @@
         buckets[bisect.bisect_left(BOUNDS_S, taken_s)] += 1
         self._sums_s[route] = self._sums_s.get(route, 0.0) + taken_s
 
+    def not_run(
+        self, ground: grounds.Ground, named: bool | None = None
+    ) -> None:
+        """Count a request that has not run.
+
+        :param named: whether the upstream's answer names the request,
+            ``None`` if the ground is no answer.
+        """
+        answer = "" if named is None else "named" if named else "unnamed"
+        self._not_run[ground.value, answer] += 1
+
     def add_gauge(self, name: str, read: t.Callable[[], float]) -> None:
         """Add a value that is read when the metrics are asked for."""
         self._gauges[name] = read
@@ -57,6 +71,12 @@
                 f'savorytally_requests_total{{route="{route}",'
                 f'code="{number}",name="{name}"}} {count}'
             )
+        lines.append("# TYPE savorytally_not_run_total counter")
+        for (ground, answer), count in sorted(self._not_run.items()):
+            lines.append(
+                f'savorytally_not_run_total{{ground="{ground}",'
+                f'answer="{answer}"}} {count}'
+            )
         lines.append("# TYPE savorytally_request_seconds histogram")
         for route, buckets in sorted(self._buckets.items()):
             lines += self._histogram(route, buckets)
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -18,6 +18,7 @@
 from . import dialect
 from . import frames
 from . import gate
+from . import grounds
 from . import journal
 from . import options
 from . import rates
@@ -37,6 +38,7 @@
 # How long requests are held while the first configuration is being read.
 FIRST_READ_S = 0.3
 _SERVER_ERROR = 500
+_Ground = grounds.Ground
 
 
 class Peers(t.Protocol):
@@ -307,6 +309,10 @@
                 return
             self._answer(call, result)
             return
+        if code.not_run:
+            # Only a gate tells how much it lets run.
+            told = result.limit > 0
+            call.ground = _Ground.GATE if told else _Ground.UNSENT
         if not code.not_run:
             call.known = code
         elif call.known is None:
@@ -446,6 +452,8 @@
         taken_s = now - call.started
         route = call.route.name if call.route is not None else ""
         self._counts.ended(route, code, taken_s)
+        if code.not_run:
+            self._counts.not_run(call.ground)
         if not served or self._log.samples_served():
             self._log.event("request", **self._described(call, code, status))
 
@@ -461,6 +469,7 @@
             "route": route,
             "code": code.number,
             "outcome": code.name,
+            "ground": call.ground.value if code.not_run else "",
             "status": status,
             "took_ms": round(taken_s * 1000, 1),
             "left_ms": call.clients_ms,
@@ -499,6 +508,7 @@
             self.backpressure.note(route.name, taken_s, now)
         not_sent = self._withdraw(call)
         if not_sent and call.known is None:
+            call.ground = _Ground.WITHDRAWN
             self._fail(call, results.DEADLINE_TOO_SHORT)
         else:
             self._fail(call, results.DEADLINE_UNKNOWN)
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -8,18 +8,21 @@
 from ..decisions import backpressure
 from ..decisions import gatequeue
 from ..decisions import lineage
-from . import callers
+from . import answers
+from . import counters
 from . import crashwatch
 from . import dialect
 from . import exchanges
 from . import frames
+from . import grounds
 from . import health
 from . import journal
 from . import pool
 
 # Time below which a request is not handed to the upstream any more.
 USEFUL_S = 0.004
-_NOT_EXECUTED_STATUS = 421
+
+_Ground = grounds.Ground
 
 Reply = t.Callable[[frames.Result], None]
 
@@ -46,12 +49,14 @@
         "connection",
         "deadline",
         "job",
+        "named",
         "parent",
         "reply",
         "started",
         "state",
         "ticket",
         "timer",
+        "uses",
         "withdrawn",
     )
 
@@ -67,6 +72,10 @@
         # As what its own calls are recognised.
         self.parent: lineage.Parent | None = None
         self.timer: asyncio.TimerHandle | None = None
+        # Whether its answer names it, ``None`` without an answer, and the
+        # requests that its connection has carried.
+        self.named: bool | None = None
+        self.uses = 0
         # As what crashes of the upstream are related to it.
         self.ticket = 0
         self.state = State.WAITING
@@ -92,6 +101,7 @@
     :param queue: decides what runs, waits and is refused.
     :param watch: notices crashes of the upstream.
     :param log: takes a line for each call that is not answered.
+    :param counts: counts the calls that have not run.
     """
 
     def __init__(
@@ -101,9 +111,11 @@
         queue: gatequeue.GateQueue,
         watch: crashwatch.CrashWatch,
         log: journal.Journal,
+        counts: counters.Counters,
     ) -> None:
-        self._dialect = spoken
+        self._answers = answers.Answers(spoken)
         self._log = log
+        self._counts = counts
         self._pool = connections
         self._queue = queue
         self._watch = watch
@@ -128,9 +140,9 @@
         now = self._loop.time()
         run = Run(call, now + call.remaining_ms / 1000, reply)
         if self.leaving:
-            self._finish(run, results.HOST_LEAVING)
+            self._finish(run, results.HOST_LEAVING, _Ground.LEAVING)
         elif self._watch.refused_s(call):
-            self._finish(run, results.QUARANTINED)
+            self._finish(run, results.QUARANTINED, _Ground.CULPRIT)
         elif call.flags & frames.Flag.UNLISTED:
             self.health.ask(
                 call.instance_id, lambda good: self._judged(run, good)
@@ -146,7 +158,7 @@
         if serves and not self.leaving:
             self._enqueue(run, self._loop.time())
         else:
-            self._finish(run, results.HOST_LEAVING)
+            self._finish(run, results.HOST_LEAVING, _Ground.HEALTH)
 
     def _enqueue(self, run: Run, now: float) -> None:
         call = run.call
@@ -162,7 +174,7 @@
         if verdict is gatequeue.Verdict.START:
             self._start(run)
         elif verdict is gatequeue.Verdict.REFUSE:
-            self._finish(run, results.SHED_AT_GATE)
+            self._finish(run, results.SHED_AT_GATE, _Ground.QUEUE)
 
     def cancel(self, run: Run) -> None:
         """Withdraw a call whose result nobody waits for.
@@ -184,7 +196,7 @@
     def tick(self) -> None:
         """Refuse what has waited too long."""
         for job in self._queue.drop_late(self._loop.time()):
-            self._finish(job.owner, results.SHED_AT_GATE)
+            self._finish(job.owner, results.SHED_AT_GATE, _Ground.QUEUE)
 
     def leave(self) -> None:
         """Take no new calls."""
@@ -205,13 +217,13 @@
             self._release(run, None)
             return
         if connection is None:
-            self._end(run, results.NOT_DISPATCHED, None)
+            self._end(run, results.NOT_DISPATCHED, _Ground.NO_CONNECTION)
             return
         now = self._loop.time()
         left_s = run.deadline - now
         if left_s < USEFUL_S:
             self._pool.give(connection)
-            self._end(run, results.DEADLINE_TOO_SHORT, None)
+            self._end(run, results.DEADLINE_TOO_SHORT, _Ground.NO_TIME)
             return
         left_ms = int(left_s * 1000)
         run.state = State.RUNNING
@@ -223,43 +235,11 @@
         run.ticket = self._watch.started(run.call)
         run.timer = self._loop.call_at(run.deadline, self._expired, run)
         connection.request(
-            self._encode(run.call, left_ms),
-            lambda reply: self._belongs(run, reply),
+            self._answers.encode(run.call, left_ms),
+            lambda reply: self._answers.belongs(run.call, reply),
             lambda used, result: self._ended(run, used, result),
         )
 
-    def _encode(self, call: frames.Call, left_ms: int) -> bytes:
-        named = self._dialect
-        parts = [call.method, b" ", call.target, b" HTTP/1.1\r\n"]
-        for name, value in call.headers:
-            parts += (name, b": ", value, b"\r\n")
-        for name, text in (
-            (named.request_id, call.request_id),
-            (named.remaining_ms, b"%d" % left_ms),
-            (named.instance, call.instance_id.encode()),
-            (named.caller_service, call.caller_service.encode()),
-            (named.organisation, call.organisation.encode()),
-        ):
-            if text:
-                parts += (name, b": ", text, b"\r\n")
-        if call.body or call.method not in (b"GET", b"HEAD"):
-            parts.append(b"content-length: %d\r\n" % len(call.body))
-        parts += (b"\r\n", call.body)
-        return b"".join(parts)
-
-    def _belongs(self, run: Run, reply: exchanges.Reply) -> bool:
-        """Return whether an answer is the one to this run's request."""
-        echoed = reply.header(self._dialect.request_id)
-        if echoed:
-            return echoed == run.call.request_id
-        # Upstreams leave it out only where they did not run a request.
-        return self._not_executed(reply) or reply.status >= 400
-
-    def _not_executed(self, reply: exchanges.Reply) -> bool:
-        if reply.status == _NOT_EXECUTED_STATUS:
-            return True
-        return bool(reply.header(self._dialect.not_executed))
-
     def _ended(
         self,
         run: Run,
@@ -269,37 +249,26 @@
         run.connection = None
         self._pool.give(connection)
         if isinstance(result, exchanges.Broken):
-            code = results.UPSTREAM_BROKEN
             if result is exchanges.Broken.NOT_SENT:
-                code = results.NOT_DISPATCHED
-            else:
-                self._watch.broken(run.ticket)
-            self._end(run, code, None)
+                self._end(run, results.NOT_DISPATCHED, _Ground.NO_CONNECTION)
+                return
+            self._watch.broken(run.ticket)
+            self._end(run, results.UPSTREAM_BROKEN)
             return
-        if result.status == _NOT_EXECUTED_STATUS:
-            self._end(run, results.INSTANCE_GONE, None)
-        elif self._not_executed(result) and result.status >= 429:
-            self._end(run, results.UPSTREAM_SHED, None)
-        elif self._whole(result):
-            self._watch.answered(run.ticket, run.call)
-            self._end(run, results.ANSWERED, result)
-        else:
-            self._end(run, results.UPSTREAM_BROKEN, None)
-
-    def _whole(self, reply: exchanges.Reply) -> bool:
-        """Return whether an answer may be delivered as the upstream's."""
-        if reply.status >= 300:
-            return True
-        return bool(
-            reply.header(self._dialect.signature)
-            and not reply.header(b"content-encoding")
-        )
+        verdict = self._answers.judge(result)
+        run.named = verdict.named
+        run.uses = connection.uses
+        if verdict.code is not results.ANSWERED:
+            self._end(run, verdict.code, verdict.ground)
+            return
+        self._watch.answered(run.ticket, run.call)
+        self._end(run, results.ANSWERED, reply=result)
 
     def _expired(self, run: Run) -> None:
         if run.state is not State.RUNNING:
             return
         self._stop(run)
-        self._end(run, results.DEADLINE_PASSED, None)
+        self._end(run, results.DEADLINE_PASSED)
 
     def _stop(self, run: Run) -> None:
         connection, run.connection = run.connection, None
@@ -310,7 +279,8 @@
         self,
         run: Run,
         code: results.ResultCode,
-        reply: exchanges.Reply | None,
+        ground: grounds.Ground | None = None,
+        reply: exchanges.Reply | None = None,
     ) -> None:
         """Report a run that has left the upstream, start what waits."""
         if run.state is State.DONE:
@@ -322,7 +292,7 @@
             ran_s = now - run.started
         elif code is results.DEADLINE_PASSED:
             ran_s = now - run.started
-        self._finish(run, code, reply, ran_s)
+        self._finish(run, code, ground, reply, ran_s)
         self._release(run, ran_s)
 
     def _release(self, run: Run, ran_s: float | None) -> None:
@@ -336,7 +306,7 @@
         job = t.cast(gatequeue.Job, run.job)
         change = self._queue.finish(job, ran_s, self._loop.time())
         for late in change.dropped:
-            self._finish(late.owner, results.SHED_AT_GATE)
+            self._finish(late.owner, results.SHED_AT_GATE, _Ground.QUEUE)
         for next_job in change.started:
             self._start(next_job.owner)
 
@@ -344,6 +314,7 @@
         self,
         run: Run,
         code: results.ResultCode,
+        ground: grounds.Ground | None = None,
         reply: exchanges.Reply | None = None,
         ran_s: float | None = None,
     ) -> None:
@@ -358,7 +329,9 @@
             # More urgent requests that come later prolong a wait.
             until = run.started or now
             wait_s = max(wait_s, until - run.job.arrived)
-        headers: callers.Headers = []
+        headers: frames.Headers = []
+        if ground is not None:
+            self._counts.not_run(ground, run.named)
         if code is not results.ANSWERED:
             self._log.event(
                 "gate",
@@ -366,6 +339,9 @@
                 route=call.route,
                 code=code.number,
                 outcome=code.name,
+                ground=ground.value if ground is not None else "",
+                named=run.named,
+                uses=run.uses,
                 rank=call.rank,
                 waited_ms=round(wait_s * 1000, 1),
                 left_ms=round((run.deadline - now) * 1000, 1),
@@ -374,7 +350,7 @@
                 limit=queue.limit,
             )
         if reply is not None:
-            headers = self._returned_headers(reply)
+            headers = self._answers.returned_headers(reply)
         run.reply(
             frames.Result(
                 number=call.number,
@@ -392,11 +368,3 @@
                 limit=queue.limit,
             )
         )
-
-    def _returned_headers(self, reply: exchanges.Reply) -> callers.Headers:
-        hidden = (self._dialect.load, self._dialect.answered_by)
-        return [
-            pair
-            for pair in callers.end_to_end(reply.headers)
-            if pair[0] not in hidden
-        ]
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -84,6 +84,7 @@
             gatequeue.GateQueue(),
             self.crashes,
             self.log,
+            self.counts,
         )
         self.peers = peers.Peers(chosen.peer_port, self.gate, self)
         self.crashes.attach(self.peers)
