--- a/src/savorytally/dataplane/calls.py
+++ b/src/savorytally/dataplane/calls.py
@@ -8,6 +8,7 @@
 from ..world import catalog
 from . import callers
 from . import frames
+from . import grounds
 
 
 class Call:
@@ -19,6 +20,7 @@
         "deadline",
         "done",
         "flags",
+        "ground",
         "instance_id",
         "known",
         "matched",
@@ -70,6 +72,8 @@
         self.instance_id = ""
         # The worst that is known of earlier attempts.
         self.known: results.ResultCode | None = None
+        # What shows that no attempt has run, as far as that is known.
+        self.ground = grounds.Ground.NOT_OFFERED
         self.withdraw: t.Callable[[], bool] | None = None
         self.done = False
 
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -17,6 +17,7 @@
 from . import dialect
 from . import frames
 from . import gate
+from . import grounds
 from . import journal
 from . import options
 from . import rates
@@ -30,6 +31,9 @@
 # How long requests are held while the first configuration is being read.
 FIRST_READ_S = 0.3
 _SERVER_ERROR = 500
+# By these, callers know that a request has not run and never will.
+_PROMISES = frozenset((408, 421, 429, 503))
+_Ground = grounds.Ground
 
 
 class Peers(t.Protocol):
@@ -254,7 +258,8 @@
         def withdraw() -> bool:
             if run is None:
                 return False
-            before = run.state is gate.State.WAITING
+            unsent = (gate.State.WAITING, gate.State.CONNECTING)
+            before = run.state in unsent
             self._gate.cancel(run)
             return before
 
@@ -295,6 +300,10 @@
                 return
             self._answer(call, result)
             return
+        if code.not_run:
+            # Only a gate tells how much it lets run.
+            told = result.limit > 0
+            call.ground = _Ground.GATE if told else _Ground.UNSENT
         if not code.not_run:
             call.known = code
         elif call.known is None:
@@ -334,6 +343,11 @@
         self._offer(call)
 
     def _answer(self, call: calls.Call, result: frames.Result) -> None:
+        """End a call with its upstream's answer."""
+        if result.status in _PROMISES and not call.idempotent:
+            # Without the upstream's mark, the request may have run.
+            self._fail(call, results.REFUSAL_UNPROVED)
+            return
         self._close(call, results.ANSWERED, result.status)
         headers = [(bytes(name), bytes(v)) for name, v in result.headers]
         call.request.respond(result.status, headers, result.body)
@@ -393,6 +407,8 @@
         taken_s = now - call.started
         route = call.route.name if call.route is not None else ""
         self._counts.ended(route, code, taken_s)
+        if code.not_run:
+            self._counts.not_run(call.ground)
         if not served or self._log.samples_served():
             self._log.event("request", **self._described(call, code, status))
 
@@ -408,6 +424,7 @@
             "route": route,
             "code": code.number,
             "outcome": code.name,
+            "ground": call.ground.value if code.not_run else "",
             "status": status,
             "took_ms": round(taken_s * 1000, 1),
             "left_ms": call.clients_ms,
@@ -451,8 +468,10 @@
             self._gate.below.called(call.parent.route, taken_s, now)
         elif self.backpressure.wait_s(route.name, now) > 0.0:
             self.backpressure.note(route.name, taken_s, now)
-        not_sent = self._withdraw(call)
-        if not_sent and call.known is None:
+        # Until then, it may still wait for the keeper of a rate.
+        not_sent = self._withdraw(call) or not call.offers
+        if not_sent and (call.known is None or call.known.not_run):
+            call.ground = _Ground.WITHDRAWN
             self._fail(call, results.DEADLINE_TOO_SHORT)
         else:
             self._fail(call, results.DEADLINE_UNKNOWN)
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -97,6 +97,7 @@
             self.crashes,
             budget,
             self.log,
+            self.counts,
         )
         self.peers = peers.Peers(chosen.peer_port, self.gate, self)
         self.crashes.attach(self.peers)
