Tell which requests a node cuts, where they were and since when

Change: a `cut` line and `savorytally_requests_cut_total{where}` for each request that was read and whose connection the node ends: identifier, place (held, waiting for a rate, at the own gate, sent to another), hosts, age and time since the signal. `stop` and `end` tell how many requests are at each place. The requests in progress are kept in dataplane/progress.py.

Measured: TestCutRequests in tests/test_dataplane.py.

--- a/src/savorytally/dataplane/callers.py
+++ b/src/savorytally/dataplane/callers.py
@@ -135,6 +135,9 @@
     def refuse(self, request: Request, status: int, why: str) -> None:
         """Answer a request that can't be taken as it is."""
 
+    def cut(self, requests: t.Iterable[Request]) -> None:
+        """Note that a connection ends before the answers to requests."""
+
 
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller.
@@ -282,6 +285,7 @@
     def close(self) -> None:
         """End the connection; what was written is still sent."""
         if self._transport is not None:
+            self._server.cut(self._requests)
             self._transport.close()
 
     def time_out(self) -> None:
@@ -291,6 +295,7 @@
     def _finish(self, ready: list[bytes]) -> None:
         self._broken = True
         if self._transport is not None:
+            self._server.cut(self._requests)
             self._transport.write(b"".join(ready))
             self._transport.close()
 
--- a/src/savorytally/dataplane/calls.py
+++ b/src/savorytally/dataplane/calls.py
@@ -8,6 +8,7 @@
 from ..world import catalog
 from . import callers
 from . import frames
+from . import gate
 
 
 class Call:
@@ -29,6 +30,7 @@
         "request",
         "request_id",
         "route",
+        "run",
         "service",
         "started",
         "timer",
@@ -56,11 +58,22 @@
         # Upstreams that the request has reached.
         self.reached: list[str] = []
         self.instance_id = ""
+        # Set while it is at the gate of this host.
+        self.run: gate.Run | None = None
         # The worst that is known of earlier attempts.
         self.known: results.ResultCode | None = None
         self.withdraw: t.Callable[[], bool] | None = None
         self.done = False
 
+    @property
+    def place(self) -> str:
+        """Where it is: at its rate, in the own gate or sent to another."""
+        if not self.instance_id:
+            return "rate"
+        if self.run is None:
+            return "sent"
+        return self.run.state.name.lower()
+
     @property
     def idempotent(self) -> bool:
         """Whether the request may run twice."""
--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -29,6 +29,7 @@
     def __init__(self) -> None:
         self._ended: collections.Counter[tuple[str, int]]
         self._ended = collections.Counter()
+        self._cut: collections.Counter[str] = collections.Counter()
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
         self._gauges: dict[str, t.Callable[[], float]] = {}
@@ -44,6 +45,10 @@
         buckets[bisect.bisect_left(BOUNDS_S, taken_s)] += 1
         self._sums_s[route] = self._sums_s.get(route, 0.0) + taken_s
 
+    def cut(self, where: str) -> None:
+        """Count a request whose connection was ended before its answer."""
+        self._cut[where] += 1
+
     def add_gauge(self, name: str, read: t.Callable[[], float]) -> None:
         """Add a value that is read when the metrics are asked for."""
         self._gauges[name] = read
@@ -57,6 +62,11 @@
                 f'savorytally_requests_total{{route="{route}",'
                 f'code="{number}",name="{name}"}} {count}'
             )
+        lines.append("# TYPE savorytally_requests_cut_total counter")
+        for where, count in sorted(self._cut.items()):
+            lines.append(
+                f'savorytally_requests_cut_total{{where="{where}"}} {count}'
+            )
         lines.append("# TYPE savorytally_request_seconds histogram")
         for route, buckets in sorted(self._buckets.items()):
             lines += self._histogram(route, buckets)
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -20,6 +20,7 @@
 from . import gate
 from . import journal
 from . import options
+from . import progress
 from . import rates
 from . import terms
 
@@ -100,9 +101,19 @@
             chosen.bounds.retry_window_s,
         )
         self.backpressure = backpressure.Backpressure()
-        self.active = 0
-        self.closing = False
-        self._held: list[callers.Request] = []
+        self.progress = progress.Progress(spoken, counts, log)
+        # Loop time of the signal to stop.
+        self.stop_began: float | None = None
+
+    @property
+    def active(self) -> int:
+        """Requests that were read and not answered."""
+        return len(self.progress)
+
+    @property
+    def closing(self) -> bool:
+        """Whether each answer should end its connection."""
+        return self.stop_began is not None
 
     @property
     def limits(self) -> catalog.RequestLimits:
@@ -134,23 +145,26 @@
         if self._terms.in_force is not None:
             self._take(request)
             return
-        self._held.append(request)
-        if len(self._held) == 1:
+        if self.progress.hold(request, self._loop.time()):
             self._loop.call_later(FIRST_READ_S, self.release)
 
     def release(self) -> None:
         """Take the requests that were held."""
-        held, self._held = self._held, []
-        for request in held:
-            # One whose caller has left counts as answered.
-            if request.answer is None:
-                self._take(request)
+        for request in self.progress.release():
+            self._take(request)
+
+    def cut(self, requests: t.Iterable[callers.Request]) -> None:
+        """Note that a connection ends before the answers to requests."""
+        now = self._loop.time()
+        began = self.stop_began
+        stopping_s = now - began if began is not None else None
+        self.progress.cut(requests, now, stopping_s)
 
     def _take(self, request: callers.Request) -> None:
         now = self._loop.time()
         call = calls.Call(request, now)
         call.request_id = request.header(self._dialect.request_id)
-        self.active += 1
+        self.progress.begin(call)
         refused = self._terms.set(call, now) or self._shed(call, now)
         if refused is not None:
             self._fail(call, refused)
@@ -217,6 +231,7 @@
         call.offers += 1
         call.tried.append(instance.instance_id)
         call.instance_id = instance.instance_id
+        call.run = None
         self.placement.sent(instance.instance_id)
         sent = frames.Call(
             number=0,
@@ -276,6 +291,8 @@
         run = self._gate.run(
             sent, lambda result: self._result(call, instance, result)
         )
+        if run.state is not gate.State.DONE:
+            call.run = run
 
     def _result(
         self,
@@ -435,7 +452,7 @@
     ) -> None:
         """Count and log the end of a call."""
         call.done = True
-        self.active -= 1
+        self.progress.end(call)
         if call.timer is not None:
             call.timer.cancel()
         call.request.abandoned = None
--- /dev/null
+++ b/src/savorytally/dataplane/progress.py
@@ -0,0 +1,107 @@
+"""The requests in progress at the entry, and where each of them is."""
+
+import collections
+import typing as t
+
+from . import callers
+from . import calls
+from . import counters
+from . import dialect
+from . import journal
+
+# A request that waits for the first configuration.
+HELD = "held"
+# One whose answer waits for those before it on its connection.
+ANSWERED = "answered"
+
+
+class Progress:
+    """Requests that were read and not answered.
+
+    :param spoken: names of the headers.
+    :param counts: counts what is cut.
+    :param log: takes a line for each request that is cut.
+    """
+
+    def __init__(
+        self,
+        spoken: dialect.Dialect,
+        counts: counters.Counters,
+        log: journal.Journal,
+    ) -> None:
+        self._dialect = spoken
+        self._counts = counts
+        self._log = log
+        # Requests that are held, and since when.
+        self._held: dict[callers.Request, float] = {}
+        self._calls: dict[callers.Request, calls.Call] = {}
+
+    def __len__(self) -> int:
+        return len(self._held) + len(self._calls)
+
+    @property
+    def unanswered(self) -> list[calls.Call]:
+        """The calls in progress."""
+        return list(self._calls.values())
+
+    def hold(self, request: callers.Request, now: float) -> bool:
+        """Keep a request for later; return whether it is the only one."""
+        self._held[request] = now
+        return len(self._held) == 1
+
+    def release(self) -> list[callers.Request]:
+        """Return the requests that were held, without those that left."""
+        held, self._held = self._held, {}
+        return [request for request in held if request.answer is None]
+
+    def begin(self, call: calls.Call) -> None:
+        """Note that a call has begun."""
+        self._calls[call.request] = call
+
+    def end(self, call: calls.Call) -> None:
+        """Note that a call has ended."""
+        del self._calls[call.request]
+
+    def places(self) -> dict[str, int]:
+        """Return how many requests are at each place."""
+        found = collections.Counter(
+            call.place for call in self._calls.values()
+        )
+        if self._held:
+            found[HELD] = len(self._held)
+        return dict(sorted(found.items()))
+
+    def cut(
+        self,
+        requests: t.Iterable[callers.Request],
+        now: float,
+        stopping_s: float | None,
+    ) -> None:
+        """Count and log requests whose connection this node ends.
+
+        :param stopping_s: time since the signal to stop, if there was one.
+        """
+        for request in requests:
+            call = self._calls.get(request)
+            where = ANSWERED
+            began = now
+            fields: dict[str, t.Any] = {}
+            if call is not None:
+                where, began = call.place, call.started
+                fields["hosts"] = call.tried
+                fields["reached"] = call.reached
+                if call.route is not None:
+                    fields["route"] = call.route.name
+            elif request in self._held:
+                where, began = HELD, self._held[request]
+            if stopping_s is not None:
+                fields["stopping_ms"] = round(stopping_s * 1000, 1)
+            request_id = request.header(self._dialect.request_id)
+            self._counts.cut(where)
+            self._log.event(
+                "cut",
+                id=request_id.decode("latin-1"),
+                where=where,
+                took_ms=round((now - began) * 1000, 1),
+                **fields,
+            )
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -166,9 +166,9 @@
             return
         self._stop_began = self._loop.time()
         self._stopping.set()
-        self.entry.closing = True
+        self.entry.stop_began = self._stop_began
         self._loop.call_later(SERVE_ON_S, self._leave)
-        self.log.event("stop", active=self.entry.active, runs=self.gate.active)
+        self.log.event("stop", **self._work())
 
     def reload(self) -> None:
         """Apply the settings if they have changed.
@@ -374,17 +374,27 @@
                 connection.close()
         while self._loop.time() < end and self.entry.active:
             await asyncio.sleep(TICK_S)
+        left = self._work()
         for task in self._tasks:
             task.cancel()
         self.peers.close()
         self._upstream.close()
         for connection in list(self._connections):
             connection.close()
-        self.log.event("end", active=self.entry.active)
+        self.log.event("end", **left)
         self.log.flush()
         # Let the transports send what was written.
         await asyncio.sleep(TICK_S)
 
+    def _work(self) -> dict[str, t.Any]:
+        """Return the fields of a line that tell what is in progress."""
+        return {
+            "active": self.entry.active,
+            "places": self.entry.progress.places(),
+            "gate_running": self.gate.queue.running,
+            "gate_waiting": self.gate.queue.waiting,
+        }
+
     def _add_gauges(self) -> None:
         add = self.counts.add_gauge
         add("configuration_version", lambda: self.version)
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -35,6 +35,13 @@
     ]
 
 
+def recorded(host):
+    """Return the list that takes a node's log lines from now on."""
+    lines = []
+    host.node.log.event = lambda name, **fields: lines.append((name, fields))
+    return lines
+
+
 class TestPath:
     def test_answer_is_the_upstreams_own(self):
         async def scenario(there):
@@ -498,6 +505,47 @@
         assert play(scenario, services) == 200
 
 
+class TestCutRequests:
+    """Requests whose connection the node itself ends are told."""
+
+    def test_log_and_counter_tell_where_a_cut_request_was(self):
+        async def scenario(there):
+            host = of(there, "desk")[0]
+            for other in there.hosts:
+                other.upstream.work_s = 0.5
+            lines = recorded(host)
+            sending = [
+                asyncio.ensure_future(
+                    there.send(host, f"/{name}/1", method, request_id=name)
+                )
+                for name, method in (("drawers", "GET"), ("desk", "POST"))
+            ]
+            await asyncio.sleep(0.1)
+            host.node.stop()
+            for connection in list(host.node._connections):
+                connection.close()
+            await asyncio.gather(*sending)
+            return lines, host.node.counts.render().decode()
+
+        lines, metrics = play(scenario)
+        (stop,) = [fields for name, fields in lines if name == "stop"]
+        assert stop["active"] == 2
+        assert sum(stop["places"].values()) == 2
+        cut = [fields for name, fields in lines if name == "cut"]
+        assert sorted(fields["id"] for fields in cut) == ["desk", "drawers"]
+        for fields in cut:
+            assert fields["where"] in ("running", "sent")
+            assert fields["took_ms"] == pytest.approx(100, abs=5)
+            assert fields["stopping_ms"] == 0.0
+            assert len(fields["hosts"]) == 1
+        counted = sum(
+            int(line.rsplit(" ", 1)[1])
+            for line in metrics.splitlines()
+            if line.startswith("savorytally_requests_cut_total{")
+        )
+        assert counted == 2
+
+
 class TestSettings:
     def test_changed_service_is_told_from_then_on(self):
         async def scenario(there):
