--- a/tests/fakes/net.py
+++ b/tests/fakes/net.py
@@ -26,6 +26,10 @@
         self.protocol = protocol
         self.other: Transport | None = None
         self.closed = False
+        # Whether the protocol was told that the connection has ended.
+        self.lost = False
+        # Closed here, but the other end has not read all yet.
+        self.draining = False
         self.silent = False
         self.paused = False
         self.held: list[t.Any] = []
@@ -47,6 +51,14 @@
         held, self.held = self.held, []
         for data in held:
             self.protocol.data_received(data)
+        if self.other is not None and self.other.draining:
+            self.other.draining = False
+            self.other._end(None, lambda other: other.ended(None))
+
+    def get_write_buffer_size(self) -> int:
+        """Return what the other end has not read, as if nothing else did."""
+        held = self.other.held if self.other is not None else []
+        return sum(len(data) for data in held)
 
     def write(self, data: t.Any) -> None:
         if not self.closed:
@@ -54,10 +66,17 @@
 
     def close(self) -> None:
         """End in order: the other end reads all and then the end."""
+        if self.closed:
+            return
+        self.closed = True
+        if self.other is not None and self.other.paused:
+            self.draining = True
+            return
         self._end(None, lambda other: other.ended(None))
 
     def abort(self) -> None:
         """Reset: the other end loses the connection with an error."""
+        self.draining = False
         error = ConnectionResetError("reset by the other end")
         self._end(None, lambda other: other.ended(error))
 
@@ -72,19 +91,21 @@
 
     def ended(self, error: Exception | None) -> None:
         """Tell the protocol that the other end has gone."""
-        if self.closed:
+        if self.lost or (self.closed and not self.draining):
             return
         if error is None and self.protocol.eof_received():
             return
         self.closed = True
+        self.lost = True
         self.protocol.connection_lost(error)
 
     def _end(
         self, error: Exception | None, tell: t.Callable[["Transport"], None]
     ) -> None:
-        if self.closed:
+        if self.lost:
             return
         self.closed = True
+        self.lost = True
         self._later(tell)
         loop = asyncio.get_running_loop()
         loop.call_soon(self.protocol.connection_lost, error)
