Let SIGHUP not end a node that is starting

Seen by callers: a node that is told of changed settings while it starts is gone, and with it the entry of its host until the platform starts it again.

Cause: the handlers are set in Service.run; until then (imports, settings) SIGHUP's default action ends the process.

Nothing is lost: settings that change before they are read are read, later ones are found by the look at the file's state that was taken before the first read.

Remaining: the interpreter's own start before the first line.

--- a/src/savorytally/platform/main.py
+++ b/src/savorytally/platform/main.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import secrets
+import signal
 import sys
 
 import uvloop
@@ -24,6 +25,8 @@
 
 def main() -> int:
     """Run the node until it is told to stop; return the exit code."""
+    # What changes from here on is found when the node serves.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(
         level=logging.INFO,
         stream=sys.stdout,
