Wait in a planned stop until slow readers have their answers

Seen by callers: an answer that breaks off when the node ends.

Cause: transports had 50 ms to send what was written. An answer that its caller reads slowly was counted as given as soon as it was written.

Change: a stop is not at rest while a connection holds bytes that have not left the process, and after the connections were closed the node waits until they have ended, at most until 0.3 s before the end by force. `end` tells how many were still unread.

--- a/src/savorytally/dataplane/callers.py
+++ b/src/savorytally/dataplane/callers.py
@@ -170,9 +170,10 @@
         return not self._requests and self._current is None
 
     @property
-    def unanswered(self) -> int:
-        """Requests that were read and not answered."""
-        return len(self._requests)
+    def flushed(self) -> bool:
+        """Whether all that was written has left the process."""
+        transport = self._transport
+        return transport is None or not transport.get_write_buffer_size()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = t.cast(asyncio.Transport, transport)
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -363,7 +363,7 @@
             task.cancel()
         self.peers.close()
         self._upstream.close()
-        self.log.event("end", **left)
+        self.log.event("end", unread=len(self._connections), **left)
         self.log.flush()
         # Let the transports send what was written.
         await asyncio.sleep(TICK_S)
--- a/src/savorytally/dataplane/stopping.py
+++ b/src/savorytally/dataplane/stopping.py
@@ -16,6 +16,8 @@
 NOTICE_PART = 0.5
 # Time before the end by force that is left to final answers.
 ANSWERS_S = 0.7
+# Time before it that is left to the end of the process.
+EXIT_S = 0.3
 # Time in which the next process is likely to serve.
 RESTART_S = 0.5
 # Pause between two looks at what is in progress.
@@ -30,11 +32,13 @@
     :param noticed: from then on nothing is taken that could outlast the
         stop.
     :param work_ends: what is still in progress gets its final answer.
+    :param ends: the process ends, whether or not all answers were read.
     """
 
     began: float
     noticed: float
     work_ends: float
+    ends: float
 
     @classmethod
     def within(cls, grace_s: float, now: float) -> "Schedule":
@@ -44,7 +48,8 @@
         """
         work_s = max(0.0, grace_s - ANSWERS_S)
         notice_s = min(NOTICE_S, work_s * NOTICE_PART)
-        return cls(now, now + notice_s, now + work_s)
+        ends = now + max(0.0, grace_s - EXIT_S)
+        return cls(now, now + notice_s, now + work_s, ends)
 
     def back_s(self, work_s: float, now: float) -> float:
         """Return when the next process is likely to serve, from now.
@@ -77,7 +82,7 @@
         self._loop = asyncio.get_running_loop()
 
     async def run(self, stop_listening: t.Callable[[], None]) -> None:
-        """Finish what is in progress, then end the connections.
+        """Finish what is in progress and send its answers, then end.
 
         :param stop_listening: closes the ports.
         """
@@ -91,9 +96,16 @@
         stop_listening()
         for connection in list(self._connections):
             connection.close()
+        await self._until(self._all_ended, self._schedule.ends)
 
     def _at_rest(self) -> bool:
-        return not self._entry.active and not self._gate.active
+        if self._entry.active or self._gate.active:
+            return False
+        return all(connection.flushed for connection in self._connections)
+
+    def _all_ended(self) -> bool:
+        # A connection ends when its last answer has been taken.
+        return not self._connections and not self._gate.active
 
     async def _until(self, met: t.Callable[[], bool], end: float) -> None:
         while not met() and self._loop.time() < end:
