Refuse a request whose body still comes when a stop ends

Seen by callers: a slow upload ends with a closed connection; whether the request may be sent again, they can't tell.

Cause: only whole requests were answered at the end.

Change: the connection answers it with 1030 node_stopping, 503 and a time, without reading the rest; it was offered to nobody. A request of whose head a part is missing has nothing to be answered, its connection is closed.

Remaining: a caller that writes on and does not read may lose the answer to the reset that its unread bytes cause; it then finds what it found before.

--- a/src/savorytally/dataplane/callers.py
+++ b/src/savorytally/dataplane/callers.py
@@ -135,6 +135,9 @@
     def refuse(self, request: Request, status: int, why: str) -> None:
         """Answer a request that can't be taken as it is."""
 
+    def turn_away(self, request: Request) -> None:
+        """Answer a request that will not be read whole: the node stops."""
+
     def cut(self, requests: t.Iterable[Request]) -> None:
         """Note that a connection ends before the answers to requests."""
 
@@ -289,6 +292,13 @@
             self._server.cut(self._requests)
             self._transport.close()
 
+    def end(self) -> None:
+        """End the connection; a request whose body still comes is refused."""
+        if self._current is None or self.reading:
+            self.close()
+            return
+        self._drop_rest(self._server.turn_away)
+
     def time_out(self) -> None:
         """Answer a request whose head came too slowly and end."""
         self._break_off(408, "the request's head came too slowly")
@@ -306,6 +316,12 @@
             self._break_off(431, "the headers are larger than allowed")
 
     def _break_off(self, status: int, why: str) -> None:
+        self._drop_rest(
+            lambda request: self._server.refuse(request, status, why)
+        )
+
+    def _drop_rest(self, answer: t.Callable[[Request], None]) -> None:
+        """Answer what is being read; read no more and end."""
         if self._broken:
             return
         self._broken = True
@@ -313,4 +329,4 @@
         self._current = None
         request.closes = True
         self._requests.append(request)
-        self._server.refuse(request, status, why)
+        answer(request)
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -154,6 +154,12 @@
         for request in self.progress.release():
             self._take(request)
 
+    def turn_away(self, request: callers.Request) -> None:
+        """Answer a request that will not be read whole: the node stops."""
+        now = self._loop.time()
+        call = self._begun(request, now)
+        self._fail(call, self._terms.set(call, now) or results.NODE_STOPPING)
+
     def cut(self, requests: t.Iterable[callers.Request]) -> None:
         """Note that a connection ends before the answers to requests."""
         now = self._loop.time()
@@ -180,9 +186,7 @@
 
     def _take(self, request: callers.Request) -> None:
         now = self._loop.time()
-        call = calls.Call(request, now)
-        call.request_id = request.header(self._dialect.request_id)
-        self.progress.begin(call)
+        call = self._begun(request, now)
         refused = (
             self._terms.set(call, now)
             or self._outlasts(call, now)
@@ -203,6 +207,12 @@
             lambda grant: self._admitted(call, grant),
         )
 
+    def _begun(self, request: callers.Request, now: float) -> calls.Call:
+        call = calls.Call(request, now)
+        call.request_id = request.header(self._dialect.request_id)
+        self.progress.begin(call)
+        return call
+
     def _admitted(self, call: calls.Call, grant: ratepool.Grant) -> None:
         if call.done:
             return
--- a/src/savorytally/dataplane/stopping.py
+++ b/src/savorytally/dataplane/stopping.py
@@ -95,7 +95,7 @@
         # In the same turn, so that nothing is read that nobody answers.
         stop_listening()
         for connection in list(self._connections):
-            connection.close()
+            connection.end()
         await self._until(self._all_ended, self._schedule.ends)
 
     def _at_rest(self) -> bool:
