Learn at the end of a stop which calls other hosts have not begun

Seen by callers: 502 for a request that only waits in another host's queue when its node stops, though it never runs. Callers can't repeat it.

Cause: a stopping node withdrew its calls without taking the word of the gates; only what had not left the host counted as not run.

Change: a gate that withdraws a call before handing it to its upstream says so with a result (1014), also where it was just opening a connection. A stopping node recalls its calls at the end of the time for work, takes such words for 0.15 s and answers them with 1030, 503. The frames are those of before: older nodes ignore the result of a call that they have withdrawn, and one that gets no word answers 502 as before.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -333,7 +333,7 @@
         def withdraw() -> bool:
             if run is None:
                 return False
-            before = run.state is gate.State.WAITING
+            before = run.state in (gate.State.WAITING, gate.State.CONNECTING)
             self._gate.cancel(run)
             return before
 
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -128,6 +128,11 @@
         for stream in self._accepted:
             stream.send(frames.Kind.LEAVING)
 
+    def recall(self) -> None:
+        """Withdraw all calls, and learn of which it is sure not to run."""
+        for link in self._links.values():
+            link.recall()
+
     def tick(self, now: float) -> None:
         """Look after silent and unused streams."""
         late = now - self._ticked > LATE_S
@@ -179,9 +184,15 @@
             runs[call.number] = run
 
     def _on_cancel(self, stream: streams.Stream, frame: list[t.Any]) -> None:
-        run = self._accepted[stream].pop(frame[1], None)
-        if run is not None:
-            self._gate.cancel(run)
+        number = frame[1]
+        run = self._accepted[stream].pop(number, None)
+        if run is None:
+            return
+        before = run.state in (gate.State.WAITING, gate.State.CONNECTING)
+        self._gate.cancel(run)
+        if before:
+            code = results.CANCELLED_BEFORE_START.number
+            stream.send(frames.Kind.RESULT, *frames.Result(number, code))
 
     def _on_ping(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         stream.send(frames.Kind.PONG)
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -355,7 +355,11 @@
         """Answer what is in progress and what still comes, then end."""
         schedule = t.cast(stopping.Schedule, self.entry.stop)
         stop = stopping.Stop(
-            schedule, self.entry, self.gate, self._connections
+            schedule,
+            self.entry,
+            self.gate,
+            self.peers,
+            self._connections,
         )
         await stop.run(self._stop_listening)
         left = self._work()
--- a/src/savorytally/dataplane/stopping.py
+++ b/src/savorytally/dataplane/stopping.py
@@ -8,6 +8,7 @@
     from . import callers
     from . import entry
     from . import gate
+    from . import peers
 
 # Time in which callers notice that the node is not ready: readiness is
 # asked once a second and lost after two misses.
@@ -18,6 +19,8 @@
 ANSWERS_S = 0.7
 # Time before it that is left to the end of the process.
 EXIT_S = 0.3
+# Time in which other hosts say which calls they have not begun.
+RECALL_S = 0.15
 # Time in which the next process is likely to serve.
 RESTART_S = 0.5
 # Pause between two looks at what is in progress.
@@ -65,6 +68,7 @@
     :param schedule: when it takes which step.
     :param taken: the requests of callers.
     :param own: the calls at the local upstream.
+    :param others: the calls at other hosts.
     :param connections: the open connections of callers.
     """
 
@@ -73,11 +77,13 @@
         schedule: Schedule,
         taken: "entry.Entry",
         own: "gate.Gate",
+        others: "peers.Peers",
         connections: "set[callers.CallerConnection]",
     ) -> None:
         self._schedule = schedule
         self._entry = taken
         self._gate = own
+        self._peers = others
         self._connections = connections
         self._loop = asyncio.get_running_loop()
 
@@ -89,8 +95,10 @@
         work_ends = self._schedule.work_ends
         await self._until(lambda: False, self._schedule.noticed)
         await self._until(self._at_rest, work_ends)
-        # Before it: a place that becomes free must start nothing.
+        # First, since a place that becomes free must start nothing.
         self._gate.dismiss()
+        self._peers.recall()
+        await self._until(self._all_answered, work_ends + RECALL_S)
         self._entry.give_up()
         # In the same turn, so that nothing is read that nobody answers.
         stop_listening()
@@ -103,6 +111,9 @@
             return False
         return all(connection.flushed for connection in self._connections)
 
+    def _all_answered(self) -> bool:
+        return not self._entry.active
+
     def _all_ended(self) -> bool:
         # A connection ends when its last answer has been taken.
         return not self._connections and not self._gate.active
--- a/src/savorytally/dataplane/streams.py
+++ b/src/savorytally/dataplane/streams.py
@@ -193,6 +193,15 @@
             t.cast(Stream, self._stream).send(frames.Kind.CANCEL, number)
         return False
 
+    def recall(self) -> None:
+        """Withdraw all calls that were sent, but take their results.
+
+        Those that have not run are reported so; of others nothing may come.
+        """
+        for number in self._calls:
+            if number not in self._queued:
+                self.send(frames.Kind.CANCEL, number)
+
     def send(self, kind: frames.Kind, *fields: t.Any) -> bool:
         """Send a control frame if the stream is up."""
         if not self.open:
