--- /dev/null
+++ b/tests/test_planned_stop_live.py
@@ -0,0 +1,133 @@
+"""Planned stops of real processes under callers that go on."""
+
+import asyncio
+import os
+import signal
+
+from fakes import mesh
+import pytest
+import uvloop
+
+from savorytally.dataplane import exchanges
+from savorytally.dataplane import options
+from savorytally.dataplane import pool
+from tools import soak
+
+# Gives the addresses: runs side by side must not share them.
+SEED = 100 + os.getpid() % 50
+HOSTS = 3
+CALLERS = 6
+WORK_S = 0.1
+REMAINING_MS = 3000
+# Larger than what the system holds for a connection.
+LARGE_BYTES = 24 << 20
+
+
+class Stops(soak.Soak):
+    """Stops one node twice over while callers go on.
+
+    Each caller keeps its connection until the node closes it.
+    """
+
+    def __init__(self):
+        super().__init__(SEED, HOSTS, seconds=6.5)
+        self.arrived = set()
+        self.broken = []
+        self.answers = {}
+        self.codes = []
+        self.large = b""
+
+    def _observe(self, node):
+        node.upstream.observed = lambda name, ran, _: self.arrived.add(name)
+        node.upstream.work_s = WORK_S
+        node.upstream.fault = self._enlarge
+
+    def _enlarge(self, connection, name, answer):
+        if name == "large":
+            sent = {
+                "x-savorytally-attempt-id": name,
+                mesh.SIGNATURE: "sig-large",
+            }
+            answer = mesh.response(200, bytes(LARGE_BYTES), sent)
+        connection.transport.write(answer)
+
+    async def _callers(self):
+        await asyncio.gather(
+            *(
+                self._call(node, f"{node.node}-{number}")
+                for node in self.nodes
+                for number in range(CALLERS)
+            ),
+            self._read_slowly(self.nodes[0]),
+        )
+
+    async def _call(self, node, prefix):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.seconds
+        number = 0
+        connection = None
+        while loop.time() < end:
+            if connection is None or not (
+                connection.open and connection.reusable
+            ):
+                opened = loop.create_future()
+                address = options.Address(node.node, 8548)
+                pool.Pool(address).take(False, opened.set_result)
+                connection = await opened
+            if connection is None:
+                await asyncio.sleep(0.05)
+                continue
+            number += 1
+            name = f"{prefix}-{number}"
+            ended = loop.create_future()
+            connection.request(
+                self._request(name, once=number % 2 == 0),
+                lambda reply: True,
+                lambda used, result, ended=ended: ended.set_result(result),
+            )
+            result = await ended
+            if isinstance(result, exchanges.Broken):
+                self.broken.append(name)
+            else:
+                self.answers[name] = result.status
+
+    @staticmethod
+    def _request(name, once):
+        target = "/desk/1" if once else "/drawers/1"
+        method, body = ("POST", b"lot") if once else ("GET", b"")
+        key = next(iter(soak.KEYS))
+        return mesh.request(target, method, name, REMAINING_MS, key, body, {})
+
+    async def _read_slowly(self, node):
+        """Take a large answer only while the node stops."""
+        reader, writer = await asyncio.open_connection(node.node, 8548)
+        writer.write(self._request("large", once=False))
+        await asyncio.sleep(4.0)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        self.large = await reader.readexactly(LARGE_BYTES)
+        writer.close()
+
+    async def _faults(self):
+        node = self.nodes[0]
+        await asyncio.sleep(0.5)
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            node.signal(number)
+        await asyncio.sleep(0.5)
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            node.signal(number)
+        loop = asyncio.get_running_loop()
+        self.codes.append(await loop.run_in_executor(None, node.process.wait))
+
+
+@pytest.mark.live
+def test_real_node_answers_all_that_it_passed_on_in_a_stop():
+    stops = Stops()
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(stops.run())
+    assert [name for name in stops.broken if name in stops.arrived] == []
+    assert stops.codes == [0]
+    assert len(stops.large) == LARGE_BYTES
+    refused = {name for name, code in stops.answers.items() if code == 503}
+    assert not refused & stops.arrived
+    assert 200 in stops.answers.values()
