Give up answers of a stop in the last sixth of a short grace only

Cause: the last 0.7 s were fixed. With a grace below 4.2 s the node gave up requests before the last sixth of grace, in which alone that is excused.

Change: 0.7 s or 0.15 of grace, whichever is less; the end of the process scales with it.

Measured: TestSchedule in tests/test_planned_stop.py, grace 1 to 30 s.

--- a/src/savorytally/dataplane/stopping.py
+++ b/src/savorytally/dataplane/stopping.py
@@ -15,10 +15,12 @@
 NOTICE_S = 2.6
 # Part of the time for work that is left to a notice, if grace is short.
 NOTICE_PART = 0.5
-# Time before the end by force that is left to final answers.
+# Time before the end by force that is left to final answers; they are
+# excused only in the last sixth of grace.
 ANSWERS_S = 0.7
-# Time before it that is left to the end of the process.
-EXIT_S = 0.3
+ANSWERS_PART = 0.15
+# Part of that time in which the process itself ends.
+EXIT_PART = 0.4
 # Time in which other hosts say which calls they have not begun.
 RECALL_S = 0.15
 # Time in which the next process is likely to serve.
@@ -49,10 +51,14 @@
 
         :param grace_s: from the signal to the end by force.
         """
-        work_s = max(0.0, grace_s - ANSWERS_S)
-        notice_s = min(NOTICE_S, work_s * NOTICE_PART)
-        ends = now + max(0.0, grace_s - EXIT_S)
-        return cls(now, now + notice_s, now + work_s, ends)
+        answers_s = min(ANSWERS_S, grace_s * ANSWERS_PART)
+        work_s = grace_s - answers_s
+        return cls(
+            began=now,
+            noticed=now + min(NOTICE_S, work_s * NOTICE_PART),
+            work_ends=now + work_s,
+            ends=now + grace_s - answers_s * EXIT_PART,
+        )
 
     def back_s(self, work_s: float, now: float) -> float:
         """Return when the next process is likely to serve, from now.
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -12,6 +12,8 @@
 import pytest
 
 from savorytally.dataplane import exchanges
+from savorytally.dataplane import options
+from savorytally.dataplane import stopping
 
 ROOT = pathlib.Path(__file__).parent.parent
 SERVICES = {"drawers": ["low-a", "low-b"], "desk": ["low-a", "low-b"]}
@@ -188,6 +190,32 @@
         assert play(scenario) < 3.5
 
 
+class TestSchedule:
+    @pytest.mark.parametrize("grace_s", [1.0, 4.0, 6.0, 30.0])
+    def test_answers_are_given_up_in_the_last_sixth_of_grace_only(
+        self, grace_s
+    ):
+        schedule = stopping.Schedule.within(grace_s, 100.0)
+        # Requests sent later than 3 s after the signal are not excused.
+        assert schedule.began < schedule.noticed <= 103.0
+        assert schedule.noticed < schedule.work_ends < schedule.ends
+        assert schedule.work_ends > 100.0 + grace_s * 5 / 6
+        assert schedule.ends < 100.0 + grace_s
+
+    def test_stop_keeps_to_the_grace_of_the_settings(self):
+        async def scenario(there):
+            work_s(there, 20.0)
+            host = of(there, "desk")[0]
+            running = later(there, host, "long")
+            await asyncio.sleep(0.1)
+            took = await stop(there, host)
+            return took, (await running).status
+
+        bounds = options.Bounds(grace_s=3.0)
+        took, status = play(scenario, bounds=bounds)
+        assert (2.5 < took < 3.0, status) == (True, 502)
+
+
 class TestEnd:
     """What is still in progress when a stop must end."""
 
