Show that the product's entry keeps connections open in a stop

Seen by callers: a connection that is closed in the moment in which they send the next request on it. Answers to requests in progress at a stop do not say connection: close; only refusals do.

--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -8,7 +8,9 @@
 from fakes import meshes
 from fakes import peers
 
+from savorytally import outcomes
 from savorytally import results
+from savorytally.http import server
 
 ANSWERED = results.ANSWERED.number
 LEAVING = results.HOST_LEAVING.number
@@ -130,3 +132,32 @@
         assert max(ran.values()) == 1
         assert load.codes[LEAVING] > 0
         assert only_answered_or_not_run(load.codes)
+
+    def test_answer_that_comes_in_a_stop_ends_its_connection(
+        self, run, free_port
+    ):
+        """Callers sent further requests on it until it was closed."""
+
+        async def scenario():
+            let_go = asyncio.Event()
+
+            async def handle(request):
+                await let_go.wait()
+                return outcomes.Answer(200, (), b"whole")
+
+            entry = server.RequestServer(handle)
+            port = free_port()
+            await entry.start("127.0.0.1", port)
+            url = f"http://127.0.0.1:{port}/sightings"
+            async with aiohttp.ClientSession() as session:
+                sending = asyncio.ensure_future(session.get(url))
+                async with asyncio.timeout(5):
+                    await peers.until(lambda: entry.active)
+                entry.leave()
+                let_go.set()
+                async with await sending as response:
+                    found = response.headers.get("Connection")
+            await entry.stop()
+            return found
+
+        assert run(scenario()) == "close"
