End connections with the last answers of the product's entry too

Change: an answer that is given after the node has begun to leave ends its connection, as refusals do.

Remaining: a connection without any request in the notice of 1 s is closed idle, and a request may cross that.

--- a/src/savorytally/http/server.py
+++ b/src/savorytally/http/server.py
@@ -130,9 +130,12 @@
             return _close(outcomes.Failure(results.HOST_LEAVING))
         self._active += 1
         try:
-            return await self._respond(incoming)
+            response = await self._respond(incoming)
         finally:
             self._active -= 1
+        if self._notice_ends_at is not None:
+            response.force_close()
+        return response
 
     async def _respond(self, incoming: web.BaseRequest) -> web.Response:
         path = incoming.rel_url.raw_path
