--- a/src/savorytally/dataplane/calls.py
+++ b/src/savorytally/dataplane/calls.py
@@ -8,6 +8,7 @@
 from ..world import catalog
 from . import callers
 from . import frames
+from . import gate
 from . import grounds
 
 
@@ -35,6 +36,7 @@
         "request",
         "request_id",
         "route",
+        "run",
         "service",
         "started",
         "timer",
@@ -70,6 +72,8 @@
         # Upstreams that the request has reached.
         self.reached: list[str] = []
         self.instance_id = ""
+        # Set while it is at the gate of this host.
+        self.run: gate.Run | None = None
         # The worst that is known of earlier attempts.
         self.known: results.ResultCode | None = None
         # What shows that no attempt has run, as far as that is known.
@@ -77,6 +81,15 @@
         self.withdraw: t.Callable[[], bool] | None = None
         self.done = False
 
+    @property
+    def place(self) -> str:
+        """Where it is: at its rate, in the own gate or sent to another."""
+        if not self.instance_id:
+            return "rate"
+        if self.run is None:
+            return "sent"
+        return self.run.state.name.lower()
+
     @property
     def idempotent(self) -> bool:
         """Whether the request may run twice."""
--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -43,6 +43,7 @@
         self._ended = collections.Counter()
         self._not_run: collections.Counter[tuple[str, str]]
         self._not_run = collections.Counter()
+        self._cut: collections.Counter[str] = collections.Counter()
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
         self._gauges: dict[str, t.Callable[[], float]] = {}
@@ -89,6 +90,10 @@
         answer = "" if named is None else "named" if named else "unnamed"
         self._not_run[ground.value, answer] += 1
 
+    def cut(self, where: str) -> None:
+        """Count a request whose connection was ended before its answer."""
+        self._cut[where] += 1
+
     def add_gauge(self, name: str, read: t.Callable[[], float]) -> None:
         """Add a value that is read when the metrics are asked for."""
         self._gauges[name] = read
@@ -108,6 +113,11 @@
                 f'savorytally_not_run_total{{ground="{ground}",'
                 f'answer="{answer}"}} {count}'
             )
+        lines.append("# TYPE savorytally_requests_cut_total counter")
+        for where, count in sorted(self._cut.items()):
+            lines.append(
+                f'savorytally_requests_cut_total{{where="{where}"}} {count}'
+            )
         lines.append("# TYPE savorytally_request_seconds histogram")
         for route, buckets in sorted(self._buckets.items()):
             lines += self._histogram(route, buckets)
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -20,8 +20,10 @@
 from . import grounds
 from . import journal
 from . import options
+from . import progress
 from . import rates
 from . import repeats
+from . import stopping
 from . import terms
 
 # Part of the remaining time by which callers honour Retry-After.
@@ -93,9 +95,19 @@
         self.splits = splits.Splits(source)
         self._repeats = repeats.Repeats(own.budget, own, counts)
         self.backpressure = backpressure.Backpressure()
-        self.active = 0
-        self.closing = False
-        self._held: list[callers.Request] = []
+        self.progress = progress.Progress(spoken, counts, log)
+        # Set by the signal to stop.
+        self.stop: stopping.Schedule | None = None
+
+    @property
+    def active(self) -> int:
+        """Requests that were read and not answered."""
+        return len(self.progress)
+
+    @property
+    def closing(self) -> bool:
+        """Whether each answer should end its connection."""
+        return self.stop is not None
 
     @property
     def limits(self) -> catalog.RequestLimits:
@@ -127,24 +139,52 @@
         if self._terms.in_force is not None:
             self._take(request)
             return
-        self._held.append(request)
-        if len(self._held) == 1:
+        if self.progress.hold(request, self._loop.time()):
             self._loop.call_later(FIRST_READ_S, self.release)
 
     def release(self) -> None:
         """Take the requests that were held."""
-        held, self._held = self._held, []
-        for request in held:
-            # One whose caller has left counts as answered.
-            if request.answer is None:
-                self._take(request)
+        for request in self.progress.release():
+            self._take(request)
+
+    def turn_away(self, request: callers.Request) -> None:
+        """Answer a request that will not be read whole: the node stops."""
+        now = self._loop.time()
+        call = self._begun(request, now)
+        self._fail(call, self._terms.set(call, now) or results.NODE_STOPPING)
+
+    def cut(self, requests: t.Iterable[callers.Request]) -> None:
+        """Note that a connection ends before the answers to requests."""
+        now = self._loop.time()
+        stopping_s = now - self.stop.began if self.stop is not None else None
+        self.progress.cut(requests, now, stopping_s)
+
+    def give_up(self) -> None:
+        """Give all requests in progress their final answer."""
+        self.release()
+        for call in self.progress.unanswered:
+            if not call.done:
+                self._give_up(call)
+
+    def _give_up(self, call: calls.Call) -> None:
+        known = call.known
+        # One that waits for its organisation's rate was never offered.
+        not_sent = self._withdraw(call) or not call.instance_id
+        if known is not None and not known.not_run:
+            self._fail(call, known)
+        elif not_sent:
+            self._fail(call, results.NODE_STOPPING)
+        else:
+            self._fail(call, results.STOPPED_UNANSWERED)
 
     def _take(self, request: callers.Request) -> None:
         now = self._loop.time()
-        call = calls.Call(request, now)
-        call.request_id = request.header(self._dialect.request_id)
-        self.active += 1
-        refused = self._terms.set(call, now) or self._shed(call, now)
+        call = self._begun(request, now)
+        refused = (
+            self._terms.set(call, now)
+            or self._outlasts(call, now)
+            or self._shed(call, now)
+        )
         if refused is not None:
             self._fail(call, refused)
             return
@@ -160,6 +200,12 @@
             lambda grant: self._admitted(call, grant),
         )
 
+    def _begun(self, request: callers.Request, now: float) -> calls.Call:
+        call = calls.Call(request, now)
+        call.request_id = request.header(self._dialect.request_id)
+        self.progress.begin(call)
+        return call
+
     def _admitted(self, call: calls.Call, grant: ratepool.Grant) -> None:
         if call.done:
             return
@@ -176,6 +222,24 @@
         else:
             self._fail(call, results.RETRIES_SPENT)
 
+    def _outlasts(
+        self, call: calls.Call, now: float
+    ) -> results.ResultCode | None:
+        """Refuse a new request that might outlast the stop.
+
+        The calls of requests in progress are work that was begun: they get
+        the time that is left.
+        """
+        stop = self.stop
+        if stop is None or now < stop.noticed:
+            return None
+        if call.deadline <= stop.work_ends:
+            return None
+        if not call.child or now >= stop.work_ends:
+            return results.NODE_STOPPING
+        call.deadline = stop.work_ends
+        return None
+
     def _shed(self, call: calls.Call, now: float) -> results.ResultCode | None:
         """Refuse a new request whose chain ends in an overload."""
         if call.child:
@@ -207,6 +271,7 @@
         call.offers += 1
         call.tried.append(instance.instance_id)
         call.instance_id = instance.instance_id
+        call.run = None
         self.placement.sent(instance.instance_id)
         sent = frames.Call(
             number=0,
@@ -258,8 +323,7 @@
         def withdraw() -> bool:
             if run is None:
                 return False
-            unsent = (gate.State.WAITING, gate.State.CONNECTING)
-            before = run.state in unsent
+            before = run.state in (gate.State.WAITING, gate.State.CONNECTING)
             self._gate.cancel(run)
             return before
 
@@ -267,6 +331,8 @@
         run = self._gate.run(
             sent, lambda result: self._result(call, instance, result)
         )
+        if run.state is not gate.State.DONE:
+            call.run = run
 
     def _result(
         self,
@@ -288,6 +354,7 @@
         if arrived and call.instance_id not in call.reached:
             call.reached.append(call.instance_id)
         self.backpressure.note(route.name, result.below_ms / 1000, now)
+        final = self.stop is not None and now >= self.stop.work_ends
         if call.parent is not None:
             wait_s = (result.below_ms + result.wait_ms) / 1000
             self._gate.below.called(call.parent.route, wait_s, now)
@@ -295,7 +362,8 @@
             # What failed below would fail again, and all that it calls
             # would be called again.
             failed = result.status >= _SERVER_ERROR and not result.chained
-            if failed and self._repeats.pays(call, route, result, now):
+            again = failed and not final
+            if again and self._repeats.pays(call, route, result, now):
                 self._repeat(call)
                 return
             self._answer(call, result)
@@ -308,7 +376,10 @@
             call.known = code
         elif call.known is None:
             call.known = code
-        if self._repeats.worth_another(call, route, result, now):
+        if final and call.known.not_run:
+            self._fail(call, results.NODE_STOPPING)
+            return
+        if not final and self._repeats.worth_another(call, route, result, now):
             self._repeat(call, counted=result.arrived or not code.not_run)
             return
         self._fail(call, call.known or code, result.retry_after_ms)
@@ -368,22 +439,30 @@
         self._close(call, code, status)
         headers: callers.Headers = [(b"content-type", b"application/json")]
         if status in (429, 503):
-            back_s = self._come_back_s(call, retry_after_ms)
+            back_s = self._come_back_s(call, code, retry_after_ms)
             headers.append((b"retry-after", b"%.3f" % back_s))
         if call.request_id:
             headers.append((self._dialect.request_id, call.request_id))
         body = b'{"code":%d,"name":"%s"}' % (code.number, code.name.encode())
         call.request.respond(status, headers, body)
 
-    def _come_back_s(self, call: calls.Call, retry_after_ms: int) -> float:
+    def _come_back_s(
+        self, call: calls.Call, code: results.ResultCode, retry_after_ms: int
+    ) -> float:
         """Return when a refused caller should come back.
 
         Spread over a time that grows with the wait at the host that refused
-        it, so that callers return when there is room and not together.
+        it, so that callers return when there is room and not together. From
+        a node that stops they return when the next process is there.
         """
-        left_s = max(0.0, call.deadline - self._loop.time())
+        now = self._loop.time()
+        left_s = max(0.0, call.deadline - now)
         if call.clients_ms:
             left_s = call.clients_ms / 1000
+        if code is results.NODE_STOPPING and self.stop is not None:
+            back_s = self.stop.back_s(call.objective_s, now)
+            back_s *= 1.0 + 0.5 * self._random.random()
+            return min(back_s, left_s * COME_BACK_PART)
         base_s = max(COME_BACK_MIN_S, retry_after_ms / 1000)
         base_s = max(base_s, call.objective_s / 4)
         return min(
@@ -395,7 +474,7 @@
     ) -> None:
         """Count and log the end of a call."""
         call.done = True
-        self.active -= 1
+        self.progress.end(call)
         if call.timer is not None:
             call.timer.cancel()
         call.request.abandoned = None
