Keep a rate's keeper until its node stops; fill first buckets only

Cause: an upstream of the keeper's host drains at second 1.2 while the store's readers lag by up to 6 s. Hosts that had read it asked another keeper, the others the old one, which went on granting: two keepers of one region for eight seconds, and a third in the other region. Besides, the new keeper's bucket began full, as it was within 20 s of the first start.

Change: a host stays keeper while its node runs. If its upstream drains, the node's word that it stops, or a refused connection, makes all others ask the next one at the same moment.

--- a/src/savorytally/dataplane/rates.py
+++ b/src/savorytally/dataplane/rates.py
@@ -45,15 +45,16 @@
         full_until = 0.0
         if chosen.first_start:
             full_until = self._loop.time() + BEGINNING_S
+        self._known = ratepool.Hosts(chosen.address, chosen.region)
         self.pool = ratepool.RatePool(
             bounds.rate_overage,
             bounds.rate_slack,
             bounds.rate_window_s,
             full_until,
+            self._known.first_keeper,
         )
         self._alone = ratepool.Alone()
         self._organisations: dict[str, catalog.Organisation] = {}
-        self._known = ratepool.Hosts(chosen.address, chosen.region)
         self._near: list[str] = []
         self._far: dict[str, list[str]] = {}
         self._keepers: dict[str, str] = {}
@@ -74,15 +75,21 @@
     def learn_instances(self, instances: t.Iterable[catalog.Instance]) -> None:
         """Apply the hosts that are listed."""
         region_of = self._options.regions
-        listed = {}
-        leaving = set()
+        listed: dict[str, str] = {}
+        draining: dict[str, str] = {}
         for instance in instances:
-            if instance.ready:
-                region = region_of.get(instance.data_centre, "")
-                listed[instance.address] = region
-            else:
-                leaving.add(instance.address)
-        self._known.learn(listed, leaving, self._loop.time())
+            table = listed if instance.ready else draining
+            region = region_of.get(instance.data_centre, "")
+            table[instance.address] = region
+        self._known.learn(listed, draining, self._loop.time())
+        self._find_keepers()
+
+    def host_stops(self, address: str) -> None:
+        """Ask other hosts for the rates that a stopping node keeps."""
+        if self._known.stops(address):
+            self._find_keepers()
+
+    def _find_keepers(self) -> None:
         regions = self._known.regions()
         self._hosts = sum(map(len, regions.values()))
         self._near = regions.pop(self._options.region)
@@ -113,7 +120,7 @@
             keeper, frames.Kind.ASK, number, organisation, urgency
         )
         if not sent:
-            decided(self._without_keeper(organisation, now))
+            self._refused(keeper, organisation, urgency, decided)
             return
         timer = self._loop.call_later(
             ANSWER_S, self._unanswered, number, organisation, keeper
@@ -170,6 +177,17 @@
             self._keepers[organisation] = found
         return found
 
+    def _refused(
+        self, keeper: str, organisation: str, urgency: int, decided: Decided
+    ) -> None:
+        """Decide on a request whose keeper takes no connection."""
+        if self._known.refuses(keeper):
+            self._find_keepers()
+            self.take(organisation, urgency, decided)
+            return
+        now = self._loop.time()
+        decided(self._without_keeper(organisation, now))
+
     def _without_keeper(self, organisation: str, now: float) -> ratepool.Grant:
         known = self._organisations[organisation]
         taken = self._alone.take(known, self._hosts, now)
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -192,6 +192,7 @@
         """Take no more calls from other hosts, and tell them."""
         self.gate.leave()
         self.peers.leave()
+        self.rates.host_stops(self._options.address)
 
     def published(self, changes: feed.Changes) -> None:
         """Apply what the platform has published."""
@@ -271,6 +272,7 @@
         now = self._loop.time()
         for name in self._at_address.get(address, ()):
             self.entry.placement.leaving(name, now)
+        self.rates.host_stops(address)
 
     def host_silent(self, address: str) -> None:
         """Send nothing new for a moment to a host that is silent."""
--- a/src/savorytally/decisions/ratepool.py
+++ b/src/savorytally/decisions/ratepool.py
@@ -53,11 +53,11 @@
 class Hosts:
     """The hosts that may keep buckets, by region.
 
-    A host whose upstream's entry lapses may only be cut off from the list,
-    by some hosts' reading and not by others'. It stays a keeper for a time,
-    since two hosts that both think themselves keeper grant a rate twice. For
-    the same reason a host that leaves stops to be its own keeper: the others
-    ask another one by then, while callers still send it requests.
+    Readers of the list see its changes seconds apart, and two hosts that
+    both think themselves keeper grant a rate twice. A host therefore stays
+    keeper while its node runs: if its upstream drains, until the node says
+    that it stops or takes no connection; if its upstream's entry lapses,
+    which may only mean that it is cut off from the list, for a time.
 
     :param own: the host that holds this list.
     :param region: its region.
@@ -66,30 +66,57 @@
     def __init__(self, own: str, region: str) -> None:
         self._own = own
         self._region = region
+        self._listed: set[str] = set()
+        self._draining: set[str] = set()
+        self._left: set[str] = set()
         self._seen: dict[str, tuple[str, float]] = {}
+        # All hosts of the own region since the start.
+        self._ever = {own}
 
     def learn(
         self,
         listed: t.Mapping[str, str],
-        leaving: t.Container[str],
+        draining: t.Mapping[str, str],
         now: float,
     ) -> None:
         """Apply the list.
 
-        :param listed: region of each listed host.
-        :param leaving: hosts that have said that they leave; one that is
-            also listed has come back under the same address.
+        :param listed: region of each host whose upstream takes new work.
+        :param draining: region of each host whose upstream drains; one that
+            is also listed has come back under the same address.
         """
-        if self._own not in leaving:
-            # Its upstream may only not be listed yet, or have lapsed.
-            listed = {self._own: self._region, **listed}
-        for address, region in listed.items():
+        self._listed = set(listed)
+        self._draining = set(draining) - self._listed
+        self._left &= self._draining | ({self._own} - self._listed)
+        # Its own upstream may only not be listed yet, or have lapsed.
+        running = {self._own: self._region, **draining, **listed}
+        for address, region in running.items():
+            if address in self._left:
+                continue
             self._seen[address] = (region, now)
+            if region == self._region:
+                self._ever.add(address)
         for address, (_, seen) in list(self._seen.items()):
-            gone = address in leaving and address not in listed
-            if gone or now - seen > KEEPER_STAYS_S:
+            if now - seen > KEEPER_STAYS_S:
                 del self._seen[address]
 
+    def stops(self, address: str) -> bool:
+        """Note that a node stops; return whether it keeps nothing now.
+
+        One whose upstream takes new work will be started again beside it.
+        """
+        if address in self._listed:
+            return False
+        self._left.add(address)
+        return self._seen.pop(address, None) is not None
+
+    def refuses(self, address: str) -> bool:
+        """Note that a node takes no connection, as :meth:`stops`.
+
+        One that is not known to drain may be cut off from this host only.
+        """
+        return address in self._draining and self.stops(address)
+
     def regions(self) -> dict[str, list[str]]:
         """Return the hosts of each region in order.
 
@@ -101,6 +128,10 @@
         found.setdefault(self._region, [self._own])
         return found
 
+    def first_keeper(self, organisation: str) -> bool:
+        """Return whether no other host of the region was keeper before."""
+        return keeper(organisation, self._ever) == self._own
+
 
 @dataclasses.dataclass(slots=True)
 class _Bucket:
@@ -130,8 +161,10 @@
     :param overage: fraction by which a rate may be passed.
     :param slack: requests by which it may be passed besides.
     :param window_s: the time over which that is measured.
-    :param full_until: buckets begin full before that moment, when no host
+    :param full_until: buckets begin full before that moment, if no host
         has granted anything yet.
+    :param first_keeper: returns whether no other host of the region has
+        kept an organisation's bucket.
     """
 
     def __init__(
@@ -140,6 +173,7 @@
         slack: float,
         window_s: float,
         full_until: float = 0.0,
+        first_keeper: t.Callable[[str], bool] = lambda organisation: True,
     ) -> None:
         self._factor = 1.0 + overage * TOLERANCE_USED
         self._slack = slack * TOLERANCE_USED
@@ -148,6 +182,7 @@
         self._begin_slack = unused * slack
         self._window_s = window_s
         self._full_until = full_until
+        self._first_keeper = first_keeper
         self._organisations: t.Mapping[str, catalog.Organisation] = {}
         self._buckets: dict[str, _Bucket] = {}
         self._hosts_part = 1.0
@@ -194,9 +229,7 @@
         size = max(1.0, (known.burst * self._factor + self._slack) * part)
         bucket = self._buckets.get(organisation)
         if bucket is None:
-            tokens = size
-            if now >= self._full_until:
-                tokens = min(size, self._begin(known) * part)
+            tokens = min(size, self._begin(known, part, now))
             bucket = self._buckets[organisation] = _Bucket(tokens, now)
         gained = (now - bucket.filled) * rate
         bucket.tokens = min(size, bucket.tokens + gained)
@@ -228,10 +261,17 @@
             if bucket.demand_per_s >= 0.1
         }
 
-    def _begin(self, known: catalog.Organisation) -> float:
-        """Return what the bucket of a new keeper holds over all regions."""
+    def _begin(
+        self, known: catalog.Organisation, part: float, now: float
+    ) -> float:
+        """Return what the bucket of a new keeper holds."""
+        if now < self._full_until and self._first_keeper(known.name):
+            # As if it had been used from the start: other regions have
+            # begun with their part by hosts.
+            full = known.burst * self._factor + self._slack
+            return max(1.0, full * self._hosts_part)
         allowed = known.rate_per_s * self._window_s + known.burst
-        return self._begin_factor * allowed + self._begin_slack
+        return (self._begin_factor * allowed + self._begin_slack) * part
 
     def _part(
         self, name: str, known: catalog.Organisation, now: float
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -548,46 +548,81 @@
             taken += alone.take(Regions.growers, 16, now)
         assert 0 < taken <= 88.0 / 16 * 10
 
-    def test_lapsed_host_stays_keeper_until_it_leaves(self):
+    def test_lapsed_host_stays_keeper_until_it_stops(self):
         hosts = ratepool.Hosts("10.1.0.99", "up")
         everyone = {f"10.1.0.{number}": "low" for number in range(8)}
-        hosts.learn(everyone, (), 0.0)
+        hosts.learn(everyone, {}, 0.0)
         gone = ratepool.keeper("growers", everyone)
         rest = {name: "low" for name in everyone if name != gone}
-        hosts.learn(rest, (), 5.0)
+        hosts.learn(rest, {}, 5.0)
         assert ratepool.keeper("growers", hosts.regions()["low"]) == gone
-        hosts.learn(rest, {gone}, 6.0)
+        assert not hosts.refuses(gone)
+        hosts.learn(rest, {gone: "low"}, 6.0)
+        assert ratepool.keeper("growers", hosts.regions()["low"]) == gone
+        assert hosts.stops(gone)
+        assert ratepool.keeper("growers", hosts.regions()["low"]) != gone
+        hosts.learn(rest, {gone: "low"}, 7.0)
         assert ratepool.keeper("growers", hosts.regions()["low"]) != gone
 
     def test_lapsed_host_is_forgotten_after_a_time(self):
         hosts = ratepool.Hosts("a", "low")
-        hosts.learn({"a": "low", "b": "low"}, (), 0.0)
-        hosts.learn({"a": "low"}, (), ratepool.KEEPER_STAYS_S + 1)
+        hosts.learn({"a": "low", "b": "low"}, {}, 0.0)
+        hosts.learn({"a": "low"}, {}, ratepool.KEEPER_STAYS_S + 1)
         assert hosts.regions() == {"low": ["a"]}
 
     def test_host_that_leaves_asks_the_keeper_that_the_others_ask(self):
         everyone = {f"10.1.0.{number}": "low" for number in range(8)}
         leaver = ratepool.keeper("growers", everyone)
         rest = {name: "low" for name in everyone if name != leaver}
-        keepers = set()
-        for own in everyone:
-            hosts = ratepool.Hosts(own, "low")
-            hosts.learn(everyone, (), 0.0)
-            hosts.learn(rest, {leaver}, 1.0)
-            near = hosts.regions()["low"]
-            keepers.add(ratepool.keeper("growers", near))
-        assert len(keepers) == 1
-        assert leaver not in keepers
+        knowing = {own: ratepool.Hosts(own, "low") for own in everyone}
+        for hosts in knowing.values():
+            hosts.learn(everyone, {}, 0.0)
+        # Half of the hosts have not read the change of the list.
+        for own in sorted(everyone)[::2]:
+            knowing[own].learn(rest, {leaver: "low"}, 1.0)
+        assert self.keepers(knowing) == {leaver}
+        for hosts in knowing.values():
+            hosts.learn(rest, {leaver: "low"}, 6.0)
+            hosts.stops(leaver)
+        assert len(self.keepers(knowing)) == 1
+        assert leaver not in self.keepers(knowing)
+
+    def keepers(self, knowing):
+        """Return whom the hosts ask."""
+        return {
+            ratepool.keeper("growers", hosts.regions()["low"])
+            for hosts in knowing.values()
+        }
+
+    def test_host_that_joins_asks_one_that_drains_as_the_others_do(self):
+        hosts = ratepool.Hosts("b", "low")
+        hosts.learn({"b": "low"}, {"a": "low"}, 0.0)
+        assert hosts.regions() == {"low": ["a", "b"]}
+
+    def test_draining_host_that_takes_no_connection_keeps_nothing(self):
+        hosts = ratepool.Hosts("b", "low")
+        hosts.learn({"b": "low"}, {"a": "low"}, 0.0)
+        assert hosts.refuses("a")
+        assert hosts.regions() == {"low": ["b"]}
 
     def test_host_alone_that_leaves_is_its_own_keeper(self):
         hosts = ratepool.Hosts("a", "low")
-        hosts.learn({"a": "low"}, (), 0.0)
-        hosts.learn({"b": "up"}, {"a"}, 1.0)
+        hosts.learn({"b": "up"}, {"a": "low"}, 1.0)
+        assert hosts.stops("a")
         assert hosts.regions() == {"low": ["a"], "up": ["b"]}
 
     def test_host_that_comes_back_under_its_address_is_a_keeper(self):
         hosts = ratepool.Hosts("a", "low")
-        hosts.learn({"a": "low", "b": "low"}, {"a"}, 0.0)
+        hosts.learn({"a": "low"}, {"b": "low"}, 0.0)
+        hosts.stops("b")
+        hosts.learn({"a": "low", "b": "low"}, {"b": "low"}, 1.0)
+        assert hosts.regions() == {"low": ["a", "b"]}
+
+    def test_node_that_is_started_again_stays_a_keeper(self):
+        hosts = ratepool.Hosts("a", "low")
+        hosts.learn({"a": "low", "b": "low"}, {}, 0.0)
+        assert not hosts.stops("b")
+        assert not hosts.refuses("b")
         assert hosts.regions() == {"low": ["a", "b"]}
 
     def test_all_hosts_find_the_same_keeper(self):
--- /dev/null
+++ b/tests/test_rate_keepers.py
@@ -0,0 +1,150 @@
+"""Rates while their keepers change soon after the first start."""
+
+import random
+
+import pytest
+
+from savorytally.decisions import ratepool
+from savorytally.world import catalog
+
+GROWERS = catalog.Organisation("growers", 1, 88.0, 88.0)
+LIMIT = (88.0 * 5 + 88.0) * 1.25 + 20
+EVERYONE = {
+    **{f"10.1.0.{number}": "low" for number in range(8)},
+    **{f"10.2.0.{number}": "up" for number in range(8)},
+}
+
+
+class Host:
+    """What a host knows of other hosts and keeps of rates."""
+
+    def __init__(self, address):
+        self.region = EVERYONE[address]
+        self.hosts = ratepool.Hosts(address, self.region)
+        self.pool = ratepool.RatePool(
+            0.25, 20.0, 5.0, 20.0, self.hosts.first_keeper
+        )
+        self.pool.learn_organisations({"growers": GROWERS})
+        self.learn({}, 0.0)
+
+    def learn(self, draining, now):
+        """Apply the list."""
+        listed = {
+            address: region
+            for address, region in EVERYONE.items()
+            if address not in draining
+        }
+        self.hosts.learn(listed, draining, now)
+        self.count()
+
+    def count(self):
+        """Tell the pool how many hosts there are."""
+        regions = self.hosts.regions()
+        everywhere = sum(map(len, regions.values()))
+        self.pool.learn_hosts(len(regions[self.region]), everywhere)
+
+    def keeper(self):
+        """Return whom this host asks."""
+        near = self.hosts.regions()[self.region]
+        return ratepool.keeper("growers", near)
+
+
+class Fleet:
+    """Hosts of two regions whose lists may be late."""
+
+    def __init__(self, source, per_s):
+        self.source = source
+        self.per_s = per_s
+        self.hosts = {address: Host(address) for address in EVERYONE}
+        self.now = 0.0
+        self.granted = []
+        self.draining = {}
+        self.due = []
+        self.tells = {"low": 0.3, "up": 0.7}
+
+    def drain(self, at, late_s, ends_after_s):
+        """Let the host that is or follows a keeper drain, then end."""
+        self.due.append((at, self._drain, late_s, ends_after_s))
+
+    def _drain(self, late_s, ends_after_s):
+        stay = [
+            address
+            for address in EVERYONE
+            if EVERYONE[address] == "low" and address not in self.draining
+        ]
+        gone = ratepool.keeper("growers", stay)
+        self.draining[gone] = "low"
+        draining = dict(self.draining)
+        for host in self.hosts.values():
+            at = self.now + self.source.uniform(0.0, late_s)
+            self.due.append((at, host.learn, draining, at))
+        self.due.append((self.now + ends_after_s, self._end, gone))
+
+    def _end(self, gone):
+        del self.hosts[gone]
+        for host in self.hosts.values():
+            if host.hosts.stops(gone):
+                host.count()
+
+    def play(self, seconds):
+        """Return when requests were granted."""
+        while self.now < seconds:
+            self.now += 0.005
+            due = [item for item in self.due if item[0] <= self.now]
+            self.due = [item for item in self.due if item[0] > self.now]
+            for _, do, *given in due:
+                do(*given)
+            for host in list(self.hosts.values()):
+                if self.source.random() < self.per_s * 0.005 / 16:
+                    self._ask(host)
+            for region in self.tells:
+                if self.now >= self.tells[region]:
+                    self.tells[region] += 0.8
+                    self._tell(region)
+        return self.granted
+
+    def _ask(self, host):
+        keeper = self.hosts.get(host.keeper())
+        if keeper is None:
+            host.hosts.refuses(host.keeper())
+        elif keeper.pool.grant("growers", 0, self.now).granted:
+            self.granted.append(self.now)
+
+    def _tell(self, region):
+        for host in self.hosts.values():
+            if host.region != region:
+                continue
+            told = host.pool.measure(self.now)
+            for other in self.hosts.values():
+                if told and other.region != region:
+                    other.pool.learn_demand(region, told, self.now)
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("late_s", [0.0, 6.0])
+@pytest.mark.parametrize("begins_at", [0.0, 4.0])
+def test_limit_holds_while_a_keeper_drains_and_lists_are_late(
+    seed, late_s, begins_at
+):
+    fleet = Fleet(random.Random(seed), 60.0)
+    fleet.drain(begins_at + 1.0, late_s, 6.0)
+    fleet.drain(begins_at + 1.2, late_s, 6.0)
+    fleet.due.append((begins_at, setattr, fleet, "per_s", 900.0))
+    granted = fleet.play(14.0)
+    within = [
+        sum(start / 10 <= at < start / 10 + 5 for at in granted)
+        for start in range(90)
+    ]
+    assert max(within) <= LIMIT
+
+
+def test_bucket_that_is_used_late_begins_with_its_part_of_the_start():
+    late = ratepool.RatePool(0.25, 20.0, 5.0, 20.0)
+    late.learn_organisations({"growers": GROWERS})
+    late.learn_hosts(8, 16)
+    # The other region asks for little, so that most of the rate is here.
+    late.learn_demand("up", {"growers": 0.1}, 4.0)
+    at_once = 0
+    while late.grant("growers", 0, 4.0).granted:
+        at_once += 1
+    assert at_once <= (88.0 * 1.125 + 10) / 2 + 1
