Ask one peer at a time for a newer configuration

Cause: every notice of a newer version scheduled an own request for the whole configuration, so that a node that the store turns away got it from each of its peers at the same moment, over the same link.

Change: dataplane/catchup.py keeps what peers have announced and asks one of them, newest version and own region first; the next is asked after 0.6 s.

--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -10,6 +10,7 @@
 from ..decisions import gatequeue
 from ..world import catalog
 from . import callers
+from . import catchup
 from . import counters
 from . import crashwatch
 from . import dialect
@@ -29,8 +30,6 @@
 SILENT_S = 0.3
 # A second view of the configuration is asked of a neighbour that often.
 GOSSIP_S = 0.6
-# Time that the own view has to catch up before a peer is asked.
-CATCH_UP_S = 0.8
 # Part of the time in which leaving upstreams must be known that passes
 # between two reads of the store.
 WATCH_PAUSE_PART = 0.3
@@ -106,6 +105,7 @@
         self._refused_raw = b""
         self._instances: dict[str, catalog.Instance] = {}
         self._at_address: dict[str, list[str]] = {}
+        self._catch_up = catchup.CatchUp(lambda: self.version, self._in_region)
         self._listed = False
         self._reachable: bool | None = None
         self._connections: set[callers.CallerConnection] = set()
@@ -249,8 +249,7 @@
 
     def newer_at(self, stream: t.Any, version: int) -> None:
         """Note that a peer has a newer configuration; ask it in a moment."""
-        if version > self.version:
-            self._loop.call_later(CATCH_UP_S, self._pull, stream, version)
+        self._catch_up.announced(stream, version)
 
     def asked(
         self, number: int, organisation: str, urgency: int
@@ -286,9 +285,14 @@
         """Take in what is known of a request that may crash upstreams."""
         self.crashes.told(state, fingerprint)
 
-    def _pull(self, stream: t.Any, version: int) -> None:
-        if version > self.version:
-            stream.send(frames.Kind.PULL)
+    def _in_region(self, address: str) -> bool:
+        regions = self._options.regions
+        return any(
+            regions.get(self._instances[name].data_centre)
+            == self._options.region
+            for name in self._at_address.get(address, ())
+            if name in self._instances
+        )
 
     def _apply_instances(self, now: float) -> None:
         instances = catalog.latest_starts(self._instances)
