--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -187,11 +187,10 @@
     def _take(self, request: callers.Request) -> None:
         now = self._loop.time()
         call = self._begun(request, now)
-        refused = (
-            self._terms.set(call, now)
-            or self._outlasts(call, now)
-            or self._shed(call, now)
-        )
+        refused = self._terms.set(call, now)
+        if refused is None and self.stop is not None:
+            refused = self.stop.refuse(call, now)
+        refused = refused or self._shed(call, now)
         if refused is not None:
             self._fail(call, refused)
             return
@@ -232,24 +231,6 @@
             self.repeats.first(call.service, now)
         self._offer(call)
 
-    def _outlasts(
-        self, call: calls.Call, now: float
-    ) -> results.ResultCode | None:
-        """Refuse a new request that might outlast the stop.
-
-        The calls of requests in progress are work that was begun: they get
-        the time that is left.
-        """
-        stop = self.stop
-        if stop is None or now < stop.noticed:
-            return None
-        if call.deadline <= stop.work_ends:
-            return None
-        if not call.child or now >= stop.work_ends:
-            return results.NODE_STOPPING
-        call.deadline = stop.work_ends
-        return None
-
     def _shed(self, call: calls.Call, now: float) -> results.ResultCode | None:
         """Refuse a new request whose chain ends in an overload."""
         if call.child:
--- a/src/savorytally/dataplane/stopping.py
+++ b/src/savorytally/dataplane/stopping.py
@@ -4,8 +4,11 @@
 import dataclasses
 import typing as t
 
+from .. import results
+
 if t.TYPE_CHECKING:
     from . import callers
+    from . import calls
     from . import entry
     from . import gate
     from . import peers
@@ -60,6 +63,21 @@
             ends=now + grace_s - answers_s * EXIT_PART,
         )
 
+    def refuse(
+        self, call: "calls.Call", now: float
+    ) -> results.ResultCode | None:
+        """Refuse a new request that might outlast the stop.
+
+        The calls of requests in progress are work that was begun: they get
+        the time that is left.
+        """
+        if now < self.noticed or call.deadline <= self.work_ends:
+            return None
+        if not call.child or now >= self.work_ends:
+            return results.NODE_STOPPING
+        call.deadline = self.work_ends
+        return None
+
     def back_s(self, work_s: float, now: float) -> float:
         """Return when the next process is likely to serve, from now.
 
--- a/src/savorytally/results.py
+++ b/src/savorytally/results.py
@@ -303,7 +303,7 @@
 )
 
 STOPPED_UNANSWERED = _code(
-    3006,
+    3007,
     "stopped_unanswered",
     502,
     "The node stopped before the answer of an upstream came.",
--- /dev/null
+++ b/tests/fakes/stops.py
@@ -0,0 +1,139 @@
+"""Planned stops of nodes on a network in memory."""
+
+import asyncio
+
+from fakes import mesh
+from fakes import net
+from savorytally.dataplane import exchanges
+
+SERVICES = {"drawers": ["low-a", "low-b"], "desk": ["low-a", "low-b"]}
+# Longer than a stop may take.
+LONG_MS = 30_000
+GRACE_S = 6.0
+
+
+def play(
+    scenario,
+    services=SERVICES,
+    timeout_ms=LONG_MS,
+    open_to_all=False,
+    **changes,
+):
+    """Run a scenario on a mesh whose routes have one timeout."""
+    config = mesh.configuration(1)
+    for route in config["routes"].values():
+        route["timeout"] = route["target_latency"] = f"{timeout_ms}ms"
+        route["auth_exempt"] = open_to_all
+
+    async def work():
+        there = mesh.Mesh()
+        await there.start(services, config=config, **changes)
+        return await scenario(there)
+
+    return net.run(work)
+
+
+def of(there, service_name):
+    """Return the hosts of a service."""
+    return [host for host in there.hosts if host.service_name == service_name]
+
+
+def work_s(there, seconds):
+    """Have all upstreams work for so long."""
+    for host in there.hosts:
+        host.upstream.work_s = seconds
+
+
+def arrived(there):
+    """Return all requests that reached an upstream, in any order."""
+    return [name for host in there.hosts for name in host.upstream.arrived]
+
+
+def later(there, host, name, method="GET", target="/drawers/1"):
+    """Send a request; return the future of its answer."""
+    return asyncio.ensure_future(
+        there.send(host, target, method, LONG_MS, request_id=name)
+    )
+
+
+def recorded(host):
+    """Return the list that takes a node's log lines from now on."""
+    lines = []
+    host.node.log.event = lambda name, **fields: lines.append((name, fields))
+    return lines
+
+
+async def stop(there, host):
+    """Stop a node and end its process; return how long it took."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    host.node.stop()
+    await host.node._drain()
+    for port in (mesh.ENTRY_PORT, mesh.READY_PORT, mesh.PEER_PORT):
+        there.net.reset(host.address, port)
+    return loop.time() - began
+
+
+class Caller:
+    """Sends one request after the other until the node has gone.
+
+    It keeps its connection until the node closes it.
+
+    :param number: a part of its requests' identifiers.
+    """
+
+    def __init__(self, there, host, number):
+        self.answers = {}
+        self.broken = []
+        self._there = there
+        self._host = host
+        self._number = number
+        self._sent = 0
+        self._connection = None
+
+    async def run(self):
+        """Send until no connection can be opened any more."""
+        while True:
+            kept = self._connection
+            if kept is None or not (kept.open and kept.reusable):
+                kept = await self._there.connect(self._host)
+            if kept is None:
+                return
+            self._connection = kept
+            await self._send(kept)
+
+    async def _send(self, connection):
+        self._sent += 1
+        name = f"{self._number}-{self._sent}"
+        once = self._sent % 2 == 0
+        data = mesh.request(
+            "/desk/1" if once else "/drawers/1",
+            "POST" if once else "GET",
+            name,
+            LONG_MS,
+            mesh.KEY,
+            b"lot" if once else b"",
+            {},
+        )
+        ended = asyncio.Future()
+        connection.request(
+            data, lambda reply: True, lambda used, got: ended.set_result(got)
+        )
+        result = await ended
+        if isinstance(result, exchanges.Broken):
+            self.broken.append(name)
+        else:
+            self.answers[name] = result
+
+
+async def closed_loop(there, callers, work):
+    """Have callers keep on through a stop; return them and its time."""
+    work_s(there, work)
+    host = of(there, "desk")[0]
+    lines = recorded(host)
+    found = [Caller(there, host, number) for number in range(callers)]
+    running = [asyncio.ensure_future(one.run()) for one in found]
+    await asyncio.sleep(1.0)
+    took = await stop(there, host)
+    await asyncio.gather(*running)
+    return found, took, lines
--- a/tests/test_planned_stop_live.py
+++ b/tests/test_planned_stop_live.py
@@ -3,6 +3,8 @@
 import asyncio
 import os
 import signal
+import subprocess
+import sys
 
 from fakes import mesh
 import pytest
@@ -131,3 +133,40 @@
     refused = {name for name, code in stops.answers.items() if code == 503}
     assert not refused & stops.arrived
     assert 200 in stops.answers.values()
+
+
+class TestReloadAtTheStart:
+    """SIGHUP that comes before a node can take signals."""
+
+    @staticmethod
+    def start(settings, **more):
+        """Start a node's program."""
+        return subprocess.Popen(
+            [sys.executable, str(soak.ROOT / "deploy" / "serve.py")],
+            env={**os.environ, "SAVORYTALLY_SETTINGS": settings, **more},
+            stderr=subprocess.DEVNULL,
+        )
+
+    @pytest.mark.live
+    def test_reload_does_not_end_a_node_that_reads_its_settings(
+        self, tmp_path
+    ):
+        path = tmp_path / "settings"
+        os.mkfifo(path)
+        process = self.start(str(path))
+        # Opens as soon as the node has begun to read.
+        with path.open("w") as written:
+            process.send_signal(signal.SIGHUP)
+            written.write("is.incomplete=true\n")
+        assert process.wait(20) == 1
+
+    @pytest.mark.live
+    def test_reload_does_not_end_a_node_that_loads_its_modules(self, tmp_path):
+        signals_itself = (
+            "import os, signal\n"
+            "os.kill(os.getpid(), signal.SIGHUP)\n"
+            "raise SystemExit(7)\n"
+        )
+        (tmp_path / "uvloop.py").write_text(signals_itself)
+        process = self.start("", PYTHONPATH=str(tmp_path))
+        assert process.wait(20) == 7
