Show that news of a suspected request go round between nodes for ever

Callers would see nodes that are late and run out of memory after upstreams have crashed.

Cause: a request that was in two crashes is told to all hosts as a suspect; an answer to it anywhere clears it. While both are under way, each host takes each of them as new again and tells all others.

A second test holds what must stay: a cleared request can be suspected again, and refused.

--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -650,6 +650,36 @@
             crash([7], now)
         assert known[1].refused_s(7, 3.0 + culprits.REFUSED_S) == 0.0
 
+    def test_news_that_cross_on_their_way_are_not_told_for_ever(self):
+        """A request is cleared while others are still told to suspect it."""
+        known = [culprits.Culprits() for _ in range(6)]
+        told = [
+            (0.0, 0, culprits.State.SUSPECT),
+            (0.0015, 1, culprits.State.CLEARED),
+        ]
+        heard = 0
+        while told and heard < 4 * len(known) ** 2:
+            heard += 1
+            at, host, state = heapq.heappop(told)
+            if known[host].learn(culprits.News(state, 7), at):
+                for other in range(len(known)):
+                    if other != host:
+                        heapq.heappush(told, (at + 0.001, other, state))
+        assert not told
+
+    def test_cleared_request_is_suspected_again_after_more_crashes(self):
+        known, crash = self.hosts()
+        for now in (1.0, 5.0):
+            crash([7], now)
+        news = known[1].answered(7)
+        for host in known:
+            host.learn(news, 6.0)
+        for now in (9.0, 12.0):
+            crash([7], now)
+        assert all(host.answered(7) is not None for host in known)
+        crash([7], 13.0)
+        assert all(host.refused_s(7, 13.0) > 60.0 for host in known)
+
     def test_same_request_has_the_same_fingerprint(self):
         def of(caller=b"growers", target=b"/a", body=b""):
             name = caller.decode()
