End news of a suspected request that cross on their way

Callers would see nodes that are late and run out of memory after upstreams have crashed.

Change: for a second after a request was cleared, news that it is suspected are old ones and are neither taken in nor told; crashes in that second are not counted for it, since it was answered meanwhile. Frames are as before.

Tried: the pause without leaving crashes uncounted. A request that is answered between crashes was then convicted, as TestCulprits in tests/test_dataplane.py shows: its second suspicion fell into the pause, so that no answer cleared it. A shorter pause would be passed by slow streams.

Conclusion: the traffic ends at each host with the first clearing it hears.

--- a/src/savorytally/decisions/culprits.py
+++ b/src/savorytally/decisions/culprits.py
@@ -19,6 +19,9 @@
 COUNTED_S = 60.0
 # How long a request is refused.
 REFUSED_S = 120.0
+# Time in which news that a request is suspected may be older than those that
+# it is cleared.
+CLEARED_S = 1.0
 # Requests that are remembered at most.
 REMEMBERED_MAX = 10_000
 
@@ -67,6 +70,7 @@
         self._counts: dict[int, _Count] = {}
         self._suspects: dict[int, float] = {}
         self._refused: dict[int, float] = {}
+        self._cleared: dict[int, float] = {}
 
     @property
     def watching(self) -> bool:
@@ -78,6 +82,9 @@
         news: list[News] = []
         self._forget(now)
         for name in fingerprints:
+            if name in self._cleared:
+                # It was answered just now, and suspecting it is not heard.
+                continue
             count = self._counts.get(name)
             if count is None:
                 if len(self._counts) < REMEMBERED_MAX:
@@ -99,11 +106,15 @@
             self._suspects.pop(name, None)
             return new
         if news.state is State.SUSPECT:
-            new = name not in self._suspects and name not in self._refused
+            known = name in self._suspects or name in self._refused
+            new = not known and self._cleared.get(name, 0.0) <= now
             if new:
                 self._suspects[name] = now + COUNTED_S
             return new
         self._counts.pop(name, None)
+        self._forget(now)
+        if len(self._cleared) < REMEMBERED_MAX:
+            self._cleared[name] = now + CLEARED_S
         return self._suspects.pop(name, None) is not None
 
     def answered(self, name: int) -> News | None:
@@ -117,7 +128,7 @@
         return max(0.0, self._refused.get(name, now) - now)
 
     def _forget(self, now: float) -> None:
-        for known in (self._suspects, self._refused):
+        for known in (self._suspects, self._refused, self._cleared):
             for name, until in list(known.items()):
                 if until <= now:
                     del known[name]
