Promise callers only what an upstream has marked

Cause: an upstream's own status was passed on whatever it says of the run; callers take these statuses as a promise, and an upstream means them as such only with its mark.

Change: where a request may run once only, such a status without the mark is answered 502 with the new code 3006 refusal_unproved. Idempotent requests get the upstream's answer unchanged, since their callers may repeat them anyway. A marked 408 is a refusal like a marked 429.

--- a/src/savorytally/dataplane/answers.py
+++ b/src/savorytally/dataplane/answers.py
@@ -10,6 +10,7 @@
 from . import grounds
 
 _MISDIRECTED_STATUS = 421
+_TIMEOUT_STATUS = 408
 _REFUSED_STATUS_MIN = 429
 
 
@@ -71,7 +72,10 @@
         if reply.status == _MISDIRECTED_STATUS:
             ground = grounds.Ground.MISDIRECTED
             return Verdict(results.INSTANCE_GONE, ground, named)
-        refused = reply.status >= _REFUSED_STATUS_MIN
+        refused = (
+            reply.status >= _REFUSED_STATUS_MIN
+            or reply.status == _TIMEOUT_STATUS
+        )
         if refused and self._not_executed(reply):
             ground = grounds.Ground.MARK
             return Verdict(results.UPSTREAM_SHED, ground, named)
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -38,6 +38,8 @@
 # How long requests are held while the first configuration is being read.
 FIRST_READ_S = 0.3
 _SERVER_ERROR = 500
+# By these, callers know that a request has not run and never will.
+_PROMISES = frozenset((408, 421, 429, 503))
 _Ground = grounds.Ground
 
 
@@ -394,6 +396,11 @@
         self._offer(call)
 
     def _answer(self, call: calls.Call, result: frames.Result) -> None:
+        """End a call with its upstream's answer."""
+        if result.status in _PROMISES and not call.idempotent:
+            # Without the upstream's mark, the request may have run.
+            self._fail(call, results.REFUSAL_UNPROVED)
+            return
         self._close(call, results.ANSWERED, result.status)
         headers = [(bytes(name), bytes(v)) for name, v in result.headers]
         call.request.respond(result.status, headers, result.body)
--- a/src/savorytally/results.py
+++ b/src/savorytally/results.py
@@ -293,6 +293,13 @@
     "The deadline passed and it is not known whether the request ran.",
     "Retry with the same Idempotency-Key, or only if idempotent.",
 )
+REFUSAL_UNPROVED = _code(
+    3006,
+    "refusal_unproved",
+    502,
+    "The upstream's status means that the request did not run, unproved.",
+    "Retry only if the request is idempotent.",
+)
 
 SETTINGS_FAULT = _code(
     9001,
