Begin no request on a connection before its bytes are read

Callers saw: 502 for requests whose connection had brought bytes behind the answer before. With a copy of a refusal in the same segment, a request that ran was taken as refused and sent again.

Cause: an answer was reported from within the parser, and the next request was written to the connection in the same call; the rest of the segment then counted as its answer.

Change: Connection reports an answer after the whole segment was read. What came behind it belongs to no request, and the connection is not used again.

--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -67,6 +67,7 @@
         self._body: list[bytes] = []
         self._in_message = False
         self._to_end = False
+        self._answer: Reply | None = None
         self._loop = asyncio.get_running_loop()
         self.reusable = True
         self.keep_alive_s = 0.0
@@ -94,6 +95,7 @@
         if self._done is not None:
             if self._in_message and self._to_end and exc is None:
                 self._complete()
+                self._deliver()
             elif self._in_message:
                 self._end(Broken.TRUNCATED)
             else:
@@ -139,11 +141,17 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.reusable = False
-            self._end(Broken.GARBLED)
+            if self._answer is None:
+                self._end(Broken.GARBLED)
             if self._transport is not None:
                 self._transport.abort()
+        # The next request must not meet what came behind this answer.
+        self._deliver()
 
     def on_message_begin(self) -> None:
+        if self._answer is not None:
+            # Bytes that belong to no request.
+            self.reusable = False
         self._headers = []
         self._body = []
         self._in_message = True
@@ -185,14 +193,20 @@
         )
         if not parser.should_keep_alive():
             self.reusable = False
-        if self._done is None:
+        if self._done is None or self._answer is not None:
             self.reusable = False
             return
         if self._wanted is not None and not self._wanted(reply):
             self.reusable = False
             return
         self.keep_alive_s = _keep_alive_s(reply)
-        self._end(reply)
+        self._answer = reply
+
+    def _deliver(self) -> None:
+        """Report the answer that has come, if one has."""
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            self._end(answer)
 
     def _end(self, result: Reply | Broken) -> None:
         done, self._done = self._done, None
