Send requests that run once only where each answer is sure to be theirs

Cause: a refusal and a health answer need not name a request, and were taken for the answer to whatever waited on that connection. A refusal that names its request is no better: the request may be sent over the same connection again, and then meets the copy of its first refusal.

Change: a connection that has given a refusal or an answer without a name is ambiguous from then on. It carries only idempotent requests, at most 16 such idle ones are kept, and there an unnamed failure without the mark, or a 421 by the very upstream that is meant, is no answer. A request that runs once takes a connection whose earlier answers all named requests that ran: a copy of any of them names another request, so that a refusal there is its own. Health questions take such a connection and leave it ambiguous; they take no answer that names a request.

Why it works: whatever copy comes, it is one of an answer that this connection gave before, and none of these can be read as "not run" for a request that must not run twice.

Ruled out: a copy of a refusal that comes within a given time only, since nothing bounds it; a 421 that shows its upstream as the only proof, since the plain refusal shows nothing.

--- a/src/savorytally/dataplane/answers.py
+++ b/src/savorytally/dataplane/answers.py
@@ -27,6 +27,15 @@
     ground: grounds.Ground | None
     named: bool
 
+    @property
+    def ambiguous(self) -> bool:
+        """Whether a copy of the answer could be taken for a later one.
+
+        That of a refusal could even if it names its request, which may be
+        sent over the same connection once more.
+        """
+        return self.ground is not None or not self.named
+
 
 class Answers:
     """Writes requests to upstreams and reads their answers.
@@ -58,13 +67,25 @@
         parts += (b"\r\n", call.body)
         return b"".join(parts)
 
-    def belongs(self, call: frames.Call, reply: exchanges.Reply) -> bool:
-        """Return whether an answer is the one to a request."""
+    def belongs(
+        self, call: frames.Call, reply: exchanges.Reply, ambiguous: bool
+    ) -> bool:
+        """Return whether an answer is the one to a request.
+
+        :param ambiguous: whether a copy of an earlier answer may come on
+            that connection. Only idempotent requests are sent over such a
+            one, since what it says may be of another request.
+        """
         echoed = reply.header(self._dialect.request_id)
         if echoed:
             return echoed == call.request_id
         # Upstreams leave it out only where they did not run a request.
-        return self._not_executed(reply) or reply.status >= 400
+        if not ambiguous:
+            return self._not_executed(reply) or reply.status >= 400
+        if reply.status == _MISDIRECTED_STATUS:
+            told_by = reply.header(self._dialect.answered_by)
+            return told_by != call.instance_id.encode()
+        return self._not_executed(reply)
 
     def judge(self, reply: exchanges.Reply) -> Verdict:
         """Return what an answer says of the request it belongs to."""
--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -70,6 +70,9 @@
         self._answer: Reply | None = None
         self._loop = asyncio.get_running_loop()
         self.reusable = True
+        # Whether a copy of an earlier answer could be taken for the answer
+        # to a later request.
+        self.ambiguous = False
         self.keep_alive_s = 0.0
         self.last_used = self._loop.time()
         self.uses = 0
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -236,7 +236,9 @@
         run.timer = self._loop.call_at(run.deadline, self._expired, run)
         connection.request(
             self._answers.encode(run.call, left_ms),
-            lambda reply: self._answers.belongs(run.call, reply),
+            lambda reply: self._answers.belongs(
+                run.call, reply, connection.ambiguous
+            ),
             lambda used, result: self._ended(run, used, result),
         )
 
@@ -247,8 +249,8 @@
         result: exchanges.Reply | exchanges.Broken,
     ) -> None:
         run.connection = None
-        self._pool.give(connection)
         if isinstance(result, exchanges.Broken):
+            self._pool.give(connection)
             if result is exchanges.Broken.NOT_SENT:
                 self._end(run, results.NOT_DISPATCHED, _Ground.NO_CONNECTION)
                 return
@@ -256,6 +258,8 @@
             self._end(run, results.UPSTREAM_BROKEN)
             return
         verdict = self._answers.judge(result)
+        connection.ambiguous = connection.ambiguous or verdict.ambiguous
+        self._pool.give(connection)
         run.named = verdict.named
         run.uses = connection.uses
         if verdict.code is not results.ANSWERED:
--- a/src/savorytally/dataplane/health.py
+++ b/src/savorytally/dataplane/health.py
@@ -45,16 +45,18 @@
         else:
             self._waiting.append((instance_id, judged))
             if len(self._waiting) == 1:
-                self._pool.take(False, self._opened)
+                self._pool.take(True, self._opened)
 
     def _opened(self, connection: exchanges.Connection | None) -> None:
         if connection is None:
             self._answered("")
             return
+        # Its answer names no request.
+        connection.ambiguous = True
         host = self._pool.address.host.encode()
         connection.request(
             b"GET %s HTTP/1.1\r\nhost: %s\r\n\r\n" % (self._path, host),
-            lambda reply: True,
+            lambda reply: not reply.header(self._dialect.request_id),
             self._ended,
         )
         self._loop.call_later(HOLDS_S, self._silent, connection)
--- a/src/savorytally/dataplane/pool.py
+++ b/src/savorytally/dataplane/pool.py
@@ -14,6 +14,8 @@
 # A request that must not be lost avoids connections idle for longer.
 FRESH_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
+# Idle connections with ambiguous answers that are kept.
+AMBIGUOUS_MAX = 16
 
 Opened = t.Callable[[exchanges.Connection | None], None]
 
@@ -27,6 +29,7 @@
     def __init__(self, address: options.Address) -> None:
         self._address = address
         self._idle: list[exchanges.Connection] = []
+        self._ambiguous: list[exchanges.Connection] = []
         self._open: set[exchanges.Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
@@ -39,22 +42,19 @@
     def take(self, fresh: bool, opened: Opened) -> None:
         """Hand over a connection, or ``None`` if none can be opened.
 
-        :param fresh: whether one that may have been forgotten won't do.
+        :param fresh: whether one that may have been forgotten, or on which
+            answers are ambiguous, won't do.
         """
-        now = self._loop.time()
-        while self._idle:
-            connection = self._idle.pop()
-            idle_s = now - connection.last_used
-            stale = idle_s > self._idle_max(connection)
-            if stale or not (connection.open and connection.reusable):
-                connection.close()
-                continue
-            if fresh and idle_s > FRESH_S:
-                connection.close()
-                continue
+        connection = None
+        if not fresh:
+            connection = self._pop(self._ambiguous, IDLE_MAX_S)
+        if connection is None:
+            idle_max_s = FRESH_S if fresh else IDLE_MAX_S
+            connection = self._pop(self._idle, idle_max_s)
+        if connection is None:
+            self.open(opened)
+        else:
             opened(connection)
-            return
-        self.open(opened)
 
     def open(self, opened: Opened) -> None:
         """Hand over a new connection, or ``None`` if none can be opened."""
@@ -64,21 +64,19 @@
 
     def give(self, connection: exchanges.Connection) -> None:
         """Take a connection back after an exchange."""
-        if connection.reusable and connection.open:
+        if not (connection.reusable and connection.open):
+            connection.close()
+        elif not connection.ambiguous:
             self._idle.append(connection)
+        elif len(self._ambiguous) < AMBIGUOUS_MAX:
+            self._ambiguous.append(connection)
         else:
             connection.close()
 
     def sweep(self) -> None:
         """Close the connections that were idle for too long."""
-        now = self._loop.time()
-        kept = []
-        for connection in self._idle:
-            if now - connection.last_used > self._idle_max(connection):
-                connection.close()
-            elif connection.open:
-                kept.append(connection)
-        self._idle = kept
+        self._idle = self._kept(self._idle)
+        self._ambiguous = self._kept(self._ambiguous)
 
     def close(self) -> None:
         """Close all connections."""
@@ -87,6 +85,34 @@
         for connection in list(self._open):
             connection.close()
         self._idle = []
+        self._ambiguous = []
+
+    def _pop(
+        self, idle: list[exchanges.Connection], idle_max_s: float
+    ) -> exchanges.Connection | None:
+        """Take the last one out that may be used, close what may not."""
+        now = self._loop.time()
+        while idle:
+            connection = idle.pop()
+            max_s = min(idle_max_s, self._idle_max(connection))
+            usable = connection.open and connection.reusable
+            if usable and now - connection.last_used <= max_s:
+                return connection
+            connection.close()
+        return None
+
+    def _kept(
+        self, idle: list[exchanges.Connection]
+    ) -> list[exchanges.Connection]:
+        """Close what was idle for too long, return the others."""
+        now = self._loop.time()
+        kept = []
+        for connection in idle:
+            if now - connection.last_used > self._idle_max(connection):
+                connection.close()
+            elif connection.open:
+                kept.append(connection)
+        return kept
 
     def _idle_max(self, connection: exchanges.Connection) -> float:
         stated = connection.keep_alive_s
