Cancel the timer of a health question with its answer

Callers saw: 504 at the deadline for an idempotent request that ran.

Cause: the timer of a question that was answered stayed. If the loop was late, so that the next question had come before the timer fired, it ended the connection, which carried a request by then, without a word to it.

Change: the answer cancels the timer.

--- a/src/savorytally/dataplane/health.py
+++ b/src/savorytally/dataplane/health.py
@@ -31,6 +31,7 @@
         self._instance = ""
         self._asked = -HOLDS_S
         self._waiting: list[tuple[str, Judged]] = []
+        self._timer: asyncio.TimerHandle | None = None
 
     def learn_path(self, path: str) -> None:
         """Apply the path of the question; empty if there is none."""
@@ -51,6 +52,7 @@
         if connection is None:
             self._answered("")
             return
+        self._timer = self._loop.call_later(HOLDS_S, self._silent, connection)
         # Its answer names no request.
         connection.ambiguous = True
         host = self._pool.address.host.encode()
@@ -59,18 +61,19 @@
             lambda reply: not reply.header(self._dialect.request_id),
             self._ended,
         )
-        self._loop.call_later(HOLDS_S, self._silent, connection)
 
     def _silent(self, connection: exchanges.Connection) -> None:
-        if self._waiting and connection.busy:
-            connection.abort()
-            self._answered("")
+        connection.abort()
+        self._answered("")
 
     def _ended(
         self,
         connection: exchanges.Connection,
         result: exchanges.Reply | exchanges.Broken,
     ) -> None:
+        if self._timer is not None:
+            # By then the connection may carry another request.
+            self._timer.cancel()
         self._pool.give(connection)
         instance = b""
         if isinstance(result, exchanges.Reply) and result.status == _OK:
