Fail calls at once whose stream is never opened

Callers saw: 504 at the deadline for requests that had not left the host.

Cause: (1) a stream that ended between being connected and the task that opens it going on was taken as open; its end had been told before and the calls on it had no result (T3). (2) Closing a link cancelled that task and left the calls that waited for it. A call that came later opened a stream anew, or waited for the cancelled task.

Change: a stream that is down when its task goes on counts as not reached, closing a link fails what waits for it, and closed links and peers take no calls: all as unsent, which is true of them.

Measured: test_stream_that_ends_while_it_is_opened_fails_its_calls (504 after 1 s before, 503 within 0.1 s now) and test_calls_that_wait_for_a_stream_end_with_it were red (pytest tests/test_at_most_once.py).

--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -77,6 +77,7 @@
         self._links: dict[str, streams.Link] = {}
         self._accepted: dict[streams.Stream, dict[int, gate.Run]] = {}
         self._ticked = self._loop.time()
+        self._closed = False
 
     def call(
         self,
@@ -88,6 +89,9 @@
 
         :return: withdraws it; tells whether it had not left this host.
         """
+        if self._closed:
+            self._loop.call_soon(answered, _UNSENT)
+            return lambda: True
         link = self._link(instance.address)
         if link.unreached:
             # Another host takes the call meanwhile.
@@ -142,7 +146,8 @@
                 del self._links[address]
 
     def close(self) -> None:
-        """Close all streams."""
+        """Close all streams; calls that come later stay unsent."""
+        self._closed = True
         for link in self._links.values():
             link.close()
         for stream in list(self._accepted):
--- a/src/savorytally/dataplane/streams.py
+++ b/src/savorytally/dataplane/streams.py
@@ -163,7 +163,7 @@
     def call(self, call: frames.Call, answered: Answered) -> int:
         """Send a call and return its number.
 
-        :param answered: called once with the result.
+        :param answered: called once with the result, from the loop.
         """
         self._numbers += 1
         number = self._numbers
@@ -263,9 +263,12 @@
             self._connecting.cancel()
         if self._stream is not None:
             self._stream.close()
+        self._fail_queued()
 
     def _connect(self) -> None:
-        if self._connecting is None:
+        if self._closed:
+            self._loop.call_soon(self._fail_queued)
+        elif self._connecting is None:
             self._connecting = self._loop.create_task(self._open())
 
     async def _open(self) -> None:
@@ -276,13 +279,14 @@
                     make, self._host, self._port
                 )
         except (OSError, TimeoutError):
-            self._unreached = True
-            self._down_until = self._loop.time() + RECONNECT_S
             self._connecting = None
-            self._waiting = []
-            self._fail_queued()
+            self._not_reached()
             return
         self._connecting = None
+        if not stream.open:
+            # It ended before this task went on; nothing was sent.
+            self._not_reached()
+            return
         self._unreached = False
         self._stream = stream
         self._silent_since = None
@@ -294,6 +298,12 @@
         for frame in waiting:
             stream.send(*frame)
 
+    def _not_reached(self) -> None:
+        self._unreached = True
+        self._down_until = self._loop.time() + RECONNECT_S
+        self._waiting = []
+        self._fail_queued()
+
     def _fail_queued(self) -> None:
         queued, self._queued = self._queued, {}
         for number in queued:
