Tell who waits for a connection that none comes when the pool closes

Callers saw: connections cut at the end of a stop, for requests that had not been sent. Cause: closing the pool cancelled the tasks that open connections without a word to those who wait for them. A connection that ended while it was being opened stayed in the pool's list for ever besides.

--- a/src/savorytally/dataplane/pool.py
+++ b/src/savorytally/dataplane/pool.py
@@ -60,7 +60,7 @@
         """Hand over a new connection, or ``None`` if none can be opened."""
         task = self._loop.create_task(self._connect(opened))
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(functools.partial(self._tried, opened))
 
     def give(self, connection: exchanges.Connection) -> None:
         """Take a connection back after an exchange."""
@@ -79,7 +79,7 @@
         self._ambiguous = self._kept(self._ambiguous)
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections; whoever waits for one gets none."""
         for task in self._tasks:
             task.cancel()
         for connection in list(self._open):
@@ -118,6 +118,11 @@
         stated = connection.keep_alive_s
         return stated * IDLE_FRACTION if stated else IDLE_MAX_S
 
+    def _tried(self, opened: Opened, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            opened(None)
+
     async def _connect(self, opened: Opened) -> None:
         make = functools.partial(exchanges.Connection, self._open.discard)
         try:
@@ -128,5 +133,6 @@
         except (OSError, TimeoutError):
             opened(None)
             return
-        self._open.add(connection)
+        if connection.open:
+            self._open.add(connection)
         opened(connection)
