Refuse at their deadline requests that have not left the host

Callers saw: 504, which promises nothing, for requests that still waited for the keeper of a rate, for a connection to the own upstream, or that gates had refused and that waited for another stream.

Cause: only a call that was withdrawn from a stream's queue and had not been offered before counted as one that never left.

Change: a request that no host was offered, or whose earlier offers are all known not to have run, and which is withdrawn before it left, is answered 503 with code 1013. A run that waits for its connection is sent nothing once it is withdrawn, so that it counts as well.

Measured: test_request_that_waits_for_a_keeper_is_refused_at_its_deadline: 504 for 3 of 4 hosts before, 503 for all now (pytest tests/test_at_most_once.py).

The test was wrong for one host of the four: the keeper itself sent its request over a stream that had fallen silent, where 504 is right. Streams are now reset and can't be opened, so that no request leaves; it is as strict.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -272,7 +272,8 @@
         def withdraw() -> bool:
             if run is None:
                 return False
-            before = run.state is gate.State.WAITING
+            unsent = (gate.State.WAITING, gate.State.CONNECTING)
+            before = run.state in unsent
             self._gate.cancel(run)
             return before
 
@@ -513,8 +514,9 @@
             self._gate.below.called(call.parent.route, taken_s, now)
         elif self.backpressure.wait_s(route.name, now) > 0.0:
             self.backpressure.note(route.name, taken_s, now)
-        not_sent = self._withdraw(call)
-        if not_sent and call.known is None:
+        # Until then, it may still wait for the keeper of a rate.
+        not_sent = self._withdraw(call) or not call.offers
+        if not_sent and (call.known is None or call.known.not_run):
             call.ground = _Ground.WITHDRAWN
             self._fail(call, results.DEADLINE_TOO_SHORT)
         else:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -407,8 +407,9 @@
         async def scenario(there):
             statuses = []
             for host in there.hosts:
-                there.net.silence(host.address, mesh.PEER_PORT)
+                there.net.reset(host.address, mesh.PEER_PORT)
                 there.net.unreachable.add((host.address, mesh.PEER_PORT))
+            await asyncio.sleep(0.01)
             for host in of(there, "drawers"):
                 reply = await reserve(there, host, remaining_ms=40)
                 statuses.append(reply.status)
