--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -173,6 +173,7 @@
         if known is not None and not known.not_run:
             self._fail(call, known)
         elif not_sent:
+            call.ground = _Ground.WITHDRAWN
             self._fail(call, results.NODE_STOPPING)
         else:
             self._fail(call, results.STOPPED_UNANSWERED)
