Part the time to come back and the log line from the entry

Change: decisions/comeback.py with its tests, dataplane/requestlog.py; the entry takes the type of its peers from them. No behaviour changes.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -7,6 +7,7 @@
 
 from .. import results
 from ..decisions import backpressure
+from ..decisions import comeback
 from ..decisions import placement
 from ..decisions import ratepool
 from ..decisions import splits
@@ -23,12 +24,14 @@
 from . import progress
 from . import rates
 from . import repeats
+from . import requestlog
 from . import stopping
 from . import terms
 
-# Part of the remaining time by which callers honour Retry-After.
-COME_BACK_PART = 0.33
-COME_BACK_MIN_S = 0.03
+if t.TYPE_CHECKING:
+    from . import peers
+
+# How long a host that could not be reached is avoided.
 UNREACHED_S = 0.6
 # How long requests are held while the first configuration is being read.
 FIRST_READ_S = 0.3
@@ -38,27 +41,12 @@
 _Ground = grounds.Ground
 
 
-class Peers(t.Protocol):
-    """The gates of other hosts."""
-
-    def call(
-        self,
-        instance: catalog.Instance,
-        call: frames.Call,
-        answered: t.Callable[[frames.Result], None],
-    ) -> t.Callable[[], bool]:
-        """Send a call; return what withdraws it.
-
-        What is returned tells whether the call had not left this host.
-        """
-
-
 class Entry:
     """Answers the requests of callers and of the local upstream.
 
     :param chosen: the node's options.
     :param spoken: names of the headers.
-    :param peers: the gates of other hosts.
+    :param others: the gates of other hosts.
     :param own: the gate of this host.
     :param limits: admits requests against organisations' rates.
     :param counts: counts requests.
@@ -70,7 +58,7 @@
         self,
         chosen: options.Options,
         spoken: dialect.Dialect,
-        peers: Peers,
+        others: "peers.Peers",
         own: gate.Gate,
         limits: rates.Rates,
         counts: counters.Counters,
@@ -80,7 +68,7 @@
         self._options = chosen
         self._dialect = spoken
         self._hidden = spoken.set_by_node
-        self._peers = peers
+        self._peers = others
         self._gate = own
         self._rates = limits
         self._counts = counts
@@ -429,27 +417,18 @@
         call.request.respond(status, headers, body)
 
     def _come_back_s(
-        self, call: calls.Call, code: results.ResultCode, retry_after_ms: int
+        self, call: calls.Call, code: results.ResultCode, wait_ms: int
     ) -> float:
-        """Return when a refused caller should come back.
-
-        Spread over a time that grows with the wait at the host that refused
-        it, so that callers return when there is room and not together. From
-        a node that stops they return when the next process is there.
-        """
+        """Return when a refused caller should come back."""
         now = self._loop.time()
         left_s = max(0.0, call.deadline - now)
         if call.clients_ms:
             left_s = call.clients_ms / 1000
+        draw = self._random.random()
         if code is results.NODE_STOPPING and self.stop is not None:
             back_s = self.stop.back_s(call.objective_s, now)
-            back_s *= 1.0 + 0.5 * self._random.random()
-            return min(back_s, left_s * COME_BACK_PART)
-        base_s = max(COME_BACK_MIN_S, retry_after_ms / 1000)
-        base_s = max(base_s, call.objective_s / 4)
-        return min(
-            base_s * (0.5 + self._random.random()), left_s * COME_BACK_PART
-        )
+            return comeback.after_restart_s(left_s, back_s, draw)
+        return comeback.after_s(left_s, call.objective_s, wait_ms / 1000, draw)
 
     def _close(
         self, call: calls.Call, code: results.ResultCode, status: int
@@ -471,45 +450,11 @@
         if code.not_run:
             self._counts.not_run(call.ground)
         if not served or self._log.samples_served():
-            self._log.event("request", **self._described(call, code, status))
-
-    def _described(
-        self, call: calls.Call, code: results.ResultCode, status: int
-    ) -> dict[str, t.Any]:
-        """Return the fields of the line on the end of a call."""
-        now = self._loop.time()
-        route = call.route.name if call.route is not None else ""
-        taken_s = now - call.started
-        fields: dict[str, t.Any] = {
-            "id": call.request_id.decode("latin-1"),
-            "route": route,
-            "code": code.number,
-            "outcome": code.name,
-            "ground": call.ground.value if code.not_run else "",
-            "status": status,
-            "took_ms": round(taken_s * 1000, 1),
-            "left_ms": call.clients_ms,
-            "rank": call.rank,
-            "organisation": call.organisation,
-            "hosts": call.tried,
-            "reached": call.reached,
-            "offers": call.offers,
-            "repeats": call.repeats,
-            "version": self._terms.version,
-        }
-        if call.parent is not None:
-            run: gate.Run = call.parent.owner
-            fields["parent"] = run.call.request_id.decode("latin-1")
-            # Whether its arrival itself counts as a repeat.
-            fields["below_repeat"] = run.repeat
-        if call.matched is not None:
-            fields["matched"] = call.matched.value
-        if call.repeats_refused:
-            fields["repeats_refused"] = True
-        if code is not results.ANSWERED and call.route is not None:
-            wait_s = self.backpressure.wait_s(route, now)
-            fields["below_ms"] = round(wait_s * 1000, 1)
-        return fields
+            below_s = self.backpressure.wait_s(route, now)
+            fields = requestlog.describe(
+                call, code, status, self._terms.version, below_s, now
+            )
+            self._log.event("request", **fields)
 
     def _abandoned(self, call: calls.Call) -> None:
         """Withdraw a call whose caller has left."""
