Let the soak run as many nodes as the limits allow, and tell its delay

With 120 hosts the soak's own process was overloaded: it carries all peer streams, and published a configuration with each of 15 times as many faults. Nodes took each other for silent (1,068 requests ended at their callers' deadline), so that what it saw says nothing of them.

--hosts many starts at most 240 nodes within 0.4 of the memory. Above 24 hosts no proxy stands before the peer ports, each host has two callers, and faults come at most five times as often. Each run tells by how much its process was late. The proxy no longer writes to a connection that has been closed meanwhile.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -11,6 +11,7 @@
 import asyncio
 import collections
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -36,6 +37,15 @@
 START_TIMEOUT_S = 20.0
 # Processes that are started at the same time.
 START_BATCH = 8
+WATCH_S = 0.05
+# Part of the memory that nodes may take together, and what one takes.
+MEMORY_PART = 0.4
+NODE_BYTES = 45 << 20
+HOSTS_MAX = 240
+# With more hosts than this, each has fewer callers, who send less, and no
+# proxy, since this process would delay what passes through it.
+HOSTS_BUSY = 24
+CALLERS_OF_MANY = 2
 
 
 class Soak:
@@ -50,7 +60,8 @@
     ) -> None:
         self.seed = seed
         # Repeats are bounded by their number where there are few requests.
-        self.load = "quiet" if seed // 5 % 3 == 2 else "busy"
+        quiet = seed // 5 % 3 == 2 or hosts > HOSTS_BUSY
+        self.load = "quiet" if quiet else "busy"
         self.seconds = seconds
         net = f"127.{20 + seed % 200}"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -69,11 +80,13 @@
                 self.folder,
                 tree,
                 self.record,
+                hosts <= HOSTS_BUSY,
             )
             for number in range(hosts)
         ]
         self._version = 1
         self._starts = hosts
+        self.late_s = 0.0
 
     async def run(self) -> list[str]:
         """Play the run and return its breaches."""
@@ -81,7 +94,8 @@
         await self.store_proxy.start()
         for host in self.hosts:
             await host.upstream.start()
-            await host.proxy.start()
+            if host.proxied:
+                await host.proxy.start()
             self.list_upstream(host)
         self.put_configuration(0)
         try:
@@ -89,10 +103,12 @@
             planned = soak_faults.schedule(
                 self.seed, len(self.hosts), self.seconds
             )
+            watch = asyncio.ensure_future(self._watch())
             callers = asyncio.ensure_future(self._callers())
             await soak_faults.play(self, planned)
             await callers
             await asyncio.sleep(1.0)
+            watch.cancel()
         finally:
             self._end_processes()
             for proxy in (self.store_proxy, *(h.proxy for h in self.hosts)):
@@ -183,10 +199,26 @@
                     self.load,
                 ).run(until)
                 for host in self.hosts
-                for number, kind in enumerate(soak_callers.CALLERS)
+                for number, kind in enumerate(self._kinds(host))
             )
         )
 
+    async def _watch(self) -> None:
+        """Measure by how much this process is late at most."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + WATCH_S
+            await asyncio.sleep(WATCH_S)
+            self.late_s = max(self.late_s, loop.time() - due)
+
+    def _kinds(self, host: soak_hosts.Host) -> tuple[str, ...]:
+        """Return the kinds of a host's callers."""
+        kinds = soak_callers.CALLERS
+        if len(self.hosts) <= HOSTS_BUSY:
+            return kinds
+        first = host.number % len(kinds)
+        return (kinds * 2)[first : first + CALLERS_OF_MANY]
+
     def _end_processes(self) -> None:
         for host in self.hosts:
             host.signal(signal.SIGCONT)
@@ -212,11 +244,22 @@
     return range(int(first), int(last or first) + 1)
 
 
+def hosts(text: str) -> int:
+    """Return a number of hosts; ``many`` are what the limits allow."""
+    if text != "many":
+        return int(text)
+    pages = os.sysconf("SC_PHYS_PAGES") * MEMORY_PART
+    memory_bytes = int(pages * os.sysconf("SC_PAGE_SIZE"))
+    return min(HOSTS_MAX, memory_bytes // NODE_BYTES)
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Play the seeds and print a JSON line for each."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=seeds, required=True)
-    parser.add_argument("--hosts", type=int, default=8)
+    parser.add_argument(
+        "--hosts", type=hosts, default=8, help="a number, or many"
+    )
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--tree", type=pathlib.Path, default=ROOT)
     given = parser.parse_args(arguments)
@@ -241,6 +284,7 @@
     rules = collections.Counter(line.split(":")[0] for line in breaches)
     return {
         "seed": soak.seed,
+        "late_ms": round(soak.late_s * 1000),
         "requests": len(record.sent),
         "arrivals": len(record.arrivals),
         "ends": dict(sorted(statuses.items())),
--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -14,7 +14,7 @@
 # Part of the time left up to which Retry-After is honoured.
 COME_BACK_PART = 1 / 3
 # Pauses between requests, by the load of a run.
-THINK_S = {"busy": (0.0, 0.5), "quiet": (1.5, 6.0)}
+THINK_S = {"busy": (0.0, 0.5), "quiet": (2.0, 10.0)}
 UNREACHED_S = 0.1
 # Answers after which no caller comes back.
 FINAL = frozenset((400, 401, 404, 413, 431))
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -21,6 +21,7 @@
 PLANNED = "planned"
 # Pauses between faults where there are so many hosts.
 HOSTS_USUAL = 8
+PAUSE_MIN = 0.2
 PAUSES_S = (0.05, 0.8)
 LASTS_S = (0.2, 2.0)
 
@@ -45,18 +46,25 @@
 
 @dataclasses.dataclass(frozen=True)
 class Injection:
-    """A fault that is due.
-
-    :param run: the run.
-    :param host: the host.
-    :param for_s: how long it lasts, if it does.
-    :param seed: of what else is drawn.
-    """
+    """A fault that is due in a run."""
 
     run: "soak.Soak"
-    host: soak_hosts.Host
-    for_s: float
-    seed: int
+    planned: Planned
+
+    @property
+    def host(self) -> soak_hosts.Host:
+        """The host that it is done to."""
+        return self.run.hosts[self.planned.host]
+
+    @property
+    def for_s(self) -> float:
+        """How long it lasts, if it does."""
+        return self.planned.for_s
+
+    @property
+    def seed(self) -> int:
+        """Of what else is drawn."""
+        return self.planned.seed
 
 
 Inject = t.Callable[[Injection], t.Coroutine[t.Any, t.Any, None]]
@@ -105,6 +113,7 @@
     drawn = random.Random(seed)
     theme = THEMES[seed % len(THEMES)]
     kinds = sorted(name for name in KINDS if KINDS[name].group in theme)
+    pause = max(PAUSE_MIN, HOSTS_USUAL / hosts)
     planned, at_s = [], 0.5
     while at_s < seconds:
         planned.append(
@@ -116,7 +125,7 @@
                 drawn.getrandbits(32),
             )
         )
-        at_s += drawn.uniform(*PAUSES_S) * HOSTS_USUAL / hosts
+        at_s += drawn.uniform(*PAUSES_S) * pause
     return planned
 
 
@@ -135,7 +144,7 @@
     host = run.hosts[planned.host]
     address = "" if kind.everywhere else host.address
     with run.record.fault(planned.kind, address, kind.group):
-        await kind.inject(Injection(run, host, planned.for_s, planned.seed))
+        await kind.inject(Injection(run, planned))
 
 
 async def _stop(run: "soak.Soak", host: soak_hosts.Host) -> None:
@@ -207,17 +216,13 @@
 
 @_fault("link")
 async def silence_streams(fault: Injection) -> None:
-    fault.host.proxy.mute = [True, True]
-    await asyncio.sleep(fault.for_s)
-    fault.host.proxy.mute = [False, False]
-
-
-@_fault("link")
-async def cut_one_way(fault: Injection) -> None:
-    way = fault.seed % 2
-    fault.host.proxy.mute[way] = True
+    """Lose what is sent in one direction or in both."""
+    ways = ((0,), (1,), (0, 1))[fault.seed % 3]
+    for way in ways:
+        fault.host.proxy.mute[way] = True
     await asyncio.sleep(fault.for_s)
-    fault.host.proxy.mute[way] = False
+    for way in ways:
+        fault.host.proxy.mute[way] = False
 
 
 @_fault("link")
@@ -336,13 +341,13 @@
         await asyncio.sleep(0.1)
 
 
-def _harm(kind: str, part: float, lasts_s: float = 0.0) -> None:
+def _harm(kind: str, part: float) -> None:
     """Register a fault that harms a part of an upstream's answers."""
 
     async def inject(fault: Injection) -> None:
         harm = fault.host.upstream.harm
         harm[kind] = part
-        await asyncio.sleep(fault.for_s + lasts_s)
+        await asyncio.sleep(fault.for_s)
         harm[kind] = 0.0
 
     inject.__name__ = f"answers_{kind}"
--- a/tools/soak_hosts.py
+++ b/tools/soak_hosts.py
@@ -87,6 +87,8 @@
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 lost = lost or self.mute[direction]
+                if writer.is_closing():
+                    return
                 if not lost:
                     writer.write(data)
             writer.close()
@@ -104,6 +106,7 @@
     :param folder: for settings and logs.
     :param tree: the sources that its node runs.
     :param record: takes what is seen.
+    :param proxied: whether its peer streams can be harmed.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         folder: pathlib.Path,
         tree: pathlib.Path,
         record: soak_record.Record,
+        proxied: bool,
     ) -> None:
         self._tree = tree
         self._store = f"{net}.4.1"
@@ -123,15 +127,15 @@
         self.number = number
         self.place = place
         self.address = f"{net}.{10 + number // 200}.{number % 200 + 1}"
-        at = f"{net}.{60 + number // 200}.{number % 200 + 1}"
+        at = self.address
+        if proxied:
+            at = f"{net}.{60 + number // 200}.{number % 200 + 1}"
         self.upstream = soak_upstreams.Upstream(
             at, f"i-{number}", service, self.address, record
         )
+        self.proxied = proxied
         self.proxy = Proxy(at, self.address, PEER_PORT)
         self.process: subprocess.Popen[bytes] | None = None
-        # Whether the node is to run, so that one that ended comes back.
-        self.wanted = True
-        self.resume: t.Callable[[], None] | None = None
 
     @property
     def running(self) -> bool:
--- a/tools/soak_record.py
+++ b/tools/soak_record.py
@@ -126,19 +126,13 @@
 
     def write(self, path: pathlib.Path) -> None:
         """Write all that was seen, a JSON line each, by time."""
-        lines = [
-            {"what": "sent", **dataclasses.asdict(sent)} for sent in self.sent
-        ]
-        for number, arrival in enumerate(self.arrivals):
-            line = {"what": "arrival", **dataclasses.asdict(arrival)}
-            if number in self.ends:
-                line["end"] = dataclasses.asdict(self.ends[number])
-            lines.append(line)
-        lines += [
-            {"what": "fault", **dataclasses.asdict(fault)}
-            for fault in self.faults
-        ]
-        lines.sort(key=lambda line: line["at"])
+        seen = [*self.sent, *self.arrivals, *self.faults]
+        numbers = {id(item): i for i, item in enumerate(self.arrivals)}
         with path.open("w") as file:
-            for line in lines:
+            for item in sorted(seen, key=lambda item: item.at):
+                line = {"what": type(item).__name__}
+                line |= dataclasses.asdict(item)
+                ended = self.ends.get(numbers.get(id(item), -1))
+                if ended is not None:
+                    line["end"] = dataclasses.asdict(ended)
                 file.write(json.dumps(line, default=repr) + "\n")
