--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -10,7 +10,7 @@
 from tools import soak_wire
 
 LEFT_S = 2.5
-ATTEMPTS = 8
+ATTEMPTS = 4
 # Part of the time left up to which Retry-After is honoured.
 COME_BACK_PART = 1 / 3
 # Pauses between requests, by the load of a run.
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -327,8 +327,8 @@
         if other.upstream.service in services
     ]
     for upstream in harmed:
-        upstream.harm["fail"] = 0.6
-    await asyncio.sleep(fault.for_s * 3)
+        upstream.harm["fail"] = 0.9
+    await asyncio.sleep(fault.for_s * 5)
     for upstream in harmed:
         upstream.harm["fail"] = 0.0
 
