--- a/src/savorytally/dataplane/callers.py
+++ b/src/savorytally/dataplane/callers.py
@@ -135,6 +135,12 @@
     def refuse(self, request: Request, status: int, why: str) -> None:
         """Answer a request that can't be taken as it is."""
 
+    def turn_away(self, request: Request) -> None:
+        """Answer a request that will not be read whole: the node stops."""
+
+    def cut(self, requests: t.Iterable[Request]) -> None:
+        """Note that a connection ends before the answers to requests."""
+
 
 class CallerConnection(asyncio.Protocol):
     """One connection of a caller.
@@ -167,9 +173,10 @@
         return not self._requests and self._current is None
 
     @property
-    def unanswered(self) -> int:
-        """Requests that were read and not answered."""
-        return len(self._requests)
+    def flushed(self) -> bool:
+        """Whether all that was written has left the process."""
+        transport = self._transport
+        return transport is None or not transport.get_write_buffer_size()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = t.cast(asyncio.Transport, transport)
@@ -282,8 +289,16 @@
     def close(self) -> None:
         """End the connection; what was written is still sent."""
         if self._transport is not None:
+            self._server.cut(self._requests)
             self._transport.close()
 
+    def end(self) -> None:
+        """End the connection; a request whose body still comes is refused."""
+        if self._current is None or self.reading:
+            self.close()
+            return
+        self._drop_rest(self._server.turn_away)
+
     def time_out(self) -> None:
         """Answer a request whose head came too slowly and end."""
         self._break_off(408, "the request's head came too slowly")
@@ -291,6 +306,7 @@
     def _finish(self, ready: list[bytes]) -> None:
         self._broken = True
         if self._transport is not None:
+            self._server.cut(self._requests)
             self._transport.write(b"".join(ready))
             self._transport.close()
 
@@ -300,6 +316,12 @@
             self._break_off(431, "the headers are larger than allowed")
 
     def _break_off(self, status: int, why: str) -> None:
+        self._drop_rest(
+            lambda request: self._server.refuse(request, status, why)
+        )
+
+    def _drop_rest(self, answer: t.Callable[[Request], None]) -> None:
+        """Answer what is being read; read no more and end."""
         if self._broken:
             return
         self._broken = True
@@ -307,4 +329,4 @@
         self._current = None
         request.closes = True
         self._requests.append(request)
-        self._server.refuse(request, status, why)
+        answer(request)
--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -5,6 +5,8 @@
 import typing as t
 
 from .. import results
+from ..decisions import lineage
+from . import grounds
 
 BOUNDS_S = (
     0.001,
@@ -23,15 +25,48 @@
 )
 
 
+class Sent:
+    """Why a request is sent to a service."""
+
+    FIRST = "first"
+    # It was sent before and may have arrived.
+    RETRY = "retry"
+    # The request that made it was sent before.
+    BELOW_RETRY = "below_retry"
+
+
 class Counters:
     """Counts requests in plain numbers."""
 
     def __init__(self) -> None:
         self._ended: collections.Counter[tuple[str, int]]
         self._ended = collections.Counter()
+        self._not_run: collections.Counter[tuple[str, str]]
+        self._not_run = collections.Counter()
+        self._cut: collections.Counter[str] = collections.Counter()
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
         self._gauges: dict[str, t.Callable[[], float]] = {}
+        self._sent: collections.Counter[tuple[str, str]]
+        self._sent = collections.Counter()
+        self._refused: collections.Counter[tuple[str, str]]
+        self._refused = collections.Counter()
+        self._matched: collections.Counter[str] = collections.Counter()
+
+    def sent(self, service: str, why: str) -> None:
+        """Count what is sent to a service's upstreams.
+
+        :param why: see :class:`Sent`.
+        """
+        self._sent[service, why] += 1
+
+    def refused(self, service: str, why: str) -> None:
+        """Count what the budget of a service left no room for."""
+        self._refused[service, why] += 1
+
+    def matched(self, how: lineage.How) -> None:
+        """Count a call by how the request that made it was told."""
+        self._matched[how.value] += 1
 
     def ended(
         self, route: str, code: results.ResultCode, taken_s: float
@@ -44,6 +79,21 @@
         buckets[bisect.bisect_left(BOUNDS_S, taken_s)] += 1
         self._sums_s[route] = self._sums_s.get(route, 0.0) + taken_s
 
+    def not_run(
+        self, ground: grounds.Ground, named: bool | None = None
+    ) -> None:
+        """Count a request that has not run.
+
+        :param named: whether the upstream's answer names the request,
+            ``None`` if the ground is no answer.
+        """
+        answer = "" if named is None else "named" if named else "unnamed"
+        self._not_run[ground.value, answer] += 1
+
+    def cut(self, where: str) -> None:
+        """Count a request whose connection was ended before its answer."""
+        self._cut[where] += 1
+
     def add_gauge(self, name: str, read: t.Callable[[], float]) -> None:
         """Add a value that is read when the metrics are asked for."""
         self._gauges[name] = read
@@ -57,14 +107,44 @@
                 f'savorytally_requests_total{{route="{route}",'
                 f'code="{number}",name="{name}"}} {count}'
             )
+        lines.append("# TYPE savorytally_not_run_total counter")
+        for (ground, answer), count in sorted(self._not_run.items()):
+            lines.append(
+                f'savorytally_not_run_total{{ground="{ground}",'
+                f'answer="{answer}"}} {count}'
+            )
+        lines.append("# TYPE savorytally_requests_cut_total counter")
+        for where, count in sorted(self._cut.items()):
+            lines.append(
+                f'savorytally_requests_cut_total{{where="{where}"}} {count}'
+            )
         lines.append("# TYPE savorytally_request_seconds histogram")
         for route, buckets in sorted(self._buckets.items()):
             lines += self._histogram(route, buckets)
+        lines += self._by_service("sent_total", self._sent)
+        lines += self._by_service("retries_refused_total", self._refused)
+        lines.append("# TYPE savorytally_calls_matched_total counter")
+        for how, count in sorted(self._matched.items()):
+            lines.append(
+                f'savorytally_calls_matched_total{{how="{how}"}} {count}'
+            )
         for name, read in self._gauges.items():
             lines.append(f"# TYPE savorytally_{name} gauge")
             lines.append(f"savorytally_{name} {read()}")
         return ("\n".join(lines) + "\n").encode()
 
+    @staticmethod
+    def _by_service(
+        name: str, counts: t.Mapping[tuple[str, str], int]
+    ) -> list[str]:
+        lines = [f"# TYPE savorytally_{name} counter"]
+        for (service, why), count in sorted(counts.items()):
+            lines.append(
+                f'savorytally_{name}{{service="{service}",'
+                f'kind="{why}"}} {count}'
+            )
+        return lines
+
     def _histogram(self, route: str, buckets: list[int]) -> list[str]:
         name = "savorytally_request_seconds"
         lines = []
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -9,7 +9,6 @@
 from ..decisions import backpressure
 from ..decisions import placement
 from ..decisions import ratepool
-from ..decisions import repeatbudget
 from ..decisions import splits
 from ..world import catalog
 from . import callers
@@ -18,18 +17,15 @@
 from . import dialect
 from . import frames
 from . import gate
+from . import grounds
 from . import journal
 from . import options
+from . import progress
 from . import rates
+from . import repeats
+from . import stopping
 from . import terms
 
-# Times that a request may be offered to hosts; only upstreams that it
-# reached count as attempts of its route.
-OFFERS_MAX = 8
-# Offers to gates that refused before the request reached an upstream.
-GATES_MAX = 3
-# Time in which an answer must come for a repeat to be worth sending.
-REPEAT_USEFUL_S = 0.03
 # Part of the remaining time by which callers honour Retry-After.
 COME_BACK_PART = 0.33
 COME_BACK_MIN_S = 0.03
@@ -37,6 +33,9 @@
 # How long requests are held while the first configuration is being read.
 FIRST_READ_S = 0.3
 _SERVER_ERROR = 500
+# By these, callers know that a request has not run and never will.
+_PROMISES = frozenset((408, 421, 429, 503))
+_Ground = grounds.Ground
 
 
 class Peers(t.Protocol):
@@ -94,15 +93,21 @@
             chosen.data_centre, chosen.regions, source
         )
         self.splits = splits.Splits(source)
-        self.repeats = repeatbudget.RepeatBudget(
-            chosen.bounds.retry_ratio,
-            chosen.bounds.retry_slack,
-            chosen.bounds.retry_window_s,
-        )
+        self._repeats = repeats.Repeats(own.budget, own, counts)
         self.backpressure = backpressure.Backpressure()
-        self.active = 0
-        self.closing = False
-        self._held: list[callers.Request] = []
+        self.progress = progress.Progress(spoken, counts, log)
+        # Set by the signal to stop.
+        self.stop: stopping.Schedule | None = None
+
+    @property
+    def active(self) -> int:
+        """Requests that were read and not answered."""
+        return len(self.progress)
+
+    @property
+    def closing(self) -> bool:
+        """Whether each answer should end its connection."""
+        return self.stop is not None
 
     @property
     def limits(self) -> catalog.RequestLimits:
@@ -134,24 +139,51 @@
         if self._terms.in_force is not None:
             self._take(request)
             return
-        self._held.append(request)
-        if len(self._held) == 1:
+        if self.progress.hold(request, self._loop.time()):
             self._loop.call_later(FIRST_READ_S, self.release)
 
     def release(self) -> None:
         """Take the requests that were held."""
-        held, self._held = self._held, []
-        for request in held:
-            # One whose caller has left counts as answered.
-            if request.answer is None:
-                self._take(request)
+        for request in self.progress.release():
+            self._take(request)
+
+    def turn_away(self, request: callers.Request) -> None:
+        """Answer a request that will not be read whole: the node stops."""
+        now = self._loop.time()
+        call = self._begun(request, now)
+        self._fail(call, self._terms.set(call, now) or results.NODE_STOPPING)
+
+    def cut(self, requests: t.Iterable[callers.Request]) -> None:
+        """Note that a connection ends before the answers to requests."""
+        now = self._loop.time()
+        stopping_s = now - self.stop.began if self.stop is not None else None
+        self.progress.cut(requests, now, stopping_s)
+
+    def give_up(self) -> None:
+        """Give all requests in progress their final answer."""
+        self.release()
+        for call in self.progress.unanswered:
+            if not call.done:
+                self._give_up(call)
+
+    def _give_up(self, call: calls.Call) -> None:
+        known = call.known
+        # One that waits for its organisation's rate was never offered.
+        not_sent = self._withdraw(call) or not call.instance_id
+        if known is not None and not known.not_run:
+            self._fail(call, known)
+        elif not_sent:
+            self._fail(call, results.NODE_STOPPING)
+        else:
+            self._fail(call, results.STOPPED_UNANSWERED)
 
     def _take(self, request: callers.Request) -> None:
         now = self._loop.time()
-        call = calls.Call(request, now)
-        call.request_id = request.header(self._dialect.request_id)
-        self.active += 1
-        refused = self._terms.set(call, now) or self._shed(call, now)
+        call = self._begun(request, now)
+        refused = self._terms.set(call, now)
+        if refused is None and self.stop is not None:
+            refused = self.stop.refuse(call, now)
+        refused = refused or self._shed(call, now)
         if refused is not None:
             self._fail(call, refused)
             return
@@ -167,6 +199,12 @@
             lambda grant: self._admitted(call, grant),
         )
 
+    def _begun(self, request: callers.Request, now: float) -> calls.Call:
+        call = calls.Call(request, now)
+        call.request_id = request.header(self._dialect.request_id)
+        self.progress.begin(call)
+        return call
+
     def _admitted(self, call: calls.Call, grant: ratepool.Grant) -> None:
         if call.done:
             return
@@ -178,13 +216,10 @@
     def _begin(self, call: calls.Call) -> None:
         """Choose a call's service and offer the call to its hosts."""
         call.service = self.splits.choose(t.cast(catalog.Route, call.route))
-        # Arrivals below a repeat count as repeats where they arrive.
-        now = self._loop.time()
-        if call.flags & frames.Flag.REPEAT:
-            self.repeats.charge(call.service, now)
+        if self._repeats.begin(call, self._loop.time()):
+            self._offer(call)
         else:
-            self.repeats.first(call.service, now)
-        self._offer(call)
+            self._fail(call, results.RETRIES_SPENT)
 
     def _shed(self, call: calls.Call, now: float) -> results.ResultCode | None:
         """Refuse a new request whose chain ends in an overload."""
@@ -217,6 +252,7 @@
         call.offers += 1
         call.tried.append(instance.instance_id)
         call.instance_id = instance.instance_id
+        call.run = None
         self.placement.sent(instance.instance_id)
         sent = frames.Call(
             number=0,
@@ -268,7 +304,7 @@
         def withdraw() -> bool:
             if run is None:
                 return False
-            before = run.state is gate.State.WAITING
+            before = run.state in (gate.State.WAITING, gate.State.CONNECTING)
             self._gate.cancel(run)
             return before
 
@@ -276,6 +312,8 @@
         run = self._gate.run(
             sent, lambda result: self._result(call, instance, result)
         )
+        if run.state is not gate.State.DONE:
+            call.run = run
 
     def _result(
         self,
@@ -290,11 +328,14 @@
         if call.done:
             return
         call.withdraw = None
+        if result.arrived or not code.not_run:
+            self._repeats.settle(call, True, now)
         # An upstream that is not the one meant does not count as reached.
         arrived = result.arrived and code is not results.INSTANCE_GONE
         if arrived and call.instance_id not in call.reached:
             call.reached.append(call.instance_id)
         self.backpressure.note(route.name, result.below_ms / 1000, now)
+        final = self.stop is not None and now >= self.stop.work_ends
         if call.parent is not None:
             wait_s = (result.below_ms + result.wait_ms) / 1000
             self._gate.below.called(call.parent.route, wait_s, now)
@@ -302,16 +343,24 @@
             # What failed below would fail again, and all that it calls
             # would be called again.
             failed = result.status >= _SERVER_ERROR and not result.chained
-            if failed and self._repeat_pays(call, route, result, now):
+            again = failed and not final
+            if again and self._repeats.pays(call, route, result, now):
                 self._repeat(call)
                 return
             self._answer(call, result)
             return
+        if code.not_run:
+            # Only a gate tells how much it lets run.
+            told = result.limit > 0
+            call.ground = _Ground.GATE if told else _Ground.UNSENT
         if not code.not_run:
             call.known = code
         elif call.known is None:
             call.known = code
-        if self._worth_another(call, route, result, code, now):
+        if final and call.known.not_run:
+            self._fail(call, results.NODE_STOPPING)
+            return
+        if not final and self._repeats.worth_another(call, route, result, now):
             self._repeat(call, counted=result.arrived or not code.not_run)
             return
         self._fail(call, call.known or code, result.retry_after_ms)
@@ -335,59 +384,22 @@
         if result.limit:
             run_s = result.run_ms / 1000 if result.run_ms else None
             where.report(name, route, run_s, result.load, result.limit, now)
-        if code is results.SHED_AT_GATE:
+        if code is results.SHED_AT_GATE or code is results.RETRIES_SPENT:
             return
         good = result.answered and result.status < _SERVER_ERROR
         where.outcome(name, good, now)
 
-    def _worth_another(
-        self,
-        call: calls.Call,
-        route: catalog.Route,
-        result: frames.Result,
-        code: results.ResultCode,
-        now: float,
-    ) -> bool:
-        """Return whether another host should be offered the call."""
-        if code in (results.DEADLINE_PASSED, results.QUARANTINED):
-            return False
-        if code.not_run and not result.arrived:
-            useful = call.deadline - now > REPEAT_USEFUL_S
-            return useful and call.offers < GATES_MAX
-        if not code.not_run and not call.idempotent:
-            return False
-        return self._repeat_pays(call, route, result, now)
-
-    def _repeat_pays(
-        self,
-        call: calls.Call,
-        route: catalog.Route,
-        result: frames.Result,
-        now: float,
-    ) -> bool:
-        """Return whether a repeat is allowed and may still be answered."""
-        if result.answered and not call.idempotent:
-            return False
-        if call.offers >= OFFERS_MAX:
-            return False
-        ran = not results.by_number(result.code).not_run
-        if ran and len(call.reached) >= route.attempts:
-            return False
-        if call.deadline - now < max(REPEAT_USEFUL_S, result.run_ms / 1000):
-            return False
-        progress = 0.0
-        if call.parent is not None:
-            expected = self._gate.below.calls(call.parent.route)
-            progress = min(1.0, call.parent.answered / expected)
-        claim = repeatbudget.Claim(call.rank % terms.ROUTE_RANKS, progress)
-        return self.repeats.spend(call.service, claim, now)
-
     def _repeat(self, call: calls.Call, counted: bool = True) -> None:
         if counted:
-            call.flags |= frames.Flag.REPEAT
+            self._repeats.again(call)
         self._offer(call)
 
     def _answer(self, call: calls.Call, result: frames.Result) -> None:
+        """End a call with its upstream's answer."""
+        if result.status in _PROMISES and not call.idempotent:
+            # Without the upstream's mark, the request may have run.
+            self._fail(call, results.REFUSAL_UNPROVED)
+            return
         self._close(call, results.ANSWERED, result.status)
         headers = [(bytes(name), bytes(v)) for name, v in result.headers]
         call.request.respond(result.status, headers, result.body)
@@ -408,22 +420,30 @@
         self._close(call, code, status)
         headers: callers.Headers = [(b"content-type", b"application/json")]
         if status in (429, 503):
-            back_s = self._come_back_s(call, retry_after_ms)
+            back_s = self._come_back_s(call, code, retry_after_ms)
             headers.append((b"retry-after", b"%.3f" % back_s))
         if call.request_id:
             headers.append((self._dialect.request_id, call.request_id))
         body = b'{"code":%d,"name":"%s"}' % (code.number, code.name.encode())
         call.request.respond(status, headers, body)
 
-    def _come_back_s(self, call: calls.Call, retry_after_ms: int) -> float:
+    def _come_back_s(
+        self, call: calls.Call, code: results.ResultCode, retry_after_ms: int
+    ) -> float:
         """Return when a refused caller should come back.
 
         Spread over a time that grows with the wait at the host that refused
-        it, so that callers return when there is room and not together.
+        it, so that callers return when there is room and not together. From
+        a node that stops they return when the next process is there.
         """
-        left_s = max(0.0, call.deadline - self._loop.time())
+        now = self._loop.time()
+        left_s = max(0.0, call.deadline - now)
         if call.clients_ms:
             left_s = call.clients_ms / 1000
+        if code is results.NODE_STOPPING and self.stop is not None:
+            back_s = self.stop.back_s(call.objective_s, now)
+            back_s *= 1.0 + 0.5 * self._random.random()
+            return min(back_s, left_s * COME_BACK_PART)
         base_s = max(COME_BACK_MIN_S, retry_after_ms / 1000)
         base_s = max(base_s, call.objective_s / 4)
         return min(
@@ -435,17 +455,20 @@
     ) -> None:
         """Count and log the end of a call."""
         call.done = True
-        self.active -= 1
+        self.progress.end(call)
         if call.timer is not None:
             call.timer.cancel()
         call.request.abandoned = None
         now = self._loop.time()
+        self._repeats.settle(call, False, now)
         served = code is results.ANSWERED and status < _SERVER_ERROR
         if call.parent is not None:
             self._gate.lineage.answered(call.parent, served, now)
         taken_s = now - call.started
         route = call.route.name if call.route is not None else ""
         self._counts.ended(route, code, taken_s)
+        if code.not_run:
+            self._counts.not_run(call.ground)
         if not served or self._log.samples_served():
             self._log.event("request", **self._described(call, code, status))
 
@@ -461,6 +484,7 @@
             "route": route,
             "code": code.number,
             "outcome": code.name,
+            "ground": call.ground.value if code.not_run else "",
             "status": status,
             "took_ms": round(taken_s * 1000, 1),
             "left_ms": call.clients_ms,
@@ -469,11 +493,18 @@
             "hosts": call.tried,
             "reached": call.reached,
             "offers": call.offers,
+            "repeats": call.repeats,
             "version": self._terms.version,
         }
         if call.parent is not None:
             run: gate.Run = call.parent.owner
             fields["parent"] = run.call.request_id.decode("latin-1")
+            # Whether its arrival itself counts as a repeat.
+            fields["below_repeat"] = run.repeat
+        if call.matched is not None:
+            fields["matched"] = call.matched.value
+        if call.repeats_refused:
+            fields["repeats_refused"] = True
         if code is not results.ANSWERED and call.route is not None:
             wait_s = self.backpressure.wait_s(route, now)
             fields["below_ms"] = round(wait_s * 1000, 1)
@@ -497,8 +528,10 @@
             self._gate.below.called(call.parent.route, taken_s, now)
         elif self.backpressure.wait_s(route.name, now) > 0.0:
             self.backpressure.note(route.name, taken_s, now)
-        not_sent = self._withdraw(call)
-        if not_sent and call.known is None:
+        # Until then, it may still wait for the keeper of a rate.
+        not_sent = self._withdraw(call) or not call.offers
+        if not_sent and (call.known is None or call.known.not_run):
+            call.ground = _Ground.WITHDRAWN
             self._fail(call, results.DEADLINE_TOO_SHORT)
         else:
             self._fail(call, results.DEADLINE_UNKNOWN)
@@ -509,5 +542,6 @@
         if withdraw is None:
             return False
         not_sent = withdraw()
+        self._repeats.settle(call, not not_sent, self._loop.time())
         self.placement.ended(call.instance_id)
         return not_sent
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -77,6 +77,7 @@
         self._links: dict[str, streams.Link] = {}
         self._accepted: dict[streams.Stream, dict[int, gate.Run]] = {}
         self._ticked = self._loop.time()
+        self._closed = False
 
     def call(
         self,
@@ -88,6 +89,9 @@
 
         :return: withdraws it; tells whether it had not left this host.
         """
+        if self._closed:
+            self._loop.call_soon(answered, _UNSENT)
+            return lambda: True
         link = self._link(instance.address)
         if link.unreached:
             # Another host takes the call meanwhile.
@@ -128,6 +132,11 @@
         for stream in self._accepted:
             stream.send(frames.Kind.LEAVING)
 
+    def recall(self) -> None:
+        """Withdraw all calls, and learn of which it is sure not to run."""
+        for link in self._links.values():
+            link.recall()
+
     def tick(self, now: float) -> None:
         """Look after silent and unused streams."""
         late = now - self._ticked > LATE_S
@@ -142,7 +151,8 @@
                 del self._links[address]
 
     def close(self) -> None:
-        """Close all streams."""
+        """Close all streams; calls that come later stay unsent."""
+        self._closed = True
         for link in self._links.values():
             link.close()
         for stream in list(self._accepted):
@@ -179,9 +189,15 @@
             runs[call.number] = run
 
     def _on_cancel(self, stream: streams.Stream, frame: list[t.Any]) -> None:
-        run = self._accepted[stream].pop(frame[1], None)
-        if run is not None:
-            self._gate.cancel(run)
+        number = frame[1]
+        run = self._accepted[stream].pop(number, None)
+        if run is None:
+            return
+        before = run.state in (gate.State.WAITING, gate.State.CONNECTING)
+        self._gate.cancel(run)
+        if before:
+            code = results.CANCELLED_BEFORE_START.number
+            stream.send(frames.Kind.RESULT, *frames.Result(number, code))
 
     def _on_ping(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         stream.send(frames.Kind.PONG)
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -8,8 +8,11 @@
 import typing as t
 
 from ..decisions import gatequeue
+from ..decisions import repeatbudget
+from ..decisions import slackshare
 from ..world import catalog
 from . import callers
+from . import catchup
 from . import counters
 from . import crashwatch
 from . import dialect
@@ -23,24 +26,19 @@
 from . import pool
 from . import rates
 from . import small
+from . import stopping
 
 TICK_S = 0.05
 # How long a host that was silent just now is not sent new calls.
 SILENT_S = 0.3
 # A second view of the configuration is asked of a neighbour that often.
 GOSSIP_S = 0.6
-# Time that the own view has to catch up before a peer is asked.
-CATCH_UP_S = 0.8
 # Part of the time in which leaving upstreams must be known that passes
 # between two reads of the store.
 WATCH_PAUSE_PART = 0.3
 # After the signal to stop, the upstream goes on with other hosts' calls
 # for this long, since it may outlive its node's restart.
 SERVE_ON_S = 1.4
-# Callers may still send on open connections until they have noticed.
-LINGER_MIN_S = 2.6
-STOP_MARGIN_S = 0.7
-QUIET_S = 0.5
 BACKLOG = 1024
 
 
@@ -78,12 +76,24 @@
         self.crashes = crashwatch.CrashWatch(
             chosen.address, self._upstream, self.log
         )
+        bounds = chosen.bounds
+        self._share = slackshare.SlackShare(
+            bounds.retry_slack,
+            chosen.address,
+            bounds.retry_window_s,
+            chosen.first_start,
+        )
+        budget = repeatbudget.RepeatBudget(
+            bounds.retry_ratio, bounds.retry_window_s, self._share
+        )
         self.gate = gate.Gate(
             spoken,
             self._upstream,
             gatequeue.GateQueue(),
             self.crashes,
+            budget,
             self.log,
+            self.counts,
         )
         self.peers = peers.Peers(chosen.peer_port, self.gate, self)
         self.crashes.attach(self.peers)
@@ -106,13 +116,13 @@
         self._refused_raw = b""
         self._instances: dict[str, catalog.Instance] = {}
         self._at_address: dict[str, list[str]] = {}
+        self._catch_up = catchup.CatchUp(lambda: self.version, self._in_region)
         self._listed = False
         self._reachable: bool | None = None
         self._connections: set[callers.CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[t.Any]] = []
         self._stopping = asyncio.Event()
-        self._stop_began = 0.0
         self._gossip_at = 0.0
 
     @property
@@ -164,11 +174,12 @@
         """Begin a graceful stop and return at once."""
         if self._stopping.is_set():
             return
-        self._stop_began = self._loop.time()
         self._stopping.set()
-        self.entry.closing = True
+        self.entry.stop = stopping.Schedule.within(
+            self._options.bounds.grace_s, self._loop.time()
+        )
         self._loop.call_later(SERVE_ON_S, self._leave)
-        self.log.event("stop", active=self.entry.active, runs=self.gate.active)
+        self.log.event("stop", **self._work())
 
     def reload(self) -> None:
         """Apply the settings if they have changed.
@@ -192,6 +203,7 @@
         """Take no more calls from other hosts, and tell them."""
         self.gate.leave()
         self.peers.leave()
+        self.rates.host_stops(self._options.address)
 
     def published(self, changes: feed.Changes) -> None:
         """Apply what the platform has published."""
@@ -214,6 +226,7 @@
                 removed=list(changes.removed),
             )
             self._apply_instances(now)
+        self._share.confirm(now)
         self.entry.release()
 
     def source_state(self, reachable: bool, why: str) -> None:
@@ -249,8 +262,7 @@
 
     def newer_at(self, stream: t.Any, version: int) -> None:
         """Note that a peer has a newer configuration; ask it in a moment."""
-        if version > self.version:
-            self._loop.call_later(CATCH_UP_S, self._pull, stream, version)
+        self._catch_up.announced(stream, version)
 
     def asked(
         self, number: int, organisation: str, urgency: int
@@ -271,6 +283,7 @@
         now = self._loop.time()
         for name in self._at_address.get(address, ()):
             self.entry.placement.leaving(name, now)
+        self.rates.host_stops(address)
 
     def host_silent(self, address: str) -> None:
         """Send nothing new for a moment to a host that is silent."""
@@ -286,9 +299,14 @@
         """Take in what is known of a request that may crash upstreams."""
         self.crashes.told(state, fingerprint)
 
-    def _pull(self, stream: t.Any, version: int) -> None:
-        if version > self.version:
-            stream.send(frames.Kind.PULL)
+    def _in_region(self, address: str) -> bool:
+        regions = self._options.regions
+        return any(
+            regions.get(self._instances[name].data_centre)
+            == self._options.region
+            for name in self._at_address.get(address, ())
+            if name in self._instances
+        )
 
     def _apply_instances(self, now: float) -> None:
         instances = catalog.latest_starts(self._instances)
@@ -300,7 +318,7 @@
             if (instance.address, instance.port) == (own.host, own.port):
                 self.gate.queue.learn_slots(instance.slots)
         self._at_address = hosts
-        self.entry.repeats.learn_hosts(len(hosts))
+        self._share.learn(hosts, now)
         self.crashes.learn_hosts(hosts)
         self.rates.learn_instances(instances.values())
 
@@ -356,35 +374,38 @@
 
     async def _drain(self) -> None:
         """Answer what is in progress and what still comes, then end."""
-        began = self._stop_began
-        end = began + self._options.bounds.grace_s - STOP_MARGIN_S
-        quiet_since = self._loop.time()
-        while True:
-            await asyncio.sleep(TICK_S)
-            now = self._loop.time()
-            if self.entry.active or self.gate.active:
-                quiet_since = now
-            quiet = now - quiet_since > QUIET_S
-            if now >= end or (quiet and now - began > LINGER_MIN_S):
-                break
-        for server in self._servers:
-            server.close()
-        for connection in list(self._connections):
-            if connection.idle:
-                connection.close()
-        while self._loop.time() < end and self.entry.active:
-            await asyncio.sleep(TICK_S)
+        schedule = t.cast(stopping.Schedule, self.entry.stop)
+        stop = stopping.Stop(
+            schedule,
+            self.entry,
+            self.gate,
+            self.peers,
+            self._connections,
+        )
+        await stop.run(self._stop_listening)
+        left = self._work()
         for task in self._tasks:
             task.cancel()
         self.peers.close()
         self._upstream.close()
-        for connection in list(self._connections):
-            connection.close()
-        self.log.event("end", active=self.entry.active)
+        self.log.event("end", unread=len(self._connections), **left)
         self.log.flush()
         # Let the transports send what was written.
         await asyncio.sleep(TICK_S)
 
+    def _stop_listening(self) -> None:
+        for server in self._servers:
+            server.close()
+
+    def _work(self) -> dict[str, t.Any]:
+        """Return the fields of a line that tell what is in progress."""
+        return {
+            "active": self.entry.active,
+            "places": self.entry.progress.places(),
+            "gate_running": self.gate.queue.running,
+            "gate_waiting": self.gate.queue.waiting,
+        }
+
     def _add_gauges(self) -> None:
         add = self.counts.add_gauge
         add("configuration_version", lambda: self.version)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -13,6 +13,7 @@
 from savorytally.decisions import placement
 from savorytally.decisions import ratepool
 from savorytally.decisions import repeatbudget
+from savorytally.decisions import slackshare
 from savorytally.decisions import splits
 from savorytally.world import catalog
 
@@ -231,8 +232,9 @@
         known = lineage.Lineage()
         known.begin("page", 5.000, "first", 0.0)
         known.begin("page", 5.020, "second", 0.1)
-        parent = known.call("lookup", 4.9995, False, 0.2)
-        assert parent.owner == "first"
+        match = known.call(lineage.Seen("lookup", 4.9995, 4.8), 0.2)
+        assert match.parent.owner == "first"
+        assert match.how is lineage.How.EXACT
 
     def test_next_call_follows_the_last_answer(self):
         known = lineage.Lineage()
@@ -240,27 +242,35 @@
         known.begin("page", 6.0, "second", 0.1)
         first.calls = 1
         known.answered(first, True, 0.2)
-        assert known.call("lookup", 0.7, False, 0.201).owner == "first"
+        match = known.call(lineage.Seen("lookup", 0.7, 0.499), 0.201)
+        assert match.parent.owner == "first"
+        assert match.how is lineage.How.ORDER
 
     def test_callers_requests_are_not_taken_for_calls(self):
         known = lineage.Lineage()
         known.begin("page", 5.0, "first", 0.0)
-        assert known.call("page", 3.0, True, 0.1) is None
+        seen = lineage.Seen("page", 3.0, 2.9, exact_only=True)
+        assert known.call(seen, 0.1) is lineage.NO_MATCH
 
 
 class TestRepeatBudget:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_stays_within_the_bound_when_half_is_rejected(self, seed):
         source = random.Random(seed)
-        nodes = 5
+        names = [f"10.0.0.{number}" for number in range(5)]
+        shares = [
+            slackshare.SlackShare(50.0, name, 10.0, True) for name in names
+        ]
         budgets = [
-            repeatbudget.RepeatBudget(0.2, 50.0, 10.0) for _ in range(nodes)
+            repeatbudget.RepeatBudget(0.2, 10.0, share) for share in shares
         ]
-        for budget in budgets:
-            budget.learn_hosts(nodes)
+        for share in shares:
+            share.learn(names, -10.0)
         events = []
         now = 0.0
         while now < 40.0:
+            for share in shares:
+                share.confirm(now)
             now += source.expovariate(300.0)
             budget = source.choice(budgets)
             budget.first("almanac", now)
@@ -269,6 +279,7 @@
             while source.random() < 0.55:
                 if not budget.spend("almanac", claim, now):
                     break
+                budget.arrived("almanac", now)
                 events.append((now, True))
         for start in range(0, 30, 1):
             within = [
@@ -283,10 +294,16 @@
         first_come = self.chains(seed, lambda answered: 1.0)
         assert by_progress > 1.2 * first_come
 
+    def budget(self, slack):
+        """Return the budget of a host that shares with none."""
+        share = slackshare.SlackShare(slack, "10.0.0.1", 10.0, True)
+        share.learn(["10.0.0.1"], -10.0)
+        return repeatbudget.RepeatBudget(0.2, 10.0, share)
+
     def chains(self, seed, progress):
         """Return how many of 4,000 chains of four calls end well."""
         source = random.Random(seed)
-        budget = repeatbudget.RepeatBudget(0.2, 10.0, 10.0)
+        budget = self.budget(10.0)
         now = 0.0
         whole = 0
         for _ in range(4000):
@@ -297,13 +314,15 @@
                 claim = repeatbudget.Claim(progress=progress(answered))
                 while good and source.random() < 0.55:
                     good = budget.spend("almanac", claim, now)
+                    if good:
+                        budget.arrived("almanac", now)
                 if not good:
                     break
             whole += good
         return whole
 
     def test_urgent_requests_may_use_what_others_leave(self):
-        budget = repeatbudget.RepeatBudget(0.2, 0.0, 10.0)
+        budget = self.budget(0.0)
         for _ in range(1000):
             budget.first("almanac", 0.0)
         low = repeatbudget.Claim(urgency=2)
@@ -548,46 +567,81 @@
             taken += alone.take(Regions.growers, 16, now)
         assert 0 < taken <= 88.0 / 16 * 10
 
-    def test_lapsed_host_stays_keeper_until_it_leaves(self):
+    def test_lapsed_host_stays_keeper_until_it_stops(self):
         hosts = ratepool.Hosts("10.1.0.99", "up")
         everyone = {f"10.1.0.{number}": "low" for number in range(8)}
-        hosts.learn(everyone, (), 0.0)
+        hosts.learn(everyone, {}, 0.0)
         gone = ratepool.keeper("growers", everyone)
         rest = {name: "low" for name in everyone if name != gone}
-        hosts.learn(rest, (), 5.0)
+        hosts.learn(rest, {}, 5.0)
+        assert ratepool.keeper("growers", hosts.regions()["low"]) == gone
+        assert not hosts.refuses(gone)
+        hosts.learn(rest, {gone: "low"}, 6.0)
         assert ratepool.keeper("growers", hosts.regions()["low"]) == gone
-        hosts.learn(rest, {gone}, 6.0)
+        assert hosts.stops(gone)
+        assert ratepool.keeper("growers", hosts.regions()["low"]) != gone
+        hosts.learn(rest, {gone: "low"}, 7.0)
         assert ratepool.keeper("growers", hosts.regions()["low"]) != gone
 
     def test_lapsed_host_is_forgotten_after_a_time(self):
         hosts = ratepool.Hosts("a", "low")
-        hosts.learn({"a": "low", "b": "low"}, (), 0.0)
-        hosts.learn({"a": "low"}, (), ratepool.KEEPER_STAYS_S + 1)
+        hosts.learn({"a": "low", "b": "low"}, {}, 0.0)
+        hosts.learn({"a": "low"}, {}, ratepool.KEEPER_STAYS_S + 1)
         assert hosts.regions() == {"low": ["a"]}
 
     def test_host_that_leaves_asks_the_keeper_that_the_others_ask(self):
         everyone = {f"10.1.0.{number}": "low" for number in range(8)}
         leaver = ratepool.keeper("growers", everyone)
         rest = {name: "low" for name in everyone if name != leaver}
-        keepers = set()
-        for own in everyone:
-            hosts = ratepool.Hosts(own, "low")
-            hosts.learn(everyone, (), 0.0)
-            hosts.learn(rest, {leaver}, 1.0)
-            near = hosts.regions()["low"]
-            keepers.add(ratepool.keeper("growers", near))
-        assert len(keepers) == 1
-        assert leaver not in keepers
+        knowing = {own: ratepool.Hosts(own, "low") for own in everyone}
+        for hosts in knowing.values():
+            hosts.learn(everyone, {}, 0.0)
+        # Half of the hosts have not read the change of the list.
+        for own in sorted(everyone)[::2]:
+            knowing[own].learn(rest, {leaver: "low"}, 1.0)
+        assert self.keepers(knowing) == {leaver}
+        for hosts in knowing.values():
+            hosts.learn(rest, {leaver: "low"}, 6.0)
+            hosts.stops(leaver)
+        assert len(self.keepers(knowing)) == 1
+        assert leaver not in self.keepers(knowing)
+
+    def keepers(self, knowing):
+        """Return whom the hosts ask."""
+        return {
+            ratepool.keeper("growers", hosts.regions()["low"])
+            for hosts in knowing.values()
+        }
+
+    def test_host_that_joins_asks_one_that_drains_as_the_others_do(self):
+        hosts = ratepool.Hosts("b", "low")
+        hosts.learn({"b": "low"}, {"a": "low"}, 0.0)
+        assert hosts.regions() == {"low": ["a", "b"]}
+
+    def test_draining_host_that_takes_no_connection_keeps_nothing(self):
+        hosts = ratepool.Hosts("b", "low")
+        hosts.learn({"b": "low"}, {"a": "low"}, 0.0)
+        assert hosts.refuses("a")
+        assert hosts.regions() == {"low": ["b"]}
 
     def test_host_alone_that_leaves_is_its_own_keeper(self):
         hosts = ratepool.Hosts("a", "low")
-        hosts.learn({"a": "low"}, (), 0.0)
-        hosts.learn({"b": "up"}, {"a"}, 1.0)
+        hosts.learn({"b": "up"}, {"a": "low"}, 1.0)
+        assert hosts.stops("a")
         assert hosts.regions() == {"low": ["a"], "up": ["b"]}
 
     def test_host_that_comes_back_under_its_address_is_a_keeper(self):
         hosts = ratepool.Hosts("a", "low")
-        hosts.learn({"a": "low", "b": "low"}, {"a"}, 0.0)
+        hosts.learn({"a": "low"}, {"b": "low"}, 0.0)
+        hosts.stops("b")
+        hosts.learn({"a": "low", "b": "low"}, {"b": "low"}, 1.0)
+        assert hosts.regions() == {"low": ["a", "b"]}
+
+    def test_node_that_is_started_again_stays_a_keeper(self):
+        hosts = ratepool.Hosts("a", "low")
+        hosts.learn({"a": "low", "b": "low"}, {}, 0.0)
+        assert not hosts.stops("b")
+        assert not hosts.refuses("b")
         assert hosts.regions() == {"low": ["a", "b"]}
 
     def test_all_hosts_find_the_same_keeper(self):
@@ -650,6 +704,36 @@
             crash([7], now)
         assert known[1].refused_s(7, 3.0 + culprits.REFUSED_S) == 0.0
 
+    def test_news_that_cross_on_their_way_are_not_told_for_ever(self):
+        """A request is cleared while others are still told to suspect it."""
+        known = [culprits.Culprits() for _ in range(6)]
+        told = [
+            (0.0, 0, culprits.State.SUSPECT),
+            (0.0015, 1, culprits.State.CLEARED),
+        ]
+        heard = 0
+        while told and heard < 4 * len(known) ** 2:
+            heard += 1
+            at, host, state = heapq.heappop(told)
+            if known[host].learn(culprits.News(state, 7), at):
+                for other in range(len(known)):
+                    if other != host:
+                        heapq.heappush(told, (at + 0.001, other, state))
+        assert not told
+
+    def test_cleared_request_is_suspected_again_after_more_crashes(self):
+        known, crash = self.hosts()
+        for now in (1.0, 5.0):
+            crash([7], now)
+        news = known[1].answered(7)
+        for host in known:
+            host.learn(news, 6.0)
+        for now in (9.0, 12.0):
+            crash([7], now)
+        assert all(host.answered(7) is not None for host in known)
+        crash([7], 13.0)
+        assert all(host.refused_s(7, 13.0) > 60.0 for host in known)
+
     def test_same_request_has_the_same_fingerprint(self):
         def of(caller=b"growers", target=b"/a", body=b""):
             name = caller.decode()
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,685 @@
+"""Repeats over all hosts, chains included, against the users' bound."""
+
+import asyncio
+import bisect
+import collections
+import dataclasses
+import functools
+import heapq
+import random
+
+from fakes import mesh
+from fakes import net
+from fakes import repeats
+import pytest
+
+from savorytally.decisions import chainbudget
+from savorytally.decisions import lineage
+from savorytally.decisions import repeatbudget
+from savorytally.decisions import slackshare
+from savorytally.platform import headers
+
+TOP, DEEP = "drawers", "ledger"
+
+
+def config():
+    """Return a configuration with a service that only upstreams call."""
+    made = mesh.configuration(1)
+    made["routes"]["r-lookup"]["priority"] = 0
+    made["routes"]["r-ledger"] = mesh.route(DEEP, auth_exempt=True)
+    return made
+
+
+def of(there, service_name):
+    """Return the hosts of a service."""
+    return [host for host in there.hosts if host.service_name == service_name]
+
+
+def chain(there, calls, budget_ms=2000, named=True):
+    """Have each run at the top make calls of the deep service in turn.
+
+    Calls of a run after a request's first arrival say so in their name.
+
+    :param named: whether calls carry their parent's identifier.
+    """
+
+    def calling(host):
+        async def make(given):
+            loop = asyncio.get_running_loop()
+            left_s = int(given["x-savorytally-deadline-ms"]) / 1000
+            until = loop.time() + left_s
+            name = given["x-savorytally-attempt-id"]
+            arrivals = sum(
+                other.upstream.arrived.count(name) for other in of(there, TOP)
+            )
+            again = "-again" if arrivals > 1 else ""
+            for number in range(calls):
+                left_ms = int((until - loop.time()) * 1000)
+                at = int(loop.time() * 1e6)
+                made_by = f"{name}.{number}{again}-{at}"
+                if not named:
+                    made_by = made_by.replace(".", "-")
+                reply = await there.send(
+                    host,
+                    f"/{DEEP}/{number}",
+                    key=None,
+                    remaining_ms=max(1, min(left_ms, budget_ms)),
+                    request_id=made_by,
+                )
+                if getattr(reply, "status", 0) != 200:
+                    return 500
+            return 200
+
+        return make
+
+    for host in of(there, TOP):
+        host.upstream.calls = calling(host)
+
+
+def play(scenario, services, **changes):
+    """Run a scenario on a started mesh."""
+
+    async def work():
+        there = mesh.Mesh()
+        await there.start(services, config=config(), **changes)
+        return await scenario(there)
+
+    return net.run(work)
+
+
+def kill(there, host):
+    """End a node without a word."""
+    for task in host.node._tasks:
+        task.cancel()
+    for server in host.node._servers:
+        server.close()
+    for port in (mesh.ENTRY_PORT, mesh.READY_PORT, mesh.PEER_PORT):
+        there.net.reset(host.address, port)
+
+
+def observe(there, judge):
+    """Have a judge told of all requests and repeats.
+
+    Calls made by a repeated run count as repeats where they arrive.
+    """
+    loop = asyncio.get_running_loop()
+    seen = set()
+
+    def arrived(host, name, ran, given):
+        again = name in seen or "-again-" in name
+        seen.add(name)
+        if again:
+            judge.repeat(host.service_name, loop.time())
+        elif host.service_name == DEEP:
+            judge.request(DEEP, loop.time())
+
+    for host in there.hosts:
+        host.upstream.observed = functools.partial(arrived, host)
+    return seen
+
+
+def metric(there, series):
+    """Return a counter summed over all nodes."""
+    total = 0
+    for host in there.hosts:
+        for line in host.node.counts.render().decode().splitlines():
+            name, _, value = line.rpartition(" ")
+            if name == f"savorytally_{series}":
+                total += int(value)
+    return total
+
+
+def begin(known, deadline, name, now):
+    """Note a request that is handed to the upstream."""
+    return known.begin("page", deadline, name, now, name)
+
+
+def call(known, deadline, hint, left_ms, now):
+    """Return how a call is matched."""
+    named = hint.rpartition(b".")[0]
+    seen = lineage.Seen("lookup", deadline, left_ms / 1000, named)
+    return known.call(seen, now)
+
+
+class TestCounters:
+    @pytest.mark.parametrize("how", ["named", "order"])
+    def test_tell_first_arrivals_repeats_and_matched_calls(self, how):
+        async def scenario(there):
+            chain(there, calls=2, budget_ms=300, named=how == "named")
+            first = of(there, TOP)[0]
+            first.upstream.rejects = lambda: True
+            for _ in range(20):
+                await there.send(there.hosts[-1], f"/{TOP}/1")
+            sent = {
+                (service_name, kind): metric(
+                    there,
+                    f'sent_total{{service="{service_name}",kind="{kind}"}}',
+                )
+                for service_name in (TOP, DEEP)
+                for kind in ("first", "retry", "below_retry")
+            }
+            matched = metric(there, f'calls_matched_total{{how="{how}"}}')
+            arrived = [len(host.upstream.arrived) for host in there.hosts]
+            return sent, matched, arrived
+
+        sent, matched, arrived = play(
+            scenario, {TOP: ["low-a", "low-b"], DEEP: ["low-a"]}
+        )
+        assert sent[TOP, "first"] == 20
+        assert sent[TOP, "retry"] == arrived[0] + arrived[1] - 20 > 0
+        assert sent[DEEP, "below_retry"] == 2 * sent[TOP, "retry"]
+        assert sent[DEEP, "first"] + sent[DEEP, "below_retry"] == arrived[2]
+        assert matched == arrived[2]
+
+
+class TestBound:
+    """In any window, over all hosts, at every service."""
+
+    def hosts(self, source, services, per_s, seconds, **chain):
+        """Send requests for some time; return the fleet."""
+        fleet = repeats.Fleet(services, source)
+        fleet.learn(0.0)
+        now = 0.0
+        while now < seconds:
+            now += source.expovariate(per_s)
+            fleet.run(now, **chain)
+        return fleet
+
+    @pytest.mark.parametrize("calls", [1, 4])
+    @pytest.mark.parametrize("per_s", [5, 60])
+    def test_calls_below_a_repeat_are_within_the_bound(self, per_s, calls):
+        services = {"page": 6, "reserve": 5, "lookup": 6}
+        fleet = self.hosts(
+            random.Random(1),
+            services,
+            per_s,
+            40.0,
+            calls=calls,
+            rejected={"page": 0.5, "reserve": 0.1},
+        )
+        assert max(fleet.judge.excess().values()) <= 0
+        assert fleet.judge.repeats("page") > 0
+
+    @pytest.mark.parametrize(
+        "rejected",
+        [
+            {"checklist": 0.2},
+            {"checklist": 0.4},
+            {"ranges": 0.3},
+            {"species": 0.5},
+            {"species": 0.3, "checklist": 0.2},
+        ],
+    )
+    def test_chain_that_fans_out_at_its_end_is_within_the_bound(
+        self, rejected
+    ):
+        fleet = self.hosts(
+            random.Random(9),
+            {"species": 4, "sightings": 4, "ranges": 5, "checklist": 4},
+            50,
+            40.0,
+            calls={"species": 1, "sightings": 1, "ranges": 4},
+            rejected=rejected,
+        )
+        assert max(fleet.judge.excess().values()) <= 0
+        # A host learns from its first run what a route calls.
+        assert fleet.turned_away <= len(fleet.hosts)
+
+    @pytest.mark.parametrize("hosts", [68, 310])
+    def test_many_hosts_have_no_repeat_each(self, hosts):
+        fleet = self.hosts(
+            random.Random(2),
+            {"page": hosts},
+            hosts / 8,
+            30.0,
+            calls=0,
+            rejected={"page": 0.7},
+        )
+        assert fleet.judge.excess()["page"] <= 0
+
+    @pytest.mark.parametrize("part", [0.0, 0.2])
+    def test_list_that_shrinks_leaves_the_shares_as_they_were(self, part):
+        source = random.Random(3)
+        fleet = repeats.Fleet({"page": 17}, source)
+        now = 0.0
+        while now < 60.0:
+            now += source.expovariate(4.0)
+            # Entries lapse for ten seconds.
+            fleet.learn(now, part if 40.0 < now < 50.0 else 1.0)
+            fleet.run(now, calls=0, rejected={"page": 0.8})
+        assert fleet.judge.excess()["page"] <= 0
+
+    def test_node_without_a_list_takes_no_share(self):
+        source = random.Random(4)
+        fleet = repeats.Fleet({"page": 17}, source)
+        for number in range(300):
+            fleet.run(0.01 * number, calls=0, rejected={"page": 0.8})
+        assert fleet.judge.excess()["page"] <= 0
+
+    @pytest.mark.parametrize("every_s", [0.3, 1.0])
+    def test_nodes_that_start_anew_in_series_take_no_second_share(
+        self, every_s
+    ):
+        source = random.Random(5)
+        fleet = repeats.Fleet({"page": 5}, source)
+        fleet.learn(0.0)
+        now, next_s = 0.0, 30.0
+        while now < 60.0:
+            now += source.expovariate(6.0)
+            while now > next_s:
+                next_s += every_s
+                fleet.restart(source.choice(fleet.hosts), now)
+            fleet.run(now, calls=0, rejected={"page": 0.8})
+        assert fleet.judge.excess()["page"] <= 0
+
+    def test_repeats_that_are_held_up_arrive_within_the_bound(self):
+        source = random.Random(6)
+        fleet = repeats.Fleet({"page": 17}, source)
+        fleet.learn(0.0)
+        held = []
+        now = 0.0
+        while now < 50.0:
+            now += source.expovariate(400.0)
+            fleet.confirm(now)
+            sender = source.choice(fleet.hosts)
+            sender.budget.first("page", now)
+            fleet.judge.request("page", now)
+            # What is sent in four seconds arrives at their end.
+            delayed = 36.0 <= now < 40.0
+            if held and now >= 40.0:
+                for host in held:
+                    host.arrived("page", now)
+                    fleet.judge.repeat("page", now)
+                held = []
+            if not sender.repeat("page", now):
+                continue
+            if delayed:
+                held.append(sender)
+                continue
+            sender.arrived("page", now)
+            fleet.judge.repeat("page", now)
+        assert fleet.judge.excess()["page"] <= 0
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_load_in_bursts_and_delays_are_within_the_bound(self, seed):
+        source = random.Random(seed)
+        fleet = repeats.Fleet({"page": 4}, source)
+        fleet.learn(0.0)
+        delay_s = source.choice([0.05, 0.5, 3.0])
+        on_way = []
+        now, change, per_s = 0.0, 0.0, 0.0
+        while now < 80.0:
+            if now >= change:
+                change = now + source.uniform(0.5, 12.0)
+                per_s = source.choice([2.0, 20.0, 200.0])
+            now += source.expovariate(per_s)
+            fleet.confirm(now)
+            while on_way and on_way[0][0] <= now:
+                at, _, host = heapq.heappop(on_way)
+                host.arrived("page", at)
+                fleet.judge.repeat("page", at)
+            host = source.choice(fleet.hosts)
+            host.budget.first("page", now)
+            fleet.judge.request("page", now)
+            # Sends more than it may, whenever it may.
+            while host.repeat("page", now):
+                at = now + source.uniform(0.0, delay_s)
+                heapq.heappush(on_way, (at, source.random(), host))
+        assert fleet.judge.excess()["page"] <= 0
+        assert fleet.judge.repeats("page") > 500
+
+    def test_most_of_the_budget_is_used(self):
+        fleet = self.hosts(
+            random.Random(7),
+            {"page": 17},
+            100,
+            40.0,
+            calls=0,
+            rejected={"page": 0.6},
+        )
+        allowed = repeats.RATIO * 100 * 40 + 4 * repeats.SLACK
+        assert fleet.judge.repeats("page") > 0.7 * allowed
+
+
+class TestChainBudget:
+    def chain(self, firsts):
+        """Return a chain budget without slack, and its budget."""
+        share = slackshare.SlackShare(0, "10.0.0.1", 10.0, True)
+        share.learn(["10.0.0.1"], 0.0)
+        budget = repeatbudget.RepeatBudget(0.2, 10.0, share)
+        for _ in range(firsts):
+            budget.first("lookup", 0.0)
+        return chainbudget.ChainBudget(budget), budget
+
+    def test_calls_of_a_run_are_learned(self):
+        chain, _ = self.chain(0)
+        chain.ran("page", {}, True)
+        assert chain.expected("page") == {}
+        for _ in range(60):
+            chain.ran("page", {"lookup": 2}, True)
+            chain.ran("page", {"lookup": 1, "map": 1}, True)
+        assert chain.expected("page") == {"lookup": 2, "map": 1}
+        for _ in range(60):
+            chain.ran("page", {"lookup": 2}, True)
+        assert chain.expected("page") == {"lookup": 2}
+
+    def test_repeat_without_room_for_all_its_calls_is_not_run(self):
+        chain, _ = self.chain(50)
+        chain.ran("page", {"lookup": 3}, True)
+        assert chain.reserve("page", 0.1) is not None
+        # Five may be sent in all.
+        assert chain.reserve("page", 0.1) is None
+
+    def test_what_is_set_aside_is_called_or_given_back(self):
+        chain, budget = self.chain(50)
+        chain.ran("page", {"lookup": 5}, True)
+        reserved = chain.reserve("page", 0.1)
+        assert not chain.take(None, "lookup", 0.1)
+        assert chain.take(reserved, "lookup", 0.1)
+        budget.arrived("lookup", 0.2)
+        chain.release(reserved, 0.2)
+        taken = [chain.take(None, "lookup", 0.3) for _ in range(5)]
+        assert taken == [True] * 4 + [False]
+
+
+class Sharer:
+    """A host that uses its part of the slack as soon as it may."""
+
+    def __init__(self, name, first_start):
+        self.name = name
+        self.cut_until = 0.0
+        self.lapsed_until = 0.0
+        self.down_until = 0.0
+        self.start(first_start)
+
+    def start(self, first_start):
+        """Begin anew."""
+        self.share = slackshare.SlackShare(
+            WHOLE, self.name, repeats.WINDOW_S, first_start
+        )
+        self.view = frozenset()
+        self.sent = collections.deque()
+
+    def read(self, listed, now):
+        """Read the list unless it can't be reached."""
+        if now < self.cut_until:
+            return
+        if listed == self.view:
+            self.share.confirm(now)
+            return
+        self.view = listed
+        self.share.learn(listed, now)
+
+    def use(self, now):
+        """Return how many repeats the host sends now."""
+        while self.sent and now - self.sent[0] > repeats.WINDOW_S:
+            self.sent.popleft()
+        more = max(0, self.share.part(now) - len(self.sent))
+        self.sent.extend([now] * more)
+        return more
+
+
+WHOLE = 50
+
+
+class TestShares:
+    @pytest.mark.parametrize("seed", range(4))
+    def test_parts_add_up_to_the_whole_while_hosts_come_and_go(self, seed):
+        source = random.Random(seed)
+        hosts = [Sharer(f"10.0.0.{number}", True) for number in range(12)]
+        used = []
+        for tick in range(3000):
+            now = 0.2 * tick
+            up = [host for host in hosts if now >= host.down_until]
+            if source.random() < 0.05:
+                host = source.choice(up)
+                kind = source.randrange(5)
+                if kind == 0:
+                    host.cut_until = now + source.uniform(1.0, 90.0)
+                elif kind == 1:
+                    host.lapsed_until = now + source.uniform(1.0, 90.0)
+                elif kind == 2:
+                    host.start(first_start=False)
+                elif kind == 3 and len(hosts) < 40:
+                    hosts.append(Sharer(f"10.0.1.{tick}", False))
+                elif kind == 4:
+                    host.down_until = now + source.uniform(1.0, 90.0)
+                    host.lapsed_until = host.down_until
+                    host.start(first_start=False)
+            listed = frozenset(
+                host.name for host in hosts if now >= host.lapsed_until
+            )
+            for host in up:
+                host.read(listed, now)
+                used += [now] * host.use(now)
+        window_s = repeats.WINDOW_S - 0.1
+        most = max(
+            bisect.bisect_right(used, begin + window_s) - place
+            for place, begin in enumerate(used)
+        )
+        assert 0.5 * WHOLE < most <= WHOLE
+
+    @pytest.mark.parametrize("hosts", [1, 17, 68, 310])
+    def test_whole_is_dealt_at_any_number_of_hosts(self, hosts):
+        names = [f"10.0.{n % 4}.{n}" for n in range(hosts)]
+        parts = []
+        for name in names:
+            share = slackshare.SlackShare(WHOLE, name, 10.0, True)
+            share.learn(names, 0.0)
+            parts.append(share.part(0.0))
+        assert sum(parts) == WHOLE
+        assert max(parts) - min(parts) <= 1
+
+
+class TestNodes:
+    """Whole nodes, judged by what the upstreams have seen."""
+
+    def excess(self, trouble, per_s=2, seconds=40, calls=16, **chained):
+        """Return the most repeats beyond the bound, and what was served.
+
+        :param trouble: a coroutine function that harms the mesh meanwhile.
+        """
+        source = random.Random(8)
+        judge = repeats.Judge()
+
+        async def scenario(there):
+            loop = asyncio.get_running_loop()
+            chain(there, calls, **chained)
+            observe(there, judge)
+
+            def cut(connection, name, answer):
+                if source.random() < 0.8:
+                    connection.transport.abort()
+                else:
+                    connection.transport.write(answer)
+
+            for host in of(there, TOP):
+                host.upstream.fault = cut
+            harm = asyncio.ensure_future(trouble(there, source))
+            sent = []
+            end = loop.time() + seconds
+            while loop.time() < end:
+                await asyncio.sleep(source.expovariate(per_s))
+                judge.request(TOP, loop.time())
+                host = source.choice(there.hosts)
+                sent.append(
+                    asyncio.ensure_future(there.send(host, f"/{TOP}/1"))
+                )
+            harm.cancel()
+            replies = await asyncio.gather(*sent, return_exceptions=True)
+            return sum(getattr(got, "status", 0) == 200 for got in replies)
+
+        services = {
+            TOP: ["low-a", "low-b", "up-a", "low-a"] * 2,
+            DEEP: ["low-a", "low-b"],
+        }
+        served = play(scenario, services, slots=40)
+        return judge.excess(), served
+
+    async def calm(self, there, source):
+        """Harm nothing."""
+
+    async def cut_streams(self, there, source):
+        """Reset the streams to random nodes in series."""
+        while True:
+            await asyncio.sleep(source.uniform(0.1, 0.5))
+            host = source.choice(there.hosts)
+            there.net.reset(host.address, mesh.PEER_PORT)
+
+    async def kill_nodes(self, there, source):
+        """Kill random nodes in series and start them again."""
+        while True:
+            await asyncio.sleep(source.uniform(0.3, 1.2))
+            host = source.choice(there.hosts)
+            kill(there, host)
+            await asyncio.sleep(0.2)
+            await host.start_node(first_start=False)
+
+    @pytest.mark.parametrize("trouble", ["calm", "cut_streams", "kill_nodes"])
+    def test_calls_below_repeats_are_within_the_bound(self, trouble):
+        excess, served = self.excess(getattr(self, trouble))
+        assert max(excess.values()) <= 0
+        assert served > 0
+
+    def test_chain_of_a_repeat_is_seldom_cut_in_its_middle(self):
+        told = []
+
+        async def watch(there, source):
+            try:
+                await asyncio.sleep(1000.0)
+            finally:
+                for series in ("sent", "retries_refused"):
+                    series += f'_total{{service="{DEEP}",kind="below_retry"}}'
+                    told.append(metric(there, series))
+
+        excess, _ = self.excess(watch, per_s=8, calls=4)
+        sent, refused = told
+        assert max(excess.values()) <= 0
+        assert sent > 100
+        assert refused <= 0.05 * sent
+
+    def test_calls_that_name_no_parent_are_within_the_bound(self):
+        excess, served = self.excess(self.calm, named=False)
+        assert max(excess.values()) <= 0
+        assert served > 0
+
+    def test_calls_with_their_own_time_are_within_the_bound(self):
+        excess, served = self.excess(self.calm, budget_ms=300)
+        assert max(excess.values()) <= 0
+        assert served > 0
+
+
+class TestMatching:
+    """Calls and the requests that made them, on loops that are late."""
+
+    def share(self, lag_s, named, seed=0, budget_ms=700):
+        """Return the part of the calls that were matched rightly.
+
+        :param lag_s: the most by which a loop is late.
+        :param budget_ms: the most time that the calls have.
+        """
+        source = random.Random(seed)
+        known = lineage.Lineage()
+        events = []
+        for number in range(1500):
+            begun = source.uniform(0.0, 30.0)
+            events.append((begun, number, 0, 0.0))
+        parents, rightly, calls = {}, 0, 0
+        while events:
+            events.sort(reverse=True)
+            now, number, step, until = events.pop()
+            name = b"request-%d" % number
+            if step == 0:
+                left_s = int(source.uniform(300, 5000)) / 1000
+                # When the upstream has read it.
+                read = now + 0.0005 + source.random() * lag_s
+                parents[number] = begin(known, now + left_s, name, now)
+                until = read + left_s
+                now = read
+            elif step in (1, 3):
+                # The upstream makes a call; the node reads it later.
+                left_ms = min(int((until - now) * 1000), budget_ms)
+                if left_ms <= 0:
+                    known.end(parents[number], now)
+                    continue
+                seen = now + 0.0005 + source.random() * lag_s
+                events.append((seen, number, step + 0.5, (until, left_ms)))
+                continue
+            elif step in (1.5, 3.5):
+                until, left_ms = until
+                hint = name + b".%d" % step if named else b"other"
+                match = call(known, now + left_ms / 1000, hint, left_ms, now)
+                calls += 1
+                rightly += match.parent is parents[number]
+                done = now + source.uniform(0.01, 0.08)
+                events.append((done, number, step + 0.5, (match, until)))
+                continue
+            elif step in (2, 4):
+                match, until = until
+                if match.parent is not None:
+                    known.answered(match.parent, True, now)
+                now += 0.0005 + source.random() * lag_s
+            else:
+                known.end(parents[number], now)
+                continue
+            work_s = source.uniform(0.05, 0.2)
+            events.append((now + work_s, number, int(step) + 1, until))
+        return rightly / calls
+
+    @pytest.mark.parametrize("lag_ms", [0, 5, 20, 50])
+    def test_call_that_names_its_parent_is_matched_rightly(self, lag_ms):
+        assert self.share(lag_ms / 1000, named=True) == 1.0
+
+    def test_call_that_names_no_request_in_progress_is_told_by_time(self):
+        known = lineage.Lineage()
+        parent = begin(known, 5.0, b"here", 0.0)
+        gone = begin(known, 7.0, b"gone", 0.0)
+        known.end(gone, 0.5)
+        match = call(known, 5.0, b"gone.1", 4400, 0.6)
+        assert match == lineage.Match(parent, lineage.How.EXACT)
+
+    @pytest.mark.parametrize(
+        ("request_id", "parent"),
+        [
+            (b"b4dc4d77d0b1feaf", b""),
+            (b"b4dc4d77d0b1feaf.b8b390db", b"b4dc4d77d0b1feaf"),
+            (b"36e0.1f0f.9f75", b"36e0.1f0f"),
+            (b"", b""),
+        ],
+    )
+    def test_parent_is_read_from_the_identifier(self, request_id, parent):
+        assert headers.DIALECT.parent_of(request_id) == parent
+        silent = dataclasses.replace(headers.DIALECT, below=b"")
+        assert silent.parent_of(request_id) == b""
+
+    def test_calls_of_a_repeat_that_was_given_up_are_no_first_ones(self):
+        """Some upstreams work on when their connection has ended."""
+
+        async def scenario(there):
+            chain(there, calls=4)
+            first, second = of(there, TOP)
+            first.upstream.rejects = lambda: True
+            for host in of(there, DEEP):
+                host.upstream.work_s = 0.05
+            while not second.upstream.ran:
+                await there.send(
+                    there.hosts[-1], f"/{TOP}/1", leave_after_s=0.09
+                )
+                await asyncio.sleep(0.5)
+            arrived = len(first.upstream.arrived)
+            kind = f'sent_total{{service="{DEEP}",kind="first"}}'
+            made = len(of(there, DEEP)[0].upstream.arrived)
+            return arrived, made, metric(there, kind)
+
+        services = {TOP: ["low-a", "low-b"], DEEP: ["low-a"]}
+        arrived, made, first = play(scenario, services)
+        assert arrived
+        assert made > 1
+        assert first == 0
+
+    @pytest.mark.parametrize("lag_ms", [5, 20, 50])
+    def test_late_loop_hides_no_parent(self, lag_ms):
+        """A call's time seems to end after that of its parent."""
+        late = self.share(lag_ms / 1000, named=False, budget_ms=5000)
+        exact = self.share(0.0, named=False, budget_ms=5000)
+        assert late > 0.8 * exact
