Let the live test of stops and the soak share hosts and free networks

Cause: the soak's hosts and upstreams have new modules, on which the live test of planned stops was not built yet; two runs with seeds that are equal modulo 200 bound the same loopback addresses (OSError 98 in a run of the tests beside a soak).

Change: the test uses the soak's hosts by themselves; a run takes the first loopback network from its seed's on that nobody uses. Schedules are as before.

--- a/tests/test_planned_stop_live.py
+++ b/tests/test_planned_stop_live.py
@@ -16,10 +16,13 @@
 from savorytally.dataplane import pool
 from savorytally.world import catalog
 from tools import soak
+from tools import soak_hosts
+from tools import soak_record
 
 # Gives the addresses: runs side by side must not share them.
 SEED = 100 + os.getpid() % 50
 HOSTS = 3
+SERVICES = ("drawers", "desk")
 CALLERS = 6
 WORK_S = 0.1
 REMAINING_MS = 3000
@@ -27,24 +30,61 @@
 LARGE_BYTES = 24 << 20
 
 
-class Stops(soak.Soak):
+class Stops:
     """Stops one node twice over while callers go on.
 
     Each caller keeps its connection until the node closes it.
     """
 
-    def __init__(self):
-        super().__init__(SEED, HOSTS, seconds=6.5)
+    def __init__(self, folder):
+        net = soak.free_net(SEED)
+        self.seconds = 6.5
         self.arrived = set()
         self.broken = []
         self.answers = {}
         self.codes = []
         self.large = b""
+        self._store = mesh.Store()
+        self._store_address = f"{net}.4.1"
+        self.hosts = [
+            soak_hosts.Host(
+                net,
+                number,
+                SERVICES[number % len(SERVICES)],
+                "low-a",
+                folder,
+                soak.ROOT,
+                soak_record.Record({}),
+                False,
+            )
+            for number in range(HOSTS)
+        ]
 
-    def _observe(self, node):
-        node.upstream.observed = lambda name, ran, _: self.arrived.add(name)
-        node.upstream.work_s = WORK_S
-        node.upstream.fault = self._enlarge
+    async def run(self):
+        """Play the stops and the callers."""
+        await self._store.start(self._store_address)
+        self._store.put("op/config", mesh.configuration(1))
+        for host in self.hosts:
+            listed = host.entry()
+            upstream = mesh.Upstream(host.address, f"i-{host.number}")
+            upstream.observed = lambda name, ran, _: self.arrived.add(name)
+            upstream.work_s = WORK_S
+            upstream.fault = self._enlarge
+            await upstream.start()
+            self._store.put(f"servers/{upstream.instance_id}", listed)
+        try:
+            for host in self.hosts:
+                host.start()
+            async with asyncio.timeout(soak.START_TIMEOUT_S):
+                for host in self.hosts:
+                    while not await host.ready():
+                        await asyncio.sleep(0.1)
+            await asyncio.gather(self._callers(), self._faults())
+        finally:
+            for host in self.hosts:
+                host.signal(signal.SIGKILL)
+                if host.process is not None:
+                    host.process.wait()
 
     def _enlarge(self, connection, name, answer):
         if name == "large":
@@ -58,14 +98,14 @@
     async def _callers(self):
         await asyncio.gather(
             *(
-                self._call(node, f"{node.node}-{number}")
-                for node in self.nodes
+                self._call(host, f"{host.number}-{number}")
+                for host in self.hosts
                 for number in range(CALLERS)
             ),
-            self._read_slowly(self.nodes[0]),
+            self._read_slowly(self.hosts[0]),
         )
 
-    async def _call(self, node, prefix):
+    async def _call(self, host, prefix):
         loop = asyncio.get_running_loop()
         end = loop.time() + self.seconds
         number = 0
@@ -75,7 +115,7 @@
                 connection.open and connection.reusable
             ):
                 opened = loop.create_future()
-                address = options.Address(node.node, 8548)
+                address = options.Address(host.address, mesh.ENTRY_PORT)
                 pool.Pool(address).take(False, opened.set_result)
                 connection = await opened
             if connection is None:
@@ -99,12 +139,15 @@
     def _request(name, once):
         target = "/desk/1" if once else "/drawers/1"
         method, body = ("POST", b"lot") if once else ("GET", b"")
-        key = next(iter(soak.KEYS))
-        return mesh.request(target, method, name, REMAINING_MS, key, body, {})
+        return mesh.request(
+            target, method, name, REMAINING_MS, mesh.KEY, body, {}
+        )
 
-    async def _read_slowly(self, node):
+    async def _read_slowly(self, host):
         """Take a large answer only while the node stops."""
-        reader, writer = await asyncio.open_connection(node.node, 8548)
+        reader, writer = await asyncio.open_connection(
+            host.address, mesh.ENTRY_PORT
+        )
         writer.write(self._request("large", once=False))
         await asyncio.sleep(4.0)
         head = await reader.readuntil(b"\r\n\r\n")
@@ -113,20 +156,20 @@
         writer.close()
 
     async def _faults(self):
-        node = self.nodes[0]
+        host = self.hosts[0]
         await asyncio.sleep(0.5)
         for number in (signal.SIGHUP, signal.SIGTERM):
-            node.signal(number)
+            host.signal(number)
         await asyncio.sleep(0.5)
         for number in (signal.SIGTERM, signal.SIGHUP):
-            node.signal(number)
+            host.signal(number)
         loop = asyncio.get_running_loop()
-        self.codes.append(await loop.run_in_executor(None, node.process.wait))
+        self.codes.append(await loop.run_in_executor(None, host.process.wait))
 
 
 @pytest.mark.live
-def test_real_node_answers_all_that_it_passed_on_in_a_stop():
-    stops = Stops()
+def test_real_node_answers_all_that_it_passed_on_in_a_stop(tmp_path):
+    stops = Stops(tmp_path)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(stops.run())
     assert [name for name in stops.broken if name in stops.arrived] == []
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -14,6 +14,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -46,6 +47,26 @@
 # proxy, since this process would delay what passes through it.
 HOSTS_BUSY = 24
 CALLERS_OF_MANY = 2
+# Loopback networks of runs that may be on at the same time.
+NET_FIRST = 20
+NETS = 200
+
+
+def free_net(seed: int) -> str:
+    """Return the first two numbers of addresses that no other run uses.
+
+    :raises OSError: if there are none.
+    """
+    for offset in range(NETS):
+        net = f"127.{NET_FIRST + (seed + offset) % NETS}"
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((f"{net}.3.1", soak_hosts.STORE_PORT))
+            except OSError:
+                continue
+        return net
+    raise OSError("all loopback networks of the soak are in use")
 
 
 class Soak:
@@ -63,7 +84,7 @@
         quiet = seed // 5 % 3 == 2 or hosts > HOSTS_BUSY
         self.load = "quiet" if quiet else "busy"
         self.seconds = seconds
-        net = f"127.{20 + seed % 200}"
+        net = free_net(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         self.record = soak_record.Record(dict(KEYS))
         self.store = mesh.Store()
