--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,7 +4,7 @@
 before every node's peer port and before the store run in this process. A
 seed gives the schedule of faults. Every process is ended by its identifier.
 
-    python -m tools.soak --seeds 1-50 --hosts 6 --seconds 12
+    python -m tools.soak --seeds 1-50 --hosts 12 --seconds 12
 """
 
 import argparse
@@ -258,7 +258,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=seeds, required=True)
     parser.add_argument(
-        "--hosts", type=hosts, default=8, help="a number, or many"
+        "--hosts", type=hosts, default=12, help="a number, or many"
     )
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--tree", type=pathlib.Path, default=ROOT)
