Give final answers of a stop before a short grace ends

Callers saw connections end without an answer if the settings gave a stop a second or less: what was in progress got its final answer 1.05 s after the signal with a grace of 1.0 s, and 0.60 s with 0.5 s, after SIGKILL.

Cause: the time in which other hosts say what they have not begun was fixed at 0.15 s, while the rest of the schedule shrinks with the grace; and each wait ended up to one tick late.

Fix: that time is a part of the time for answers, and a wait ends when its time ends. At the users' grace of 6 s nothing changes but the tick.

Evidence: test_request_in_progress_is_answered_before_a_short_grace_ends failed before with 0.5 and 1.0 s, and passes with 0.5, 1.0 and 1.5 s.

--- a/src/savorytally/dataplane/stopping.py
+++ b/src/savorytally/dataplane/stopping.py
@@ -24,8 +24,10 @@
 ANSWERS_PART = 0.15
 # Part of that time in which the process itself ends.
 EXIT_PART = 0.4
-# Time in which other hosts say which calls they have not begun.
+# Time in which other hosts say which calls they have not begun, and its part
+# of the time for final answers if grace is short.
 RECALL_S = 0.15
+RECALL_PART = 0.25
 # Time in which the next process is likely to serve.
 RESTART_S = 0.5
 # Pause between two looks at what is in progress.
@@ -39,13 +41,16 @@
     :param began: the signal.
     :param noticed: from then on nothing is taken that could outlast the
         stop.
-    :param work_ends: what is still in progress gets its final answer.
+    :param work_ends: what is in progress is called back, and nothing more is
+        begun.
+    :param gives_up: what is still in progress gets its final answer.
     :param ends: the process ends, whether or not all answers were read.
     """
 
     began: float
     noticed: float
     work_ends: float
+    gives_up: float
     ends: float
 
     @classmethod
@@ -60,6 +65,7 @@
             began=now,
             noticed=now + min(NOTICE_S, work_s * NOTICE_PART),
             work_ends=now + work_s,
+            gives_up=now + work_s + min(RECALL_S, answers_s * RECALL_PART),
             ends=now + grace_s - answers_s * EXIT_PART,
         )
 
@@ -122,7 +128,7 @@
         # First, since a place that becomes free must start nothing.
         self._gate.dismiss()
         self._peers.recall()
-        await self._until(self._all_answered, work_ends + RECALL_S)
+        await self._until(self._all_answered, self._schedule.gives_up)
         self._entry.give_up()
         # In the same turn, so that nothing is read that nobody answers.
         stop_listening()
@@ -143,5 +149,8 @@
         return not self._connections and not self._gate.active
 
     async def _until(self, met: t.Callable[[], bool], end: float) -> None:
-        while not met() and self._loop.time() < end:
-            await asyncio.sleep(TICK_S)
+        while not met():
+            left_s = end - self._loop.time()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(TICK_S, left_s))
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -77,6 +77,28 @@
         took, status = stops.play(scenario, bounds=bounds)
         assert (2.5 < took < 3.0, status) == (True, 502)
 
+    @pytest.mark.parametrize("grace_s", [0.5, 1.0, 1.5])
+    def test_request_in_progress_is_answered_before_a_short_grace_ends(
+        self, grace_s
+    ):
+        async def scenario(there):
+            loop = asyncio.get_running_loop()
+            stops.work_s(there, 20.0)
+            host = stops.of(there, "desk")[0]
+            running = stops.later(there, host, "long")
+            await asyncio.sleep(0.1)
+            answered_at = []
+            running.add_done_callback(
+                lambda _: answered_at.append(loop.time())
+            )
+            began = loop.time()
+            await stops.stop(there, host)
+            return answered_at[0] - began, (await running).status
+
+        bounds = options.Bounds(grace_s=grace_s)
+        answered_s, status = stops.play(scenario, bounds=bounds)
+        assert (answered_s < grace_s, status) == (True, 502)
+
 
 class TestEnd:
     """What is still in progress when a stop must end."""
