Tell hosts that connect late that a keeper of rates stops

Two hosts granted from one organisation's rate: those that had heard of a stop asked the next keeper, while a host that opened its stream later went on to ask the stopping one, which granted from the same part of the rate until its process ended, up to 4.5 s later.

Cause: a node tells its stop once, 1.4 s after the signal, over the streams that are open then. Calls that come later are refused as by a leaving host; questions on rates were answered as before.

Fix: a stopping node repeats its news with each answer on a rate.

Evidence: test_keeper_that_stops_is_not_asked_by_hosts_that_connect_later failed before (the stopping keeper stayed the one that is asked).

--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -222,6 +222,9 @@
 
     def _on_ask(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         number, organisation, urgency = frame[1:4]
+        if self._gate.leaving:
+            # Streams that were opened since have not been told.
+            stream.send(frames.Kind.LEAVING)
         answer = self._owner.asked(number, organisation, urgency)
         stream.send(frames.Kind.GRANT, *answer)
 
--- a/tests/test_rate_keepers.py
+++ b/tests/test_rate_keepers.py
@@ -1,7 +1,10 @@
 """Rates while their keepers change soon after the first start."""
 
+import asyncio
 import random
 
+from fakes import mesh
+from fakes import net
 import pytest
 
 from savorytally.decisions import ratepool
@@ -148,3 +151,35 @@
     while late.grant("growers", 0, 4.0).granted:
         at_once += 1
     assert at_once <= (88.0 * 1.125 + 10) / 2 + 1
+
+
+def test_keeper_that_stops_is_not_asked_by_hosts_that_connect_later():
+    config = mesh.configuration(1)
+    config["tenants"]["growers"].update(rate_per_s=100, burst=100)
+
+    async def work():
+        there = mesh.Mesh()
+        await there.start({"drawers": ["low-a"] * 4}, config=config)
+        near = [host.address for host in there.hosts]
+        kept_by = ratepool.keeper("growers", near)
+        (stops,) = [host for host in there.hosts if host.address == kept_by]
+        others = [host for host in there.hosts if host is not stops]
+        entry = stops.entry(state="draining")
+        there.store.put(f"servers/{stops.instance_id}", entry)
+        await asyncio.sleep(1.0)
+        stops.node.stop()
+        # There is no stream when the others would be told.
+        await asyncio.sleep(1.39)
+        there.net.reset(kept_by, mesh.PEER_PORT)
+        await asyncio.sleep(0.05)
+        granted = []
+        for host in others:
+            host.node.rates.take("growers", 0, granted.append)
+        await asyncio.sleep(0.05)
+        asked = {host.node.rates._keeper("growers") for host in others}
+        return len(granted), asked, kept_by
+
+    granted, asked, stopped = net.run(work)
+    assert granted == 3
+    assert len(asked) == 1
+    assert stopped not in asked
