Use no connection on which an upstream sent bytes between requests

Callers of the product's own nodes could get the answer to another request: a second copy of an answer that came while its connection was idle was returned for the next request on it.

Cause: the HTTP library keeps such bytes and gives them to the parser of the next answer; only when a connection is given back does it look for them.

Fix: a connection with bytes that nobody asked for is closed and another one is taken, before a byte of the request is sent.

Evidence: test_second_answer_is_not_one_of_the_next_request failed before (b"whole" for b"other"). A copy that comes after the next request was sent can't be told from its answer here: answers on this path name no request.

--- a/src/savorytally/http/upstream.py
+++ b/src/savorytally/http/upstream.py
@@ -45,6 +45,11 @@
 
     async def connect(self, *args: t.Any, **kwargs: t.Any) -> t.Any:
         connection = await super().connect(*args, **kwargs)
+        # The library would take bytes that came while a connection was idle
+        # for the answer to the next request.
+        while connection.protocol.should_close:
+            connection.close()
+            connection = await super().connect(*args, **kwargs)
         _progress.get().connected = True
         return connection
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -162,6 +162,23 @@
         assert first.body == second.body == b"whole"
         assert script.connections == 2
 
+    def test_second_answer_is_not_one_of_the_next_request(self, run):
+        other = ANSWER.replace(b"whole", b"other")
+        script = Script((ANSWER, "open"), (other, "open"))
+
+        async def work():
+            client = upstream.HttpUpstream(await script.start())
+            first = await client.exchange(request(), 5.0)
+            script._writers[0].write(ANSWER)
+            await asyncio.sleep(0.05)
+            second = await client.exchange(request(), 5.0)
+            await client.close()
+            await script.stop()
+            return first.body, second.body
+
+        assert run(work()) == (b"whole", b"other")
+        assert (script.received, script.connections) == (2, 2)
+
 
 class TestWithdrawn:
     def test_cancelled_exchange_hangs_up(self, run):
