End a caller's connection only when it has read its last answer

Callers that read slowly and had sent a further request lost the end of an answer that a stopping node had given: the connection was reset in its middle.

Cause: with the last answer the connection was closed. What a caller has sent meanwhile is then never read, and a system that closes a connection with unread bytes resets it and drops what has not been received yet. The same held for refusals of bodies that are too large and of heads that are too slow.

Fix: after the last answer the node ends its own direction only, drops what still comes and waits for the caller to close, half a second at most after all is written. Requests behind a closing answer still count as not read. The network of the tests gets an end of one direction.

--- a/src/savorytally/dataplane/callers.py
+++ b/src/savorytally/dataplane/callers.py
@@ -31,6 +31,8 @@
 }
 # Requests of one connection that may be in progress; more are read later.
 PIPELINE_MAX = 64
+# Time after the last answer in which a caller should end its connection.
+LINGER_S = 0.5
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 Headers = list[tuple[bytes, bytes]]
@@ -161,6 +163,7 @@
         self._header_bytes = 0
         self._body_bytes = 0
         self._broken = False
+        self._hung_up = False
         self._paused = False
         self._loop = asyncio.get_running_loop()
         # Time of the first byte of an unfinished head, or of the last use.
@@ -197,7 +200,9 @@
         return False
 
     def pause_writing(self) -> None:
-        if self._transport is not None and not self._paused:
+        if self._broken or self._paused:
+            return
+        if self._transport is not None:
             self._paused = True
             self._transport.pause_reading()
 
@@ -288,7 +293,7 @@
 
     def close(self) -> None:
         """End the connection; what was written is still sent."""
-        if self._transport is not None:
+        if self._transport is not None and not self._hung_up:
             self._server.cut(self._requests)
             self._transport.close()
 
@@ -308,7 +313,31 @@
         if self._transport is not None:
             self._server.cut(self._requests)
             self._transport.write(b"".join(ready))
+            self._hang_up(self._transport)
+
+    def _hang_up(self, transport: asyncio.Transport) -> None:
+        """Send no more, and wait for the caller to end the connection.
+
+        If it were closed with bytes unread, the system would reset it and
+        drop what the caller has not received of the answer.
+        """
+        self._hung_up = True
+        if transport.is_closing():
+            return
+        transport.write_eof()
+        if self._paused:
+            self._paused = False
+            transport.resume_reading()
+        self._loop.call_later(LINGER_S, self._let_go)
+
+    def _let_go(self) -> None:
+        """End a connection that its caller has not ended."""
+        if self._transport is None:
+            return
+        if self.flushed:
             self._transport.close()
+        else:
+            self._loop.call_later(LINGER_S, self._let_go)
 
     def _count_header(self, size: int) -> None:
         self._header_bytes += size
--- a/tests/fakes/net.py
+++ b/tests/fakes/net.py
@@ -30,6 +30,8 @@
         self.lost = False
         # Closed here, but the other end has not read all yet.
         self.draining = False
+        # The other end sends no more, but what it sent is not read yet.
+        self.ends = False
         self.silent = False
         self.paused = False
         self.held: list[t.Any] = []
@@ -51,6 +53,8 @@
         held, self.held = self.held, []
         for data in held:
             self.protocol.data_received(data)
+        if self.ends:
+            self.finished()
         if self.other is not None and self.other.draining:
             self.other.draining = False
             self.other._end(None, lambda other: other.ended(None))
@@ -74,6 +78,19 @@
             return
         self._end(None, lambda other: other.ended(None))
 
+    def write_eof(self) -> None:
+        """End this direction in order."""
+        if not self.closed:
+            self._later(lambda other: other.finished())
+
+    def finished(self) -> None:
+        """Tell the protocol that the other end sends no more."""
+        self.ends = self.paused
+        if self.closed or self.paused:
+            return
+        if not self.protocol.eof_received():
+            self.close()
+
     def abort(self) -> None:
         """Reset: the other end loses the connection with an error."""
         self.draining = False
--- a/tests/test_planned_stop_live.py
+++ b/tests/test_planned_stop_live.py
@@ -10,9 +10,11 @@
 import pytest
 import uvloop
 
+from savorytally.dataplane import callers
 from savorytally.dataplane import exchanges
 from savorytally.dataplane import options
 from savorytally.dataplane import pool
+from savorytally.world import catalog
 from tools import soak
 
 # Gives the addresses: runs side by side must not share them.
@@ -135,6 +137,48 @@
     assert 200 in stops.answers.values()
 
 
+class StoppingServer:
+    """Answers each request at once; the node stops."""
+
+    limits = catalog.RequestLimits()
+    closing = True
+
+    def handle(self, request):
+        """Give a large answer."""
+        request.respond(200, [], bytes(LARGE_BYTES))
+
+    def cut(self, requests):
+        """Do nothing: requests behind a closing answer are not read."""
+
+
+@pytest.mark.live
+def test_last_answer_reaches_a_slow_reader_that_has_sent_more():
+    async def work():
+        loop = asyncio.get_running_loop()
+        connections = set()
+        server = await loop.create_server(
+            lambda: callers.CallerConnection(StoppingServer(), connections),
+            "127.0.0.1",
+        )
+        port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        data = mesh.request("/drawers/1", "GET", "one", 3000, None, b"", {})
+        for _ in range(2):
+            writer.write(data)
+            await asyncio.sleep(0.2)
+        head = await reader.readuntil(b"\r\n\r\n")
+        body = await reader.read()
+        writer.close()
+        await asyncio.sleep(callers.LINGER_S + 0.1)
+        server.close()
+        return head, len(body), len(connections)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        head, size, left = runner.run(work())
+    assert b"connection: close" in head
+    assert (size, left) == (LARGE_BYTES, 0)
+
+
 class TestReloadAtTheStart:
     """SIGHUP that comes before a node can take signals."""
 
