Ask another keeper of a rate once a drained host has gone

Callers of a host without a stream to a keeper of rates were refused with 429 below their organisation's limit after that keeper had been replaced.

Cause: a host that drains stays keeper until its node says that it stops or takes no connection. Its upstream's entry ends before its node does; from then on it counted as one that may only be cut off, which stays keeper for 20 s after it lapsed, and the host lived on the small part for those without a keeper.

Fix: a host that drained before its entry ended still keeps nothing once it takes no connection.

Evidence: test_drained_host_that_has_lapsed_and_gone_keeps_nothing failed before.

--- a/src/savorytally/decisions/ratepool.py
+++ b/src/savorytally/decisions/ratepool.py
@@ -86,7 +86,9 @@
             is also listed has come back under the same address.
         """
         self._listed = set(listed)
-        self._draining = set(draining) - self._listed
+        # Its entry ends before the node of a host that drains.
+        drained = self._draining & self._seen.keys()
+        self._draining = (drained | draining.keys()) - self._listed
         self._left &= self._draining | ({self._own} - self._listed)
         # Its own upstream may only not be listed yet, or have lapsed.
         running = {self._own: self._region, **draining, **listed}
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -624,6 +624,18 @@
         assert hosts.refuses("a")
         assert hosts.regions() == {"low": ["b"]}
 
+    def test_drained_host_that_has_lapsed_and_gone_keeps_nothing(self):
+        hosts = ratepool.Hosts("b", "low")
+        hosts.learn({"a": "low", "b": "low"}, {}, 0.0)
+        hosts.learn({"b": "low"}, {"a": "low"}, 1.0)
+        hosts.learn({"b": "low"}, {}, 4.0)
+        assert hosts.regions() == {"low": ["a", "b"]}
+        assert hosts.refuses("a")
+        assert hosts.regions() == {"low": ["b"]}
+        hosts.learn({"a": "low", "b": "low"}, {}, 5.0)
+        assert not hosts.refuses("a")
+        assert hosts.regions() == {"low": ["a", "b"]}
+
     def test_host_alone_that_leaves_is_its_own_keeper(self):
         hosts = ratepool.Hosts("a", "low")
         hosts.learn({"b": "up"}, {"a": "low"}, 1.0)
