Show that the product's entry resets last answers of a stop

A caller that reads slowly and has sent a further request gets the beginning of the answer only: the connection is reset within it.

Cause: as on the data plane, the entry closes the connection behind the last answer of a stop with bytes unread. The HTTP library waits for unread bodies, not for further requests.

Not mended here.

--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import socket
 
 import aiohttp
 from fakes import documents
@@ -161,3 +162,40 @@
             return found
 
         assert run(scenario()) == "close"
+
+    def test_answer_in_a_stop_reaches_a_slow_reader_that_has_sent_more(
+        self, run, free_port
+    ):
+        size = 1 << 20
+
+        async def scenario():
+            let_go = asyncio.Event()
+
+            async def handle(request):
+                await let_go.wait()
+                return outcomes.Answer(200, (), bytes(size))
+
+            entry = server.RequestServer(handle)
+            port = free_port()
+            await entry.start("127.0.0.1", port)
+            loop = asyncio.get_running_loop()
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 14)
+                caller.setblocking(False)
+                await loop.sock_connect(caller, ("127.0.0.1", port))
+                request = b"GET /sightings HTTP/1.1\r\nHost: a\r\n\r\n"
+                await loop.sock_sendall(caller, request)
+                async with asyncio.timeout(5):
+                    await peers.until(lambda: entry.active)
+                entry.leave()
+                let_go.set()
+                await asyncio.sleep(0.1)
+                await loop.sock_sendall(caller, request)
+                await asyncio.sleep(0.1)
+                read = 0
+                while piece := await loop.sock_recv(caller, 1 << 16):
+                    read += len(piece)
+            await entry.stop()
+            return read
+
+        assert run(scenario()) > size
