Keep more of the connections that carry idempotent requests only

Cause: at most 16 idle connections with ambiguous answers were kept, while as many as run side by side may become idle at once.

Change: 64 are kept, so that the bound is above the slots of most upstreams.

Measured: tests of the data plane and of promises pass; the trial was not repeated.

--- a/src/savorytally/dataplane/pool.py
+++ b/src/savorytally/dataplane/pool.py
@@ -15,7 +15,7 @@
 FRESH_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 # Idle connections with ambiguous answers that are kept.
-AMBIGUOUS_MAX = 16
+AMBIGUOUS_MAX = 64
 
 Opened = t.Callable[[exchanges.Connection | None], None]
 
