List an upstream that returns while it leaves as draining in the soak

Cause: the soak's own stand-in.

Evidence: the run's record (leave at 8.69 s, crash at 11.04 s) and the nodes' `hosts` lines (i-2 changed at 8.69 and again at 11.29 s).

Change: the entry says draining while the upstream leaves; the check is as it was. test_upstream_that_returns_while_it_leaves_is_not_listed_as_ready failed before.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,8 @@
 """The soak: its checks catch what they are for; a short seeded run."""
 
+import base64
 import dataclasses
+import json
 
 import pytest
 
@@ -250,6 +252,17 @@
 
 
 # Planned work only, then with harmed upstreams, then with all faults.
+def test_upstream_that_returns_while_it_leaves_is_not_listed_as_ready():
+    """Seed 81: work at an upstream that the list had called ready again."""
+    run = soak.Soak(81, 3, 1.0, soak.ROOT)
+    host = run.hosts[0]
+    for leaving, state in ((False, "ready"), (True, "draining")):
+        host.upstream.leaving = leaving
+        run.list_upstream(host)
+        value = run.store.items["servers/i-0"]["value"]
+        assert json.loads(base64.b64decode(value))["state"] == state
+
+
 @pytest.mark.live
 @pytest.mark.parametrize("seed", [5, 1, 9])
 def test_seeded_run_has_no_breach(seed, capsys):
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -166,7 +166,10 @@
 
     def list_upstream(self, host: soak_hosts.Host) -> None:
         """Write an upstream's entry to the store."""
-        self.store.put(f"servers/{host.upstream.instance_id}", host.entry())
+        state = "draining" if host.upstream.leaving else "ready"
+        self.store.put(
+            f"servers/{host.upstream.instance_id}", host.entry(state)
+        )
 
     def may_replace(self, host: soak_hosts.Host) -> bool:
         """Return whether others serve what a host's upstream serves."""
