End a connection of the product's entry once its answer was read

A caller that had sent a further request while a large last answer was on its way received a part of the answer and a reset.

Cause: aiohttp closes the transport with bytes of the caller unread, so that the system resets the connection and drops what was not received. Ruled out: the size of the answer and the stop itself; without the further request the answer arrives.

Change: the transport is closed for writing only, and goes on reading until the caller ends the connection or has read all; the stop waits for callers that still read, for 5 s at most.

--- a/src/savorytally/defaults.py
+++ b/src/savorytally/defaults.py
@@ -27,6 +27,8 @@
 ORPHAN_TIMEOUT_S = 3.0
 LEAVE_NOTICE_S = 1.0
 LINGER_S = 0.3
+# Time in which a caller must have read an answer that ends its connection.
+UNREAD_MAX_S = 5.0
 STOP_TIMEOUT_S = 32.0
 STREAM_CALLS_MAX = 2_000
 STREAM_BUFFER_BYTES = 1 << 20
--- a/src/savorytally/http/server.py
+++ b/src/savorytally/http/server.py
@@ -29,9 +29,67 @@
 )
 
 
+class _Lingering:
+    """A transport that closes once the caller has read its last answer.
+
+    If it were closed with bytes unread, the system would reset the
+    connection and drop what the caller has not received of the answer.
+
+    :param transport: the transport.
+    """
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._loop = asyncio.get_running_loop()
+        self._closed_at: float | None = None
+
+    def __getattr__(self, name: str) -> t.Any:
+        return getattr(self._transport, name)
+
+    def is_closing(self) -> bool:
+        """Return whether nothing more may be written."""
+        closed = self._closed_at is not None
+        return closed or self._transport.is_closing()
+
+    def close(self) -> None:
+        """Send no more, and wait for the caller to end the connection."""
+        if self.is_closing():
+            return
+        self._closed_at = self._loop.time()
+        if not self._transport.can_write_eof():
+            self._transport.close()
+            return
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._loop.call_later(defaults.LINGER_S, self._let_go)
+
+    def _let_go(self) -> None:
+        """Close, unless the caller still reads."""
+        closed_s = self._loop.time() - t.cast(float, self._closed_at)
+        if not self._transport.get_write_buffer_size():
+            self._transport.close()
+        elif closed_s < defaults.UNREAD_MAX_S:
+            self._loop.call_later(defaults.LINGER_S, self._let_go)
+        else:
+            logging.warning("closed on a caller that did not read its answer")
+            self._transport.abort()
+
+
 class _Connection(web.RequestHandler):
     """Answers what the library refuses with a numbered result."""
 
+    # The library's class has slots.
+    __slots__ = ("_sends_to",)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._sends_to = _Lingering(t.cast(asyncio.Transport, transport))
+        super().connection_made(t.cast(asyncio.Transport, self._sends_to))
+
+    @property
+    def unread(self) -> bool:
+        """Whether the caller has not received all that was written."""
+        return self._sends_to.get_write_buffer_size() > 0
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -120,11 +178,24 @@
         for site in list(self._runner.sites):
             await site.stop()
         loop = asyncio.get_running_loop()
-        end = loop.time() + defaults.LINGER_S
-        while self._server.connections and loop.time() < end:
+        began = loop.time()
+        while self._server.connections:
+            waited_s = loop.time() - began
+            if waited_s >= defaults.UNREAD_MAX_S:
+                break
+            if waited_s >= defaults.LINGER_S and not self._unread():
+                break
             await asyncio.sleep(_POLL_S)
         await self._runner.cleanup()
 
+    def _unread(self) -> bool:
+        """Return whether a caller has not received all of its answer."""
+        connections = t.cast(_Server, self._server).connections
+        return any(
+            t.cast(_Connection, connection).unread
+            for connection in connections
+        )
+
     async def _serve(self, incoming: web.BaseRequest) -> web.Response:
         if self._notice_ends_at is not None:
             return _close(outcomes.Failure(results.HOST_LEAVING))
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -199,3 +199,35 @@
             return read
 
         assert run(scenario()) > size
+
+    def test_end_waits_for_a_caller_that_still_reads_its_answer(
+        self, run, free_port
+    ):
+        size = 8 << 20
+
+        async def scenario():
+            async def handle(request):
+                return outcomes.Answer(200, (), bytes(size))
+
+            entry = server.RequestServer(handle)
+            port = free_port()
+            await entry.start("127.0.0.1", port)
+            loop = asyncio.get_running_loop()
+            with socket.socket() as caller:
+                caller.setblocking(False)
+                await loop.sock_connect(caller, ("127.0.0.1", port))
+                request = b"GET /sightings HTTP/1.1\r\nHost: a\r\n\r\n"
+                await loop.sock_sendall(caller, request)
+                read = len(await loop.sock_recv(caller, 1 << 16))
+                entry.leave()
+                ending = asyncio.ensure_future(entry.stop())
+                await asyncio.sleep(1.0)
+                ended_before = ending.done()
+                while piece := await loop.sock_recv(caller, 1 << 16):
+                    read += len(piece)
+            await ending
+            return ended_before, read
+
+        ended_before, read = run(scenario())
+        assert not ended_before
+        assert read > size
