Refuse late calls that are likely to outlast a planned stop

A call of a request in progress that came 4.7 s after the signal reached its upstream with 0.6 s left and was answered 504 by the node at 5.3 s, while the upstream was at work on it.

Cause: the calls of requests in progress were given whatever time was left.

Change: such a call is begun if the slowest recent answers of its route fit into the time that is left, with room of one half; a route that was never answered is taken to need 1 s. Otherwise it is refused as not run.

The mean time of answers was not used, since it begins slow calls too.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -10,6 +10,7 @@
 from ..decisions import comeback
 from ..decisions import placement
 from ..decisions import ratepool
+from ..decisions import slowest
 from ..decisions import splits
 from ..world import catalog
 from . import callers
@@ -83,6 +84,7 @@
         self.splits = splits.Splits(source)
         self._repeats = repeats.Repeats(own.budget, own, counts)
         self.backpressure = backpressure.Backpressure()
+        self._slowest = slowest.SlowestTimes()
         self.progress = progress.Progress(spoken, counts, log)
         # Set by the signal to stop.
         self.stop: stopping.Schedule | None = None
@@ -171,7 +173,9 @@
         call = self._begun(request, now)
         refused = self._terms.set(call, now)
         if refused is None and self.stop is not None:
-            refused = self.stop.refuse(call, now)
+            route = t.cast(catalog.Route, call.route)
+            needed_s = self._slowest.needed_s(route.name, now)
+            refused = self.stop.refuse(call, needed_s, now)
         refused = refused or self._shed(call, now)
         if refused is not None:
             self._fail(call, refused)
@@ -446,6 +450,8 @@
             self._gate.lineage.answered(call.parent, served, now)
         taken_s = now - call.started
         route = call.route.name if call.route is not None else ""
+        if not code.not_run:
+            self._slowest.note(route, taken_s, now)
         self._counts.ended(route, code, taken_s)
         if code.not_run:
             self._counts.not_run(call.ground)
--- a/src/savorytally/dataplane/stopping.py
+++ b/src/savorytally/dataplane/stopping.py
@@ -70,16 +70,18 @@
         )
 
     def refuse(
-        self, call: "calls.Call", now: float
+        self, call: "calls.Call", needed_s: float, now: float
     ) -> results.ResultCode | None:
         """Refuse a new request that might outlast the stop.
 
         The calls of requests in progress are work that was begun: they get
-        the time that is left.
+        the time that is left, if it is likely to be enough.
+
+        :param needed_s: time that the request is likely to need.
         """
         if now < self.noticed or call.deadline <= self.work_ends:
             return None
-        if not call.child or now >= self.work_ends:
+        if not call.child or now + needed_s > self.work_ends:
             return results.NODE_STOPPING
         call.deadline = self.work_ends
         return None
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -9,6 +9,7 @@
 from savorytally.dataplane import exchanges
 from savorytally.dataplane import options
 from savorytally.dataplane import stopping
+from savorytally.decisions import slowest
 
 
 class TestClosedLoop:
@@ -389,6 +390,49 @@
         assert "child" not in reached or found == [200]
 
 
+class TestTimeOfLateCalls:
+    """A late call is begun only if it is likely to end in the stop."""
+
+    def needed_s(self, answers, now):
+        times = slowest.SlowestTimes()
+        for took_s, at in answers:
+            times.note("r-lookup", took_s, at)
+        return times.needed_s("r-lookup", now)
+
+    def test_one_slow_answer_among_short_ones_is_reckoned_with(self):
+        answers = [(0.05, 0.0), (2.0, 1.0), *[(0.05, 1.5)] * 20]
+        assert self.needed_s(answers, 1.5) > 2.0
+
+    def test_slow_answer_of_long_ago_is_forgotten(self):
+        assert self.needed_s([(2.0, 0.0), (0.05, 60.0)], 60.0) < 0.1
+
+    def test_usually_short_call_is_begun_late_in_a_stop(self):
+        async def scenario(there):
+            host = stops.of(there, "desk")[0]
+            stops.of(there, "drawers")[0].upstream.work_s = 0.1
+            await there.send(host, key=None)
+            found = []
+
+            async def calls(given):
+                await asyncio.sleep(4.8)
+                left = int(given["x-savorytally-deadline-ms"]) - 4802
+                reply = await there.send(
+                    host, remaining_ms=left, key=None, request_id="child"
+                )
+                found.append(reply.status)
+                return reply.status
+
+            host.upstream.calls = calls
+            root = stops.later(there, host, "root", "POST", "/desk/1")
+            await asyncio.sleep(0.1)
+            await stops.stop(there, host)
+            return found, (await root).status
+
+        services = {"drawers": ["low-a"], "desk": ["low-a"]}
+        found = stops.play(scenario, services, open_to_all=True)
+        assert found == ([200], 200)
+
+
 class TestSignals:
     """Signals that come in series."""
 
