Let two hosts of a data centre read the store for all

Change: the hosts of a data centre have an order; the first two (one more for each 48 hosts) watch the store. Every other host follows two readers: it is sent what changed, from any revision it knows, and hears every 0.4 s that the reader still reads. A host that is asked to be followed reads. A reader that is silent for 1 s, stops, or is turned away by the store is left for the next in the order; a host that follows nobody for 0.3 s reads for itself, so that no reader is a single point. Configurations go from a reader to a follower compressed and at once; news of a version goes to four hosts, not to all.

Ruled out: one reader for each follower (a watch that is silent is noticed after 3 s), comparisons of whole lists for hosts in between (they leave out what was changed back; a property test plays readers in any order).

--- a/src/savorytally/dataplane/catchup.py
+++ b/src/savorytally/dataplane/catchup.py
@@ -45,17 +45,31 @@
         self._loop = asyncio.get_running_loop()
         self._announced: dict[Stream, int] = {}
         self._timer: asyncio.TimerHandle | None = None
+        # Whether the timer ends the wait for a peer's answer.
+        self._asking = False
 
-    def announced(self, stream: Stream, version: int) -> None:
-        """Note that a peer has a version; ask for it in a moment."""
+    def announced(
+        self, stream: Stream, version: int, at_once: bool = False
+    ) -> None:
+        """Note that a peer has a version; ask for it in a moment.
+
+        :param at_once: whether no other view will catch up.
+        """
         if version <= self._version():
             return
         self._announced[stream] = version
-        if self._timer is None:
+        if self._asking:
+            return
+        if at_once:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._ask()
+        elif self._timer is None:
             self._timer = self._loop.call_later(CATCH_UP_S, self._ask)
 
     def _ask(self) -> None:
         self._timer = None
+        self._asking = False
         known = self._version()
         self._announced = {
             stream: version
@@ -70,4 +84,5 @@
         )
         del self._announced[stream]
         stream.send(frames.Kind.PULL)
+        self._asking = True
         self._timer = self._loop.call_later(ANSWER_S, self._ask)
--- /dev/null
+++ b/src/savorytally/dataplane/following.py
@@ -0,0 +1,246 @@
+"""Reads the store with few hosts of a data centre, and tells the others.
+
+Each host says which hosts it follows. A host that is followed reads the
+store, sends its followers what has changed, and says often that it still
+reads.
+"""
+
+import asyncio
+import dataclasses
+import typing as t
+
+from ..decisions import changelog
+from ..decisions import readership
+from ..world import catalog
+from . import feed
+from . import frames
+from . import listing
+from . import streams
+
+# How often followers are told that this host reads.
+FRESH_S = 0.4
+# How often a host says that it follows, and how long that holds.
+FOLLOW_S = 1.5
+FOLLOW_HOLDS_S = 4.0
+# If this host was not on the processor for so long, it has not listened.
+LATE_S = 0.2
+
+
+class Carrier(t.Protocol):
+    """Sends control frames to other hosts."""
+
+    def send(self, address: str, kind: frames.Kind, *fields: t.Any) -> bool:
+        """Send a frame; return whether there was a way to do so."""
+
+    def reaches(self, address: str) -> bool:
+        """Return whether there is a stream to a host, or soon will be."""
+
+
+class Owner(t.Protocol):
+    """What takes publications, and holds the configuration."""
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force."""
+
+    def published(self, changes: feed.Changes) -> None:
+        """Apply a publication.
+
+        :raises listing.Gap: if something before it is missing.
+        """
+
+    def confirmed(self, at: float) -> None:
+        """Note that the list was the newest one at a time."""
+
+    def newer_at(self, stream: t.Any, version: int, at_once: bool) -> None:
+        """Note that a peer has a newer configuration."""
+
+
+class Following:
+    """The hosts that this one follows, and those that follow it.
+
+    :param own: the host's address.
+    :param carrier: sends frames to other hosts.
+    :param reading: reads the store while this host is to do so.
+    :param known: the list of upstreams.
+    :param owner: takes what the followed hosts tell.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        carrier: Carrier,
+        reading: feed.Feed,
+        known: listing.Listing,
+        owner: Owner,
+    ) -> None:
+        self._carrier = carrier
+        self._feed = reading
+        self._listing = known
+        self._owner = owner
+        self._loop = asyncio.get_running_loop()
+        self._readership = readership.Readership(own)
+        # Until when each follower is told.
+        self._followers: dict[streams.Stream, float] = {}
+        # When each followed host was last asked.
+        self._asked: dict[str, float] = {}
+        self._fresh_at = 0.0
+        self._ticked = self._loop.time()
+
+    @property
+    def followers(self) -> int:
+        """Hosts that follow this one."""
+        return len(self._followers)
+
+    def learn_hosts(self, addresses: t.Iterable[str]) -> None:
+        """Apply the hosts of the data centre."""
+        self._readership.learn_hosts(addresses)
+
+    def tick(self, now: float) -> None:
+        """Ask whom to follow, tell the followers, read if need be."""
+        if now - self._ticked > LATE_S:
+            self._readership.excuse(now)
+        self._ticked = now
+        self._follow(now)
+        self._followers = {
+            stream: until
+            for stream, until in self._followers.items()
+            if until > now and stream.open
+        }
+        if self._readership.reads(now):
+            self._feed.start()
+        else:
+            self._feed.stop()
+        if now >= self._fresh_at:
+            self.tell()
+
+    def tell(self) -> None:
+        """Tell the followers whether this host reads the store."""
+        now = self._loop.time()
+        self._fresh_at = now + FRESH_S
+        for stream in self._followers:
+            self._tell(stream, now)
+
+    def changed(self, change: changelog.Change) -> None:
+        """Send a change of the list to the followers."""
+        if self._followers:
+            frame = self._describe(change)
+            for stream in self._followers:
+                stream.send(frames.Kind.CHANGES, *frame)
+
+    def host_stops(self, address: str) -> None:
+        """Follow another host than one that stops."""
+        self._readership.lost(address, self._loop.time())
+
+    def followed_by(self, stream: streams.Stream, revision: int) -> None:
+        """Take in that a host follows this one.
+
+        :param revision: of the list that it knows.
+        """
+        now = self._loop.time()
+        self._followers[stream] = now + FOLLOW_HOLDS_S
+        self._readership.asked(now + FOLLOW_HOLDS_S)
+        self._feed.start()
+        if self._listing.revision is None:
+            return
+        missed = self._listing.since(revision)
+        if missed is None:
+            whole = self._listing.whole()
+            stream.send(frames.Kind.CHANGES, *self._describe(whole))
+        else:
+            for change in missed:
+                stream.send(frames.Kind.CHANGES, *self._describe(change))
+        self._tell(stream, now)
+
+    def told_fresh(
+        self,
+        stream: streams.Stream,
+        revision: int,
+        good: bool,
+        age_ms: int,
+        version: int,
+    ) -> None:
+        """Take in whether a followed host reads the store.
+
+        :param revision: of its list.
+        :param age_ms: time since the store confirmed it.
+        :param version: of its configuration.
+        """
+        now = self._loop.time()
+        self._readership.heard(stream.peer, good, now)
+        if not good:
+            return
+        known = self._listing.revision
+        if known is not None and revision <= known:
+            self._owner.confirmed(now - age_ms / 1000)
+        self._owner.newer_at(stream, version, True)
+
+    def told_changes(
+        self,
+        stream: streams.Stream,
+        after: int | None,
+        revision: int,
+        stepwise: bool,
+        version: int,
+        changed: list[list[t.Any]],
+        removed: list[str],
+    ) -> None:
+        """Take in what a followed host has read.
+
+        :param after: the earlier revision, ``None`` if it is the whole list.
+        """
+        instances = [catalog.Instance(*fields) for fields in changed]
+        found = {item.instance_id: item for item in instances}
+        changes = feed.Changes(
+            after, revision, None, found, tuple(removed), stepwise
+        )
+        try:
+            self._owner.published(changes)
+        except listing.Gap:
+            known = self._listing.revision or 0
+            stream.send(frames.Kind.FOLLOW, known)
+        self._owner.newer_at(stream, version, True)
+
+    def _follow(self, now: float) -> None:
+        follows = self._readership.follows(now)
+        self._asked = {
+            address: at
+            for address, at in self._asked.items()
+            if address in follows
+        }
+        for address in follows:
+            asked_at = self._asked.get(address)
+            if asked_at is not None and not self._carrier.reaches(address):
+                self._readership.lost(address, now)
+            elif asked_at is None or now - asked_at > FOLLOW_S:
+                self._asked[address] = now
+                revision = self._listing.revision or 0
+                sent = self._carrier.send(
+                    address, frames.Kind.FOLLOW, revision
+                )
+                if not sent:
+                    self._readership.lost(address, now)
+
+    def _tell(self, stream: streams.Stream, now: float) -> None:
+        if self._listing.revision is None:
+            return
+        stream.send(
+            frames.Kind.FRESH,
+            self._listing.revision,
+            self._feed.good,
+            int((now - self._feed.read_at) * 1000),
+            self._owner.version,
+        )
+
+    def _describe(
+        self, change: changelog.Change | feed.Changes
+    ) -> tuple[t.Any, ...]:
+        """Return the fields of a frame that tells of a change."""
+        return (
+            change.after,
+            change.revision,
+            change.stepwise,
+            self._owner.version,
+            [dataclasses.astuple(item) for item in change.changed.values()],
+            list(change.removed),
+        )
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -29,6 +29,9 @@
     DEMAND = 12
     CRASHED = 13
     CULPRIT = 14
+    FOLLOW = 15
+    FRESH = 16
+    CHANGES = 17
 
 
 class Flag:
--- /dev/null
+++ b/src/savorytally/dataplane/listing.py
@@ -0,0 +1,91 @@
+"""The list of upstreams as this node knows it."""
+
+from ..decisions import changelog
+from ..world import catalog
+from . import feed
+
+
+class Gap(Exception):
+    """Changes do not lead on from the revision that is known."""
+
+
+class Listing:
+    """The upstreams of all services up to a revision."""
+
+    def __init__(self) -> None:
+        self._revision: int | None = None
+        self._instances: dict[str, catalog.Instance] = {}
+        self._log = changelog.ChangeLog()
+
+    @property
+    def revision(self) -> int | None:
+        """Up to which it is complete, ``None`` before it was read."""
+        return self._revision
+
+    @property
+    def instances(self) -> dict[str, catalog.Instance]:
+        """The upstreams by their identifiers."""
+        return self._instances
+
+    def apply(self, changes: feed.Changes) -> changelog.Change | None:
+        """Take in what was published.
+
+        :return: what has changed; ``None`` if all was known.
+        :raises Gap: if something in between is missing.
+        """
+        known = self._revision
+        if changes.after is None:
+            if known is not None and changes.revision < known:
+                return None
+            return self._replace(changes)
+        if known is not None and changes.revision <= known:
+            return None
+        given = changelog.Change(
+            changes.after,
+            changes.revision,
+            changes.stepwise,
+            changes.changed,
+            changes.removed,
+        )
+        if known is None or not given.extends(known):
+            raise Gap(f"{known} is not within {given.after} and later")
+        for name in given.removed:
+            self._instances.pop(name, None)
+        self._instances.update(given.changed)
+        return self._note(known, given.revision, given)
+
+    def since(self, revision: int) -> list[changelog.Change] | None:
+        """Return the changes that lead on from a revision, if known."""
+        return self._log.since(revision)
+
+    def whole(self) -> feed.Changes:
+        """Return the whole list; it must have been read."""
+        assert self._revision is not None
+        return feed.Changes(None, self._revision, None, self._instances, ())
+
+    def _replace(self, changes: feed.Changes) -> changelog.Change:
+        known, self._revision = self._revision, changes.revision
+        before, self._instances = self._instances, dict(changes.changed)
+        change = changelog.Change(
+            known or 0,
+            changes.revision,
+            False,
+            {
+                name: item
+                for name, item in changes.changed.items()
+                if before.get(name) != item
+            },
+            tuple(name for name in before if name not in changes.changed),
+        )
+        self._log.note(change)
+        return change
+
+    def _note(
+        self, known: int, revision: int, given: changelog.Change
+    ) -> changelog.Change:
+        change = changelog.Change(
+            known, revision, given.stepwise, given.changed, given.removed
+        )
+        self._revision = revision
+        self._log.note(change)
+        return change
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import functools
+import random
 import typing as t
 
 from .. import results
 from ..world import catalog
+from . import following
 from . import frames
 from . import gate
 from . import streams
@@ -14,6 +16,9 @@
 # If the streams were not looked after for this long, this host itself has
 # not listened, and their silence says nothing.
 LATE_S = 0.2
+# Connected nodes that are told of a newer configuration at once; they tell
+# others.
+ANNOUNCED = 4
 
 _UNSENT = frames.Result(number=0, code=results.NOT_DISPATCHED.number)
 _UNKNOWN = frames.Result(
@@ -28,13 +33,19 @@
     def version(self) -> int:
         """Version of the configuration in force."""
 
-    def configuration(self) -> bytes:
-        """Return the configuration in force as it was published."""
+    @property
+    def following(self) -> following.Following:
+        """The hosts that this one follows, and those that follow it."""
+
+    def packed_configuration(self) -> bytes:
+        """Return the configuration in force, compressed."""
 
-    def learn_configuration(self, raw: bytes, origin: str) -> None:
-        """Put a configuration in force if it is newer."""
+    def learn_packed(self, packed: bytes) -> None:
+        """Put a peer's configuration in force if it is newer."""
 
-    def newer_at(self, stream: t.Any, version: int) -> None:
+    def newer_at(
+        self, stream: t.Any, version: int, at_once: bool = False
+    ) -> None:
         """Note that a peer has a newer configuration."""
 
     def asked(
@@ -67,10 +78,14 @@
     :param port: the peer port of all nodes.
     :param own: the gate that calls from other nodes go to.
     :param owner: holds the configuration.
+    :param source: random source.
     """
 
-    def __init__(self, port: int, own: gate.Gate, owner: Owner) -> None:
+    def __init__(
+        self, port: int, own: gate.Gate, owner: Owner, source: random.Random
+    ) -> None:
         self._port = port
+        self._random = source
         self._gate = own
         self._owner = owner
         self._loop = asyncio.get_running_loop()
@@ -108,8 +123,16 @@
         return stream
 
     def announce(self, version: int) -> None:
-        """Tell all connected nodes of a newer configuration."""
-        self.broadcast(frames.Kind.NEWS, version)
+        """Tell some connected nodes of a newer configuration."""
+        streams_up = [*self._accepted, *self._links.values()]
+        few = min(ANNOUNCED, len(streams_up))
+        for stream in self._random.sample(streams_up, few):
+            stream.send(frames.Kind.NEWS, version)
+
+    def reaches(self, address: str) -> bool:
+        """Return whether there is a stream to a host, or soon will be."""
+        link = self._links.get(address)
+        return link is not None and not link.unreached and not link.ended
 
     def broadcast(self, kind: frames.Kind, *fields: t.Any) -> None:
         """Send a control frame to all connected nodes."""
@@ -213,12 +236,23 @@
             stream.send(frames.Kind.NEWS, self._owner.version)
 
     def _on_pull(self, stream: streams.Stream, frame: list[t.Any]) -> None:
-        stream.send(frames.Kind.CONFIGURATION, self._owner.configuration())
+        packed = self._owner.packed_configuration()
+        stream.send(frames.Kind.CONFIGURATION, packed)
 
     def _on_configuration(
         self, stream: streams.Stream, frame: list[t.Any]
     ) -> None:
-        self._owner.learn_configuration(frame[1], "peer")
+        self._owner.learn_packed(frame[1])
+
+    def _on_follow(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        if not self._gate.leaving:
+            self._owner.following.followed_by(stream, int(frame[1]))
+
+    def _on_fresh(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        self._owner.following.told_fresh(stream, *frame[1:])
+
+    def _on_changes(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        self._owner.following.told_changes(stream, *frame[1:])
 
     def _on_ask(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         number, organisation, urgency = frame[1:4]
@@ -258,6 +292,9 @@
     frames.Kind.PULL: Peers._on_pull,
     frames.Kind.CONFIGURATION: Peers._on_configuration,
     frames.Kind.LEAVING: Peers._on_leaving,
+    frames.Kind.FOLLOW: Peers._on_follow,
+    frames.Kind.FRESH: Peers._on_fresh,
+    frames.Kind.CHANGES: Peers._on_changes,
     frames.Kind.ASK: Peers._on_ask,
     frames.Kind.GRANT: Peers._on_grant,
     frames.Kind.DEMAND: Peers._on_demand,
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -18,10 +18,13 @@
 from . import dialect
 from . import entry
 from . import feed
+from . import following
 from . import frames
 from . import gate
 from . import journal
+from . import listing
 from . import options
+from . import packing
 from . import peers
 from . import pool
 from . import rates
@@ -95,7 +98,7 @@
             self.log,
             self.counts,
         )
-        self.peers = peers.Peers(chosen.peer_port, self.gate, self)
+        self.peers = peers.Peers(chosen.peer_port, self.gate, self, rand)
         self.crashes.attach(self.peers)
         self.rates = rates.Rates(chosen, self.peers)
         self.entry = entry.Entry(
@@ -109,16 +112,20 @@
             rand,
         )
         pause_s = chosen.bounds.drain_s * WATCH_PAUSE_PART
+        self._listing = listing.Listing()
         self._feed = feed.Feed(source, self, rand, pause_s)
+        self.following = following.Following(
+            chosen.address, self.peers, self._feed, self._listing, self
+        )
         self._ready_path = spoken.ready_path
         self._catalog: catalog.Catalog | None = None
         self._raw = b""
+        self._packed = b""
         self._refused_raw = b""
-        self._instances: dict[str, catalog.Instance] = {}
         self._at_address: dict[str, list[str]] = {}
         self._catch_up = catchup.CatchUp(lambda: self.version, self._in_region)
-        self._listed = False
         self._reachable: bool | None = None
+        self._confirmed = float("-inf")
         self._connections: set[callers.CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[t.Any]] = []
@@ -133,9 +140,14 @@
     @property
     def ready(self) -> bool:
         """Whether callers should send requests."""
-        known = self._catalog is not None and self._listed
+        known = self._catalog is not None and self.revision is not None
         return known and not self._stopping.is_set()
 
+    @property
+    def revision(self) -> int | None:
+        """Up to which the list is complete, ``None`` before it was read."""
+        return self._listing.revision
+
     async def start(self) -> None:
         """Open the ports and begin to follow the publications.
 
@@ -155,8 +167,8 @@
         await self._listen(small_server, chosen.ready.host, chosen.ready.port)
         await self._listen(small_server, chosen.address, chosen.metrics_port)
         self._add_gauges()
+        self._feed.start()
         self._tasks = [
-            self._loop.create_task(self._feed.run()),
             self._loop.create_task(self._tick()),
         ]
         self.log.event("start", service=chosen.service)
@@ -210,30 +222,35 @@
         now = self._loop.time()
         if changes.configuration is not None:
             self.learn_configuration(changes.configuration, "store")
-        if changes.whole:
-            self._instances = dict(changes.changed)
-        else:
-            self._instances.update(changes.changed)
-            for name in changes.removed:
-                self._instances.pop(name, None)
-        self._listed = True
-        if changes.whole or changes.changed or changes.removed:
+        change = self._listing.apply(changes)
+        if change is not None and (change.changed or change.removed):
+            whole = changes.after is None
             self.log.event(
                 "hosts",
-                revision=changes.revision,
-                known=len(self._instances),
-                changed=sorted(changes.changed) if not changes.whole else [],
-                removed=list(changes.removed),
+                revision=change.revision,
+                known=len(self._listing.instances),
+                changed=sorted(change.changed) if not whole else [],
+                removed=list(change.removed),
             )
             self._apply_instances(now)
-        self._share.confirm(now)
+        if change is not None:
+            self.following.changed(change)
+        if self._feed.good:
+            self.confirmed(self._feed.read_at)
         self.entry.release()
 
+    def confirmed(self, at: float) -> None:
+        """Note that the list was the newest one at a time."""
+        if at > self._confirmed:
+            self._confirmed = at
+            self._share.confirm(at)
+
     def source_state(self, reachable: bool, why: str) -> None:
         """Note that the platform's store was lost or is back."""
         if reachable != self._reachable:
             self._reachable = reachable
             self.log.event("store", reachable=reachable, why=why)
+        self.following.tell()
 
     def learn_configuration(self, raw: bytes, origin: str) -> None:
         """Put a configuration in force if it is newer."""
@@ -247,7 +264,7 @@
             return
         if newest.version <= self.version:
             return
-        self._catalog, self._raw = newest, raw
+        self._catalog, self._raw, self._packed = newest, raw, b""
         self.entry.learn_catalog(newest)
         self.gate.health.learn_path(
             newest.health_paths.get(self._options.service, "")
@@ -256,13 +273,29 @@
         self.log.event("configuration", version=newest.version, origin=origin)
         self.peers.announce(newest.version)
 
-    def configuration(self) -> bytes:
-        """Return the configuration in force as it was published."""
-        return self._raw
+    def packed_configuration(self) -> bytes:
+        """Return the configuration in force, compressed."""
+        if not self._packed:
+            self._packed = packing.pack(self._raw)
+        return self._packed
 
-    def newer_at(self, stream: t.Any, version: int) -> None:
-        """Note that a peer has a newer configuration; ask it in a moment."""
-        self._catch_up.announced(stream, version)
+    def learn_packed(self, packed: bytes) -> None:
+        """Put a peer's configuration in force if it is newer."""
+        try:
+            raw = packing.unpack(packed)
+        except ValueError as error:
+            self.log.event("configuration_refused", why=str(error))
+            return
+        self.learn_configuration(raw, "peer")
+
+    def newer_at(
+        self, stream: t.Any, version: int, at_once: bool = False
+    ) -> None:
+        """Note that a peer has a newer configuration.
+
+        :param at_once: whether to ask it at once.
+        """
+        self._catch_up.announced(stream, version, at_once)
 
     def asked(
         self, number: int, organisation: str, urgency: int
@@ -284,6 +317,7 @@
         for name in self._at_address.get(address, ()):
             self.entry.placement.leaving(name, now)
         self.rates.host_stops(address)
+        self.following.host_stops(address)
 
     def host_silent(self, address: str) -> None:
         """Send nothing new for a moment to a host that is silent."""
@@ -301,15 +335,15 @@
 
     def _in_region(self, address: str) -> bool:
         regions = self._options.regions
+        listed = self._listing.instances
         return any(
-            regions.get(self._instances[name].data_centre)
-            == self._options.region
+            regions.get(listed[name].data_centre) == self._options.region
             for name in self._at_address.get(address, ())
-            if name in self._instances
+            if name in listed
         )
 
     def _apply_instances(self, now: float) -> None:
-        instances = catalog.latest_starts(self._instances)
+        instances = catalog.latest_starts(self._listing.instances)
         self.entry.placement.learn_instances(instances, now)
         own = self._options.upstream
         hosts: dict[str, list[str]] = {}
@@ -321,6 +355,12 @@
         self._share.learn(hosts, now)
         self.crashes.learn_hosts(hosts)
         self.rates.learn_instances(instances.values())
+        self.following.learn_hosts(
+            instance.address
+            for instance in instances.values()
+            if instance.ready
+            and instance.data_centre == self._options.data_centre
+        )
 
     def _readiness(self) -> tuple[int, bytes]:
         return (200, b"ready\n") if self.ready else (503, b"not ready\n")
@@ -343,6 +383,7 @@
             self.gate.tick()
             self.peers.tick(now)
             self.rates.tick(now)
+            self.following.tick(now)
             if now >= self._gossip_at:
                 spread = 0.5 + self._random.random()
                 self._gossip_at = now + GOSSIP_S * spread
@@ -355,7 +396,7 @@
         regions = self._options.regions
         near = [
             item.address
-            for item in self._instances.values()
+            for item in self._listing.instances.values()
             if regions.get(item.data_centre) == self._options.region
             and item.address != self._options.address
         ]
@@ -386,6 +427,7 @@
         left = self._work()
         for task in self._tasks:
             task.cancel()
+        self._feed.stop()
         self.peers.close()
         self._upstream.close()
         self.log.event("end", unread=len(self._connections), **left)
@@ -412,6 +454,8 @@
         add("gate_running", lambda: self.gate.queue.running)
         add("gate_waiting", lambda: self.gate.queue.waiting)
         add("gate_limit", lambda: self.gate.queue.limit)
-        add("upstreams", lambda: len(self._instances))
+        add("upstreams", lambda: len(self._listing.instances))
+        add("followers", lambda: self.following.followers)
+        add("reads_store", lambda: int(self._feed.good))
         add("requests_active", lambda: self.entry.active)
         add("log_lines_dropped", lambda: self.log.dropped)
--- a/src/savorytally/dataplane/streams.py
+++ b/src/savorytally/dataplane/streams.py
@@ -155,6 +155,11 @@
         """Whether the stream is up."""
         return self._stream is not None and self._stream.open
 
+    @property
+    def ended(self) -> bool:
+        """Whether there is no stream and none is being opened."""
+        return not self.open and self._connecting is None
+
     @property
     def unreached(self) -> bool:
         """Whether the host could not be reached when it was last tried."""
--- a/src/savorytally/platform/store.py
+++ b/src/savorytally/platform/store.py
@@ -52,7 +52,7 @@
             if not page.get("has_more") or not page["items"]:
                 break
             after = page["items"][-1]["key"]
-        return self._changes(items, revision, whole=True)
+        return self._changes(items, None, revision)
 
     async def changes(self, after: int, wait_s: float) -> feed.Changes:
         """Return what changed after a revision.
@@ -67,7 +67,7 @@
         }
         answer = await self._get("/-/kv-watch", query, wait_s + WATCH_MARGIN_S)
         revision = int(answer["current_rev"])
-        return self._changes(answer["events"], revision, whole=False)
+        return self._changes(answer["events"], after, revision)
 
     def close(self) -> None:
         """Close the connections."""
@@ -123,7 +123,7 @@
         return _body(path, result)
 
     def _changes(
-        self, items: list[dict[str, t.Any]], revision: int, whole: bool
+        self, items: list[dict[str, t.Any]], after: int | None, revision: int
     ) -> feed.Changes:
         configuration: bytes | None = None
         changed = {}
@@ -150,7 +150,7 @@
                 changed.pop(name, None)
                 removed.append(name)
         return feed.Changes(
-            revision, configuration, changed, tuple(removed), whole
+            after, revision, configuration, changed, tuple(removed)
         )
 
     def _value(self, key: str, item: dict[str, t.Any]) -> bytes | None:
--- a/tests/fakes/promises.py
+++ b/tests/fakes/promises.py
@@ -324,6 +324,7 @@
     node = host.node
     for task in node._tasks:
         task.cancel()
+    node._feed.stop()
     for server in node._servers:
         server.close()
     # What is left of it must not act on the ends of its connections.
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,386 @@
+"""Few hosts of a data centre read the store; the others follow them."""
+
+import asyncio
+
+from fakes import mesh
+from fakes import net
+from fakes import promises
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from savorytally.dataplane import feed
+from savorytally.dataplane import frames
+from savorytally.dataplane import listing
+from savorytally.dataplane import packing
+from savorytally.decisions import changelog
+from savorytally.decisions import readership
+from savorytally.world import catalog
+
+# In which a change is in force, as the users ask for in the first sites.
+IN_FORCE_S = 2.0
+
+
+def play(scenario, hosts=8, **changes):
+    """Run a scenario on a data centre whose hosts have found each other."""
+
+    async def work():
+        there = mesh.Mesh()
+        await there.start({"drawers": ["low-a"] * hosts}, **changes)
+        await asyncio.sleep(6)
+        return await scenario(there)
+
+    return net.run(work)
+
+
+def readers(there):
+    """Return the hosts that read the store."""
+    return [host for host in there.hosts if host.node._feed.good]
+
+
+def versions(hosts):
+    """Return the versions of the configuration in force."""
+    return {host.node.version for host in hosts}
+
+
+def silence_store(there, hosts):
+    """Have the store answer some hosts no more, old connections and new."""
+    for host in hosts:
+        host.calls_store._pool.take = lambda fresh, take: None
+        for transport in there.net.open[mesh.STORE.host, mesh.STORE.port]:
+            if transport.protocol in host.calls_store._pool._open:
+                transport.silent = True
+
+
+class TestReads:
+    """What the store is asked as the number of hosts grows."""
+
+    @pytest.mark.parametrize("hosts", [6, 24])
+    def test_two_hosts_read_for_all(self, hosts):
+        async def scenario(there):
+            before = len(there.store.calls)
+            for version in range(2, 12):
+                there.store.put("op/config", mesh.configuration(version))
+                await asyncio.sleep(1.0)
+            read = len(there.store.calls) - before
+            return len(readers(there)), versions(there.hosts), read
+
+        count, found, read = play(scenario, hosts)
+        assert (count, found) == (2, {11})
+        # Two readers, and at most two reads for each change.
+        assert read <= 2 * 2 * 10
+
+    def test_leaving_upstream_is_known_to_all(self):
+        async def scenario(there):
+            leaving = there.hosts[0]
+            there.store.put(
+                f"servers/{leaving.instance_id}",
+                leaving.entry(state="draining"),
+            )
+            await asyncio.sleep(IN_FORCE_S)
+            return {
+                host.node._listing.instances[leaving.instance_id].ready
+                for host in there.hosts
+            }
+
+        assert play(scenario) == {False}
+
+    def test_lost_history_of_the_store_is_bridged(self):
+        async def scenario(there):
+            there.store.delete(f"servers/{there.hosts[0].instance_id}")
+            there.store.forget()
+            there.net.reset(mesh.STORE.host, mesh.STORE.port)
+            await asyncio.sleep(IN_FORCE_S)
+            return {len(host.node._listing.instances) for host in there.hosts}
+
+        assert play(scenario) == {7}
+
+    def test_host_without_followers_and_rank_stops_reading(self):
+        async def scenario(there):
+            idle = next(
+                host for host in there.hosts if not host.node._feed.good
+            )
+            idle.node._feed.start()
+            await asyncio.sleep(1.0)
+            return idle.node._feed.good
+
+        assert play(scenario) is False
+
+
+class TestLoss:
+    """Readers that are killed, cut off, turned away or frozen."""
+
+    def after(self, harm, hosts=8):
+        """Harm a mesh, change the configuration; return the versions."""
+
+        async def scenario(there):
+            harmed = harm(there)
+            there.store.put("op/config", mesh.configuration(5))
+            await asyncio.sleep(IN_FORCE_S)
+            return versions(set(there.hosts) - set(harmed))
+
+        return play(scenario, hosts)
+
+    def test_all_readers_are_killed_at_once(self):
+        def harm(there):
+            killed = readers(there)
+            for host in killed:
+                promises.end(there.net, host)
+            return killed
+
+        assert self.after(harm) == {5}
+
+    def test_more_than_half_of_the_hosts_are_killed_at_once(self):
+        def harm(there):
+            killed = [*readers(there), *there.hosts[:5]]
+            for host in killed:
+                promises.end(there.net, host)
+            return killed
+
+        assert self.after(harm) == {5}
+
+    def test_all_readers_lose_power(self):
+        """Their connections are not ended, they only carry nothing."""
+
+        def harm(there):
+            dark = readers(there)
+            for host in dark:
+                there.net.silence(host.address, mesh.PEER_PORT)
+                there.net.unreachable.add((host.address, mesh.PEER_PORT))
+                host.node._feed.stop()
+                for task in host.node._tasks:
+                    task.cancel()
+                for link in host.node.peers._links.values():
+                    if link._stream is not None:
+                        link._stream._transport.silent = True
+            return dark
+
+        assert self.after(harm) == {5}
+
+    def test_one_reader_gets_no_answer_from_the_store(self):
+        """It does not notice for seconds that its watch is dead."""
+
+        def harm(there):
+            silence_store(there, readers(there)[:1])
+            return ()
+
+        assert self.after(harm) == {5}
+
+    def test_all_readers_are_turned_away_by_the_store(self):
+        def harm(there):
+            for host in readers(there):
+                host.calls_store._pool.take = lambda fresh, take: take(None)
+            there.net.reset(mesh.STORE.host, mesh.STORE.port)
+            return ()
+
+        assert self.after(harm) == {5}
+
+    def test_followers_of_silent_readers_read_for_themselves(self):
+        """Streams between hosts are cut, the store is reached by all."""
+
+        def harm(there):
+            for host in there.hosts:
+                there.net.silence(host.address, mesh.PEER_PORT)
+                there.net.unreachable.add((host.address, mesh.PEER_PORT))
+            return ()
+
+        assert self.after(harm) == {5}
+
+    def test_store_that_was_down_for_all_is_read_soon_after(self):
+        async def scenario(there):
+            there.store.status = 503
+            there.net.reset(mesh.STORE.host, mesh.STORE.port)
+            await asyncio.sleep(10)
+            there.store.put("op/config", mesh.configuration(5))
+            there.store.status = 0
+            await asyncio.sleep(IN_FORCE_S)
+            found = versions(there.hosts)
+            await asyncio.sleep(10)
+            return found, len(readers(there))
+
+        assert play(scenario) == ({5}, 2)
+
+    def test_reader_that_stops_is_left_at_once(self):
+        async def scenario(there):
+            stopping = readers(there)[0]
+            stopping.node._leave()
+            await asyncio.sleep(0.2)
+            return [
+                stopping.address in host.node.following._asked
+                for host in there.hosts
+                if host is not stopping
+            ]
+
+        assert not any(play(scenario))
+
+
+def instance(name, slots=1):
+    return catalog.Instance(name, "drawers", name, 1, "low-a", slots, True, 0)
+
+
+def change(after, revision, changed=(), removed=(), stepwise=True):
+    found = {item.instance_id: item for item in changed}
+    return feed.Changes(after, revision, None, found, tuple(removed), stepwise)
+
+
+class TestListing:
+    """Changes that are missed, come twice or come from another reader."""
+
+    def known(self, *changes):
+        made = listing.Listing()
+        made.apply(feed.Changes(None, 10, None, {"a": instance("a")}, ()))
+        for item in changes:
+            made.apply(item)
+        return made
+
+    def test_change_that_comes_twice_is_applied_once(self):
+        known = self.known(change(10, 12, [instance("b")]))
+        assert known.apply(change(10, 12, [instance("c")])) is None
+        assert set(known.instances) == {"a", "b"}
+
+    def test_change_that_leaves_a_gap_is_refused(self):
+        with pytest.raises(listing.Gap):
+            self.known(change(11, 12, [instance("b")]))
+
+    def test_comparison_of_states_is_not_applied_in_between(self):
+        """What was changed back in between would be missing from it."""
+        known = self.known(change(10, 11, [instance("a", 2)]))
+        with pytest.raises(listing.Gap):
+            known.apply(change(10, 12, stepwise=False))
+
+    def test_older_whole_list_changes_nothing(self):
+        known = self.known()
+        assert known.apply(feed.Changes(None, 9, None, {}, ())) is None
+        assert set(known.instances) == {"a"}
+
+    @hypothesis.given(st.data())
+    def test_followers_of_several_readers_hold_what_the_store_held(self, data):
+        """Any reader's changes, in any order, repeated and left out."""
+        names = st.sampled_from("abcd")
+        step = st.tuples(names, st.one_of(st.none(), st.integers(1, 3)))
+        written = data.draw(st.lists(step, min_size=1, max_size=12))
+        states = [{}]
+        for name, slots in written:
+            state = dict(states[-1])
+            state.pop(name, None)
+            if slots is not None:
+                state[name] = instance(name, slots)
+            states.append(state)
+        follower = listing.Listing()
+        follower.apply(feed.Changes(None, 0, None, {}, ()))
+        spans = st.tuples(
+            st.integers(0, len(written)), st.integers(0, len(written))
+        )
+        for one, other in data.draw(st.lists(spans, max_size=12)):
+            after, revision = sorted((one, other))
+            found = change(after, revision)
+            for name, slots in written[after:revision]:
+                found.changed.pop(name, None)
+                if slots is not None:
+                    found.changed[name] = instance(name, slots)
+            gone = {name for name, _ in written[after:revision]}
+            found = change(
+                after,
+                revision,
+                found.changed.values(),
+                gone - found.changed.keys(),
+            )
+            try:
+                follower.apply(found)
+            except listing.Gap:
+                pass
+            assert follower.instances == states[follower.revision]
+
+
+class TestChangeLog:
+    def log(self, *steps):
+        made = changelog.ChangeLog()
+        for after, revision, stepwise in steps:
+            made.note(changelog.Change(after, revision, stepwise, {}, ()))
+        return made
+
+    def test_what_leads_on_from_a_revision_is_returned(self):
+        log = self.log((1, 3, True), (3, 6, True), (6, 7, True))
+        assert [item.revision for item in log.since(4)] == [6, 7]
+        assert log.since(7) == []
+
+    def test_unknown_revisions_need_the_whole_list(self):
+        log = self.log((5, 6, True), (6, 9, False))
+        assert log.since(2) is None
+        assert log.since(7) is None
+
+    def test_memory_is_bounded(self):
+        log = changelog.ChangeLog()
+        entries = {f"i-{number}": None for number in range(100)}
+        for at in range(1_000):
+            log.note(changelog.Change(at, at + 1, True, entries, ()))
+        assert len(log._changes) <= changelog.ENTRIES_MAX / 100
+
+
+class TestReadership:
+    def test_readers_are_spread_where_there_are_many(self):
+        """A data centre of 480 hosts has ten readers."""
+        hosts = [f"10.1.0.{number}" for number in range(480)]
+        followed = {}
+        for own in hosts:
+            one = readership.Readership(own)
+            one.learn_hosts(hosts)
+            for address in one.follows(0.0):
+                followed[address] = followed.get(address, 0) + 1
+        assert len(followed) == 10
+        assert max(followed.values()) < 480 * 2 / 10 * 1.5
+
+    def test_own_pause_is_not_taken_for_the_readers_silence(self):
+        one = readership.Readership("own")
+        one.learn_hosts(["own", "a", "b", "c"])
+        for address in one.follows(0.0):
+            one.heard(address, True, 0.1)
+        before = one.follows(0.2)
+        one.excuse(9.0)
+        assert one.follows(9.0) == before
+
+    def test_silent_reader_is_tried_again_later(self):
+        one = readership.Readership("own")
+        one.learn_hosts(["own", *"abcdefgh"])
+        first = one.follows(0.0)[0]
+        times = [at / 10 for at in range(80)]
+        asked = [at for at in times if first in one.follows(at)]
+        assert min(at for at in asked if at > 1.0) < 6.0
+
+
+class TestPacking:
+    """Configurations that come from peers damaged or too large."""
+
+    def test_configuration_comes_back_whole(self):
+        raw = b'{"version":"r1"}' * 1000
+        assert packing.unpack(packing.pack(raw)) == raw
+
+    @pytest.mark.parametrize(
+        "packed",
+        [
+            b"",
+            b"no configuration",
+            packing.pack(bytes(1000))[:-1],
+            packing.pack(bytes(packing.UNPACKED_MAX_BYTES + 1)),
+        ],
+        ids=["empty", "garbled", "cut short", "too large"],
+    )
+    def test_bad_configuration_is_refused(self, packed):
+        with pytest.raises(ValueError, match="a peer's configuration"):
+            packing.unpack(packed)
+
+    def test_version_in_force_stays_when_a_peer_sends_a_bad_one(self):
+        async def scenario(there):
+            node = there.hosts[0].node
+            lines = []
+            node.log.event = lambda name, **fields: lines.append(name)
+            node.learn_packed(b"damaged")
+            return node.version, lines
+
+        assert play(scenario) == (1, ["configuration_refused"])
+
+
+def test_frame_of_a_change_is_small():
+    """Each change goes to every host of a data centre."""
+    fields = [[10, 12, True, 3, [], ["i-0123456789"]]]
+    assert len(frames.encode(frames.Kind.CHANGES, *fields[0])) < 32
