Break off answers that go beyond a bound

Cause: dataplane/exchanges.py read heads, interim answers, bodies, framing and trailers without bound; httptools collects a header line by appending.

Change: a head, the framing of a body, the number of headers and of interim answers and the body have bounds each; past one the connection ends at once, the request gets its result as after other broken answers, a log line says what came, a counter counts it. The bodies that are read at one time have an account for the process; past its limit the largest is given up. Pages of the store have a bound, too. Frames between nodes are checked by a table of types, documents of any form end as malformed.

Ruled out: a bound on what comes in one second, which would break off large answers.

--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -44,6 +44,7 @@
         self._not_run: collections.Counter[tuple[str, str]]
         self._not_run = collections.Counter()
         self._cut: collections.Counter[str] = collections.Counter()
+        self._broken: collections.Counter[str] = collections.Counter()
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
         self._gauges: dict[str, t.Callable[[], float]] = {}
@@ -94,6 +95,10 @@
         """Count a request whose connection was ended before its answer."""
         self._cut[where] += 1
 
+    def broken(self, how: str) -> None:
+        """Count an exchange that ended without a whole answer."""
+        self._broken[how] += 1
+
     def add_gauge(self, name: str, read: t.Callable[[], float]) -> None:
         """Add a value that is read when the metrics are asked for."""
         self._gauges[name] = read
@@ -118,6 +123,11 @@
             lines.append(
                 f'savorytally_requests_cut_total{{where="{where}"}} {count}'
             )
+        lines.append("# TYPE savorytally_answers_broken_total counter")
+        for how, count in sorted(self._broken.items()):
+            lines.append(
+                f'savorytally_answers_broken_total{{how="{how}"}} {count}'
+            )
         lines.append("# TYPE savorytally_request_seconds histogram")
         for route, buckets in sorted(self._buckets.items()):
             lines += self._histogram(route, buckets)
--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -3,16 +3,28 @@
 import asyncio
 import dataclasses
 import enum
+import logging
 import typing as t
 
 import httptools
 
+from ..decisions import memory
 from . import callers
 from . import sockets
 
 _READ_TO_END_STATUS = 200
 _NO_BODY = frozenset((204, 304))
 
+# Bounds of one answer; what goes beyond them is no answer of use.
+HEAD_MAX_BYTES = 1 << 16
+# Bytes of a body's framing for each byte of the body, beside the head.
+FRAMING_MAX = 16
+HEADERS_MAX = 256
+INTERIM_MAX = 16
+BODY_MAX_BYTES = 16 << 20
+# Bytes that are parsed at once, so that no bound is passed by far.
+PIECE_BYTES = 1 << 16
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
@@ -42,6 +54,11 @@
     RESET = "the connection ended before an answer"
     TRUNCATED = "the connection ended within the answer"
     GARBLED = "the bytes are no answer"
+    OVERSIZED = "the answer is larger than allowed"
+
+
+class _Oversized(Exception):
+    """An answer goes beyond a bound; the text says which."""
 
 
 Done = t.Callable[["Connection", Reply | Broken], None]
@@ -54,11 +71,24 @@
     An answer that is not wanted, such as a late one to an earlier request,
     is dropped; the connection is then not used again.
 
+    An answer that goes beyond a bound ends the connection at once.
+
     :param lost: called once when the connection has ended.
+    :param held: the account of the bodies that are being read.
     """
 
-    def __init__(self, lost: t.Callable[["Connection"], None]) -> None:
+    def __init__(
+        self,
+        lost: t.Callable[["Connection"], None],
+        held: memory.Held | None = None,
+    ) -> None:
         self._lost = lost
+        self._held = held or memory.Held()
+        # Of all that came for the request in progress.
+        self._read_bytes = 0
+        self._interim = 0
+        self._body_bytes = 0
+        self._broken_off = False
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._done: Done | None = None
@@ -114,6 +144,7 @@
         """
         self._done = done
         self._wanted = wanted
+        self._read_bytes = self._interim = 0
         self.uses += 1
         if self._transport is None:
             self._end(Broken.NOT_SENT)
@@ -124,9 +155,14 @@
         """End the connection at once, without a call of ``done``."""
         self._done = None
         self.reusable = False
+        self._let_go()
         if self._transport is not None:
             self._transport.abort()
 
+    def give_up(self) -> None:
+        """Break off the answer: the process holds too much."""
+        self._break_off(f"{self._body_bytes} bytes of a body, the largest")
+
     def close(self) -> None:
         """End an idle connection."""
         self.reusable = False
@@ -140,32 +176,87 @@
             # Bytes that belong to no request.
             self.abort()
             return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.reusable = False
-            if self._answer is None:
-                self._end(Broken.GARBLED)
-            if self._transport is not None:
-                self._transport.abort()
+        for start in range(0, len(data), PIECE_BYTES):
+            piece = data[start : start + PIECE_BYTES]
+            if self._parser is None or not self._parse(piece):
+                break
         # The next request must not meet what came behind this answer.
         self._deliver()
 
+    def _parse(self, data: bytes) -> bool:
+        """Take in a piece; return whether the connection goes on."""
+        try:
+            t.cast(httptools.HttpResponseParser, self._parser).feed_data(data)
+            self._read_bytes += len(data)
+            framing_bytes = self._read_bytes - self._body_bytes
+            if framing_bytes > HEAD_MAX_BYTES + FRAMING_MAX * self._body_bytes:
+                raise _Oversized(f"{framing_bytes} bytes beside the body")
+        except _Oversized as error:
+            self._break_off(str(error))
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            if isinstance(error.__context__, _Oversized):
+                self._break_off(str(error.__context__))
+            else:
+                self._garbled()
+        return self.open and not self._broken_off
+
+    def _garbled(self) -> None:
+        """End the connection: what came is no answer."""
+        self.reusable = False
+        if self._answer is None:
+            self._end(Broken.GARBLED)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _break_off(self, what: str) -> None:
+        """End the connection: its answer goes beyond a bound."""
+        logging.warning("answer of %s broken off: %s", self._peer(), what)
+        self._broken_off = True
+        self.reusable = False
+        if self._answer is None:
+            self._end(Broken.OVERSIZED)
+        self._let_go()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _peer(self) -> str:
+        """Return the other end's address."""
+        if self._transport is None:
+            return ""
+        host, port = self._transport.get_extra_info("peername")[:2]
+        return f"{host}:{port}"
+
+    def _let_go(self) -> None:
+        """Hold nothing of an answer any more."""
+        self._held.release(self)
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+
     def on_message_begin(self) -> None:
         if self._answer is not None:
             # Bytes that belong to no request.
             self.reusable = False
-        self._headers = []
-        self._body = []
+        self._let_go()
         self._in_message = True
         self._to_end = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if len(self._headers) >= HEADERS_MAX:
+            raise _Oversized(f"more than {HEADERS_MAX} headers")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         status = self._status()
-        if status < _READ_TO_END_STATUS or status in _NO_BODY:
+        if status < _READ_TO_END_STATUS:
+            self._interim += 1
+            if self._interim > INTERIM_MAX:
+                raise _Oversized(f"more than {INTERIM_MAX} interim answers")
+            return
+        if status in _NO_BODY:
             return
         names = {name for name, _ in self._headers}
         self._to_end = not (
@@ -173,7 +264,13 @@
         )
 
     def on_body(self, body: bytes) -> None:
+        if self._broken_off:
+            return
         self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > BODY_MAX_BYTES:
+            raise _Oversized(f"{self._body_bytes} bytes of a body")
+        self._held.grow(self, len(body))
 
     def on_message_complete(self) -> None:
         if self._status() < _READ_TO_END_STATUS:
@@ -214,6 +311,7 @@
     def _end(self, result: Reply | Broken) -> None:
         done, self._done = self._done, None
         self._wanted = None
+        self._held.release(self)
         self.last_used = self._loop.time()
         if done is not None:
             done(self, result)
--- a/src/savorytally/dataplane/following.py
+++ b/src/savorytally/dataplane/following.py
@@ -189,7 +189,10 @@
 
         :param after: the earlier revision, ``None`` if it is the whole list.
         """
-        instances = [catalog.Instance(*fields) for fields in changed]
+        try:
+            instances = [catalog.Instance(*fields) for fields in changed]
+        except TypeError as error:
+            raise frames.MalformedFrame(str(error)) from error
         found = {item.instance_id: item for item in instances}
         changes = feed.Changes(
             after, revision, None, found, tuple(removed), stepwise
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -124,6 +124,59 @@
     """Bytes on a stream that are no frame of this protocol."""
 
 
+# Types of the fields of each kind.
+_SHAPES: dict[int, tuple[type | tuple[type, ...], ...]] = {
+    Kind.CALL: (
+        *(int, str, str, bytes, bytes, list, bytes),
+        *(int, int, int, int, str, str, bytes),
+    ),
+    Kind.RESULT: (
+        *(int, int, int, list, bytes, int, bool),
+        *(int, int, bool, int, int, int),
+    ),
+    Kind.CANCEL: (int,),
+    Kind.PING: (),
+    Kind.PONG: (),
+    Kind.NEWS: (int,),
+    Kind.PULL: (),
+    Kind.CONFIGURATION: (bytes,),
+    Kind.LEAVING: (),
+    Kind.ASK: (int, str, int),
+    Kind.GRANT: (int, int, bool, int),
+    Kind.DEMAND: (str, dict),
+    Kind.CRASHED: (list,),
+    Kind.CULPRIT: (int, int),
+    Kind.FOLLOW: (int,),
+    Kind.FRESH: (int, bool, int, int),
+    Kind.CHANGES: ((int, type(None)), int, bool, int, list, list),
+}
+# Place of the headers in the frames that have them.
+_HEADERS = {Kind.CALL: 6, Kind.RESULT: 4}
+
+
+def _check(frame: t.Any) -> None:
+    """Make sure that a frame is one of this protocol.
+
+    :raises MalformedFrame: if it is not.
+    """
+    if not isinstance(frame, list) or not frame:
+        raise MalformedFrame("a frame is no array")
+    kind = frame[0]
+    shape = _SHAPES.get(kind) if isinstance(kind, int) else None
+    if shape is None:
+        raise MalformedFrame(f"kind {kind!r} is not known")
+    if len(frame) != len(shape) + 1:
+        raise MalformedFrame(f"kind {kind} with {len(frame) - 1} fields")
+    for value, wanted in zip(frame[1:], shape, strict=True):
+        if not isinstance(value, wanted):
+            raise MalformedFrame(f"kind {kind} with a field of another type")
+    for pair in frame[_HEADERS[kind]] if kind in _HEADERS else ():
+        match pair:
+            case [bytes(), bytes()]:
+                continue
+        raise MalformedFrame(f"kind {kind} with a header of another type")
+
+
 class Reader:
     """Cuts a stream into frames."""
 
@@ -146,8 +199,7 @@
         except (ValueError, msgpack.exceptions.UnpackException) as error:
             raise MalformedFrame(str(error)) from error
         for frame in frames:
-            if not isinstance(frame, list) or not frame:
-                raise MalformedFrame("a frame is no array")
+            _check(frame)
         return frames
 
 
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -47,6 +47,7 @@
     """
 
     __slots__ = (
+        "broken",
         "call",
         "connection",
         "deadline",
@@ -78,6 +79,8 @@
         # requests that its connection has carried.
         self.named: bool | None = None
         self.uses = 0
+        # How its answer broke, empty if it did not.
+        self.broken = ""
         # As what crashes of the upstream are related to it.
         self.ticket = 0
         self.state = State.WAITING
@@ -280,6 +283,8 @@
             if result is exchanges.Broken.NOT_SENT:
                 self._end(run, results.NOT_DISPATCHED, _Ground.NO_CONNECTION)
                 return
+            run.broken = result.value
+            self._counts.broken(result.name.lower())
             self._watch.broken(run.ticket)
             self._end(run, results.UPSTREAM_BROKEN)
             return
@@ -382,6 +387,7 @@
                 code=code.number,
                 outcome=code.name,
                 ground=ground.value if ground is not None else "",
+                broken=run.broken,
                 named=run.named,
                 uses=run.uses,
                 rank=call.rank,
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -196,7 +196,7 @@
     def _received(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         handle = _HANDLERS.get(frame[0])
         if handle is None:
-            raise frames.MalformedFrame(f"kind {frame[0]} is not known")
+            raise frames.MalformedFrame(f"kind {frame[0]} is not for a host")
         handle(self, stream, frame)
 
     def _on_call(self, stream: streams.Stream, frame: list[t.Any]) -> None:
--- a/src/savorytally/dataplane/pool.py
+++ b/src/savorytally/dataplane/pool.py
@@ -4,6 +4,7 @@
 import functools
 import typing as t
 
+from ..decisions import memory
 from . import exchanges
 from . import options
 
@@ -24,10 +25,14 @@
     """Connections to one server.
 
     :param address: the server.
+    :param held: the account of the answers that are being read.
     """
 
-    def __init__(self, address: options.Address) -> None:
+    def __init__(
+        self, address: options.Address, held: memory.Held | None = None
+    ) -> None:
         self._address = address
+        self._held = held or memory.Held()
         self._idle: list[exchanges.Connection] = []
         self._ambiguous: list[exchanges.Connection] = []
         self._open: set[exchanges.Connection] = set()
@@ -124,7 +129,9 @@
             opened(None)
 
     async def _connect(self, opened: Opened) -> None:
-        make = functools.partial(exchanges.Connection, self._open.discard)
+        make = functools.partial(
+            exchanges.Connection, self._open.discard, self._held
+        )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await self._loop.create_connection(
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from ..decisions import gatequeue
+from ..decisions import memory
 from ..decisions import repeatbudget
 from ..decisions import slackshare
 from ..world import catalog
@@ -75,7 +76,8 @@
         self._read = read_configuration
         self.log = journal.Journal(chosen.host_id, log_descriptor)
         self.counts = counters.Counters()
-        self._upstream = pool.Pool(chosen.upstream)
+        self._held = memory.Held.within(chosen.memory_bytes)
+        self._upstream = pool.Pool(chosen.upstream, self._held)
         self.crashes = crashwatch.CrashWatch(
             chosen.address, self._upstream, self.log
         )
@@ -459,3 +461,4 @@
         add("reads_store", lambda: int(self._feed.good))
         add("requests_active", lambda: self.entry.active)
         add("log_lines_dropped", lambda: self.log.dropped)
+        add("answers_held_bytes", lambda: self._held.total_bytes)
--- a/src/savorytally/platform/documents.py
+++ b/src/savorytally/platform/documents.py
@@ -1,7 +1,6 @@
 """What operator and upstreams write to the store, turned into our types."""
 
 import base64
-import binascii
 import json
 import typing as t
 
@@ -14,6 +13,15 @@
 # Upstreams write their entries below this prefix, each under its identifier.
 INSTANCE_PREFIX = "servers/"
 
+# What reading a document of any form may raise.
+_FAULTS = (
+    ArithmeticError,
+    AttributeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 _STATES = {"ready": True, "draining": False}
 
 
@@ -28,7 +36,7 @@
     """
     try:
         return base64.b64decode(item["value"], validate=True)
-    except (KeyError, TypeError, binascii.Error) as error:
+    except (KeyError, TypeError, ValueError) as error:
         raise Malformed(f"value: {error}") from error
 
 
@@ -59,7 +67,7 @@
         }
         place = "limits"
         limits = _limits(document.get("limits") or {})
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _FAULTS as error:
         raise Malformed(f"{place}: {error!r}") from error
     return catalog.Catalog(
         version, routes, keys, limits, bool(tenants), health_paths
@@ -90,9 +98,9 @@
             slots=slots,
             ready=_STATES[value["state"]],
             cold_s=durations.seconds(value.get("cold_remaining", "0ms")),
-            listed_at=created,
+            listed_at=int(created),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _FAULTS as error:
         raise Malformed(f"{key}: {error!r}") from error
 
 
--- a/src/savorytally/platform/store.py
+++ b/src/savorytally/platform/store.py
@@ -14,6 +14,8 @@
 
 # A read that was not answered in this time is given up.
 ANSWER_TIMEOUT_S = 2.0
+# Pages of a snapshot at most, of about 500 items each.
+PAGES_MAX = 400
 # Time beyond the asked one that a watch may take to answer.
 WATCH_MARGIN_S = 2.0
 _EVERYTHING = ""
@@ -41,18 +43,22 @@
         after = ""
         revision: int | None = None
         items: list[dict[str, t.Any]] = []
-        while True:
+        for _ in range(PAGES_MAX):
             query = {"prefix": _EVERYTHING, "after": after}
-            page = await self._get("/-/kv-range", query, ANSWER_TIMEOUT_S)
+            page = await self._get(
+                "/-/kv-range", "items", query, ANSWER_TIMEOUT_S
+            )
             if revision is None:
                 # Pages are no snapshot: what changes while they are read
                 # comes again with the watch from the first one's revision.
                 revision = int(page["current_rev"])
             items += page["items"]
             if not page.get("has_more") or not page["items"]:
-                break
+                return self._changes(items, None, revision)
+            if page["items"][-1]["key"] <= after:
+                raise feed.Unavailable(f"a page does not go on after {after}")
             after = page["items"][-1]["key"]
-        return self._changes(items, None, revision)
+        raise feed.Unavailable(f"more than {PAGES_MAX} pages")
 
     async def changes(self, after: int, wait_s: float) -> feed.Changes:
         """Return what changed after a revision.
@@ -65,7 +71,9 @@
             "after": str(after),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        answer = await self._get("/-/kv-watch", query, wait_s + WATCH_MARGIN_S)
+        answer = await self._get(
+            "/-/kv-watch", "events", query, wait_s + WATCH_MARGIN_S
+        )
         revision = int(answer["current_rev"])
         return self._changes(answer["events"], after, revision)
 
@@ -74,8 +82,13 @@
         self._pool.close()
 
     async def _get(
-        self, path: str, query: dict[str, str], timeout_s: float
+        self, path: str, table: str, query: dict[str, str], timeout_s: float
     ) -> dict[str, t.Any]:
+        """Read a page of a table.
+
+        :param table: the field that holds the items.
+        :raises feed.Unavailable: if there is no such answer.
+        """
         query = {name: value for name, value in query.items() if value}
         text = urllib.parse.urlencode(query, safe="/")
         loop = asyncio.get_running_loop()
@@ -120,7 +133,7 @@
         except asyncio.CancelledError:
             connection.abort()
             raise
-        return _body(path, result)
+        return _body(path, table, result)
 
     def _changes(
         self, items: list[dict[str, t.Any]], after: int | None, revision: int
@@ -163,7 +176,7 @@
     def _instance(self, key: str, item: dict[str, t.Any]) -> t.Any:
         try:
             body = documents.value_of(item)
-            return documents.instance(key, body, int(item.get("created", 0)))
+            return documents.instance(key, body, item.get("created", 0))
         except documents.Malformed as error:
             self._note_malformed(key, item, error)
             return None
@@ -178,7 +191,7 @@
 
 
 def _body(
-    path: str, result: exchanges.Reply | exchanges.Broken
+    path: str, table: str, result: exchanges.Reply | exchanges.Broken
 ) -> dict[str, t.Any]:
     if isinstance(result, exchanges.Broken):
         raise feed.Unavailable(f"{path}: {result.value}")
@@ -189,6 +202,8 @@
     try:
         value = json.loads(result.body)
         int(value["current_rev"])
-    except (ValueError, KeyError, TypeError) as error:
+        if not all(isinstance(item["key"], str) for item in value[table]):
+            raise ValueError("a key is no text")
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise feed.Unavailable(f"{path}: malformed answer") from error
     return value
--- /dev/null
+++ b/tests/test_endless.py
@@ -0,0 +1,420 @@
+"""Upstreams that send without end until their caller closes."""
+
+import asyncio
+import contextlib
+import logging
+import pathlib
+import resource
+import subprocess
+import sys
+import time
+
+from fakes import endless
+from fakes import mesh
+from fakes import net
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from savorytally.dataplane import exchanges
+from savorytally.dataplane import feed
+from savorytally.dataplane import frames
+from savorytally.dataplane import options
+from savorytally.dataplane import pool
+from savorytally.decisions import memory
+from savorytally.platform import documents
+from savorytally.platform import store
+
+CONNECTION_MAX_BYTES = 16 << 20
+PROCESS_MAX_BYTES = 64 << 20
+LATE_MAX_S = 0.02
+# Time in which bytes without end must be noticed as such.
+NOTICED_S = 2.0
+GET = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+def resident_bytes():
+    """Return the resident memory of this process."""
+    pages = pathlib.Path("/proc/self/statm").read_text().split()[1]
+    return int(pages) * resource.getpagesize()
+
+
+@contextlib.contextmanager
+def upstream(kind):
+    """Serve endless answers from another process; yield its address."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "fakes.endless", kind],
+        cwd=pathlib.Path(__file__).parent,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        yield options.Address("127.0.0.1", int(process.stdout.readline()))
+    finally:
+        process.kill()
+        process.wait()
+
+
+async def exchange(connections, wait_s=NOTICED_S):
+    """Send a request; return what came of it, ``None`` for nothing."""
+    opened = asyncio.get_running_loop().create_future()
+    connections.take(False, opened.set_result)
+    connection = await opened
+    ended = asyncio.get_running_loop().create_future()
+
+    def done(used, result):
+        connections.give(used)
+        ended.set_result(result)
+
+    connection.request(GET, lambda reply: True, done)
+    try:
+        async with asyncio.timeout(wait_s):
+            return await ended
+    except TimeoutError:
+        connection.abort()
+        return None
+
+
+async def watch(most):
+    """Note the largest memory, and by how much the loop was late.
+
+    Time in which other processes had the processor does not count.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        before, worked = loop.time(), time.process_time()
+        await asyncio.sleep(0.002)
+        late_s = loop.time() - before - 0.002
+        late_s = min(late_s, time.process_time() - worked)
+        most["late_s"] = max(most["late_s"], late_s)
+        most["bytes"] = max(most["bytes"], resident_bytes())
+
+
+def measured(kind, count):
+    """Exchange with an endless upstream; return results, growth, lateness."""
+
+    async def work(address):
+        held = memory.Held(memory.HELD_MAX_BYTES)
+        connections = pool.Pool(address, held)
+        before = resident_bytes()
+        most = {"bytes": before, "late_s": 0.0}
+        watching = asyncio.ensure_future(watch(most))
+        results = await asyncio.gather(
+            *(exchange(connections) for _ in range(count))
+        )
+        watching.cancel()
+        connections.close()
+        return results, most["bytes"] - before, most["late_s"], held
+
+    with upstream(kind) as address:
+        return asyncio.run(work(address))
+
+
+class TestConnection:
+    @pytest.mark.parametrize("kind", sorted(endless.KINDS))
+    def test_answer_without_end_is_broken_off(self, kind, caplog):
+        """One connection grew the process by up to 1.4 GB in 2 s."""
+        results, grown_bytes, late_s, held = measured(kind, 1)
+        assert len(results) == 1
+        assert isinstance(results[0], exchanges.Broken)
+        # The body, and the pieces that are parsed at the moment.
+        assert grown_bytes < CONNECTION_MAX_BYTES * 1.25
+        assert late_s < LATE_MAX_S
+        assert held.total_bytes == 0
+        if results[0] is exchanges.Broken.OVERSIZED:
+            assert "broken off" in caplog.text
+
+    def test_fifty_endless_answers_leave_room_for_others(self):
+        """Small answers beside them are whole."""
+
+        async def work(address):
+            held = memory.Held(memory.HELD_MAX_BYTES)
+            endless_ones = pool.Pool(address, held)
+            server = await asyncio.start_server(answer, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            small = pool.Pool(options.Address("127.0.0.1", port), held)
+            before = resident_bytes()
+            most = {"bytes": before, "late_s": 0.0}
+            watching = asyncio.ensure_future(watch(most))
+            bad = asyncio.gather(
+                *(exchange(endless_ones, 10.0) for _ in range(50))
+            )
+            good = []
+            while not bad.done():
+                good.append(await exchange(small, 5.0))
+            watching.cancel()
+            return await bad, good, most["bytes"] - before
+
+        async def answer(reader, writer):
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n"
+                    + bytes(1000)
+                )
+
+        with upstream("chunked body") as address:
+            bad, good, grown_bytes = asyncio.run(work(address))
+        assert set(bad) == {exchanges.Broken.OVERSIZED}
+        assert good
+        assert {reply.status for reply in good} == {200}
+        assert grown_bytes < PROCESS_MAX_BYTES
+
+    def test_large_answer_within_the_bound_is_whole(self):
+        body = bytes(exchanges.BODY_MAX_BYTES - 1)
+
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+                + body
+            )
+
+        async def work():
+            server = await asyncio.start_server(answer, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            connections = pool.Pool(options.Address("127.0.0.1", port))
+            reply = await exchange(connections, 10.0)
+            connections.close()
+            return reply
+
+        assert asyncio.run(work()).body == body
+
+    def test_body_in_chunks_of_one_byte_is_whole(self):
+        def feed(connection):
+            connection._parse(
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+            )
+            for _ in range(1 << 14):
+                connection._parse(b"1\r\na\r\n")
+            connection._parse(b"0\r\n\r\n")
+            connection._deliver()
+
+        assert parsed(feed)[0].body == b"a" * (1 << 14)
+
+
+class Transport:
+    """Notes how a connection was ended."""
+
+    def __init__(self):
+        self.ended = False
+
+    def get_extra_info(self, name):
+        return ("10.1.0.1", 80) if name == "peername" else None
+
+    def write(self, data):
+        pass
+
+    def is_closing(self):
+        return self.ended
+
+    def abort(self):
+        self.ended = True
+
+    close = abort
+
+
+def parsed(feed):
+    """Feed a connection that waits for an answer; return what came of it."""
+
+    async def work():
+        found = []
+        connection = exchanges.Connection(lambda used: None)
+        connection.connection_made(Transport())
+        connection.request(
+            GET, lambda reply: True, lambda used, result: found.append(result)
+        )
+        feed(connection)
+        return found
+
+    return asyncio.run(work())
+
+
+class TestAccount:
+    class Holder:
+        def __init__(self, held):
+            self.held = held
+            self.given_up = False
+
+        def give_up(self):
+            self.given_up = True
+            self.held.release(self)
+
+    def test_largest_goes_first(self):
+        held = memory.Held(100)
+        small, large = self.Holder(held), self.Holder(held)
+        held.grow(small, 30)
+        held.grow(large, 60)
+        held.grow(small, 20)
+        assert (small.given_up, large.given_up) == (False, True)
+        assert held.total_bytes == 50
+
+    def test_limit_follows_the_processes_memory(self):
+        held = memory.Held.within(40 << 20)
+        held.grow(self.Holder(held), 10 << 20)
+        assert held.total_bytes == 10 << 20
+        held.grow(self.Holder(held), 1)
+        assert held.total_bytes <= 10 << 20
+
+
+class TestNode:
+    """A request to such an upstream gets its truthful result in time."""
+
+    def outcome(self, begin, more):
+        """Return the status that the caller gets, and the log lines."""
+
+        async def scenario(there):
+            host = there.hosts[0]
+            lines = []
+            host.node.log.event = lambda name, **fields: lines.append(
+                (name, fields)
+            )
+
+            def arrive(connection):
+                connection.transport.write(begin)
+                for _ in range(400):
+                    connection.transport.write(more)
+
+            host.upstream._arrive = arrive
+            upstream = host.upstream
+            there.net.servers[upstream.address, mesh.UPSTREAM_PORT] = lambda: (
+                mesh.HttpServer(arrive)
+            )
+            reply = await there.send(host, method="POST", target="/desk/1")
+            served = await there.send(there.hosts[1])
+            metrics = host.node.counts.render()
+            return reply.status, served.status, lines, metrics
+
+        async def work():
+            there = mesh.Mesh()
+            await there.start({"desk": ["low-a"], "drawers": ["low-a"]})
+            return await scenario(there)
+
+        return net.run(work)
+
+    @pytest.mark.parametrize("kind", ["chunked body", "many headers"])
+    def test_request_that_may_have_run_is_not_said_not_to_have(self, kind):
+        status, served, lines, metrics = self.outcome(*endless.KINDS[kind])
+        assert (status, served) == (502, 200)
+        told = [fields for name, fields in lines if name == "gate"]
+        assert told[0]["broken"] == exchanges.Broken.OVERSIZED.value
+        assert b'savorytally_answers_broken_total{how="oversized"} 1' in (
+            metrics
+        )
+
+
+class TestStore:
+    """A store that sends without end, or pages without end."""
+
+    def read(self, answer):
+        async def work():
+            class Once(mesh.Store):
+                def _arrive(self, connection):
+                    answer(self, connection)
+
+            there = Once()
+            await there.start()
+            source = store.Store(mesh.STORE)
+            return await source.snapshot()
+
+        return net.run(work)
+
+    def test_page_without_end_is_refused(self):
+        def answer(there, connection):
+            begin, more = endless.KINDS["chunked body"]
+            connection.transport.write(begin)
+            for _ in range(400):
+                connection.transport.write(more)
+
+        with pytest.raises(feed.Unavailable, match="larger than allowed"):
+            self.read(answer)
+
+    @pytest.mark.parametrize("key", ["k", "after"])
+    def test_pages_without_end_are_refused(self, key):
+        pages = iter(range(10**9))
+
+        def answer(there, connection):
+            name = key if key == "k" else f"{key}-{next(pages):09}"
+            page = {"items": [{"key": name}], "has_more": True}
+            there._send(connection, page)
+
+        with pytest.raises(feed.Unavailable, match="page"):
+            self.read(answer)
+
+
+anything = st.recursive(
+    st.one_of(
+        st.none(),
+        st.booleans(),
+        st.integers(-(1 << 63), (1 << 64) - 1),
+        st.floats(),
+        st.text(max_size=4),
+        st.binary(max_size=4),
+    ),
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=4),
+        st.dictionaries(st.text(max_size=4), inner, max_size=4),
+    ),
+    max_leaves=8,
+)
+
+
+class TestParsers:
+    """What strangers send raises nothing but what is expected."""
+
+    @hypothesis.given(st.lists(st.binary(max_size=200), max_size=5))
+    def test_any_bytes_end_an_exchange_at_most_once(self, pieces):
+        def feed(connection):
+            for piece in pieces:
+                connection.data_received(piece)
+            connection.connection_lost(None)
+
+        assert len(parsed(feed)) == 1
+
+    @hypothesis.given(
+        st.sampled_from(
+            [first + again for first, again in endless.KINDS.values()]
+        ),
+        st.integers(0, 200),
+        st.binary(max_size=20),
+    )
+    def test_damaged_answers_end_an_exchange_at_most_once(
+        self, answer, at, damage
+    ):
+        def feed(connection):
+            connection.data_received(answer[:at] + damage + answer[at:])
+            connection.connection_lost(None)
+
+        logging.disable()
+        try:
+            assert len(parsed(feed)) == 1
+        finally:
+            logging.disable(logging.NOTSET)
+
+    @hypothesis.given(st.binary(max_size=200))
+    def test_any_bytes_are_frames_or_malformed(self, data):
+        with contextlib.suppress(frames.MalformedFrame):
+            frames.Reader().feed(data)
+
+    @hypothesis.given(st.sampled_from(frames.Kind), st.lists(anything))
+    def test_frames_of_any_fields_are_of_their_shape_or_malformed(
+        self, kind, fields
+    ):
+        data = frames.encode(kind, *fields)
+        with contextlib.suppress(frames.MalformedFrame):
+            (frame,) = frames.Reader().feed(data)
+            assert len(frame) == 1 + len(frames._SHAPES[kind])
+
+    @hypothesis.given(st.binary(max_size=100))
+    def test_any_bytes_are_documents_or_malformed(self, body):
+        with contextlib.suppress(documents.Malformed):
+            documents.configuration(body)
+        with contextlib.suppress(documents.Malformed):
+            documents.instance("servers/i", body)
+
+    def test_deeply_nested_documents_are_malformed(self):
+        for body in (b"[" * 200_000, b'{"a":' * 200_000):
+            with pytest.raises(documents.Malformed):
+                documents.configuration(body)
+            with pytest.raises(documents.Malformed):
+                documents.instance("servers/i", body)
