Learn the waits of chains together within a data centre, by rank

Cause: each entry learned alone, from whole chains only, and took requests of all ranks together although less urgent ones wait longer below.

Change: waits are kept by route and rank; each host reports the samples that it sees to the readers that it follows, and these tell the mean every 0.2 s while something waits. The wait of a single call counts for the whole request as soon as the call has ended.

The tests of backpressure take a route and a rank where they took a route; their bounds are the same.

--- a/src/savorytally/dataplane/calls.py
+++ b/src/savorytally/dataplane/calls.py
@@ -81,6 +81,11 @@
         self.withdraw: t.Callable[[], bool] | None = None
         self.done = False
 
+    @property
+    def kind(self) -> tuple[str, int]:
+        """Its route and its rank: requests of a kind wait alike."""
+        return (t.cast(catalog.Route, self.route).name, self.rank)
+
     @property
     def place(self) -> str:
         """Where it is: at its rate, in the own gate or sent to another."""
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -8,6 +8,7 @@
 from .. import results
 from ..decisions import backpressure
 from ..decisions import comeback
+from ..decisions import lineage
 from ..decisions import placement
 from ..decisions import ratepool
 from ..decisions import slowest
@@ -222,9 +223,7 @@
         returned = bool(call.flags & frames.Flag.RETURNED)
         draw = self._random.random()
         useful_s = min(route.objective_s, route.timeout_s)
-        if self.backpressure.refuses(
-            route.name, useful_s, returned, draw, now
-        ):
+        if self.backpressure.refuses(call.kind, useful_s, returned, draw, now):
             return results.SHED_FOR_CHAIN
         return None
 
@@ -327,11 +326,11 @@
         arrived = result.arrived and code is not results.INSTANCE_GONE
         if arrived and call.instance_id not in call.reached:
             call.reached.append(call.instance_id)
-        self.backpressure.note(route.name, result.below_ms / 1000, now)
+        self.backpressure.note(call.kind, result.below_ms / 1000, now)
         final = self.stop is not None and now >= self.stop.work_ends
         if call.parent is not None:
             wait_s = (result.below_ms + result.wait_ms) / 1000
-            self._gate.below.called(call.parent.route, wait_s, now)
+            self._waited(call, wait_s, now)
         if result.answered:
             # What failed below would fail again, and all that it calls
             # would be called again.
@@ -358,6 +357,16 @@
             return
         self._fail(call, call.known or code, result.retry_after_ms)
 
+    def _waited(self, call: calls.Call, wait_s: float, now: float) -> None:
+        """Note how long a call of a request in progress has waited.
+
+        The tops of chains hear of it before the request has ended.
+        """
+        below, parent = self._gate.below, t.cast(lineage.Parent, call.parent)
+        kind = (parent.route, call.rank)
+        below.called(kind, wait_s, now)
+        self.backpressure.note(kind, wait_s * below.calls(parent.route), now)
+
     def _learn(
         self,
         route: str,
@@ -456,7 +465,7 @@
         if code.not_run:
             self._counts.not_run(call.ground)
         if not served or self._log.samples_served():
-            below_s = self.backpressure.wait_s(route, now)
+            below_s = self.backpressure.wait_s((route, call.rank), now)
             fields = requestlog.describe(
                 call, code, status, self._terms.version, below_s, now
             )
@@ -473,13 +482,12 @@
         if call.done:
             return
         now = self._loop.time()
-        route = t.cast(catalog.Route, call.route)
         # No result came that could tell how long the chain waits.
         taken_s = now - call.started
         if call.parent is not None:
-            self._gate.below.called(call.parent.route, taken_s, now)
-        elif self.backpressure.wait_s(route.name, now) > 0.0:
-            self.backpressure.note(route.name, taken_s, now)
+            self._waited(call, taken_s, now)
+        elif self.backpressure.wait_s(call.kind, now) > 0.0:
+            self.backpressure.note(call.kind, taken_s, now)
         # Until then, it may still wait for the keeper of a rate.
         not_sent = self._withdraw(call) or not call.offers
         if not_sent and (call.known is None or call.known.not_run):
--- a/src/savorytally/dataplane/following.py
+++ b/src/savorytally/dataplane/following.py
@@ -10,6 +10,7 @@
 import typing as t
 
 from ..decisions import changelog
+from ..decisions import pooledwaits
 from ..decisions import readership
 from ..world import catalog
 from . import feed
@@ -22,6 +23,8 @@
 # How often a host says that it follows, and how long that holds.
 FOLLOW_S = 1.5
 FOLLOW_HOLDS_S = 4.0
+# How often waits are shared within the data centre.
+SHARE_S = 0.2
 # If this host was not on the processor for so long, it has not listened.
 LATE_S = 0.2
 
@@ -64,6 +67,8 @@
     :param reading: reads the store while this host is to do so.
     :param known: the list of upstreams.
     :param owner: takes what the followed hosts tell.
+    :param waits: tables of waits that the data centre learns together, in
+        the same order on all hosts.
     """
 
     def __init__(
@@ -73,7 +78,10 @@
         reading: feed.Feed,
         known: listing.Listing,
         owner: Owner,
+        waits: t.Sequence[pooledwaits.PooledWaits],
     ) -> None:
+        self._waits = waits
+        self._share_at = 0.0
         self._carrier = carrier
         self._feed = reading
         self._listing = known
@@ -113,6 +121,9 @@
             self._feed.stop()
         if now >= self._fresh_at:
             self.tell()
+        if now >= self._share_at:
+            self._share_at = now + SHARE_S
+            self._share(now)
 
     def tell(self) -> None:
         """Tell the followers whether this host reads the store."""
@@ -204,6 +215,47 @@
             stream.send(frames.Kind.FOLLOW, known)
         self._owner.newer_at(stream, version, True)
 
+    def told_samples(self, rows: list[t.Any]) -> None:
+        """Take in the waits that a follower has seen."""
+        now = self._loop.time()
+        try:
+            for table, route, rank, count, sum_ms in rows:
+                samples = pooledwaits.Samples(count, sum_ms / 1000)
+                self._waits[table].merge({(route, rank): samples}, now)
+        except (TypeError, ValueError, IndexError) as error:
+            raise frames.MalformedFrame(f"samples: {error}") from error
+
+    def told_waits(self, rows: list[t.Any]) -> None:
+        """Take in the mean waits that a followed host tells."""
+        now = self._loop.time()
+        try:
+            for table, route, rank, mean_ms in rows:
+                means = {(route, rank): mean_ms / 1000}
+                self._waits[table].told(means, now)
+        except (TypeError, ValueError, IndexError) as error:
+            raise frames.MalformedFrame(f"waits: {error}") from error
+
+    def _share(self, now: float) -> None:
+        """Report own samples, tell the followers the means."""
+        samples = [
+            (table, *kind, found.count, int(found.sum_s * 1000))
+            for table, waits in enumerate(self._waits)
+            for kind, found in waits.take_samples().items()
+        ]
+        if samples:
+            for address in self._asked:
+                self._carrier.send(address, frames.Kind.SAMPLES, samples)
+        if not self._followers:
+            return
+        means = [
+            (table, *kind, int(mean_s * 1000))
+            for table, waits in enumerate(self._waits)
+            for kind, mean_s in waits.means(now).items()
+        ]
+        if means:
+            for stream in self._followers:
+                stream.send(frames.Kind.WAITS, means)
+
     def _follow(self, now: float) -> None:
         follows = self._readership.follows(now)
         self._asked = {
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -32,6 +32,8 @@
     FOLLOW = 15
     FRESH = 16
     CHANGES = 17
+    SAMPLES = 18
+    WAITS = 19
 
 
 class Flag:
@@ -149,6 +151,8 @@
     Kind.FOLLOW: (int,),
     Kind.FRESH: (int, bool, int, int),
     Kind.CHANGES: ((int, type(None)), int, bool, int, list, list),
+    Kind.SAMPLES: (list,),
+    Kind.WAITS: (list,),
 }
 # Place of the headers in the frames that have them.
 _HEADERS = {Kind.CALL: 6, Kind.RESULT: 4}
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -376,6 +376,7 @@
             # More urgent requests that come later prolong a wait.
             until = run.started or now
             wait_s = max(wait_s, until - run.job.arrived)
+        below_s = self.below.expected_s((call.route, call.rank), now)
         headers: frames.Headers = []
         if ground is not None:
             self._counts.not_run(ground, run.named)
@@ -409,7 +410,7 @@
                 retry_after_ms=int(wait_s * 1000),
                 arrived=run.started > 0.0,
                 wait_ms=int(wait_s * 1000),
-                below_ms=int(self.below.expected_s(call.route, now) * 1000),
+                below_ms=int(below_s * 1000),
                 chained=run.parent is not None and run.parent.failed > 0,
                 run_ms=int(ran_s * 1000) if ran_s is not None else 0,
                 load=queue.running + queue.waiting,
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -274,6 +274,12 @@
     def _on_culprit(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         self._owner.culprit(frame[1], frame[2])
 
+    def _on_samples(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        self._owner.following.told_samples(frame[1])
+
+    def _on_waits(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        self._owner.following.told_waits(frame[1])
+
     def _on_leaving(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         for address, link in self._links.items():
             if link.carries(stream):
@@ -295,6 +301,8 @@
     frames.Kind.FOLLOW: Peers._on_follow,
     frames.Kind.FRESH: Peers._on_fresh,
     frames.Kind.CHANGES: Peers._on_changes,
+    frames.Kind.SAMPLES: Peers._on_samples,
+    frames.Kind.WAITS: Peers._on_waits,
     frames.Kind.ASK: Peers._on_ask,
     frames.Kind.GRANT: Peers._on_grant,
     frames.Kind.DEMAND: Peers._on_demand,
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -117,7 +117,12 @@
         self._listing = listing.Listing()
         self._feed = feed.Feed(source, self, rand, pause_s)
         self.following = following.Following(
-            chosen.address, self.peers, self._feed, self._listing, self
+            chosen.address,
+            self.peers,
+            self._feed,
+            self._listing,
+            self,
+            (self.entry.backpressure.waits, self.gate.below.waits),
         )
         self._ready_path = spoken.ready_path
         self._catalog: catalog.Catalog | None = None
--- a/src/savorytally/decisions/backpressure.py
+++ b/src/savorytally/decisions/backpressure.py
@@ -9,8 +9,7 @@
 refused half as often as a new one.
 """
 
-import dataclasses
-import math
+from . import pooledwaits
 
 # Waits below, as parts of the time in which an answer is of use, between
 # which the refused part grows from none to all but a floor.
@@ -19,40 +18,22 @@
 # Refused at most, so that the route learns when the wait has gone.
 REFUSED_MAX = 0.92
 RETURNED_FACTOR = 0.5
-# Weight of the latest result in a mean wait.
-WEIGHT = 0.3
 # Weight of the latest run in the mean number of calls.
 CALLS_WEIGHT = 0.1
-# Time in which a mean without new results falls to a third.
-FADE_S = 0.8
 
-
-@dataclasses.dataclass(slots=True)
-class _Mean:
-    """A mean that fades when nothing new is heard."""
-
-    value_s: float = 0.0
-    at: float = 0.0
-
-    def now(self, now: float) -> float:
-        return self.value_s * math.exp(-(now - self.at) / FADE_S)
-
-    def add(self, value_s: float, now: float) -> None:
-        known_s = self.now(now)
-        self.value_s = known_s + WEIGHT * (value_s - known_s)
-        self.at = now
+Kind = pooledwaits.Kind
 
 
 class ChainWaits:
-    """What the requests of each route wait for below one gate."""
+    """What the requests of each kind wait for below one gate."""
 
     def __init__(self) -> None:
-        self._waits: dict[str, _Mean] = {}
+        self.waits = pooledwaits.PooledWaits()
         self._calls: dict[str, float] = {}
 
-    def called(self, route: str, wait_s: float, now: float) -> None:
-        """Note how long a call of one of the route's requests waited."""
-        self._waits.setdefault(route, _Mean()).add(wait_s, now)
+    def called(self, kind: Kind, wait_s: float, now: float) -> None:
+        """Note how long a call of one of the kind's requests waited."""
+        self.waits.add(kind, wait_s, now)
 
     def ran(self, route: str, calls: int) -> None:
         """Note how many calls a request of the route has made."""
@@ -63,44 +44,43 @@
         """Return how many calls a request of the route makes, at least 1."""
         return max(1.0, self._calls.get(route, 1.0))
 
-    def expected_s(self, route: str, now: float) -> float:
-        """Return how long a request of the route waits below."""
-        wait = self._waits.get(route)
-        if wait is None:
-            return 0.0
-        return wait.now(now) * self.calls(route)
+    def expected_s(self, kind: Kind, now: float) -> float:
+        """Return how long a request of the kind waits below."""
+        return self.waits.value_s(kind, now) * self.calls(kind[0])
 
 
 class Backpressure:
-    """Expected waits below each route, as one entry has heard of them."""
+    """Expected waits below each kind of request, as one entry knows them.
+
+    Less urgent requests wait longer below, so that they are refused first.
+    """
 
     def __init__(self) -> None:
-        self._waits: dict[str, _Mean] = {}
+        self.waits = pooledwaits.PooledWaits()
 
-    def note(self, route: str, wait_s: float, now: float) -> None:
-        """Note how long a request of the route waited below."""
-        self._waits.setdefault(route, _Mean()).add(wait_s, now)
+    def note(self, kind: Kind, wait_s: float, now: float) -> None:
+        """Note how long a request of the kind waited below."""
+        self.waits.add(kind, wait_s, now)
 
-    def wait_s(self, route: str, now: float) -> float:
-        """Return the expected wait below a route."""
-        wait = self._waits.get(route)
-        return wait.now(now) if wait is not None else 0.0
+    def wait_s(self, kind: Kind, now: float) -> float:
+        """Return the expected wait below a kind of request."""
+        return self.waits.value_s(kind, now)
 
     def refuses(
         self,
-        route: str,
+        kind: Kind,
         useful_s: float,
         returned: bool,
         draw: float,
         now: float,
     ) -> bool:
-        """Return whether a new request of the route is refused.
+        """Return whether a new request of the kind is refused.
 
         :param useful_s: time in which its answer is of use.
         :param returned: whether its caller came back after a refusal.
         :param draw: a random number from 0 to 1.
         """
-        wait_s = self.wait_s(route, now)
+        wait_s = self.wait_s(kind, now)
         if not wait_s:
             return False
         low_s, high_s = WAIT_FROM * useful_s, WAIT_TO * useful_s
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -145,6 +145,9 @@
         assert queue.drop_late(0.29) == [late]
 
 
+PAGE = ("page", 0)
+
+
 class TestBackpressure:
     def test_refuses_a_growing_part_and_never_all(self):
         pressure = backpressure.Backpressure()
@@ -152,9 +155,9 @@
 
         def refused(wait_s):
             for _ in range(20):
-                pressure.note("page", wait_s, 0.0)
+                pressure.note(PAGE, wait_s, 0.0)
             return sum(
-                pressure.refuses("page", 1.0, False, source.random(), 0.0)
+                pressure.refuses(PAGE, 1.0, False, source.random(), 0.0)
                 for _ in range(500)
             )
 
@@ -166,18 +169,18 @@
     def test_ends_soon_after_the_overload(self):
         pressure = backpressure.Backpressure()
         for _ in range(20):
-            pressure.note("page", 1.0, 0.0)
-        assert pressure.refuses("page", 1.0, False, 0.5, 0.0)
-        assert not pressure.refuses("page", 1.0, False, 0.0, 2.0)
+            pressure.note(PAGE, 1.0, 0.0)
+        assert pressure.refuses(PAGE, 1.0, False, 0.5, 0.0)
+        assert not pressure.refuses(PAGE, 1.0, False, 0.0, 2.0)
 
     def test_callers_that_come_back_are_preferred(self):
         pressure = backpressure.Backpressure()
         for _ in range(20):
-            pressure.note("page", 0.3, 0.0)
+            pressure.note(PAGE, 0.3, 0.0)
         draws = [number / 100 for number in range(100)]
         new, back = (
             sum(
-                pressure.refuses("page", 1.0, returned, draw, 0.0)
+                pressure.refuses(PAGE, 1.0, returned, draw, 0.0)
                 for draw in draws
             )
             for returned in (False, True)
@@ -188,9 +191,11 @@
         waits = backpressure.ChainWaits()
         for _ in range(30):
             waits.ran("tiles", 4)
-            waits.called("tiles", 0.1, 0.0)
-        assert waits.expected_s("tiles", 0.0) == pytest.approx(0.4, rel=0.1)
-        assert waits.expected_s("map", 0.0) == 0.0
+            waits.called(("tiles", 0), 0.1, 0.0)
+        assert waits.expected_s(("tiles", 0), 0.0) == pytest.approx(
+            0.4, rel=0.1
+        )
+        assert waits.expected_s(("map", 0), 0.0) == 0.0
 
 
 class TestCallModel:
