Tell callers when hosts that start will be there

Cause: a caller's time was read only with a configuration; hosts that start were treated like hosts that are full; each entry had to ask each replaced upstream.

Change: such refusals say when a host that starts is likely to be listed; a gate remembers for 1 s which start of its upstream has been replaced and refuses further requests for it without asking, so that they have not arrived and go elsewhere at no charge.

--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -23,6 +23,9 @@
 
 # Time below which a request is not handed to the upstream any more.
 USEFUL_S = 0.004
+# How long a start of the upstream that has been replaced is refused without
+# asking the upstream again.
+REPLACED_S = 1.0
 
 _Ground = grounds.Ground
 
@@ -133,6 +136,8 @@
         self.chain = chainbudget.ChainBudget(budget)
         self.health = health.Health(spoken, connections)
         self.leaving = False
+        # Until when starts of the upstream count as replaced.
+        self._replaced: dict[str, float] = {}
 
     @property
     def queue(self) -> gatequeue.GateQueue:
@@ -150,6 +155,8 @@
         run = Run(call, now + call.remaining_ms / 1000, reply)
         if self.leaving:
             self._finish(run, results.HOST_LEAVING, _Ground.LEAVING)
+        elif self._replaced.get(call.instance_id, 0.0) > now:
+            self._finish(run, results.INSTANCE_GONE, _Ground.REPLACED)
         elif self._watch.refused_s(call):
             self._finish(run, results.QUARANTINED, _Ground.CULPRIT)
         elif run.repeat and not self.chain.has_room(call.route, now):
@@ -293,12 +300,24 @@
         self._pool.give(connection)
         run.named = verdict.named
         run.uses = connection.uses
+        if verdict.code is results.INSTANCE_GONE:
+            self._note_replaced(run.call.instance_id)
         if verdict.code is not results.ANSWERED:
             self._end(run, verdict.code, verdict.ground)
             return
         self._watch.answered(run.ticket, run.call)
         self._end(run, results.ANSWERED, reply=result)
 
+    def _note_replaced(self, instance_id: str) -> None:
+        """Note that another start of the upstream has its address."""
+        now = self._loop.time()
+        self._replaced = {
+            name: until
+            for name, until in self._replaced.items()
+            if until > now
+        }
+        self._replaced[instance_id] = now + REPLACED_S
+
     def _expired(self, run: Run) -> None:
         if run.state is not State.RUNNING:
             return
--- a/src/savorytally/dataplane/grounds.py
+++ b/src/savorytally/dataplane/grounds.py
@@ -18,6 +18,7 @@
     NO_TIME = "no_time"
     MARK = "mark"
     MISDIRECTED = "misdirected"
+    REPLACED = "replaced"
     BUDGET = "budget"
 
     GATE = "gate"
--- a/src/savorytally/dataplane/terms.py
+++ b/src/savorytally/dataplane/terms.py
@@ -49,10 +49,12 @@
 
         :param now: loop time.
         """
+        request = call.request
+        text = request.header(self._dialect.remaining_ms)
+        call.clients_ms = int(text) if text.isdigit() else 0
         known = self._catalog
         if known is None:
             return results.NOT_CONFIGURED
-        request = call.request
         target = request.target.decode("latin-1")
         if not target.startswith("/"):
             return results.MALFORMED_REQUEST
@@ -95,8 +97,6 @@
         now: float,
     ) -> None:
         """Set deadline, objective, rank and flags of a call."""
-        text = call.request.header(self._dialect.remaining_ms)
-        call.clients_ms = int(text) if text.isdigit() else 0
         left_s = route.timeout_s
         if call.clients_ms:
             left_s = min(left_s, call.clients_ms / 1000)
--- a/src/savorytally/decisions/comeback.py
+++ b/src/savorytally/decisions/comeback.py
@@ -12,6 +12,9 @@
 OBJECTIVE_PART = 0.25
 # Part of the time to the next process over which callers are spread.
 RESTART_SPREAD = 0.5
+# Time in which a host that starts has read the configuration, and in which
+# its upstream is listed.
+COMES_UP_S = 1.0
 
 
 def after_s(
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -603,6 +603,42 @@
 
         assert play(scenario, config=_rated()) == [200] * 4
 
+    def test_caller_of_a_node_that_starts_is_told_to_wait_for_it(self):
+        """It was told to come back at once, and was refused again."""
+
+        async def scenario(there):
+            host = there.hosts[0]
+            self.kill(there, host)
+            there.store.status = 503
+            await host.start_node(first_start=False)
+            reply = await there.send(host, remaining_ms=5000)
+            return reply.status, float(reply.header(b"retry-after"))
+
+        status, back_s = play(scenario)
+        assert status == 503
+        assert 1.0 <= back_s <= 5.0 / 3
+
+    def test_replaced_upstream_is_asked_once_not_by_every_host(self):
+        """Its entry stays listed for seconds after its host lost power."""
+
+        async def scenario(there):
+            drawers = of(there, "drawers")
+            for host in drawers:
+                host.upstream.instance_id = f"{host.instance_id}-again"
+            replies = [
+                await there.send(sender, request_id=f"r-{number}")
+                for number, sender in enumerate(there.hosts * 5)
+            ]
+            asked = sum(len(host.upstream.arrived) for host in drawers)
+            waits = {
+                float(reply.header(b"retry-after")) >= 0.6 for reply in replies
+            }
+            return {reply.status for reply in replies}, asked, waits
+
+        statuses, asked, waits = play(scenario)
+        assert (statuses, waits) == ({503}, {True})
+        assert asked == 2
+
 
 class TestConfiguration:
     def test_newer_version_is_in_force_at_once_and_never_goes_back(self):
