Ask another keeper once one that stopped without draining has gone

Cause: the stop was forgotten, since a node whose upstream takes new work is usually started again beside it, and only draining hosts may be given up for a refused connection.

Change: the stop is remembered for as long as a lapsed host stays keeper; one that is not listed any more and takes no connection keeps nothing. The entry alone, or the connection alone, is not enough: it may be cut off only.

Measured: test_it_keeps_nothing_once_it_takes_no_connection fails before.

--- a/src/savorytally/decisions/ratepool.py
+++ b/src/savorytally/decisions/ratepool.py
@@ -70,6 +70,10 @@
         self._draining: set[str] = set()
         self._left: set[str] = set()
         self._seen: dict[str, tuple[str, float]] = {}
+        # Nodes that have said that they stop while their upstreams took new
+        # work, and when the list was read before.
+        self._stopping: dict[str, float] = {}
+        self._learned = 0.0
         # All hosts of the own region since the start.
         self._ever = {own}
 
@@ -86,6 +90,12 @@
             is also listed has come back under the same address.
         """
         self._listed = set(listed)
+        self._learned = now
+        self._stopping = {
+            address: told
+            for address, told in self._stopping.items()
+            if now - told <= KEEPER_STAYS_S
+        }
         # Its entry ends before the node of a host that drains.
         drained = self._draining & self._seen.keys()
         self._draining = (drained | draining.keys()) - self._listed
@@ -108,6 +118,7 @@
         One whose upstream takes new work will be started again beside it.
         """
         if address in self._listed:
+            self._stopping[address] = self._learned
             return False
         self._left.add(address)
         return self._seen.pop(address, None) is not None
@@ -115,9 +126,13 @@
     def refuses(self, address: str) -> bool:
         """Note that a node takes no connection, as :meth:`stops`.
 
-        One that is not known to drain may be cut off from this host only.
+        One that is not known to drain or to have stopped may be cut off
+        from this host only.
         """
-        return address in self._draining and self.stops(address)
+        if address in self._listed:
+            return False
+        leaves = address in self._draining or address in self._stopping
+        return leaves and self.stops(address)
 
     def regions(self) -> dict[str, list[str]]:
         """Return the hosts of each region in order.
--- a/tests/test_rate_keepers.py
+++ b/tests/test_rate_keepers.py
@@ -183,3 +183,43 @@
     assert granted == 3
     assert len(asked) == 1
     assert stopped not in asked
+
+
+class TestKeeperWhoseEntryGoesWithoutDraining:
+    """Its stop was heard while the list still told that it was ready."""
+
+    EVERYONE = {"a": "low", "b": "low"}
+
+    def known(self, *, told, stays_listed=False):
+        hosts = ratepool.Hosts("a", "low")
+        hosts.learn(self.EVERYONE, {}, 0.0)
+        if told:
+            assert not hosts.stops("b")
+        if not stays_listed:
+            hosts.learn({"a": "low"}, {}, 2.0)
+        return hosts
+
+    def test_it_keeps_nothing_once_it_takes_no_connection(self):
+        hosts = self.known(told=True)
+        assert hosts.refuses("b")
+        assert hosts.regions() == {"low": ["a"]}
+
+    def test_it_stays_keeper_while_it_takes_connections(self):
+        assert self.known(told=True).regions() == {"low": ["a", "b"]}
+
+    def test_one_that_did_not_stop_may_be_cut_off_only(self):
+        hosts = self.known(told=False)
+        assert not hosts.refuses("b")
+        assert hosts.regions() == {"low": ["a", "b"]}
+
+    def test_one_that_is_still_listed_starts_again(self):
+        hosts = self.known(told=True, stays_listed=True)
+        assert not hosts.refuses("b")
+        assert hosts.regions() == {"low": ["a", "b"]}
+
+    def test_stop_of_long_ago_says_nothing(self):
+        hosts = self.known(told=True, stays_listed=True)
+        for now in (10.0, 21.0, 30.0):
+            hosts.learn(self.EVERYONE, {}, now)
+        hosts.learn({"a": "low"}, {}, 31.0)
+        assert not hosts.refuses("b")
