Tell callers of a service that stops when the next process is there

A request for the only host of a service, sent between 1.4 and 2.6 s after the signal to stop, was told to come back after 0.22 to 0.31 s, while the process was still ending.

Cause: only refusals by the stop itself were told the time of the restart, not those by the stopping host's gate.

Measured: test_caller_is_told_when_the_next_process_is_there fails before.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -40,9 +40,15 @@
 _SERVER_ERROR = 500
 # By these, callers know that a request has not run and never will.
 _PROMISES = frozenset((408, 421, 429, 503))
-# Refusals while hosts start: the next one is likely to be the same.
+# Refusals while hosts start or stop: the next one is likely to be the same.
 _COMING_UP = frozenset(
-    (results.NOT_CONFIGURED, results.INSTANCE_GONE, results.NO_HOST)
+    (
+        results.NOT_CONFIGURED,
+        results.INSTANCE_GONE,
+        results.HOST_LEAVING,
+        results.NODE_STOPPING,
+        results.NO_HOST,
+    )
 )
 _Ground = grounds.Ground
 
@@ -442,11 +448,10 @@
         if call.clients_ms:
             left_s = call.clients_ms / 1000
         draw = self._random.random()
-        if code is results.NODE_STOPPING and self.stop is not None:
-            back_s = self.stop.back_s(call.objective_s, now)
-            return comeback.after_restart_s(left_s, back_s, draw)
         if code in _COMING_UP:
             back_s = comeback.COMES_UP_S
+            if self.stop is not None:
+                back_s = self.stop.back_s(call.objective_s, now)
             return comeback.after_restart_s(left_s, back_s, draw)
         return comeback.after_s(left_s, call.objective_s, wait_ms / 1000, draw)
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -390,6 +390,27 @@
         assert "child" not in reached or found == [200]
 
 
+class TestComingBack:
+    """Callers of a service whose only host stops."""
+
+    @pytest.mark.parametrize("at", [1.6, 2.4])
+    def test_caller_is_told_when_the_next_process_is_there(self, at):
+        """It was told to come back while the old one was still ending."""
+
+        async def scenario(there):
+            host = stops.of(there, "drawers")[0]
+            ending = asyncio.ensure_future(stops.stop(there, host))
+            await asyncio.sleep(at)
+            reply = await there.send(stops.of(there, "desk")[0])
+            await ending
+            return reply.status, float(reply.header(b"retry-after"))
+
+        services = {"drawers": ["low-a"], "desk": ["low-a"]}
+        status, back_s = stops.play(scenario, services)
+        assert status == 503
+        assert back_s >= 0.6
+
+
 class TestTimeOfLateCalls:
     """A late call is begun only if it is likely to end in the stop."""
 
