Keep the running work of a host that is only silent for a while

A non-idempotent request was answered 502 when the stream to the host that ran it had been silent for 1.2 s, although the host was only slow and ran the request to its end.

Cause: a silent stream was ended, and with it all calls on it. Idempotent calls had gone elsewhere after 0.5 s; the others can't, so that giving them up early gains nothing.

Change: a stream that is silent for 1.2 s is set aside: new calls take a new stream, those that may run only once wait on the old one until their result, their deadline or the end of the connection, whichever is first.

--- a/src/savorytally/dataplane/streams.py
+++ b/src/savorytally/dataplane/streams.py
@@ -19,8 +19,11 @@
 # idempotent calls go elsewhere: a question and its answer take at most
 # 50 ms, and busy nodes have been seen to answer 200 ms late.
 SUSPECT_AFTER_S = 0.5
-# It is taken as dead if it stays silent for this long.
+# It is not used any more if it stays silent for this long. Calls that may run
+# only once wait on it for their results: the host may only be slow.
 SILENCE_MAX_S = 1.2
+# Silent streams to one host on which calls wait.
+ASIDE_MAX = 4
 
 
 class Stream(asyncio.Protocol):
@@ -138,6 +141,8 @@
         self._awaiting_since = 0.0
         # Numbers of the calls in progress that may run twice.
         self._repeatable: set[int] = set()
+        # Numbers of the calls that wait on streams that have fallen silent.
+        self._aside: dict[Stream, set[int]] = {}
         self._pinged = 0.0
         # When the stream was heard last if it has been silent since.
         self._silent_since: float | None = None
@@ -194,6 +199,11 @@
         self._forget(number)
         if self._queued.pop(number, None) is not None:
             return True
+        for stream, numbers in self._aside.items():
+            if number in numbers:
+                stream.send(frames.Kind.CANCEL, number)
+                numbers.discard(number)
+                return False
         if self.open:
             t.cast(Stream, self._stream).send(frames.Kind.CANCEL, number)
         return False
@@ -243,6 +253,7 @@
         :return: whether the stream is silent, so that new calls should go
             elsewhere.
         """
+        self._end_aside()
         stream = self._stream
         if stream is None or not stream.open:
             return False
@@ -254,7 +265,7 @@
             since = max(stream.heard, self._awaiting_since)
         silent_s = now - since
         if silent_s > SILENCE_MAX_S:
-            stream.abort()
+            self._set_aside(stream)
             return True
         if silent_s > PING_AFTER_S and now - self._pinged > PING_AFTER_S:
             self._pinged = now
@@ -277,6 +288,8 @@
             self._connecting.cancel()
         if self._stream is not None:
             self._stream.close()
+        for stream in list(self._aside):
+            stream.close()
         self._fail_queued()
 
     def _connect(self) -> None:
@@ -334,6 +347,30 @@
                 t.cast(Stream, self._stream).send(frames.Kind.CANCEL, number)
                 answered(self._unknown)
 
+    def _set_aside(self, stream: Stream) -> None:
+        """Use a stream no more; its calls wait for their results."""
+        numbers = self._calls.keys() - self._queued.keys()
+        for others in self._aside.values():
+            numbers -= others
+        self._stream = None
+        self._silent_since = None
+        self._aside[stream] = numbers
+        self._end_aside()
+
+    def _end_aside(self) -> None:
+        """End silent streams on which nothing waits, or that are too many."""
+        for stream, numbers in list(self._aside.items()):
+            numbers.intersection_update(self._calls)
+            if not numbers or len(self._aside) > ASIDE_MAX:
+                self._drop_aside(stream)
+                stream.abort()
+
+    def _drop_aside(self, stream: Stream) -> None:
+        for number in self._aside.pop(stream):
+            answered = self._forget(number)
+            if answered is not None:
+                answered(self._unknown)
+
     def _forget(self, number: int) -> Answered | None:
         self._repeatable.discard(number)
         return self._calls.pop(number, None)
@@ -348,10 +385,15 @@
             answered(result)
 
     def _ended(self, stream: Stream) -> None:
+        if stream in self._aside:
+            self._drop_aside(stream)
+            return
         if self._stream is not stream:
             return
         self._stream = None
-        calls, self._calls = self._calls, {}
+        calls = self._calls
+        waiting = calls.keys() & set().union(*self._aside.values())
+        self._calls = {number: calls.pop(number) for number in waiting}
         self._repeatable.clear()
         queued, self._queued = self._queued, {}
         for number, answered in calls.items():
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -406,6 +406,60 @@
         # New calls avoid the host while it is silent and unreached.
         assert sum(seconds > 0.1 for _, seconds in took) <= 2
 
+    @pytest.mark.parametrize("silent_s", [0.7, 1.4, 2.4])
+    def test_running_work_of_a_host_that_is_silent_for_a_while_is_kept(
+        self, silent_s
+    ):
+        """It was given up after 1.2 s, although it ran to its end."""
+
+        async def scenario(there):
+            sender = of(there, "drawers")[0]
+            desks = of(there, "desk")
+            for host in desks:
+                host.upstream.work_s = 0.5
+            waiting = asyncio.ensure_future(
+                there.send(sender, "/desk/1", "POST", remaining_ms=None)
+            )
+            await asyncio.sleep(0.1)
+            held = []
+            for host in desks:
+                for transport in there.net.open[host.address, mesh.PEER_PORT]:
+                    transport.other.paused = transport.paused = True
+                    held += [transport.other, transport]
+            await asyncio.sleep(silent_s)
+            for transport in held:
+                transport.resume_reading()
+            return (await waiting).status, len(runs(there, "desk"))
+
+        config = mesh.configuration(1)
+        config["routes"]["r-reserve"]["timeout"] = "9s"
+        assert play(scenario, config=config) == (200, 1)
+
+    def test_call_that_waits_on_a_silent_stream_ends_with_its_deadline(self):
+        async def scenario(there):
+            loop = asyncio.get_running_loop()
+            sender = of(there, "drawers")[0]
+            for host in of(there, "desk"):
+                host.upstream.work_s = 0.5
+            waiting = asyncio.ensure_future(
+                there.send(sender, "/desk/1", "POST", remaining_ms=None)
+            )
+            await asyncio.sleep(0.1)
+            for host in of(there, "desk"):
+                there.net.silence(host.address, mesh.PEER_PORT)
+            began = loop.time()
+            status = (await waiting).status
+            took_s = loop.time() - began
+            later = await there.send(sender, "/desk/1", "POST")
+            links = sender.node.peers._links.values()
+            await asyncio.sleep(0.1)
+            aside = sum(len(link._aside) for link in links)
+            return status, round(took_s), later.status, aside
+
+        config = mesh.configuration(1)
+        config["routes"]["r-reserve"]["timeout"] = "3s"
+        assert play(scenario, config=config) == (504, 3, 200, 0)
+
     def test_host_that_did_not_listen_itself_blames_no_stream(self):
         async def scenario(there):
             sender = of(there, "desk")[0]
