Show that a restart beside a bad store brings nothing back

Neither a withdrawn key nor an upstream that left is in use again after a restart of a node while the store is down, silent or turns the node away, nor does a peer that lags bring an older version back. These tests never failed: a node without the store's own list serves nothing, and versions only rise.

--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -694,6 +694,64 @@
         assert asked == 2
 
 
+class TestRestartBesideABadStore:
+    """A node that starts while the store is down, silent or turns it away."""
+
+    async def restart(self, there, host, store_is):
+        TestRecovery().kill(there, host)
+        if store_is == "down":
+            there.store.status = 503
+        await host.start_node(first_start=False)
+        if store_is == "turns it away":
+            host.calls_store._pool.take = lambda fresh, take: take(None)
+        elif store_is == "silent":
+            host.calls_store._pool.take = lambda fresh, take: None
+        await asyncio.sleep(3.0)
+
+    @pytest.mark.parametrize("store_is", ["down", "turns it away", "silent"])
+    def test_withdrawn_key_is_not_in_use_again(self, store_is):
+        async def scenario(there):
+            host = there.hosts[0]
+            withdrawn = mesh.configuration(2)
+            withdrawn["tenants"]["growers"]["api_keys"] = ["another"]
+            there.store.put("op/config", withdrawn)
+            await asyncio.sleep(2.0)
+            await self.restart(there, host, store_is)
+            return (await there.send(host)).status, host.node.version
+
+        status, version = play(scenario)
+        assert (status, version) in ((503, 0), (401, 2))
+
+    @pytest.mark.parametrize("store_is", ["down", "turns it away", "silent"])
+    def test_upstream_that_left_is_not_in_use_again(self, store_is):
+        async def scenario(there):
+            host = there.hosts[0]
+            left = of(there, "drawers")[1]
+            there.store.delete(f"servers/{left.instance_id}")
+            await asyncio.sleep(2.0)
+            await self.restart(there, host, store_is)
+            before = len(left.upstream.arrived)
+            for _ in range(10):
+                await there.send(host)
+            return len(left.upstream.arrived) - before
+
+        assert play(scenario) == 0
+
+    def test_peer_that_lags_does_not_bring_an_older_version_back(self):
+        async def scenario(there):
+            host, behind = there.hosts[0], there.hosts[1]
+            old = behind.node.packed_configuration()
+            there.store.put("op/config", mesh.configuration(2, routes={}))
+            await asyncio.sleep(2.0)
+            TestRecovery().kill(there, host)
+            await host.start_node(first_start=False)
+            await asyncio.sleep(0.3)
+            host.node.learn_packed(old)
+            return host.node.version, (await there.send(host)).status
+
+        assert play(scenario) == (2, 404)
+
+
 class TestConfiguration:
     def test_newer_version_is_in_force_at_once_and_never_goes_back(self):
         async def scenario(there):
