--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -23,6 +23,9 @@
 
 # Time below which a request is not handed to the upstream any more.
 USEFUL_S = 0.004
+# How long a start of the upstream that has been replaced is refused without
+# asking the upstream again.
+REPLACED_S = 1.0
 
 _Ground = grounds.Ground
 
@@ -47,6 +50,7 @@
     """
 
     __slots__ = (
+        "broken",
         "call",
         "connection",
         "deadline",
@@ -78,6 +82,8 @@
         # requests that its connection has carried.
         self.named: bool | None = None
         self.uses = 0
+        # How its answer broke, empty if it did not.
+        self.broken = ""
         # As what crashes of the upstream are related to it.
         self.ticket = 0
         self.state = State.WAITING
@@ -130,6 +136,8 @@
         self.chain = chainbudget.ChainBudget(budget)
         self.health = health.Health(spoken, connections)
         self.leaving = False
+        # Until when starts of the upstream count as replaced.
+        self._replaced: dict[str, float] = {}
 
     @property
     def queue(self) -> gatequeue.GateQueue:
@@ -147,6 +155,8 @@
         run = Run(call, now + call.remaining_ms / 1000, reply)
         if self.leaving:
             self._finish(run, results.HOST_LEAVING, _Ground.LEAVING)
+        elif self._replaced.get(call.instance_id, 0.0) > now:
+            self._finish(run, results.INSTANCE_GONE, _Ground.REPLACED)
         elif self._watch.refused_s(call):
             self._finish(run, results.QUARANTINED, _Ground.CULPRIT)
         elif run.repeat and not self.chain.has_room(call.route, now):
@@ -280,6 +290,8 @@
             if result is exchanges.Broken.NOT_SENT:
                 self._end(run, results.NOT_DISPATCHED, _Ground.NO_CONNECTION)
                 return
+            run.broken = result.value
+            self._counts.broken(result.name.lower())
             self._watch.broken(run.ticket)
             self._end(run, results.UPSTREAM_BROKEN)
             return
@@ -288,12 +300,24 @@
         self._pool.give(connection)
         run.named = verdict.named
         run.uses = connection.uses
+        if verdict.code is results.INSTANCE_GONE:
+            self._note_replaced(run.call.instance_id)
         if verdict.code is not results.ANSWERED:
             self._end(run, verdict.code, verdict.ground)
             return
         self._watch.answered(run.ticket, run.call)
         self._end(run, results.ANSWERED, reply=result)
 
+    def _note_replaced(self, instance_id: str) -> None:
+        """Note that another start of the upstream has its address."""
+        now = self._loop.time()
+        self._replaced = {
+            name: until
+            for name, until in self._replaced.items()
+            if until > now
+        }
+        self._replaced[instance_id] = now + REPLACED_S
+
     def _expired(self, run: Run) -> None:
         if run.state is not State.RUNNING:
             return
@@ -371,6 +395,7 @@
             # More urgent requests that come later prolong a wait.
             until = run.started or now
             wait_s = max(wait_s, until - run.job.arrived)
+        below_s = self.below.expected_s((call.route, call.rank), now)
         headers: frames.Headers = []
         if ground is not None:
             self._counts.not_run(ground, run.named)
@@ -382,6 +407,7 @@
                 code=code.number,
                 outcome=code.name,
                 ground=ground.value if ground is not None else "",
+                broken=run.broken,
                 named=run.named,
                 uses=run.uses,
                 rank=call.rank,
@@ -403,7 +429,7 @@
                 retry_after_ms=int(wait_s * 1000),
                 arrived=run.started > 0.0,
                 wait_ms=int(wait_s * 1000),
-                below_ms=int(self.below.expected_s(call.route, now) * 1000),
+                below_ms=int(below_s * 1000),
                 chained=run.parent is not None and run.parent.failed > 0,
                 run_ms=int(ran_s * 1000) if ran_s is not None else 0,
                 load=queue.running + queue.waiting,
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -406,6 +406,60 @@
         # New calls avoid the host while it is silent and unreached.
         assert sum(seconds > 0.1 for _, seconds in took) <= 2
 
+    @pytest.mark.parametrize("silent_s", [0.7, 1.4, 2.4])
+    def test_running_work_of_a_host_that_is_silent_for_a_while_is_kept(
+        self, silent_s
+    ):
+        """It was given up after 1.2 s, although it ran to its end."""
+
+        async def scenario(there):
+            sender = of(there, "drawers")[0]
+            desks = of(there, "desk")
+            for host in desks:
+                host.upstream.work_s = 0.5
+            waiting = asyncio.ensure_future(
+                there.send(sender, "/desk/1", "POST", remaining_ms=None)
+            )
+            await asyncio.sleep(0.1)
+            held = []
+            for host in desks:
+                for transport in there.net.open[host.address, mesh.PEER_PORT]:
+                    transport.other.paused = transport.paused = True
+                    held += [transport.other, transport]
+            await asyncio.sleep(silent_s)
+            for transport in held:
+                transport.resume_reading()
+            return (await waiting).status, len(runs(there, "desk"))
+
+        config = mesh.configuration(1)
+        config["routes"]["r-reserve"]["timeout"] = "9s"
+        assert play(scenario, config=config) == (200, 1)
+
+    def test_call_that_waits_on_a_silent_stream_ends_with_its_deadline(self):
+        async def scenario(there):
+            loop = asyncio.get_running_loop()
+            sender = of(there, "drawers")[0]
+            for host in of(there, "desk"):
+                host.upstream.work_s = 0.5
+            waiting = asyncio.ensure_future(
+                there.send(sender, "/desk/1", "POST", remaining_ms=None)
+            )
+            await asyncio.sleep(0.1)
+            for host in of(there, "desk"):
+                there.net.silence(host.address, mesh.PEER_PORT)
+            began = loop.time()
+            status = (await waiting).status
+            took_s = loop.time() - began
+            later = await there.send(sender, "/desk/1", "POST")
+            links = sender.node.peers._links.values()
+            await asyncio.sleep(0.1)
+            aside = sum(len(link._aside) for link in links)
+            return status, round(took_s), later.status, aside
+
+        config = mesh.configuration(1)
+        config["routes"]["r-reserve"]["timeout"] = "3s"
+        assert play(scenario, config=config) == (504, 3, 200, 0)
+
     def test_host_that_did_not_listen_itself_blames_no_stream(self):
         async def scenario(there):
             sender = of(there, "desk")[0]
@@ -603,6 +657,100 @@
 
         assert play(scenario, config=_rated()) == [200] * 4
 
+    def test_caller_of_a_node_that_starts_is_told_to_wait_for_it(self):
+        """It was told to come back at once, and was refused again."""
+
+        async def scenario(there):
+            host = there.hosts[0]
+            self.kill(there, host)
+            there.store.status = 503
+            await host.start_node(first_start=False)
+            reply = await there.send(host, remaining_ms=5000)
+            return reply.status, float(reply.header(b"retry-after"))
+
+        status, back_s = play(scenario)
+        assert status == 503
+        assert 1.0 <= back_s <= 5.0 / 3
+
+    def test_replaced_upstream_is_asked_once_not_by_every_host(self):
+        """Its entry stays listed for seconds after its host lost power."""
+
+        async def scenario(there):
+            drawers = of(there, "drawers")
+            for host in drawers:
+                host.upstream.instance_id = f"{host.instance_id}-again"
+            replies = [
+                await there.send(sender, request_id=f"r-{number}")
+                for number, sender in enumerate(there.hosts * 5)
+            ]
+            asked = sum(len(host.upstream.arrived) for host in drawers)
+            waits = {
+                float(reply.header(b"retry-after")) >= 0.6 for reply in replies
+            }
+            return {reply.status for reply in replies}, asked, waits
+
+        statuses, asked, waits = play(scenario)
+        assert (statuses, waits) == ({503}, {True})
+        assert asked == 2
+
+
+class TestRestartBesideABadStore:
+    """A node that starts while the store is down, silent or turns it away."""
+
+    async def restart(self, there, host, store_is):
+        TestRecovery().kill(there, host)
+        if store_is == "down":
+            there.store.status = 503
+        await host.start_node(first_start=False)
+        if store_is == "turns it away":
+            host.calls_store._pool.take = lambda fresh, take: take(None)
+        elif store_is == "silent":
+            host.calls_store._pool.take = lambda fresh, take: None
+        await asyncio.sleep(3.0)
+
+    @pytest.mark.parametrize("store_is", ["down", "turns it away", "silent"])
+    def test_withdrawn_key_is_not_in_use_again(self, store_is):
+        async def scenario(there):
+            host = there.hosts[0]
+            withdrawn = mesh.configuration(2)
+            withdrawn["tenants"]["growers"]["api_keys"] = ["another"]
+            there.store.put("op/config", withdrawn)
+            await asyncio.sleep(2.0)
+            await self.restart(there, host, store_is)
+            return (await there.send(host)).status, host.node.version
+
+        status, version = play(scenario)
+        assert (status, version) in ((503, 0), (401, 2))
+
+    @pytest.mark.parametrize("store_is", ["down", "turns it away", "silent"])
+    def test_upstream_that_left_is_not_in_use_again(self, store_is):
+        async def scenario(there):
+            host = there.hosts[0]
+            left = of(there, "drawers")[1]
+            there.store.delete(f"servers/{left.instance_id}")
+            await asyncio.sleep(2.0)
+            await self.restart(there, host, store_is)
+            before = len(left.upstream.arrived)
+            for _ in range(10):
+                await there.send(host)
+            return len(left.upstream.arrived) - before
+
+        assert play(scenario) == 0
+
+    def test_peer_that_lags_does_not_bring_an_older_version_back(self):
+        async def scenario(there):
+            host, behind = there.hosts[0], there.hosts[1]
+            old = behind.node.packed_configuration()
+            there.store.put("op/config", mesh.configuration(2, routes={}))
+            await asyncio.sleep(2.0)
+            TestRecovery().kill(there, host)
+            await host.start_node(first_start=False)
+            await asyncio.sleep(0.3)
+            host.node.learn_packed(old)
+            return host.node.version, (await there.send(host)).status
+
+        assert play(scenario) == (2, 404)
+
 
 class TestConfiguration:
     def test_newer_version_is_in_force_at_once_and_never_goes_back(self):
