Take answers of a stated length up to 32 MB

test_real_node_answers_all_that_it_passed_on_in_a_stop, whose upstream gives 24 MB, failed with 502: the bound of 16 MB was too tight for it. It holds for bodies that need not end; a stated length beyond 32 MB ends the exchange with its head.

--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -22,6 +22,8 @@
 HEADERS_MAX = 256
 INTERIM_MAX = 16
 BODY_MAX_BYTES = 16 << 20
+# The same for a body whose length is stated, so that it ends.
+STATED_BODY_MAX_BYTES = 32 << 20
 # Bytes that are parsed at once, so that no bound is passed by far.
 PIECE_BYTES = 1 << 16
 
@@ -88,6 +90,7 @@
         self._read_bytes = 0
         self._interim = 0
         self._body_bytes = 0
+        self._body_max_bytes = BODY_MAX_BYTES
         self._broken_off = False
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -258,17 +261,21 @@
             return
         if status in _NO_BODY:
             return
-        names = {name for name, _ in self._headers}
-        self._to_end = not (
-            b"content-length" in names or b"transfer-encoding" in names
-        )
+        headers = dict(self._headers)
+        stated = headers.get(b"content-length")
+        self._to_end = stated is None and b"transfer-encoding" not in headers
+        self._body_max_bytes = BODY_MAX_BYTES
+        if stated is not None:
+            self._body_max_bytes = STATED_BODY_MAX_BYTES
+            if int(stated) > STATED_BODY_MAX_BYTES:
+                raise _Oversized(f"a body of {int(stated)} bytes")
 
     def on_body(self, body: bytes) -> None:
         if self._broken_off:
             return
         self._body.append(body)
         self._body_bytes += len(body)
-        if self._body_bytes > BODY_MAX_BYTES:
+        if self._body_bytes > self._body_max_bytes:
             raise _Oversized(f"{self._body_bytes} bytes of a body")
         self._held.grow(self, len(body))
 
