Soak upstreams that send without end, and the nodes' memory

Two more ways to harm answers: a chunked body without end, and interim answers that trickle. A check that no node's memory passes that of the smallest hosts (200 MB), with a mutant.

--- a/tests/fakes/stops.py
+++ b/tests/fakes/stops.py
@@ -56,6 +56,23 @@
     )
 
 
+def calls_after(seconds, there, host, found):
+    """Have each run make a call after a time, and note its status."""
+
+    async def calls(given):
+        await asyncio.sleep(seconds)
+        # The way there and back takes 2 ms.
+        passed_ms = int(seconds * 1000) + 2
+        left = int(given["x-savorytally-deadline-ms"]) - passed_ms
+        reply = await there.send(
+            host, remaining_ms=left, key=None, request_id="child"
+        )
+        found.append(reply.status)
+        return reply.status
+
+    return calls
+
+
 def recorded(host):
     """Return the list that takes a node's log lines from now on."""
     lines = []
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -340,17 +340,7 @@
             host = stops.of(there, "desk")[0]
             found = []
 
-            async def calls(given):
-                await asyncio.sleep(3.5)
-                # The way there and back takes 2 ms.
-                left = int(given["x-savorytally-deadline-ms"]) - 3502
-                reply = await there.send(
-                    host, remaining_ms=left, key=None, request_id="child"
-                )
-                found.append(reply.status)
-                return reply.status
-
-            host.upstream.calls = calls
+            host.upstream.calls = stops.calls_after(3.5, there, host, found)
             root = stops.later(there, host, "root", "POST", "/desk/1")
             await asyncio.sleep(0.1)
             await stops.stop(there, host)
@@ -368,16 +358,7 @@
             stops.of(there, "drawers")[0].upstream.work_s = 1.0
             found = []
 
-            async def calls(given):
-                await asyncio.sleep(4.8)
-                left = int(given["x-savorytally-deadline-ms"]) - 4802
-                reply = await there.send(
-                    host, remaining_ms=left, key=None, request_id="child"
-                )
-                found.append(reply.status)
-                return reply.status
-
-            host.upstream.calls = calls
+            host.upstream.calls = stops.calls_after(4.8, there, host, found)
             root = stops.later(there, host, "root", "POST", "/desk/1")
             await asyncio.sleep(0.1)
             await stops.stop(there, host)
@@ -434,16 +415,7 @@
             await there.send(host, key=None)
             found = []
 
-            async def calls(given):
-                await asyncio.sleep(4.8)
-                left = int(given["x-savorytally-deadline-ms"]) - 4802
-                reply = await there.send(
-                    host, remaining_ms=left, key=None, request_id="child"
-                )
-                found.append(reply.status)
-                return reply.status
-
-            host.upstream.calls = calls
+            host.upstream.calls = stops.calls_after(4.8, there, host, found)
             root = stops.later(there, host, "root", "POST", "/desk/1")
             await asyncio.sleep(0.1)
             await stops.stop(there, host)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -150,6 +150,7 @@
         named(4, ARRIVAL, at=101.1),
     ),
     "nodes_keep_running": record(own_ends=[HOST]),
+    "nodes_keep_their_memory": record(peaks={HOST: 201 << 20}),
 }
 LOST = {
     "stop": record([CUT], faults=[STOP], ends=ended(100.5)),
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -39,6 +39,8 @@
 # Processes that are started at the same time.
 START_BATCH = 8
 WATCH_S = 0.05
+# How often the memory of the nodes is measured.
+MEASURE_S = 0.5
 # Part of the memory that nodes may take together, and what one takes.
 MEMORY_PART = 0.4
 NODE_BYTES = 45 << 20
@@ -228,12 +230,17 @@
         )
 
     async def _watch(self) -> None:
-        """Measure by how much this process is late at most."""
+        """Measure by how much this process is late, and the nodes' memory."""
         loop = asyncio.get_running_loop()
+        measured = 0.0
         while True:
             due = loop.time() + WATCH_S
             await asyncio.sleep(WATCH_S)
             self.late_s = max(self.late_s, loop.time() - due)
+            if loop.time() - measured > MEASURE_S:
+                measured = loop.time()
+                for host in self.hosts:
+                    host.note_memory()
 
     def _kinds(self, host: soak_hosts.Host) -> tuple[str, ...]:
         """Return the kinds of a host's callers."""
@@ -320,6 +327,7 @@
                 checks.repeats_by_service(record).items()
             )
         },
+        "peak_mb": max(record.peaks.values(), default=0) >> 20,
         "breaches": breaches,
         "logs": str(soak.folder) if breaches else "",
     }
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -35,6 +35,8 @@
 ATTEMPTS_MAX = 2
 MANY_MAX = 3
 DEADLINE_SLACK_S = 0.5
+# Memory of the smallest hosts.
+MEMORY_MAX_BYTES = 200 << 20
 LATE_MAX = 20
 CUT = "cut"
 ANSWERED = "answered"
@@ -371,3 +373,11 @@
     """A node's process ends only when it is told to."""
     for host in record.own_ends:
         yield f"the node of {host} ended by itself"
+
+
+@_check
+def nodes_keep_their_memory(record: Record) -> t.Iterator[str]:
+    """No node holds more than the smallest hosts have."""
+    for host, peak_bytes in sorted(record.peaks.items()):
+        if peak_bytes > MEMORY_MAX_BYTES:
+            yield f"the node of {host} held {peak_bytes >> 20} MB"
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -365,5 +365,7 @@
     ("twice", 0.5),
     ("late", 0.5),
     ("close", 0.3),
+    ("endless", 0.1),
+    ("trickle", 0.2),
 ):
     _harm(_kind, _part)
--- a/tools/soak_hosts.py
+++ b/tools/soak_hosts.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -127,6 +128,7 @@
         self.number = number
         self.place = place
         self.address = f"{net}.{10 + number // 200}.{number % 200 + 1}"
+        self._record = record
         at = self.address
         if proxied:
             at = f"{net}.{60 + number // 200}.{number % 200 + 1}"
@@ -188,6 +190,16 @@
             "born": self.upstream.born,
         }
 
+    def note_memory(self) -> None:
+        """Note the most memory that the process has held."""
+        if self.process is None or self.process.poll() is not None:
+            return
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        found = re.search(r"VmHWM:\s*(\d+) kB", status)
+        if found is not None:
+            peaks, held = self._record.peaks, int(found[1]) << 10
+            peaks[self.address] = max(peaks.get(self.address, 0), held)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         if self.process is not None and self.process.poll() is None:
--- a/tools/soak_record.py
+++ b/tools/soak_record.py
@@ -102,6 +102,7 @@
     :param revoked: when keys were withdrawn.
     :param leaving: when upstreams said that they leave.
     :param own_ends: hosts whose node ended by itself.
+    :param peaks: most resident memory of the nodes, in bytes, by host.
     """
 
     organisations: dict[str, str]
@@ -112,6 +113,7 @@
     revoked: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: dict[str, float] = dataclasses.field(default_factory=dict)
     own_ends: list[str] = dataclasses.field(default_factory=list)
+    peaks: dict[str, int] = dataclasses.field(default_factory=dict)
 
     @contextlib.contextmanager
     def fault(
--- a/tools/soak_upstreams.py
+++ b/tools/soak_upstreams.py
@@ -16,6 +16,8 @@
 QUEUE = 6
 # Time after which an answer is sent a second time.
 LATE_S = 0.03
+# What is written on before the other end has read it.
+UNREAD_MAX_BYTES = 1 << 18
 # Services whose routes callers use, and those that are called below them.
 TOP = ("drawers", "index", "desk")
 BELOW = ("shelf", "ledger", "vault")
@@ -90,6 +92,26 @@
     transport.close()
 
 
+def _go_on(transport: t.Any, piece: bytes, pause_s: float) -> None:
+    """Send a piece again and again, until the caller closes."""
+    if transport.is_closing():
+        return
+    if transport.get_write_buffer_size() < UNREAD_MAX_BYTES:
+        transport.write(piece)
+    loop = asyncio.get_running_loop()
+    loop.call_later(pause_s, _go_on, transport, piece, pause_s)
+
+
+def _endless(transport: t.Any, answer: bytes) -> None:
+    transport.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    _go_on(transport, b"10000\r\n" + bytes(1 << 16) + b"\r\n", 0.001)
+
+
+def _trickle(transport: t.Any, answer: bytes) -> None:
+    # Interim answers, so that something comes all the time.
+    _go_on(transport, b"HTTP/1.1 102 Processing\r\n\r\n", 0.3)
+
+
 _NOT_EXECUTED = mesh.response(503, b"", {"x-savorytally-not-executed": "1"})
 # Refusals without need, and after what time they come a second time.
 _REFUSALS: dict[str, float | None] = {
@@ -104,6 +126,8 @@
     "garble": lambda transport, answer: transport.write(
         b"no answer at all\r\n\r\n"
     ),
+    "endless": _endless,
+    "trickle": _trickle,
 }
 
 
