Bound what the product's own clients read

The reader of the platform's values grew a process by up to 1.5 GB in 2 s when the platform sent a body without end, and both clients were late by 0.2 to 0.3 s when interim answers came without end.

Cause: the body of a value was read whole, whatever its size; the library parses all interim answers of a read at once and has no bound on them.

--- a/src/savorytally/http/platform.py
+++ b/src/savorytally/http/platform.py
@@ -10,7 +10,9 @@
 
 import aiohttp
 
+from .. import defaults
 from .. import ports
+from . import bounded
 
 VERSION_HEADER = "Value-Version"
 _MARGIN_S = 2.0
@@ -48,7 +50,9 @@
         self, name: str, after: int, wait_s: float
     ) -> ports.Value | None:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(
+                connector=bounded.Connector()
+            )
         query = {"after": str(after), "wait_ms": str(int(wait_s * 1000))}
         url = f"{self._base}/values/{name}"
         async with self._session.get(url, params=query) as response:
@@ -56,6 +60,6 @@
                 return None
             if response.status != 200:
                 raise OSError(f"platform: status {response.status}")
-            body = await response.read()
+            body = await bounded.read(response, defaults.VALUE_MAX_BYTES)
             version = int(response.headers[VERSION_HEADER])
             return ports.Value(name, version, body)
--- a/src/savorytally/http/upstream.py
+++ b/src/savorytally/http/upstream.py
@@ -15,6 +15,7 @@
 from .. import ports
 from .. import results
 from ..parts import headers
+from . import bounded
 
 # Upstreams commonly close idle connections after five seconds or more; a
 # request on a connection that is just being closed has an unknown outcome.
@@ -40,7 +41,7 @@
 )
 
 
-class _Connector(aiohttp.TCPConnector):
+class _Connector(bounded.Connector):
     """Notes when an exchange receives its connection."""
 
     async def connect(self, *args: t.Any, **kwargs: t.Any) -> t.Any:
@@ -120,19 +121,14 @@
             allow_redirects=False,
         ) as response:
             progress.answered = True
-            if (response.content_length or 0) > defaults.ANSWER_MAX_BYTES:
-                response.close()
-                return outcomes.Failure(results.ANSWER_TOO_LARGE)
-            pieces = bytearray()
-            async for piece in response.content.iter_any():
-                pieces += piece
-                if len(pieces) > defaults.ANSWER_MAX_BYTES:
-                    response.close()
-                    return outcomes.Failure(results.ANSWER_TOO_LARGE)
+            try:
+                body = await bounded.read(response, defaults.ANSWER_MAX_BYTES)
+            except bounded.TooLarge as error:
+                return outcomes.Failure(results.ANSWER_TOO_LARGE, str(error))
             return outcomes.Answer(
                 status=response.status,
                 headers=headers.end_to_end(tuple(response.headers.items())),
-                body=bytes(pieces),
+                body=body,
             )
 
     def _url(self, request: ports.UpstreamRequest) -> yarl.URL:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -16,12 +16,16 @@
 import hypothesis.strategies as st
 import pytest
 
+from savorytally import outcomes
+from savorytally import ports
 from savorytally.dataplane import exchanges
 from savorytally.dataplane import feed
 from savorytally.dataplane import frames
 from savorytally.dataplane import options
 from savorytally.dataplane import pool
 from savorytally.decisions import memory
+from savorytally.http import platform as http_platform
+from savorytally.http import upstream as http_upstream
 from savorytally.platform import documents
 from savorytally.platform import store
 
@@ -424,3 +428,52 @@
                 documents.configuration(body)
             with pytest.raises(documents.Malformed):
                 documents.instance("servers/i", body)
+
+
+class TestProduct:
+    """The product's own clients of upstreams and of the platform."""
+
+    def measured(self, kind, work):
+        """Return what came of some work, and by how much memory grew."""
+
+        async def run(url):
+            before = resident_bytes()
+            most = {"bytes": before, "late_s": 0.0}
+            watching = asyncio.ensure_future(watch(most))
+            found = await work(url)
+            watching.cancel()
+            return found, most["bytes"] - before, most["late_s"]
+
+        with upstream(kind) as address:
+            return asyncio.run(run(f"http://127.0.0.1:{address.port}"))
+
+    @pytest.mark.parametrize("kind", sorted(endless.KINDS))
+    def test_upstream_that_sends_without_end_is_given_up(self, kind):
+        async def work(url):
+            client = http_upstream.HttpUpstream(url)
+            sent = ports.UpstreamRequest("GET", "/drawers", "", (), b"")
+            found = await client.exchange(sent, NOTICED_S)
+            await client.close()
+            return found
+
+        found, grown_bytes, late_s = self.measured(kind, work)
+        assert isinstance(found, outcomes.Failure)
+        assert not found.code.not_run
+        assert grown_bytes < CONNECTION_MAX_BYTES * 1.25
+        assert late_s < LATE_MAX_S
+
+    @pytest.mark.parametrize("kind", sorted(endless.KINDS))
+    def test_platform_that_sends_without_end_is_given_up(self, kind):
+        async def work(url):
+            reader = http_platform.HttpPlatform(url)
+            try:
+                await reader.read("configuration", 0, 0.0)
+            except OSError as error:
+                return error
+            finally:
+                await reader.close()
+
+        found, grown_bytes, late_s = self.measured(kind, work)
+        assert isinstance(found, OSError)
+        assert grown_bytes < CONNECTION_MAX_BYTES * 1.25
+        assert late_s < LATE_MAX_S
