--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -70,6 +70,27 @@
         # Two readers, and at most two reads for each change.
         assert read <= 2 * 2 * 10
 
+    def test_large_configuration_is_read_by_two_hosts_of_a_region(self):
+        """Each of 31 hosts read it over the link between the regions."""
+
+        async def scenario(there):
+            before = {host: host.calls_store.calls for host in there.hosts}
+            large = mesh.configuration(2)
+            large["services"] = {
+                f"s-{number}": {"health_path": "/healthz"}
+                for number in range(10_000)
+            }
+            there.store.put("op/config", large)
+            await asyncio.sleep(IN_FORCE_S)
+            asked = [
+                host
+                for host in there.hosts
+                if host.calls_store.calls > before[host]
+            ]
+            return versions(there.hosts), len(asked)
+
+        assert play(scenario, 31) == ({2}, 2)
+
     def test_leaving_upstream_is_known_to_all(self):
         async def scenario(there):
             leaving = there.hosts[0]
