Log and count what an upstream says of itself and what it is handed

Now upstream_says is logged at each change of the limit or of leaving that the gate's upstream names, in answers, broken answers with a whole head, refusals and health answers; upstream_limit_per_s and upstream_leaving are gauges, upstream_requests_total counts what is handed over, whether it runs or not. Nothing decides by it yet.

--- a/src/savorytally/dataplane/answers.py
+++ b/src/savorytally/dataplane/answers.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from .. import results
+from ..decisions import standing
 from . import callers
 from . import dialect
 from . import exchanges
@@ -104,6 +105,14 @@
             return Verdict(results.ANSWERED, None, named)
         return Verdict(results.UPSTREAM_BROKEN, None, named)
 
+    def said(self, headers: callers.Headers) -> standing.Said:
+        """Return what an answer says of its upstream."""
+        named = self._dialect
+        return standing.read(
+            [v.decode("latin-1") for k, v in headers if k == named.limit],
+            [v.decode("latin-1") for k, v in headers if k == named.leaving],
+        )
+
     def returned_headers(self, reply: exchanges.Reply) -> callers.Headers:
         """Return the headers that go back to the caller."""
         return [
--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -45,6 +45,7 @@
         self._not_run = collections.Counter()
         self._cut: collections.Counter[str] = collections.Counter()
         self._broken: collections.Counter[str] = collections.Counter()
+        self._handed_over = 0
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
         self._gauges: dict[str, t.Callable[[], float]] = {}
@@ -95,6 +96,10 @@
         """Count a request whose connection was ended before its answer."""
         self._cut[where] += 1
 
+    def handed_over(self) -> None:
+        """Count a request that is sent to the local upstream."""
+        self._handed_over += 1
+
     def broken(self, how: str) -> None:
         """Count an exchange that ended without a whole answer."""
         self._broken[how] += 1
@@ -118,6 +123,10 @@
                 f'savorytally_not_run_total{{ground="{ground}",'
                 f'answer="{answer}"}} {count}'
             )
+        lines.append("# TYPE savorytally_upstream_requests_total counter")
+        lines.append(
+            f"savorytally_upstream_requests_total {self._handed_over}"
+        )
         lines.append("# TYPE savorytally_requests_cut_total counter")
         for where, count in sorted(self._cut.items()):
             lines.append(
--- a/src/savorytally/dataplane/dialect.py
+++ b/src/savorytally/dataplane/dialect.py
@@ -15,6 +15,8 @@
     :param signature: an upstream's mark on its answer.
     :param not_executed: an upstream's word that it did not run a request.
     :param load: an upstream's running, waiting and slots.
+    :param limit: requests a second that an upstream takes from all hosts.
+    :param leaving: an upstream's word that it leaves.
     :param answered_by: the upstream that answers.
     :param below: what upstreams put between the identifier of a request and
         their own part in those of the calls that they make for it, empty
@@ -31,6 +33,8 @@
     signature: bytes
     not_executed: bytes
     load: bytes
+    limit: bytes
+    leaving: bytes
     answered_by: bytes
     below: bytes
     key_scheme: bytes
--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -99,6 +99,7 @@
         self._headers: callers.Headers = []
         self._body: list[bytes] = []
         self._in_message = False
+        self._head_read = False
         self._to_end = False
         self._answer: Reply | None = None
         self._loop = asyncio.get_running_loop()
@@ -120,6 +121,13 @@
         """Whether an exchange is in progress."""
         return self._done is not None
 
+    @property
+    def head(self) -> Reply | None:
+        """Status and headers of an answer that has not ended, if read."""
+        if not self._head_read or self._parser is None:
+            return None
+        return Reply(self._status(), self._headers, b"")
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = t.cast(asyncio.Transport, transport)
         sockets.notice_silence(transport)
@@ -148,6 +156,7 @@
         self._done = done
         self._wanted = wanted
         self._read_bytes = self._interim = 0
+        self._head_read = False
         self.uses += 1
         if self._transport is None:
             self._end(Broken.NOT_SENT)
@@ -245,6 +254,7 @@
             self.reusable = False
         self._let_go()
         self._in_message = True
+        self._head_read = False
         self._to_end = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -259,6 +269,7 @@
             if self._interim > INTERIM_MAX:
                 raise _Oversized(f"more than {INTERIM_MAX} interim answers")
             return
+        self._head_read = True
         if status in _NO_BODY:
             return
         headers = dict(self._headers)
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -10,7 +10,9 @@
 from ..decisions import gatequeue
 from ..decisions import lineage
 from ..decisions import repeatbudget
+from ..decisions import standing
 from . import answers
+from . import callers
 from . import counters
 from . import crashwatch
 from . import dialect
@@ -26,6 +28,8 @@
 # How long a start of the upstream that has been replaced is refused without
 # asking the upstream again.
 REPLACED_S = 1.0
+# Starts of the upstream of which it is known what they have said.
+STARTS_KEPT = 4
 
 _Ground = grounds.Ground
 
@@ -134,7 +138,12 @@
         self.below = backpressure.ChainWaits()
         self.budget = budget
         self.chain = chainbudget.ChainBudget(budget)
-        self.health = health.Health(spoken, connections)
+        self._dialect = spoken
+        self.health = health.Health(spoken, connections, self._hear)
+        # What the latest starts of the upstream have said, by identifier.
+        self._standings: dict[str, standing.Standing] = {}
+        # The start that was heard last.
+        self._latest = ""
         self.leaving = False
         # Until when starts of the upstream count as replaced.
         self._replaced: dict[str, float] = {}
@@ -149,6 +158,11 @@
         """Calls that wait or run."""
         return self._queue.running + self._queue.waiting
 
+    @property
+    def upstream_standing(self) -> standing.Standing:
+        """What the start of the upstream that was heard last has said."""
+        return self._standing(self._latest)
+
     def run(self, call: frames.Call, reply: Reply) -> Run:
         """Take a call; its result is handed to ``reply``."""
         now = self._loop.time()
@@ -268,6 +282,7 @@
         )
         run.parent.reserved = reserved
         run.connection = connection
+        self._counts.handed_over()
         run.ticket = self._watch.started(run.call)
         run.timer = self._loop.call_at(run.deadline, self._expired, run)
         connection.request(
@@ -286,6 +301,7 @@
     ) -> None:
         run.connection = None
         if isinstance(result, exchanges.Broken):
+            self._hear_head(run, connection)
             self._pool.give(connection)
             if result is exchanges.Broken.NOT_SENT:
                 self._end(run, results.NOT_DISPATCHED, _Ground.NO_CONNECTION)
@@ -295,6 +311,7 @@
             self._watch.broken(run.ticket)
             self._end(run, results.UPSTREAM_BROKEN)
             return
+        self._hear_answer(run, result)
         verdict = self._answers.judge(result)
         connection.ambiguous = connection.ambiguous or verdict.ambiguous
         self._pool.give(connection)
@@ -308,6 +325,57 @@
         self._watch.answered(run.ticket, run.call)
         self._end(run, results.ANSWERED, reply=result)
 
+    def _hear_answer(self, run: Run, reply: exchanges.Reply) -> None:
+        """Take in what the answer to a request says of the upstream."""
+        instance_id = run.call.instance_id
+        if self._answers.judge(reply).code is results.INSTANCE_GONE:
+            name = reply.header(self._dialect.answered_by)
+            instance_id = name.decode("latin-1")
+        self._hear(instance_id, reply.headers, run.started)
+
+    def _hear_head(self, run: Run, connection: exchanges.Connection) -> None:
+        """Take in the head of an answer that was broken off."""
+        head = connection.head
+        if head is None:
+            return
+        if self._answers.belongs(run.call, head, connection.ambiguous):
+            self._hear_answer(run, head)
+
+    def _hear(
+        self, instance_id: str, headers: callers.Headers, sent_at: float
+    ) -> None:
+        """Take in what an answer says of the start that gave it.
+
+        :param sent_at: when its request was sent, loop time.
+        """
+        if not instance_id:
+            return
+        self._latest = instance_id
+        known = self._standing(instance_id)
+        said = self._answers.said(headers)
+        if known.hear(said, sent_at, self._loop.time()):
+            self._log_standing(instance_id, known, "answer")
+
+    def _standing(self, instance_id: str) -> standing.Standing:
+        known = self._standings.get(instance_id)
+        if known is None:
+            known = self._standings[instance_id] = standing.Standing()
+            for oldest in list(self._standings)[:-STARTS_KEPT]:
+                del self._standings[oldest]
+        return known
+
+    def _log_standing(
+        self, instance_id: str, known: standing.Standing, origin: str
+    ) -> None:
+        limited = known.limit_per_s != standing.NO_LIMIT
+        self._log.event(
+            "upstream_says",
+            upstream=instance_id,
+            limit_per_s=known.limit_per_s if limited else None,
+            leaving=known.leaving_since is not None,
+            origin=origin,
+        )
+
     def _note_replaced(self, instance_id: str) -> None:
         """Note that another start of the upstream has its address."""
         now = self._loop.time()
--- a/src/savorytally/dataplane/health.py
+++ b/src/savorytally/dataplane/health.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing as t
 
+from . import callers
 from . import dialect
 from . import exchanges
 from . import pool
@@ -12,6 +13,8 @@
 _OK = 200
 
 Judged = t.Callable[[bool], None]
+# Takes the answering start of the upstream, its headers and when it was asked.
+Heard = t.Callable[[str, callers.Headers, float], None]
 
 
 class Health:
@@ -19,11 +22,16 @@
 
     :param spoken: names of the headers.
     :param connections: connections to the upstream.
+    :param heard: takes what answers say of the upstream.
     """
 
     def __init__(
-        self, spoken: dialect.Dialect, connections: pool.Pool
+        self,
+        spoken: dialect.Dialect,
+        connections: pool.Pool,
+        heard: Heard,
     ) -> None:
+        self._heard = heard
         self._dialect = spoken
         self._pool = connections
         self._loop = asyncio.get_running_loop()
@@ -32,6 +40,7 @@
         self._asked = -HOLDS_S
         self._waiting: list[tuple[str, Judged]] = []
         self._timer: asyncio.TimerHandle | None = None
+        self._sent_at = 0.0
 
     def learn_path(self, path: str) -> None:
         """Apply the path of the question; empty if there is none."""
@@ -53,6 +62,7 @@
             self._answered("")
             return
         self._timer = self._loop.call_later(HOLDS_S, self._silent, connection)
+        self._sent_at = self._loop.time()
         # Its answer names no request.
         connection.ambiguous = True
         host = self._pool.address.host.encode()
@@ -75,10 +85,13 @@
             # By then the connection may carry another request.
             self._timer.cancel()
         self._pool.give(connection)
-        instance = b""
-        if isinstance(result, exchanges.Reply) and result.status == _OK:
-            instance = result.header(self._dialect.answered_by)
-        self._answered(instance.decode("latin-1"))
+        instance = ""
+        if isinstance(result, exchanges.Reply):
+            name = result.header(self._dialect.answered_by).decode("latin-1")
+            self._heard(name, result.headers, self._sent_at)
+            if result.status == _OK:
+                instance = name
+        self._answered(instance)
 
     def _answered(self, instance_id: str) -> None:
         self._instance = instance_id
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -461,6 +461,14 @@
         add("gate_running", lambda: self.gate.queue.running)
         add("gate_waiting", lambda: self.gate.queue.waiting)
         add("gate_limit", lambda: self.gate.queue.limit)
+        add(
+            "upstream_limit_per_s",
+            lambda: self.gate.upstream_standing.limit_per_s,
+        )
+        add(
+            "upstream_leaving",
+            lambda: int(self.gate.upstream_standing.leaving_since is not None),
+        )
         add("upstreams", lambda: len(self._listing.instances))
         add("followers", lambda: self.following.followers)
         add("reads_store", lambda: int(self._feed.good))
--- a/src/savorytally/platform/headers.py
+++ b/src/savorytally/platform/headers.py
@@ -11,6 +11,8 @@
     signature=b"x-savorytally-response-signature",
     not_executed=b"x-savorytally-not-executed",
     load=b"x-savorytally-server-load",
+    limit=b"server-limit",
+    leaving=b"server-leaving",
     answered_by=b"x-savorytally-instance-id",
     # Not promised: calls that don't follow it are told by their time.
     below=b".",
