--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -98,6 +98,8 @@
         self.rejects: t.Callable[[], bool] = lambda: False
         self.calls: t.Callable[[dict[str, str]], t.Any] | None = None
         self.leaving = False
+        # Headers of all its answers.
+        self.says: dict[str, str] = {}
         # Whether it names the requests that it has not run.
         self.names_refused = False
         # Writes all its answers.
@@ -120,6 +122,7 @@
         if connection.target == b"/healthz":
             told = {"x-savorytally-instance-id": self.instance_id}
             status = 503 if self.leaving else 200
+            told |= self.says
             self.write(connection, response(status, b"", told))
             return
         task = asyncio.ensure_future(
@@ -135,6 +138,7 @@
         self.arrived.append(name)
         echo = {"x-savorytally-attempt-id": name}
         refused = dict(echo) if self.names_refused else {}
+        refused |= self.says
         meant = given.get("x-savorytally-expected-instance")
         if meant and meant != self.instance_id:
             refused["x-savorytally-instance-id"] = self.instance_id
@@ -161,6 +165,7 @@
             self.cut_off.append(name)
             return
         echo[SIGNATURE] = f"sig-{name}"
+        echo |= self.says
         answer = response(status, b"answer to " + name.encode(), echo)
         if self.fault is not None:
             self.fault(connection, name, answer)
