Keep to what upstreams say of themselves in their answers

Callers of upstreams in need: an upstream that named 7.6 requests a second got 139 in 4 s where 51 are allowed, and one that said that it leaves got new requests for as long as its entry called it ready.

Cause: what an upstream says of itself was taken from the list only; its answers passed through unread. The class: state told by one channel of two.

The gate tells all connected hosts at once, and each result again; they place at most their share there. A host that was told says so with its calls: a gate that was started again keeps the limit before it has heard the upstream. A lower limit counts at once, a higher one or none only in the answer to a request that was sent after the lower one was heard: answers overtake each other. Numbers that are none change nothing.

A host that was told that an upstream leaves sends it nothing new if it has another, and nothing at all once the time to drain is over, whatever the list says, until the upstream's next start is listed (born). The gate refuses what hosts send that do not know it yet.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -90,7 +90,10 @@
         self._terms = terms.Terms(spoken, own)
         self._limits = catalog.RequestLimits()
         self.placement = placement.Placement(
-            chosen.data_centre, chosen.regions, source
+            chosen.data_centre,
+            chosen.regions,
+            source,
+            chosen.bounds.drain_s,
         )
         self.splits = splits.Splits(source)
         self._repeats = repeats.Repeats(own.budget, own, counts)
@@ -255,7 +258,7 @@
         call.tried.append(instance.instance_id)
         call.instance_id = instance.instance_id
         call.run = None
-        self.placement.sent(instance.instance_id)
+        self.placement.sent(instance.instance_id, now)
         sent = frames.Call(
             number=0,
             instance_id=instance.instance_id,
@@ -275,6 +278,7 @@
             organisation=call.organisation,
             caller_service=self._options.service,
             request_id=call.request_id,
+            limit_per_s=self.placement.limit_per_s(instance.instance_id),
         )
         if instance.address == self._options.address:
             self._offer_own(call, instance, sent)
@@ -388,6 +392,7 @@
         """Tell placement what a result says of its host."""
         where, name = self.placement, instance.instance_id
         where.ended(name)
+        self._learn_standing(name, result, code, now)
         if code is results.HOST_LEAVING or code is results.INSTANCE_GONE:
             where.leaving(name, now)
             return
@@ -401,6 +406,24 @@
         good = result.answered and result.status < _SERVER_ERROR
         where.outcome(name, good, now)
 
+    def _learn_standing(
+        self,
+        instance_id: str,
+        result: frames.Result,
+        code: results.ResultCode,
+        now: float,
+    ) -> None:
+        """Tell placement what an upstream says of itself."""
+        limit_per_s = result.limit_per_s
+        if limit_per_s is None:
+            return
+        where = self.placement
+        where.learn_standing(
+            instance_id, limit_per_s, result.share_per_s, result.leaving, now
+        )
+        if code is results.SHED_AT_GATE:
+            where.hold_back(instance_id, result.wait_ms / 1000, now)
+
     def _repeat(self, call: calls.Call, counted: bool = True) -> None:
         if counted:
             self._repeats.again(call)
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -34,6 +34,7 @@
     CHANGES = 17
     SAMPLES = 18
     WAITS = 19
+    STANDING = 20
 
 
 class Flag:
@@ -63,6 +64,8 @@
     :param organisation: holder of the caller's key, empty if none.
     :param caller_service: service on the host where the request began.
     :param request_id: the caller's identifier of this attempt.
+    :param limit_per_s: what the sender was told of the upstream's limit,
+        ``None`` if nothing.
     """
 
     number: int
@@ -79,6 +82,7 @@
     organisation: str
     caller_service: str
     request_id: bytes
+    limit_per_s: float | None = None
 
 
 class Result(t.NamedTuple):
@@ -95,6 +99,10 @@
     :param run_ms: time that the upstream took.
     :param load: requests that run and wait at the gate.
     :param limit: requests that the gate lets run.
+    :param limit_per_s: requests a second that the upstream takes, infinite
+        if it names no limit, ``None`` if the gate has nothing to tell.
+    :param share_per_s: how many of these one sender may count on.
+    :param leaving: whether the upstream has said that it leaves.
     """
 
     number: int
@@ -110,6 +118,9 @@
     run_ms: int = 0
     load: int = 0
     limit: int = 0
+    limit_per_s: float | None = None
+    share_per_s: float = 0.0
+    leaving: bool = False
 
     @property
     def answered(self) -> bool:
@@ -126,15 +137,18 @@
     """Bytes on a stream that are no frame of this protocol."""
 
 
+_NUMBER = (int, float)
 # Types of the fields of each kind.
 _SHAPES: dict[int, tuple[type | tuple[type, ...], ...]] = {
     Kind.CALL: (
         *(int, str, str, bytes, bytes, list, bytes),
         *(int, int, int, int, str, str, bytes),
+        (int, float, type(None)),
     ),
     Kind.RESULT: (
         *(int, int, int, list, bytes, int, bool),
         *(int, int, bool, int, int, int),
+        *((int, float, type(None)), _NUMBER, bool),
     ),
     Kind.CANCEL: (int,),
     Kind.PING: (),
@@ -153,6 +167,7 @@
     Kind.CHANGES: ((int, type(None)), int, bool, int, list, list),
     Kind.SAMPLES: (list,),
     Kind.WAITS: (list,),
+    Kind.STANDING: (str, _NUMBER, _NUMBER, bool),
 }
 # Place of the headers in the frames that have them.
 _HEADERS = {Kind.CALL: 6, Kind.RESULT: 4}
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -9,6 +9,7 @@
 from ..decisions import chainbudget
 from ..decisions import gatequeue
 from ..decisions import lineage
+from ..decisions import pace
 from ..decisions import repeatbudget
 from ..decisions import standing
 from . import answers
@@ -30,10 +31,17 @@
 REPLACED_S = 1.0
 # Starts of the upstream of which it is known what they have said.
 STARTS_KEPT = 4
+# Pause between two times that other hosts are told what the upstream says.
+TOLD_S = 0.2
+# Shortest time until the pace is asked again.
+PACED_MIN_S = 0.001
 
 _Ground = grounds.Ground
 
 Reply = t.Callable[[frames.Result], None]
+# Takes an upstream's identifier, its limit and a host's share of it, and
+# whether it leaves.
+Tell = t.Callable[[str, float, float, bool], None]
 
 
 class State(enum.Enum):
@@ -115,6 +123,7 @@
     :param budget: repeats that this host may send.
     :param log: takes a line for each call that is not answered.
     :param counts: counts the calls that have not run.
+    :param drain_s: how long an upstream that leaves may get new calls.
     """
 
     def __init__(
@@ -126,7 +135,9 @@
         budget: repeatbudget.RepeatBudget,
         log: journal.Journal,
         counts: counters.Counters,
+        drain_s: float,
     ) -> None:
+        self._drain_s = drain_s
         self._answers = answers.Answers(spoken)
         self._log = log
         self._counts = counts
@@ -144,6 +155,15 @@
         self._standings: dict[str, standing.Standing] = {}
         # The start that was heard last.
         self._latest = ""
+        # When the starts of the upstream that are listed have begun.
+        self._born: dict[str, int] = {}
+        self._shares = pace.Shares()
+        # Set when the pace lets the next call go.
+        self._next_start: asyncio.TimerHandle | None = None
+        # Whether other hosts are to be told what the upstream says.
+        self._untold = False
+        self._told_at = 0.0
+        self.tell: Tell = lambda *standing: None
         self.leaving = False
         # Until when starts of the upstream count as replaced.
         self._replaced: dict[str, float] = {}
@@ -163,12 +183,29 @@
         """What the start of the upstream that was heard last has said."""
         return self._standing(self._latest)
 
-    def run(self, call: frames.Call, reply: Reply) -> Run:
-        """Take a call; its result is handed to ``reply``."""
+    def learn_start(self, instance_id: str, born: int) -> None:
+        """Apply when the listed start of the upstream has begun."""
+        known = self._standings.get(instance_id)
+        if known is not None and born > self._born.get(instance_id, born):
+            known.restarted()
+        self._born = {instance_id: born}
+
+    def run(
+        self, call: frames.Call, reply: Reply, sender: t.Hashable = None
+    ) -> Run:
+        """Take a call; its result is handed to ``reply``.
+
+        :param sender: stands for the host that has sent it.
+        """
         now = self._loop.time()
+        self._shares.note(sender, now)
+        if call.limit_per_s is not None:
+            self._note_told(call.instance_id, call.limit_per_s, now)
         run = Run(call, now + call.remaining_ms / 1000, reply)
         if self.leaving:
             self._finish(run, results.HOST_LEAVING, _Ground.LEAVING)
+        elif self._drained(call.instance_id, now):
+            self._finish(run, results.HOST_LEAVING, _Ground.LEAVING)
         elif self._replaced.get(call.instance_id, 0.0) > now:
             self._finish(run, results.INSTANCE_GONE, _Ground.REPLACED)
         elif self._watch.refused_s(call):
@@ -206,7 +243,9 @@
         if verdict is gatequeue.Verdict.START:
             self._start(run)
         elif verdict is gatequeue.Verdict.REFUSE:
-            self._finish(run, results.SHED_AT_GATE, _Ground.QUEUE)
+            self._finish(run, results.SHED_AT_GATE, self._shed_ground)
+        else:
+            self._await_pace(now)
 
     def cancel(self, run: Run) -> None:
         """Withdraw a call whose result nobody waits for.
@@ -227,8 +266,19 @@
 
     def tick(self) -> None:
         """Refuse what has waited too long."""
-        for job in self._queue.drop_late(self._loop.time()):
-            self._finish(job.owner, results.SHED_AT_GATE, _Ground.QUEUE)
+        now = self._loop.time()
+        for job in self._queue.drop_late(now):
+            self._finish(job.owner, results.SHED_AT_GATE, self._shed_ground)
+        self._shares.forget(now)
+        if self._untold and now - self._told_at >= TOLD_S:
+            self._untold, self._told_at = False, now
+            known = self.upstream_standing
+            self.tell(
+                self._latest,
+                known.limit_per_s,
+                self._shares.share_per_s(known.limit_per_s, now),
+                known.leaving_since is not None,
+            )
 
     def leave(self) -> None:
         """Take no new calls."""
@@ -350,11 +400,66 @@
         """
         if not instance_id:
             return
-        self._latest = instance_id
+        now = self._loop.time()
         known = self._standing(instance_id)
-        said = self._answers.said(headers)
-        if known.hear(said, sent_at, self._loop.time()):
+        changed = known.hear(self._answers.said(headers), sent_at, now)
+        if changed:
             self._log_standing(instance_id, known, "answer")
+        if changed or instance_id != self._latest:
+            self._latest = instance_id
+            self._untold = self._untold or changed
+            self._apply_pace(now)
+
+    def _note_told(
+        self, instance_id: str, limit_per_s: float, now: float
+    ) -> None:
+        """Take in the limit that another host was told.
+
+        This node may have been started again since.
+        """
+        if self._latest not in ("", instance_id):
+            return
+        known = self._standing(instance_id)
+        if known.tell(limit_per_s):
+            self._latest = instance_id
+            self._log_standing(instance_id, known, "peer")
+            self._apply_pace(now)
+
+    def _drained(self, instance_id: str, now: float) -> bool:
+        known = self._standings.get(instance_id)
+        if known is None or known.leaving_since is None:
+            return False
+        return now - known.leaving_since >= self._drain_s
+
+    def _apply_pace(self, now: float) -> None:
+        limit_per_s = self.upstream_standing.limit_per_s
+        self._advance(self._queue.learn_pace(limit_per_s, now), now)
+        self.health.learn_limited(self._queue.paced)
+
+    def _advance(self, change: gatequeue.Change, now: float) -> None:
+        for late in change.dropped:
+            self._finish(late.owner, results.SHED_AT_GATE, self._shed_ground)
+        for job in change.started:
+            self._start(job.owner)
+        self._await_pace(now)
+
+    def _await_pace(self, now: float) -> None:
+        """Start what waits as soon as the pace lets it go."""
+        if self._next_start is not None:
+            return
+        after_s = self._queue.next_start_s(now)
+        if after_s is not None:
+            after_s = max(after_s, PACED_MIN_S)
+            self._next_start = self._loop.call_later(after_s, self._paced)
+
+    def _paced(self) -> None:
+        self._next_start = None
+        now = self._loop.time()
+        self._advance(self._queue.advance(now), now)
+
+    @property
+    def _shed_ground(self) -> grounds.Ground:
+        return _Ground.LIMIT if self._queue.paced else _Ground.QUEUE
 
     def _standing(self, instance_id: str) -> standing.Standing:
         known = self._standings.get(instance_id)
@@ -438,11 +543,8 @@
             if parent.reserved:
                 self.chain.release(parent.reserved, now)
         job = t.cast(gatequeue.Job, run.job)
-        change = self._queue.finish(job, ran_s, now)
-        for late in change.dropped:
-            self._finish(late.owner, results.SHED_AT_GATE, _Ground.QUEUE)
-        for next_job in change.started:
-            self._start(next_job.owner)
+        sent = run.started > 0.0
+        self._advance(self._queue.finish(job, ran_s, now, sent), now)
 
     def _finish(
         self,
@@ -458,7 +560,7 @@
         call, queue = run.call, self._queue
         child = bool(call.flags & frames.Flag.CHILD)
         now = self._loop.time()
-        wait_s = queue.wait_s(call.rank, child)
+        wait_s = queue.wait_s(call.rank, child, now)
         if run.job is not None:
             # More urgent requests that come later prolong a wait.
             until = run.started or now
@@ -487,6 +589,7 @@
             )
         if reply is not None:
             headers = self._answers.returned_headers(reply)
+        limit_per_s, share_per_s, leaving = self._to_tell(call, now)
         run.reply(
             frames.Result(
                 number=call.number,
@@ -502,5 +605,24 @@
                 run_ms=int(ran_s * 1000) if ran_s is not None else 0,
                 load=queue.running + queue.waiting,
                 limit=queue.limit,
+                limit_per_s=limit_per_s,
+                share_per_s=share_per_s,
+                leaving=leaving,
             )
         )
+
+    def _to_tell(
+        self, call: frames.Call, now: float
+    ) -> tuple[float | None, float, bool]:
+        """Return what a result tells of the upstream's standing."""
+        known = self._standings.get(call.instance_id)
+        if known is None:
+            return None, 0.0, False
+        limit_per_s = known.limit_per_s
+        leaving = known.leaving_since is not None
+        if limit_per_s != standing.NO_LIMIT:
+            share_per_s = self._shares.share_per_s(limit_per_s, now)
+            return limit_per_s, share_per_s, leaving
+        if leaving or (known.heard and call.limit_per_s is not None):
+            return limit_per_s, 0.0, leaving
+        return None, 0.0, False
--- a/src/savorytally/dataplane/grounds.py
+++ b/src/savorytally/dataplane/grounds.py
@@ -11,6 +11,7 @@
     """
 
     QUEUE = "queue"
+    LIMIT = "limit"
     LEAVING = "leaving"
     HEALTH = "health"
     CULPRIT = "culprit"
--- a/src/savorytally/dataplane/health.py
+++ b/src/savorytally/dataplane/health.py
@@ -10,6 +10,8 @@
 
 # How long an answer holds.
 HOLDS_S = 1.0
+# The same while the upstream names a limit, which questions may count to.
+HOLDS_LIMITED_S = 2.0
 _OK = 200
 
 Judged = t.Callable[[bool], None]
@@ -37,7 +39,8 @@
         self._loop = asyncio.get_running_loop()
         self._path = b""
         self._instance = ""
-        self._asked = -HOLDS_S
+        self._asked = -HOLDS_LIMITED_S
+        self._holds_s = HOLDS_S
         self._waiting: list[tuple[str, Judged]] = []
         self._timer: asyncio.TimerHandle | None = None
         self._sent_at = 0.0
@@ -46,11 +49,15 @@
         """Apply the path of the question; empty if there is none."""
         self._path = path.encode()
 
+    def learn_limited(self, limited: bool) -> None:
+        """Apply whether the upstream names a limit."""
+        self._holds_s = HOLDS_LIMITED_S if limited else HOLDS_S
+
     def ask(self, instance_id: str, judged: Judged) -> None:
         """Tell whether that start of the upstream serves and stays."""
         if not self._path:
             judged(False)
-        elif self._loop.time() - self._asked < HOLDS_S:
+        elif self._loop.time() - self._asked < self._holds_s:
             judged(self._instance == instance_id)
         else:
             self._waiting.append((instance_id, judged))
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -65,6 +65,15 @@
     def host_silent(self, address: str) -> None:
         """Note that a host does not answer at present."""
 
+    def upstream_says(
+        self,
+        instance_id: str,
+        limit_per_s: float,
+        share_per_s: float,
+        leaving: bool,
+    ) -> None:
+        """Take in what another host's upstream says of itself."""
+
     def crashed(self, fingerprints: list[int]) -> None:
         """Count a crash of another host's upstream."""
 
@@ -207,7 +216,7 @@
             runs.pop(call.number, None)
             stream.send(frames.Kind.RESULT, *result)
 
-        run = self._gate.run(call, reply)
+        run = self._gate.run(call, reply, stream)
         if run.state is not gate.State.DONE:
             runs[call.number] = run
 
@@ -280,6 +289,9 @@
     def _on_waits(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         self._owner.following.told_waits(frame[1])
 
+    def _on_standing(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        self._owner.upstream_says(*frame[1:])
+
     def _on_leaving(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         for address, link in self._links.items():
             if link.carries(stream):
@@ -303,6 +315,7 @@
     frames.Kind.CHANGES: Peers._on_changes,
     frames.Kind.SAMPLES: Peers._on_samples,
     frames.Kind.WAITS: Peers._on_waits,
+    frames.Kind.STANDING: Peers._on_standing,
     frames.Kind.ASK: Peers._on_ask,
     frames.Kind.GRANT: Peers._on_grant,
     frames.Kind.DEMAND: Peers._on_demand,
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -99,7 +99,9 @@
             budget,
             self.log,
             self.counts,
+            bounds.drain_s,
         )
+        self.gate.tell = self._tell_standing
         self.peers = peers.Peers(chosen.peer_port, self.gate, self, rand)
         self.crashes.attach(self.peers)
         self.rates = rates.Rates(chosen, self.peers)
@@ -326,6 +328,31 @@
         self.rates.host_stops(address)
         self.following.host_stops(address)
 
+    def upstream_says(
+        self,
+        instance_id: str,
+        limit_per_s: float,
+        share_per_s: float,
+        leaving: bool,
+    ) -> None:
+        """Take in what another host's upstream says of itself."""
+        now = self._loop.time()
+        self.entry.placement.learn_standing(
+            instance_id, limit_per_s, share_per_s, leaving, now
+        )
+
+    def _tell_standing(
+        self,
+        instance_id: str,
+        limit_per_s: float,
+        share_per_s: float,
+        leaving: bool,
+    ) -> None:
+        """Tell all hosts what the local upstream says of itself."""
+        told = (instance_id, limit_per_s, share_per_s, leaving)
+        self.upstream_says(*told)
+        self.peers.broadcast(frames.Kind.STANDING, *told)
+
     def host_silent(self, address: str) -> None:
         """Send nothing new for a moment to a host that is silent."""
         until = self._loop.time() + SILENT_S
@@ -358,6 +385,7 @@
             hosts.setdefault(instance.address, []).append(name)
             if (instance.address, instance.port) == (own.host, own.port):
                 self.gate.queue.learn_slots(instance.slots)
+                self.gate.learn_start(name, instance.born)
         self._at_address = hosts
         self._share.learn(hosts, now)
         self.crashes.learn_hosts(hosts)
--- a/src/savorytally/decisions/gatequeue.py
+++ b/src/savorytally/decisions/gatequeue.py
@@ -2,8 +2,9 @@
 
 Answers a lasting overload of one upstream: what waits is bounded by the time
 in which an answer is still of use, so that a request is refused on arrival
-rather than after it has been held. Work that is paid for already, the calls
-of requests in progress, goes before new work of the same rank.
+rather than after it has been held. An upstream that names a limit gets its
+requests at that pace, in the same order. Work that is paid for already, the
+calls of requests in progress, goes before new work of the same rank.
 """
 
 import dataclasses
@@ -12,6 +13,8 @@
 import itertools
 import typing as t
 
+from . import pace
+
 # Part of the slots that stays free: upstreams slow down when nearly full,
 # and probes and new connections hold slots for a moment.
 HEADROOM = 0.06
@@ -77,6 +80,7 @@
 
     def __init__(self) -> None:
         self._limit = LIMIT_UNKNOWN
+        self._pace = pace.Pace()
         self._heap: list[tuple[int, bool, int, Job]] = []
         self._waiting: dict[tuple[int, bool], int] = {}
         self._sequence = itertools.count()
@@ -103,11 +107,30 @@
         """Apply how many requests the upstream works on at once."""
         self._limit = max(1, slots - max(1, round(slots * HEADROOM)))
 
+    def learn_pace(self, limit_per_s: float, now: float) -> Change:
+        """Apply how many requests a second the upstream takes.
+
+        :param limit_per_s: :data:`.standing.NO_LIMIT` if it names no limit.
+        """
+        self._pace.learn(limit_per_s, now)
+        return self.advance(now)
+
+    @property
+    def paced(self) -> bool:
+        """Whether the upstream names a limit."""
+        return self._pace.limited
+
+    def next_start_s(self, now: float) -> float | None:
+        """Return when the pace lets the next one go, if it holds one up."""
+        if not self.paced or not self.waiting or self._running >= self._limit:
+            return None
+        return self._pace.wait_s(0, now)
+
     def run_s(self, route: str) -> float:
         """Return the mean time of a route's runs."""
         return self._route_run_s.get(route, self._run_s)
 
-    def wait_s(self, rank: int, child: bool) -> float:
+    def wait_s(self, rank: int, child: bool, now: float) -> float:
         """Return how long a request of that kind would wait."""
         ahead = sum(
             count
@@ -115,15 +138,17 @@
             if order <= (rank, not child)
         )
         over = ahead + self._running + 1 - self._limit
-        return max(0, over) * self._run_s / self._limit
+        room_s = max(0, over) * self._run_s / self._limit
+        return max(room_s, self._pace.wait_s(ahead, now))
 
     def offer(self, job: Job, now: float) -> Verdict:
         """Decide on a request that has arrived."""
         job.arrived = now
-        if self._running < self._limit and not self.waiting:
+        free = self._running < self._limit and not self.waiting
+        if free and self._pace.take(now):
             self._running += 1
             return Verdict.START
-        if self.wait_s(job.rank, job.child) > self._patience_s(job, now):
+        if self.wait_s(job.rank, job.child, now) > self._patience_s(job, now):
             return Verdict.REFUSE
         heapq.heappush(self._heap, (*job.order, next(self._sequence), job))
         self._waiting[job.order] = self._waiting.get(job.order, 0) + 1
@@ -135,12 +160,17 @@
             job.gone = True
             self._waiting[job.order] -= 1
 
-    def finish(self, job: Job, ran_s: float | None, now: float) -> Change:
+    def finish(
+        self, job: Job, ran_s: float | None, now: float, sent: bool = True
+    ) -> Change:
         """Note the end of a request at the upstream.
 
         :param ran_s: how long it ran, ``None`` if that says nothing.
+        :param sent: whether it was sent to the upstream.
         """
         self._running -= 1
+        if not sent:
+            self._pace.give_back()
         if ran_s is not None:
             self._run_s += RUN_WEIGHT * (ran_s - self._run_s)
             known = self._route_run_s.get(job.route, ran_s)
@@ -155,7 +185,7 @@
         while self._heap:
             job = self._heap[0][3]
             if not job.gone and not self._hopeless(job, now):
-                if self._running >= self._limit:
+                if self._running >= self._limit or not self._pace.take(now):
                     break
                 started.append(job)
                 self._running += 1
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -8,6 +8,10 @@
 An upstream whose entry has lapsed may be cut off from the list only. Where a
 service has no listed upstream left, the unlisted ones are still offered
 requests; the node beside each of them makes sure that it serves.
+
+An upstream that names a limit counts as busy until the next of the requests
+that this node may count on is due. One that has said that it leaves is offered
+requests for want of others only, and none once the time to drain is over.
 """
 
 import dataclasses
@@ -15,6 +19,7 @@
 import typing as t
 
 from ..world import catalog
+from . import standing
 
 # Weight of the latest observation in a mean.
 WEIGHT = 0.15
@@ -40,6 +45,13 @@
 LEAVING_S = 3.0
 # Time after which an unlisted upstream is forgotten.
 UNLISTED_MAX_S = 30.0
+# What is added to the expected time of an upstream that is avoided.
+AVOIDED_S = 10.0
+# The most by which an upstream that names a limit counts as busy, so that it
+# is used again soon after a rush.
+PACED_MAX_S = 2.0
+# Upstreams of which it is kept what they have said.
+STATED_MAX = 4096
 # Random spread of scores, so that equal hosts share.
 SPREAD = 0.15
 
@@ -65,12 +77,28 @@
     unlisted: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Stated:
+    """What one start of an upstream has said, as this node was told.
+
+    It is kept while the upstream is not listed.
+    """
+
+    born: int
+    limit_per_s: float = standing.NO_LIMIT
+    interval_s: float = 0.0
+    # When the next request of this node is due there.
+    next_at: float = 0.0
+    leaving_at: float | None = None
+
+
 class Placement:
     """The upstreams of all services as one node knows them.
 
     :param data_centre: the node's data centre.
     :param regions: region of each data centre.
     :param source: random source.
+    :param drain_s: how long an upstream that leaves may get new requests.
     """
 
     def __init__(
@@ -78,7 +106,10 @@
         data_centre: str,
         regions: t.Mapping[str, str],
         source: random.Random,
+        drain_s: float = 2.0,
     ) -> None:
+        self._drain_s = drain_s
+        self._stated: dict[str, _Stated] = {}
         self._data_centre = data_centre
         self._regions = regions
         self._random = source
@@ -94,6 +125,7 @@
             if identifier not in instances:
                 self._lapse(identifier, known, now)
         for identifier, instance in instances.items():
+            self._note_start(instance)
             known = self._known.get(identifier)
             if known is None:
                 self._known[identifier] = self._new(instance, now)
@@ -107,6 +139,46 @@
                 table = self._unlisted if known.unlisted else self._services
                 table.setdefault(known.instance.service, []).append(known)
 
+    def learn_standing(
+        self,
+        instance_id: str,
+        limit_per_s: float,
+        share_per_s: float,
+        leaving: bool,
+        now: float,
+    ) -> None:
+        """Note what an upstream has said of itself.
+
+        :param limit_per_s: :data:`.standing.NO_LIMIT` if it names no limit.
+        :param share_per_s: how many of these this node may count on.
+        """
+        stated = self._stated.get(instance_id)
+        limited = limit_per_s != standing.NO_LIMIT
+        if stated is None:
+            if not (limited or leaving):
+                return
+            stated = self._stated[instance_id] = self._new_stated(instance_id)
+        stated.limit_per_s = limit_per_s
+        stated.interval_s = 1.0 / share_per_s if limited else 0.0
+        if not limited:
+            stated.next_at = 0.0
+        if leaving and stated.leaving_at is None:
+            stated.leaving_at = now
+
+    def limit_per_s(self, instance_id: str) -> float | None:
+        """Return the limit that this node was told, ``None`` if none."""
+        stated = self._stated.get(instance_id)
+        if stated is None or stated.limit_per_s == standing.NO_LIMIT:
+            return None
+        return stated.limit_per_s
+
+    def hold_back(self, instance_id: str, wait_s: float, now: float) -> None:
+        """Note how long requests wait for the limit of an upstream."""
+        stated = self._stated.get(instance_id)
+        if stated is not None and stated.interval_s:
+            due = now + min(wait_s, PACED_MAX_S)
+            stated.next_at = max(stated.next_at, due)
+
     def unlisted(self, instance_id: str) -> bool:
         """Return whether an upstream is offered requests unlisted."""
         known = self._known.get(instance_id)
@@ -138,13 +210,22 @@
                 continue
             if only is not None and name not in only:
                 continue
+            stated = self._stated.get(name)
+            if stated is not None and self._drained(stated, now):
+                continue
             score = self._score(known, route, objective_s, now)
+            if stated is not None:
+                score += self._held_back_s(stated, now)
             if score < best_score:
                 best, best_score = known, score
         return best.instance if best is not None else None
 
-    def sent(self, instance_id: str) -> None:
+    def sent(self, instance_id: str, now: float) -> None:
         """Note that a request was sent."""
+        stated = self._stated.get(instance_id)
+        if stated is not None and stated.interval_s:
+            due = max(stated.next_at, now) + stated.interval_s
+            stated.next_at = min(due, now + PACED_MAX_S)
         known = self._known.get(instance_id)
         if known is not None:
             known.in_flight += 1
@@ -215,6 +296,30 @@
             joined=now,
         )
 
+    def _note_start(self, instance: catalog.Instance) -> None:
+        """Note whether an upstream has started again since it said it left."""
+        stated = self._stated.get(instance.instance_id)
+        if stated is not None and instance.born > stated.born:
+            stated.born = instance.born
+            stated.leaving_at = None
+
+    def _new_stated(self, instance_id: str) -> _Stated:
+        if len(self._stated) >= STATED_MAX:
+            for name in list(self._stated):
+                if name not in self._known:
+                    del self._stated[name]
+        known = self._known.get(instance_id)
+        return _Stated(known.instance.born if known is not None else 0)
+
+    def _drained(self, stated: _Stated, now: float) -> bool:
+        since = stated.leaving_at
+        return since is not None and now - since >= self._drain_s
+
+    @staticmethod
+    def _held_back_s(stated: _Stated, now: float) -> float:
+        held_s = max(0.0, stated.next_at - now)
+        return held_s + AVOIDED_S * (stated.leaving_at is not None)
+
     def _region(self, data_centre: str) -> str:
         return self._regions.get(data_centre, data_centre)
 
@@ -244,7 +349,7 @@
         failing = self._failing(known, now)
         expected_s += FAILING_PART * objective_s * failing
         if known.avoid_until > now:
-            expected_s += 10.0
+            expected_s += AVOIDED_S
         return expected_s
 
     def _usual_run_s(self, service: str, route: str) -> float:
--- a/src/savorytally/decisions/standing.py
+++ b/src/savorytally/decisions/standing.py
@@ -91,6 +91,10 @@
                     self._named_at = now
         return before != (self._limit_per_s, self._leaving_since)
 
+    def restarted(self) -> None:
+        """Note that the upstream has started again under its identifier."""
+        self._leaving_since = None
+
     def tell(self, limit_per_s: float) -> bool:
         """Take in what another host was told; return whether it is news.
 
--- a/src/savorytally/platform/documents.py
+++ b/src/savorytally/platform/documents.py
@@ -99,11 +99,17 @@
             ready=_STATES[value["state"]],
             cold_s=durations.seconds(value.get("cold_remaining", "0ms")),
             listed_at=int(created),
+            born=_born(value.get("born")),
         )
     except _FAULTS as error:
         raise Malformed(f"{key}: {error!r}") from error
 
 
+def _born(value: t.Any) -> int:
+    whole = isinstance(value, int) and not isinstance(value, bool)
+    return value if whole and value > 0 else 0
+
+
 def address_of(text: str) -> options.Address:
     """Return an address written as ``HOST:PORT``."""
     host, _, port = text.rpartition(":")
--- a/src/savorytally/world/catalog.py
+++ b/src/savorytally/world/catalog.py
@@ -157,6 +157,7 @@
     :param ready: whether it takes new work.
     :param cold_s: how much longer it is slow after its start.
     :param listed_at: place in the order of all registrations.
+    :param born: when it started, in milliseconds; 0 if it does not tell.
     """
 
     instance_id: str
@@ -168,6 +169,7 @@
     ready: bool
     cold_s: float
     listed_at: int = 0
+    born: int = 0
 
 
 def latest_starts(
--- a/tests/test_pooled_waits.py
+++ b/tests/test_pooled_waits.py
@@ -114,7 +114,7 @@
 
     def drop(self, now, job):
         page = job.owner
-        waited_s = max(now - job.arrived, self.queue.wait_s(0, True))
+        waited_s = max(now - job.arrived, self.queue.wait_s(0, True, now))
         page.entry.note(PAGE, sum(page.waits) + waited_s, now)
         self.failed += 1
 
