Keep to what upstreams say of themselves in the product's own way

Both admission policies take the pace of the data plane (decisions/pace.py); with it, "adaptive" counts a call as the slot time that the limit keeps it waiting, so that the shed level, the queue's bound and the time to come back follow from the limit. Entries note what the answers that they pass on say, by host: they send nothing new to a host whose upstream leaves if there is another, nothing at all once it has drained, and tell the limit with their calls, so that a gate that was started again keeps it.

--- a/src/savorytally/decisions/adaptive.py
+++ b/src/savorytally/decisions/adaptive.py
@@ -16,6 +16,7 @@
 from . import concurrency
 from . import fairness
 from . import level
+from . import pace
 from . import service_time
 
 BURST_WAIT_S = 0.5
@@ -70,6 +71,7 @@
         self._times = service_time.ServiceTimes()
         self._queue = fairness.FairQueue(options.fairness, options.priority)
         self._levels = level.LevelControl()
+        self._pace = pace.Pace()
         self._running: dict[int, _Running] = {}
         self._alone: dict[int, admission.Arrival] = {}
         self._alone_at = float("-inf")
@@ -102,6 +104,14 @@
         self._capacity = capacity
         self._limiter.learn_ceiling(_ceiling(capacity))
 
+    def learn_pace(
+        self, limit_per_s: float, now: float
+    ) -> list[admission.Decision]:
+        """Apply how many requests a second the upstream takes."""
+        self._count_use(now)
+        self._pace.learn(limit_per_s, now)
+        return self._start(now)
+
     def learn_report(self, report: upstream.LoadReport, now: float) -> None:
         """Let a bad report cause a trial of a lower limit; no more."""
         if not report.healthy or report.in_use > self._capacity.slots:
@@ -112,7 +122,8 @@
     ) -> list[admission.Decision]:
         """Take in a new call; it may start, wait, or be refused."""
         cost_s = self._times.mean(arrival.route_id, now) or SERVICE_UNKNOWN_S
-        self._levels.offered(arrival.priority, cost_s)
+        work_s = self._work_s(cost_s)
+        self._levels.offered(arrival.priority, work_s)
         if self._hopeless(arrival, now, cost_s):
             return [self._refuse(arrival, results.DEADLINE_TOO_SHORT)]
         self._watch_deadline(arrival, cost_s, now)
@@ -120,7 +131,7 @@
             self._alone[arrival.ticket] = arrival
         else:
             self._queue.push(
-                fairness.Waiting(arrival, cost_s, now), self.limit
+                fairness.Waiting(arrival, work_s, now), self.limit
             )
         decisions = self._start(now)
         decisions += self._trim(now)
@@ -172,8 +183,19 @@
         )
         self._levels.update(observed, now)
 
+    def _work_s(self, cost_s: float) -> float:
+        """Return the slot time that a call takes from the others.
+
+        An upstream that names a limit is busy for as long as the limit
+        keeps the next call waiting.
+        """
+        if not self._pace.limited:
+            return cost_s
+        return max(cost_s, self.limit * self._pace.interval_s)
+
     def _count_use(self, now: float) -> None:
-        self._used_s += len(self._running) * (now - self._used_at)
+        if not self._pace.limited:
+            self._used_s += len(self._running) * (now - self._used_at)
         self._used_at = now
 
     def _learn(self, ended: _Running, end: admission.End, now: float) -> None:
@@ -208,11 +230,14 @@
         while True:
             alone = self._next_alone(now)
             if alone is not None:
-                if not self._running:
+                if not self._running and not self._pace.wait_s(0, now):
+                    self._pass(now)
                     decisions.append(self._run_alone(alone, now))
                 break
             if self._isolated or len(self._running) >= self.limit:
                 break
+            if self._pace.wait_s(0, now) > 0.0:
+                break
             waiting = self._queue.pop(self._newest_first(now))
             if waiting is None:
                 break
@@ -220,6 +245,12 @@
         self._note_waiting(now)
         return decisions
 
+    def _pass(self, now: float) -> None:
+        """Count a call that starts to the pace."""
+        self._pace.take(now)
+        if self._pace.limited:
+            self._used_s += self.limit * self._pace.interval_s
+
     def _newest_first(self, now: float) -> bool:
         """Return whether the queue is longer than the level keeps it.
 
@@ -242,6 +273,7 @@
             need_s = self._times.high(arrival.route_id, now)
         if self._hopeless(arrival, now, need_s):
             return self._refuse(arrival, results.DEADLINE_TOO_SHORT)
+        self._pass(now)
         started = _Running(arrival, now, waiting.cost_s)
         self._running[arrival.ticket] = started
         return admission.Start(arrival.ticket)
--- a/src/savorytally/decisions/admission.py
+++ b/src/savorytally/decisions/admission.py
@@ -76,6 +76,12 @@
     def learn_capacity(self, capacity: "Capacity") -> None:
         """Apply what a newer configuration publishes."""
 
+    def learn_pace(self, limit_per_s: float, now: float) -> list[Decision]:
+        """Apply how many requests a second the upstream takes.
+
+        :param limit_per_s: infinite if it names no limit.
+        """
+
     def arrive(self, arrival: Arrival, now: float) -> list[Decision]:
         """Take in a new call; it may start, wait, or be refused."""
 
--- a/src/savorytally/decisions/fifo.py
+++ b/src/savorytally/decisions/fifo.py
@@ -5,6 +5,7 @@
 from .. import results
 from ..world import upstream
 from . import admission
+from . import pace
 
 QUEUE_LENGTH_PER_SLOT = 20
 
@@ -19,6 +20,7 @@
     def __init__(self, capacity: admission.Capacity) -> None:
         self.learn_capacity(capacity)
         self._running: set[int] = set()
+        self._pace = pace.Pace()
         self._queue: collections.OrderedDict[int, admission.Arrival]
         self._queue = collections.OrderedDict()
 
@@ -42,6 +44,13 @@
         self._slots = capacity.slots
         self._queue_max = capacity.slots * QUEUE_LENGTH_PER_SLOT
 
+    def learn_pace(
+        self, limit_per_s: float, now: float
+    ) -> list[admission.Decision]:
+        """Apply how many requests a second the upstream takes."""
+        self._pace.learn(limit_per_s, now)
+        return self._start(now)
+
     def arrive(
         self, arrival: admission.Arrival, now: float
     ) -> list[admission.Decision]:
@@ -49,7 +58,7 @@
         if len(self._queue) >= self._queue_max:
             return [admission.Refuse(arrival.ticket, results.SHED_AT_GATE, 0)]
         self._queue[arrival.ticket] = arrival
-        return self._start()
+        return self._start(now)
 
     def learn_report(self, report: upstream.LoadReport, now: float) -> None:
         """Do nothing."""
@@ -59,7 +68,7 @@
     ) -> list[admission.Decision]:
         """Free the call's slot."""
         self._running.discard(ticket)
-        return self._start()
+        return self._start(now)
 
     def cancel(self, ticket: int, now: float) -> list[admission.Decision]:
         """Take the call out of the queue."""
@@ -67,16 +76,18 @@
         return []
 
     def tick(self, now: float) -> list[admission.Decision]:
-        """Do nothing; the baseline looks at no deadline."""
-        return []
+        """Start what the pace lets go; no deadline is looked at."""
+        return self._start(now)
 
     def level(self, now: float) -> int:
         """Return 0; the baseline publishes no shed level."""
         return 0
 
-    def _start(self) -> list[admission.Decision]:
+    def _start(self, now: float) -> list[admission.Decision]:
         started: list[admission.Decision] = []
         while self._queue and len(self._running) < self._slots:
+            if not self._pace.take(now):
+                break
             ticket, _ = self._queue.popitem(last=False)
             self._running.add(ticket)
             started.append(admission.Start(ticket))
--- a/src/savorytally/decisions/pace.py
+++ b/src/savorytally/decisions/pace.py
@@ -33,6 +33,11 @@
         """Whether there is a limit."""
         return self._rate_per_s != standing.NO_LIMIT
 
+    @property
+    def interval_s(self) -> float:
+        """Time from one request to the next, 0 if there is no limit."""
+        return 1.0 / self._rate_per_s if self.limited else 0.0
+
     def learn(self, limit_per_s: float, now: float) -> None:
         """Apply the limit in force, :data:`standing.NO_LIMIT` for none."""
         if limit_per_s == standing.NO_LIMIT:
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -18,6 +18,7 @@
 from ..decisions import routing
 from ..decisions import shares
 from ..decisions import shedding
+from ..decisions import stated
 from ..peer import messages
 from ..world import configuration
 from ..world import host
@@ -71,6 +72,7 @@
         self._shares = shares.Shares()
         self._weights: dict[str, float] = {}
         self._refusals = refusals.Refusals()
+        self._stated = stated.Stated()
         self._owners = owners.RecordOwners()
         self._working: frozenset[str] = frozenset()
         self._ids = itertools.count(1)
@@ -154,7 +156,21 @@
             ),
             tried=frozenset(tried),
         )
-        return self._routing.choose(question, self._clock.now())
+        now = self._clock.now()
+        leaving = self._stated.leaving(now)
+        if leaving:
+            question = dataclasses.replace(
+                question, tried=question.tried | leaving
+            )
+        choice = self._routing.choose(question, now)
+        draining = leaving - self._stated.drained(now)
+        if not draining or isinstance(choice, routing.Chosen):
+            return choice
+        # None but those that leave is left; they serve for a while.
+        question = dataclasses.replace(
+            question, tried=question.tried - (draining - tried)
+        )
+        return self._routing.choose(question, now)
 
     def _admits(self, above: context.Context, level: int) -> bool:
         if above.depth:
@@ -176,7 +192,9 @@
             return routing.Unavailable(
                 results.NO_HOST, defaults.RETRY_AFTER_MS
             )
-        if owner.host_id in tried or owner.host_id not in self._working:
+        drained = self._stated.drained(self._clock.now())
+        unfit = owner.host_id in tried or owner.host_id in drained
+        if unfit or owner.host_id not in self._working:
             return routing.Unavailable(
                 results.OWNER_UNSETTLED, defaults.RETRY_AFTER_MS
             )
@@ -210,7 +228,7 @@
         if remaining_s <= 0:
             return outcomes.Failure(results.DEADLINE_TOO_SHORT)
         lent = job.context.budget.lend()
-        call = self._call(job, attempt, remaining_s, lent)
+        call = self._call(job, target, attempt, remaining_s, lent)
         if suspect:
             call = dataclasses.replace(call, suspect=True)
         self._routing.sent(target.host_id, started)
@@ -239,6 +257,8 @@
         outcome = result.outcome if result else None
         if isinstance(outcome, outcomes.Answer):
             size_bytes = max(size_bytes, len(outcome.body))
+            said = headers.said(outcome.headers)
+            self._stated.note(target.host_id, said, now)
             self._answers.learn(job.route.route_id, len(outcome.body), took_s)
         self._routing.done(
             routing.Result(
@@ -253,7 +273,12 @@
         )
 
     def _call(
-        self, job: Job, attempt: int, remaining_s: float, retries: int
+        self,
+        job: Job,
+        target: host.Host,
+        attempt: int,
+        remaining_s: float,
+        retries: int,
     ) -> messages.Call:
         request = job.request
         return messages.Call(
@@ -275,6 +300,9 @@
             fingerprint=fingerprint(job),
             suspect=False,
             traceparent=job.context.traceparent,
+            limit_per_s=self._stated.limit_per_s(
+                target.host_id, self._clock.now()
+            ),
         )
 
 
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -3,6 +3,9 @@
 import asyncio
 import itertools
 
+from absl import logging
+
+from .. import logs
 from .. import outcomes
 from .. import ports
 from .. import results
@@ -12,6 +15,9 @@
 from ..decisions import quarantine
 from ..decisions import record
 from ..decisions import retry
+from ..decisions import shedding
+from ..decisions import standing
+from ..decisions import stated
 from ..peer import messages
 from ..world import route
 from . import headers
@@ -19,6 +25,8 @@
 from . import running
 
 _SERVER_ERROR = 500
+# The only upstream of a gate.
+_UPSTREAM = "local"
 _SERVICE_UNAVAILABLE = 503
 _UPSTREAM_FAULTS = (
     results.NOT_DISPATCHED,
@@ -60,6 +68,8 @@
         self._recorded: set[asyncio.Task[outcomes.Outcome]] = set()
         self._tickets = itertools.count(1)
         self._leaving = False
+        self._standing = standing.Standing()
+        self._stated = stated.Stated()
         self._waiting: dict[int, asyncio.Future[admission.Decision]] = {}
 
     @property
@@ -73,6 +83,8 @@
         It counts in the services that calls on this route have called.
         """
         now = self._clock.now()
+        if self._stated.drained(now):
+            return shedding.LEVEL_MAX
         own = self._admission.level(now)
         return max(own, self._downstream.level(call.route_id, now))
 
@@ -93,6 +105,8 @@
         found = self._check(call)
         if isinstance(found, outcomes.Failure):
             return found
+        if self._standing.tell(call.limit_per_s):
+            self._pace("peer")
         if found.idempotent or not call.idempotency_key:
             return await self._run(call, found, None)
         return await self._run_once(call, found)
@@ -167,7 +181,7 @@
             self._apply(self._admission.finish(ticket, end, now))
 
     def _check(self, call: messages.Call) -> route.Route | outcomes.Failure:
-        if self._leaving:
+        if self._leaving or self._stated.drained(self._clock.now()):
             return outcomes.Failure(
                 results.HOST_LEAVING, retries_unused=call.retries
             )
@@ -269,6 +283,7 @@
                 return refusal
         budget = retry.RetryBudget(call.retries)
         token = self._tokens.begin(call, deadline, budget)
+        sent_at = self._clock.now()
         try:
             request = _upstream_request(call, found, token)
             outcome = await self._upstream.exchange(request, remaining_s)
@@ -279,8 +294,31 @@
             raise ports.Withdrawn(failure) from error
         finally:
             self._tokens.end(token)
+        if isinstance(outcome, outcomes.Answer):
+            self._hear(outcome, sent_at)
         return running.with_unused(outcome, budget.left)
 
+    def _hear(self, answer: outcomes.Answer, sent_at: float) -> None:
+        """Take in what an answer says of the upstream."""
+        now = self._clock.now()
+        said = headers.said(answer.headers)
+        self._stated.note(_UPSTREAM, said, now)
+        if self._standing.hear(said, sent_at, now):
+            self._pace("answer")
+
+    def _pace(self, origin: str) -> None:
+        limit_per_s = self._standing.limit_per_s
+        logging.info(
+            "upstream takes %s requests a second",
+            limit_per_s,
+            extra=logs.fields(
+                leaving=self._standing.leaving_since is not None,
+                origin=origin,
+            ),
+        )
+        now = self._clock.now()
+        self._apply(self._admission.learn_pace(limit_per_s, now))
+
 
 def _end(outcome: outcomes.Outcome) -> admission.End:
     if isinstance(outcome, outcomes.Answer):
--- a/src/savorytally/parts/headers.py
+++ b/src/savorytally/parts/headers.py
@@ -3,6 +3,7 @@
 import re
 
 from .. import outcomes
+from ..decisions import standing
 
 AUTHORIZATION = "Authorization"
 API_KEY = "X-Api-Key"
@@ -15,6 +16,9 @@
 RESULT_CODE = "Savorytally-Result-Code"
 REPEATED = "Savorytally-Repeated"
 RETRY_AFTER = "Retry-After"
+# What upstreams say of themselves in their answers.
+SERVER_LIMIT = "Server-Limit"
+SERVER_LEAVING = "Server-Leaving"
 RETRY_AFTER_MS = "Retry-After-Ms"
 
 _HOP_BY_HOP = frozenset(
@@ -66,6 +70,15 @@
     )
 
 
+def said(headers: outcomes.Headers) -> standing.Said:
+    """Return what an answer says of its upstream."""
+    limit, leaving = SERVER_LIMIT.lower(), SERVER_LEAVING.lower()
+    return standing.read(
+        [value for name, value in headers if name.lower() == limit],
+        [value for name, value in headers if name.lower() == leaving],
+    )
+
+
 def without_secret(headers: outcomes.Headers, secret: str) -> outcomes.Headers:
     """Return the headers that do not hold a secret."""
     return tuple(
--- a/src/savorytally/peer/messages.py
+++ b/src/savorytally/peer/messages.py
@@ -121,6 +121,8 @@
     :param suspect: whether the fingerprint is under suspicion of crashing
         upstreams and the call must run alone.
     :param traceparent: W3C trace context.
+    :param limit_per_s: what the sender was told of the upstream's limit,
+        infinite if nothing.
     """
 
     call_id: int
@@ -141,6 +143,7 @@
     fingerprint: int
     suspect: bool
     traceparent: str
+    limit_per_s: float
 
 
 @message(11)
--- a/tests/fakes/chain.py
+++ b/tests/fakes/chain.py
@@ -90,6 +90,9 @@
     ) -> None:
         self.factor = 1.0
         self.executed: collections.Counter[str] = collections.Counter()
+        # When requests came, and headers of all answers.
+        self.arrived: list[float] = []
+        self.says: outcomes.Headers = ()
         self._slots = asyncio.Semaphore(slots)
         self._service_s = service_s
         self._children = children
@@ -107,6 +110,7 @@
             return outcomes.Failure(results.DEADLINE_PASSED)
 
     async def _serve(self, request: ports.UpstreamRequest) -> outcomes.Outcome:
+        self.arrived.append(asyncio.get_running_loop().time())
         async with self._slots:
             spread = self._random.uniform(0.5, 1.5)
             await asyncio.sleep(self._service_s * spread * self.factor)
@@ -120,8 +124,8 @@
                 )
             )
             if isinstance(below, outcomes.Failure) or below.status != 200:
-                return outcomes.Answer(502, (), b"")
-        return outcomes.Answer(200, (), b"ok")
+                return outcomes.Answer(502, self.says, b"")
+        return outcomes.Answer(200, self.says, b"ok")
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/fakes/peers.py
+++ b/tests/fakes/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import time
 import typing as t
@@ -104,6 +105,7 @@
         "fingerprint": 0,
         "suspect": False,
         "traceparent": "",
+        "limit_per_s": math.inf,
     }
     return messages.Call(**{**given, **fields})
 
--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -1,12 +1,18 @@
 """What upstreams say of themselves in their answers is kept to."""
 
 import asyncio
+import typing
 
+from fakes import chain
 from fakes import mesh
 from fakes import net
 from fakes import stated
+from fakes import virtualloop
 import pytest
 
+from savorytally import settings
+from savorytally.decisions import standing
+
 SERVICES = {"drawers": ["low-a", "low-b", "up-a"], "desk": ["low-a", "up-a"]}
 LAST = {"drawers": ["low-a"], "desk": ["low-a", "up-a"]}
 HEALTH = {
@@ -453,3 +459,92 @@
             return len(came.at)
 
         assert play(scenario) > 50
+
+
+def play_product(scenario):
+    """Run a scenario on the product's own nodes."""
+
+    there = chain.Chain(settings.Policies(), 1_000.0)
+
+    async def work():
+        await there.start()
+        try:
+            return await scenario(there)
+        finally:
+            await there.stop()
+
+    return virtualloop.run(there.clock, work())
+
+
+def most(arrived, since):
+    """Return the most that came in a window that begins later."""
+    return max(
+        (
+            sum(at <= other < at + stated.WINDOW_S for other in arrived)
+            for at in arrived
+            if at >= since
+        ),
+        default=0,
+    )
+
+
+class TestProduct:
+    RATES: typing.ClassVar = {"org1": 60.0}
+
+    @pytest.mark.parametrize("limit_per_s", [2.6, 20.0])
+    def test_upstream_gets_no_more_than_the_limit_that_it_names(
+        self, limit_per_s
+    ):
+        async def scenario(there):
+            limited = there.upstreams["browse-0"]
+            limited.says = (("Server-Limit", str(limit_per_s)),)
+            began = now()
+            await there.load(12.0, self.RATES)
+            await asyncio.sleep(2)
+            return most(limited.arrived, began + stated.TOUCH_S)
+
+        assert play_product(scenario) <= stated.allowed(limit_per_s)
+
+    def test_limit_that_is_no_longer_named_ends(self):
+        async def scenario(there):
+            limited = there.upstreams["browse-0"]
+            limited.says = (("server-limit", "2.6"),)
+            await there.load(5.0, self.RATES)
+            limited.says = ()
+            await there.load(4.0, self.RATES)
+            came = len(limited.arrived)
+            await there.load(4.0, self.RATES)
+            return len(limited.arrived) - came
+
+        assert play_product(scenario) > 40
+
+    def test_upstream_that_says_that_it_leaves_gets_no_new_requests(self):
+        async def scenario(there):
+            leaving = there.upstreams["browse-0"]
+            leaving.says = (("Server-Leaving", "1"),)
+            await there.load(2.0, self.RATES)
+            told = now()
+            await there.load(6.0, self.RATES)
+            late = [at for at in leaving.arrived if at > told + stated.DRAIN_S]
+            sent = there.between(told, told + 6.0)
+            return len(late), sum(item.served for item in sent) / len(sent)
+
+        late, served = play_product(scenario)
+        assert late == 0
+        assert served > 0.95
+
+    def test_restarted_gate_keeps_the_limit_that_entries_were_told(self):
+        async def scenario(there):
+            limited = there.upstreams["browse-0"]
+            limited.says = (("Server-Limit", "2.6"),)
+            await there.load(4.0, self.RATES)
+            gate = there.nodes["browse-0"].gate
+            gate._standing = standing.Standing()
+            gate._apply(gate.policy.learn_pace(standing.NO_LIMIT, now()))
+            began = len(limited.arrived)
+            # Before the upstream is heard again, calls tell the limit.
+            limited.factor = 100.0
+            await there.load(1.0, self.RATES)
+            return len(limited.arrived) - began
+
+        assert play_product(scenario) <= 8
--- a/tools/capacity/probes_calls.py
+++ b/tools/capacity/probes_calls.py
@@ -1,6 +1,7 @@
 """Probes of what calls cost beside the work of the upstream."""
 
 import asyncio
+import math
 import random
 import time
 
@@ -53,6 +54,7 @@
         fingerprint=1 << 62,
         suspect=False,
         traceparent="00-" + "0" * 32 + "-" + "0" * 16 + "-00",
+        limit_per_s=math.inf,
     )
 
 
--- a/tools/stream.py
+++ b/tools/stream.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import math
 import random
 import statistics
 import time
@@ -114,6 +115,7 @@
         fingerprint=1 << 60,
         suspect=False,
         traceparent="",
+        limit_per_s=math.inf,
     )
 
 
