Soak upstreams that name limits and say that they leave

Upstreams name limits (name_limit: one, or all of a service; 0 to 15 a second) and say in their answers that they leave, at times 3 s before the list does. Two checks with a mutant each: named_limits_are_kept, by what each host was told, and leaving_answers_are_heeded.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -53,6 +53,7 @@
 
 CUT = changed(SENT, status=0, body=b"", signature="", ended=100.3, end="cut")
 SAFE = changed(SENT, idempotent=True)
+TOLD = changed(SENT, name="told", start="i-1@1", limited=True, leaving=True)
 OWN = changed(CUT, status=502, end="answered")
 
 
@@ -149,6 +150,18 @@
         ],
         named(4, ARRIVAL, at=101.1),
     ),
+    "named_limits_are_kept": record(
+        whole(
+            [changed(TOLD, leaving=False)]
+            + named(12, SAFE, at=104.0, ended=104.2)
+        ),
+        named(12, ARRIVAL, at=104.1, start="i-1@1"),
+        limits=[soak_record.Limit("i-1@1", 1.0, 99.0, 110.0)],
+    ),
+    "leaving_answers_are_heeded": record(
+        whole([TOLD, *named(1, SAFE, at=103.0, ended=103.2)]),
+        named(1, ARRIVAL, at=103.1, start="i-1@1"),
+    ),
     "nodes_keep_running": record(own_ends=[HOST]),
     "nodes_keep_their_memory": record(peaks={HOST: 201 << 20}),
 }
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -38,6 +38,12 @@
 # Memory of the smallest hosts.
 MEMORY_MAX_BYTES = 200 << 20
 LATE_MAX = 20
+# What is passed on binds a host this long after; the windows of a limit and
+# what they hold beyond it.
+TOLD_S = 0.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_SLACK = 5
 CUT = "cut"
 ANSWERED = "answered"
 LEFT = "timeout"
@@ -350,6 +356,76 @@
             yield f"{arrival.name} reached {arrival.instance} {late_s:.2f} s"
 
 
+@_check
+def named_limits_are_kept(record: Record) -> t.Iterator[str]:
+    """Upstreams get what they name of hosts that they have told."""
+    mesh = _Mesh(record, planned=True)
+    told = _first_told(record, lambda sent: sent.limited)
+    by_name = {sent.name: sent for sent in record.sent}
+    for limit in record.limits:
+        times = []
+        for arrival in record.arrivals:
+            sent = by_name.get(arrival.name)
+            if arrival.start != limit.start or sent is None:
+                continue
+            since = told.get((sent.host, limit.start))
+            if since is None or arrival.at < since + TOLD_S:
+                continue
+            if limit.at + TOUCH_S <= arrival.at < limit.until and mesh.calm(
+                sent.host, since, arrival.at
+            ):
+                times.append(arrival.at)
+        allowed = limit.limit_per_s * LIMIT_WINDOW_S * LIMIT_OVERAGE
+        allowed += LIMIT_SLACK
+        for first, at in enumerate(times):
+            end = bisect.bisect_left(times, at + LIMIT_WINDOW_S)
+            if end - first > allowed:
+                yield (
+                    f"{limit.start} named {limit.limit_per_s} a second and"
+                    f" got {end - first} from {at:.2f}, allowed {allowed:.0f}"
+                )
+                break
+
+
+@_check
+def leaving_answers_are_heeded(record: Record) -> t.Iterator[str]:
+    """Hosts send nothing new to upstreams that told them they leave."""
+    told = _first_told(record, lambda sent: sent.leaving)
+    by_name = {sent.name: sent for sent in record.sent}
+    restarts = [
+        fault
+        for fault in record.faults
+        if fault.kind == "stop" or fault.group == "process"
+    ]
+    for arrival in record.arrivals:
+        sent = by_name.get(arrival.name)
+        if sent is None or not arrival.start:
+            continue
+        since = told.get((sent.host, arrival.start))
+        if since is None or sent.at <= since + DRAIN_S:
+            continue
+        if not any(
+            fault.host == sent.host
+            and fault.at < arrival.at
+            and fault.until > since
+            for fault in restarts
+        ):
+            late_s = sent.at - since
+            yield f"{arrival.name} reached {arrival.start} {late_s:.2f} s"
+
+
+def _first_told(
+    record: Record, tells: t.Callable[[soak_record.Sent], bool]
+) -> dict[tuple[str, str], float]:
+    """Return when hosts first passed on what starts of upstreams say."""
+    told: dict[tuple[str, str], float] = {}
+    for sent in record.sent:
+        if sent.start and tells(sent):
+            place = (sent.host, sent.start)
+            told[place] = min(told.get(place, sent.ended), sent.ended)
+    return told
+
+
 @_check
 def abandoned_requests_end(record: Record) -> t.Iterator[str]:
     """Few requests reach upstreams after their callers have left."""
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from tools import soak_hosts
+from tools import soak_record
 from tools import soak_upstreams
 
 if t.TYPE_CHECKING:
@@ -16,6 +17,11 @@
 # Time after which the address of an upstream that ended is used again.
 REUSE_S = 2.0
 DRAIN_S = 2.0
+# Time by which the list lags behind what a leaving upstream answers.
+LISTED_LATE_S = 3.0
+# Limits that upstreams name, and how long, as a multiple of a fault's time.
+LIMITS_PER_S = (0.0, 0.2, 2.6, 7.6, 15.0)
+LIMIT_LASTS = 4.0
 # Silence after which the entry of an upstream is removed.
 EXPIRY_S = 3.0
 PLANNED = "planned"
@@ -301,12 +307,16 @@
     ):
         return
     key = f"servers/{upstream.instance_id}"
+    # Its answers say so, and at times the list only later.
+    upstream.leaving = True
+    await asyncio.sleep(LISTED_LATE_S * (fault.seed % 2))
+    if not upstream.up:
+        return
     if fault.seed % 3:
         fault.run.store.put(key, fault.host.entry("draining"))
     else:
         fault.run.store.delete(key)
     fault.run.record.leaving[upstream.instance_id] = time.time()
-    upstream.leaving = True
     await asyncio.sleep(DRAIN_S + fault.for_s)
     fault.run.store.delete(key)
     if not upstream.up:
@@ -315,6 +325,39 @@
     await _replace(fault)
 
 
+async def _name_limit(
+    fault: Injection, host: soak_hosts.Host, limit_per_s: float
+) -> None:
+    upstream = host.upstream
+    if not upstream.up or upstream.limit_per_s is not None:
+        return
+    began, start = time.time(), upstream.start_id
+    upstream.limit_per_s = limit_per_s
+    await asyncio.sleep(fault.for_s * LIMIT_LASTS)
+    if upstream.start_id == start:
+        upstream.limit_per_s = None
+    fault.run.record.limits.append(
+        soak_record.Limit(start, limit_per_s, began, time.time())
+    )
+
+
+@_fault(PLANNED)
+async def name_limit(fault: Injection) -> None:
+    """Let an upstream, or all of its service, name a limit."""
+    service = fault.host.upstream.service
+    limited = [fault.host]
+    if fault.seed % 4 == 0:
+        limited = [
+            host
+            for host in fault.run.hosts
+            if host.upstream.service == service
+        ]
+    limit_per_s = LIMITS_PER_S[fault.seed % len(LIMITS_PER_S)]
+    async with asyncio.TaskGroup() as group:
+        for host in limited:
+            group.create_task(_name_limit(fault, host, limit_per_s))
+
+
 @_fault("release")
 async def bad_release(fault: Injection) -> None:
     """Let all upstreams of a service, or of some, fail often."""
--- a/tools/soak_record.py
+++ b/tools/soak_record.py
@@ -25,6 +25,9 @@
     :param left_s: how long its sender would wait.
     :param end: how it ended, a value of ``soak_wire.End``.
     :param parent: number of the arrival whose run made it.
+    :param start: the start of the upstream that gave the answer.
+    :param limited: whether the answer names a limit.
+    :param leaving: whether the answer says that the upstream leaves.
     """
 
     name: str
@@ -40,6 +43,9 @@
     left_s: float
     end: str
     parent: int | None = None
+    start: str = ""
+    limited: bool = False
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +56,7 @@
     :param instance: the upstream's identifier.
     :param ran: whether it began to run.
     :param headers: as the upstream saw them.
+    :param start: the start of the upstream, empty if another was meant.
     """
 
     name: str
@@ -59,6 +66,7 @@
     instance: str
     ran: bool
     headers: t.Mapping[str, str]
+    start: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,6 +98,19 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Limit:
+    """A limit that a start of an upstream has named in its answers.
+
+    :param until: when it was named no longer, or in another height.
+    """
+
+    start: str
+    limit_per_s: float
+    at: float
+    until: float
+
+
 @dataclasses.dataclass
 class Record:
     """All that was seen in a run.
@@ -101,6 +122,7 @@
     :param faults: what was done, and when.
     :param revoked: when keys were withdrawn.
     :param leaving: when upstreams said that they leave.
+    :param limits: limits that upstreams have named.
     :param own_ends: hosts whose node ended by itself.
     :param peaks: most resident memory of the nodes, in bytes, by host.
     """
@@ -112,6 +134,7 @@
     faults: list[Fault] = dataclasses.field(default_factory=list)
     revoked: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving: dict[str, float] = dataclasses.field(default_factory=dict)
+    limits: list[Limit] = dataclasses.field(default_factory=list)
     own_ends: list[str] = dataclasses.field(default_factory=list)
     peaks: dict[str, int] = dataclasses.field(default_factory=dict)
 
--- a/tools/soak_upstreams.py
+++ b/tools/soak_upstreams.py
@@ -7,6 +7,7 @@
 import typing as t
 
 from fakes import mesh
+from fakes import stated
 
 from tools import soak_record
 from tools import soak_wire
@@ -156,6 +157,8 @@
         self.born = int(time.time() * 1000)
         self.work_s = 0.01
         self.leaving = False
+        # Requests a second that it names in its answers, if it does.
+        self.limit_per_s: float | None = None
         self.up = False
         self.node = node
         self.record = record
@@ -172,6 +175,7 @@
     async def start(self) -> None:
         """Listen; nothing is known of before."""
         self.leaving = False
+        self.limit_per_s = None
         self.up = True
         self.born = int(time.time() * 1000)
         self._room = asyncio.Semaphore(SLOTS)
@@ -208,7 +212,8 @@
         if connection.target == b"/healthz":
             told = {"x-savorytally-instance-id": self.instance_id}
             status = 503 if self.leaving else 200
-            connection.transport.write(mesh.response(status, b"", told))
+            answer = mesh.response(status, b"", told)
+            connection.transport.write(self._stating(answer))
             return
         task = asyncio.ensure_future(
             self._handle(
@@ -262,6 +267,7 @@
     ) -> None:
         """Answer without a run, and without the request's identifier."""
         self._note(given, ran=False)
+        answer = self._stating(answer)
         connection.answer(answer)
         for kind, after_s in _REFUSALS.items():
             if kind in harms and after_s is not None:
@@ -292,6 +298,7 @@
         if closes:
             echo["connection"] = "close"
         answer = mesh.response(status, b"answer to " + name.encode(), echo)
+        answer = self._stating(answer)
         for kind, spoil in _SPOILS.items():
             if self._harmed(kind):
                 self._ended(arrival, 0, broke=True)
@@ -328,8 +335,23 @@
                 return 500
         return 200
 
+    @property
+    def start_id(self) -> str:
+        """Names this start; identifiers may come again."""
+        return f"{self.instance_id}@{self.born}"
+
+    def _stating(self, answer: bytes) -> bytes:
+        """Return an answer with what the upstream says of itself."""
+        says = f"{soak_wire.START}: {self.start_id}\r\n"
+        if self.limit_per_s is not None:
+            says += f"{stated.LIMIT}: {self.limit_per_s}\r\n"
+        if self.leaving:
+            says += f"{stated.LEAVING}: 1\r\n"
+        return answer.replace(b"\r\n", b"\r\n" + says.encode(), 1)
+
     def _note(self, given: dict[str, str], ran: bool) -> int:
         """Note an arrival and return its number."""
+        meant = given.get("x-savorytally-expected-instance")
         self.record.arrivals.append(
             soak_record.Arrival(
                 name=given.get("x-savorytally-attempt-id", ""),
@@ -339,6 +361,7 @@
                 instance=self.instance_id,
                 ran=ran,
                 headers=given,
+                start=self.start_id if meant == self.instance_id else "",
             )
         )
         return len(self.record.arrivals) - 1
--- a/tools/soak_wire.py
+++ b/tools/soak_wire.py
@@ -8,10 +8,13 @@
 import typing as t
 
 from fakes import mesh
+from fakes import stated
 import httptools
 
 from tools import soak_record
 
+# Names the start of the upstream that gives an answer.
+START = "x-soak-start"
 ENTRY_PORT = 8548
 CONNECT_TIMEOUT_S = 1.0
 # Prefixes of routes whose requests run once at most.
@@ -97,6 +100,9 @@
             left_s=self.left_s,
             end=reply.end.value,
             parent=self.parent,
+            start=reply.headers.get(START, ""),
+            limited=stated.LIMIT in reply.headers,
+            leaving=stated.LEAVING in reply.headers,
         )
 
 
