--- a/src/savorytally/dataplane/answers.py
+++ b/src/savorytally/dataplane/answers.py
@@ -88,6 +88,10 @@
             return told_by != call.instance_id.encode()
         return self._not_executed(reply)
 
+    def answered_by(self, reply: exchanges.Reply) -> str:
+        """Return the upstream that an answer names as its own."""
+        return reply.header(self._dialect.answered_by).decode("latin-1")
+
     def judge(self, reply: exchanges.Reply) -> Verdict:
         """Return what an answer says of the request it belongs to."""
         named = bool(reply.header(self._dialect.request_id))
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -9,11 +9,8 @@
 from ..decisions import chainbudget
 from ..decisions import gatequeue
 from ..decisions import lineage
-from ..decisions import pace
 from ..decisions import repeatbudget
-from ..decisions import standing
 from . import answers
-from . import callers
 from . import counters
 from . import crashwatch
 from . import dialect
@@ -23,25 +20,19 @@
 from . import health
 from . import journal
 from . import pool
+from . import statements
 
 # Time below which a request is not handed to the upstream any more.
 USEFUL_S = 0.004
 # How long a start of the upstream that has been replaced is refused without
 # asking the upstream again.
 REPLACED_S = 1.0
-# Starts of the upstream of which it is known what they have said.
-STARTS_KEPT = 4
-# Pause between two times that other hosts are told what the upstream says.
-TOLD_S = 0.2
 # Shortest time until the pace is asked again.
 PACED_MIN_S = 0.001
 
 _Ground = grounds.Ground
 
 Reply = t.Callable[[frames.Result], None]
-# Takes an upstream's identifier, its limit and a host's share of it, and
-# whether it leaves.
-Tell = t.Callable[[str, float, float, bool], None]
 
 
 class State(enum.Enum):
@@ -137,7 +128,6 @@
         counts: counters.Counters,
         drain_s: float,
     ) -> None:
-        self._drain_s = drain_s
         self._answers = answers.Answers(spoken)
         self._log = log
         self._counts = counts
@@ -149,21 +139,12 @@
         self.below = backpressure.ChainWaits()
         self.budget = budget
         self.chain = chainbudget.ChainBudget(budget)
-        self._dialect = spoken
-        self.health = health.Health(spoken, connections, self._hear)
-        # What the latest starts of the upstream have said, by identifier.
-        self._standings: dict[str, standing.Standing] = {}
-        # The start that was heard last.
-        self._latest = ""
-        # When the starts of the upstream that are listed have begun.
-        self._born: dict[str, int] = {}
-        self._shares = pace.Shares()
+        self.says = statements.Statements(
+            self._answers, log, drain_s, self._apply_pace
+        )
+        self.health = health.Health(spoken, connections, self.says.hear)
         # Set when the pace lets the next call go.
         self._next_start: asyncio.TimerHandle | None = None
-        # Whether other hosts are to be told what the upstream says.
-        self._untold = False
-        self._told_at = 0.0
-        self.tell: Tell = lambda *standing: None
         self.leaving = False
         # Until when starts of the upstream count as replaced.
         self._replaced: dict[str, float] = {}
@@ -178,18 +159,6 @@
         """Calls that wait or run."""
         return self._queue.running + self._queue.waiting
 
-    @property
-    def upstream_standing(self) -> standing.Standing:
-        """What the start of the upstream that was heard last has said."""
-        return self._standing(self._latest)
-
-    def learn_start(self, instance_id: str, born: int) -> None:
-        """Apply when the listed start of the upstream has begun."""
-        known = self._standings.get(instance_id)
-        if known is not None and born > self._born.get(instance_id, born):
-            known.restarted()
-        self._born = {instance_id: born}
-
     def run(
         self, call: frames.Call, reply: Reply, sender: t.Hashable = None
     ) -> Run:
@@ -198,13 +167,13 @@
         :param sender: stands for the host that has sent it.
         """
         now = self._loop.time()
-        self._shares.note(sender, now)
+        self.says.note_sender(sender, now)
         if call.limit_per_s is not None:
-            self._note_told(call.instance_id, call.limit_per_s, now)
+            self.says.told(call.instance_id, call.limit_per_s)
         run = Run(call, now + call.remaining_ms / 1000, reply)
         if self.leaving:
             self._finish(run, results.HOST_LEAVING, _Ground.LEAVING)
-        elif self._drained(call.instance_id, now):
+        elif self.says.drained(call.instance_id, now):
             self._finish(run, results.HOST_LEAVING, _Ground.LEAVING)
         elif self._replaced.get(call.instance_id, 0.0) > now:
             self._finish(run, results.INSTANCE_GONE, _Ground.REPLACED)
@@ -269,16 +238,7 @@
         now = self._loop.time()
         for job in self._queue.drop_late(now):
             self._finish(job.owner, results.SHED_AT_GATE, self._shed_ground)
-        self._shares.forget(now)
-        if self._untold and now - self._told_at >= TOLD_S:
-            self._untold, self._told_at = False, now
-            known = self.upstream_standing
-            self.tell(
-                self._latest,
-                known.limit_per_s,
-                self._shares.share_per_s(known.limit_per_s, now),
-                known.leaving_since is not None,
-            )
+        self.says.tick(now)
 
     def leave(self) -> None:
         """Take no new calls."""
@@ -379,9 +339,8 @@
         """Take in what the answer to a request says of the upstream."""
         instance_id = run.call.instance_id
         if self._answers.judge(reply).code is results.INSTANCE_GONE:
-            name = reply.header(self._dialect.answered_by)
-            instance_id = name.decode("latin-1")
-        self._hear(instance_id, reply.headers, run.started)
+            instance_id = self._answers.answered_by(reply)
+        self.says.hear(instance_id, reply.headers, run.started)
 
     def _hear_head(self, run: Run, connection: exchanges.Connection) -> None:
         """Take in the head of an answer that was broken off."""
@@ -391,48 +350,9 @@
         if self._answers.belongs(run.call, head, connection.ambiguous):
             self._hear_answer(run, head)
 
-    def _hear(
-        self, instance_id: str, headers: callers.Headers, sent_at: float
-    ) -> None:
-        """Take in what an answer says of the start that gave it.
-
-        :param sent_at: when its request was sent, loop time.
-        """
-        if not instance_id:
-            return
+    def _apply_pace(self) -> None:
         now = self._loop.time()
-        known = self._standing(instance_id)
-        changed = known.hear(self._answers.said(headers), sent_at, now)
-        if changed:
-            self._log_standing(instance_id, known, "answer")
-        if changed or instance_id != self._latest:
-            self._latest = instance_id
-            self._untold = self._untold or changed
-            self._apply_pace(now)
-
-    def _note_told(
-        self, instance_id: str, limit_per_s: float, now: float
-    ) -> None:
-        """Take in the limit that another host was told.
-
-        This node may have been started again since.
-        """
-        if self._latest not in ("", instance_id):
-            return
-        known = self._standing(instance_id)
-        if known.tell(limit_per_s):
-            self._latest = instance_id
-            self._log_standing(instance_id, known, "peer")
-            self._apply_pace(now)
-
-    def _drained(self, instance_id: str, now: float) -> bool:
-        known = self._standings.get(instance_id)
-        if known is None or known.leaving_since is None:
-            return False
-        return now - known.leaving_since >= self._drain_s
-
-    def _apply_pace(self, now: float) -> None:
-        limit_per_s = self.upstream_standing.limit_per_s
+        limit_per_s = self.says.limit_per_s
         self._advance(self._queue.learn_pace(limit_per_s, now), now)
         self.health.learn_limited(self._queue.paced)
 
@@ -461,26 +381,6 @@
     def _shed_ground(self) -> grounds.Ground:
         return _Ground.LIMIT if self._queue.paced else _Ground.QUEUE
 
-    def _standing(self, instance_id: str) -> standing.Standing:
-        known = self._standings.get(instance_id)
-        if known is None:
-            known = self._standings[instance_id] = standing.Standing()
-            for oldest in list(self._standings)[:-STARTS_KEPT]:
-                del self._standings[oldest]
-        return known
-
-    def _log_standing(
-        self, instance_id: str, known: standing.Standing, origin: str
-    ) -> None:
-        limited = known.limit_per_s != standing.NO_LIMIT
-        self._log.event(
-            "upstream_says",
-            upstream=instance_id,
-            limit_per_s=known.limit_per_s if limited else None,
-            leaving=known.leaving_since is not None,
-            origin=origin,
-        )
-
     def _note_replaced(self, instance_id: str) -> None:
         """Note that another start of the upstream has its address."""
         now = self._loop.time()
@@ -589,7 +489,7 @@
             )
         if reply is not None:
             headers = self._answers.returned_headers(reply)
-        limit_per_s, share_per_s, leaving = self._to_tell(call, now)
+        limit_per_s, share_per_s, leaving = self.says.describe(call, now)
         run.reply(
             frames.Result(
                 number=call.number,
@@ -610,19 +510,3 @@
                 leaving=leaving,
             )
         )
-
-    def _to_tell(
-        self, call: frames.Call, now: float
-    ) -> tuple[float | None, float, bool]:
-        """Return what a result tells of the upstream's standing."""
-        known = self._standings.get(call.instance_id)
-        if known is None:
-            return None, 0.0, False
-        limit_per_s = known.limit_per_s
-        leaving = known.leaving_since is not None
-        if limit_per_s != standing.NO_LIMIT:
-            share_per_s = self._shares.share_per_s(limit_per_s, now)
-            return limit_per_s, share_per_s, leaving
-        if leaving or (known.heard and call.limit_per_s is not None):
-            return limit_per_s, 0.0, leaving
-        return None, 0.0, False
--- a/src/savorytally/dataplane/service.py
+++ b/src/savorytally/dataplane/service.py
@@ -101,7 +101,7 @@
             self.counts,
             bounds.drain_s,
         )
-        self.gate.tell = self._tell_standing
+        self.gate.says.tell = self._tell_standing
         self.peers = peers.Peers(chosen.peer_port, self.gate, self, rand)
         self.crashes.attach(self.peers)
         self.rates = rates.Rates(chosen, self.peers)
@@ -385,7 +385,7 @@
             hosts.setdefault(instance.address, []).append(name)
             if (instance.address, instance.port) == (own.host, own.port):
                 self.gate.queue.learn_slots(instance.slots)
-                self.gate.learn_start(name, instance.born)
+                self.gate.says.learn_start(name, instance.born)
         self._at_address = hosts
         self._share.learn(hosts, now)
         self.crashes.learn_hosts(hosts)
@@ -491,11 +491,11 @@
         add("gate_limit", lambda: self.gate.queue.limit)
         add(
             "upstream_limit_per_s",
-            lambda: self.gate.upstream_standing.limit_per_s,
+            lambda: self.gate.says.limit_per_s,
         )
         add(
             "upstream_leaving",
-            lambda: int(self.gate.upstream_standing.leaving_since is not None),
+            lambda: int(self.gate.says.leaving),
         )
         add("upstreams", lambda: len(self._listing.instances))
         add("followers", lambda: self.following.followers)
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -159,7 +159,9 @@
                 return
             stated = self._stated[instance_id] = self._new_stated(instance_id)
         stated.limit_per_s = limit_per_s
-        stated.interval_s = 1.0 / share_per_s if limited else 0.0
+        stated.interval_s = 0.0
+        if limited and share_per_s > 0.0:
+            stated.interval_s = 1.0 / share_per_s
         if not limited:
             stated.next_at = 0.0
         if leaving and stated.leaving_at is None:
