--- /dev/null
+++ b/tests/test_pace.py
@@ -0,0 +1,157 @@
+"""The pace of an upstream that names a limit, and what its answers say."""
+
+import bisect
+import math
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from savorytally.decisions import gatequeue
+from savorytally.decisions import pace
+from savorytally.decisions import placement
+from savorytally.decisions import standing
+
+WINDOW_S = 4.0
+LIMITS = strategies.one_of(
+    strategies.just(0.0),
+    strategies.floats(0.0, 100.0, allow_subnormal=False),
+)
+
+
+def most_in_a_window(times):
+    """Return the most of some times that lie within a window."""
+    return max(
+        (
+            bisect.bisect_left(times, at + WINDOW_S) - first
+            for first, at in enumerate(times)
+        ),
+        default=0,
+    )
+
+
+class TestPace:
+    @hypothesis.given(
+        limit_per_s=LIMITS,
+        pauses=strategies.lists(
+            strategies.floats(0.0, 1.0), min_size=50, max_size=200
+        ),
+        restarts=strategies.sets(strategies.integers(0, 199), max_size=3),
+    )
+    def test_no_window_holds_more_than_is_allowed(
+        self, limit_per_s, pauses, restarts
+    ):
+        """Also with a gate that is started again three times."""
+        now, passed = 0.0, []
+        paced = pace.Pace()
+        paced.learn(limit_per_s, now)
+        for number, pause_s in enumerate(pauses):
+            now += pause_s
+            if number in restarts:
+                paced = pace.Pace()
+                paced.learn(limit_per_s, now)
+            while paced.take(now):
+                passed.append(now)
+        allowed = 1.5 * limit_per_s * WINDOW_S + 5
+        assert most_in_a_window(passed) <= allowed
+
+    @pytest.mark.parametrize("limit_per_s", [0.2, 2.6, 60.0])
+    def test_waiting_work_uses_the_whole_limit(self, limit_per_s):
+        paced = pace.Pace()
+        paced.learn(limit_per_s, 0.0)
+        now, passed = 0.0, 0
+        while now < 100.0:
+            now += max(1e-4, paced.wait_s(0, now))
+            passed += paced.take(now)
+        assert passed >= 0.99 * 100 * limit_per_s
+
+    def test_request_that_did_not_go_is_given_back(self):
+        paced = pace.Pace()
+        paced.learn(1.0, 0.0)
+        assert paced.take(0.0)
+        paced.give_back()
+        assert paced.take(0.0)
+        assert not paced.take(0.0)
+
+    def test_lower_limit_takes_what_was_saved(self):
+        paced = pace.Pace()
+        paced.learn(100.0, 0.0)
+        assert paced.wait_s(0, 10.0) == 0.0
+        paced.learn(2.0, 10.0)
+        assert [paced.take(10.0) for _ in range(2)] == [True, False]
+
+
+class TestQueue:
+    def job(self, rank, child=False):
+        return gatequeue.Job(rank, child, "r", 100.0, 20.0)
+
+    def test_few_places_go_by_rank_and_to_work_in_progress_first(self):
+        queue = gatequeue.GateQueue()
+        queue.learn_pace(1.0, 0.0)
+        first = self.job(5)
+        assert queue.offer(first, 0.0) is gatequeue.Verdict.START
+        low, high, child = self.job(5), self.job(0), self.job(0, True)
+        for job in (low, high, child):
+            assert queue.offer(job, 0.1) is gatequeue.Verdict.WAIT
+        order = []
+        for second in range(1, 5):
+            order += queue.advance(second + 0.01).started
+        assert order == [child, high, low]
+
+    def test_what_would_wait_for_too_long_is_refused_at_once(self):
+        queue = gatequeue.GateQueue()
+        queue.learn_pace(0.2, 0.0)
+        assert queue.offer(self.job(0), 0.0) is gatequeue.Verdict.START
+        job = gatequeue.Job(0, False, "r", 3.0, 1.0)
+        assert queue.offer(job, 0.0) is gatequeue.Verdict.REFUSE
+        assert queue.wait_s(0, False, 0.0) == pytest.approx(5.0, abs=0.01)
+
+    def test_all_that_waits_starts_when_the_limit_ends(self):
+        queue = gatequeue.GateQueue()
+        queue.learn_pace(1.0, 0.0)
+        for _ in range(4):
+            queue.offer(self.job(0), 0.0)
+        change = queue.learn_pace(standing.NO_LIMIT, 0.1)
+        assert len(change.started) == 3
+
+
+class TestStanding:
+    def said(self, limit_per_s):
+        return standing.Said(limit_per_s)
+
+    def test_higher_limit_counts_in_answers_to_later_requests_only(self):
+        known = standing.Standing()
+        known.hear(self.said(2.0), 0.0, 1.0)
+        known.hear(self.said(8.0), 0.9, 1.1)
+        assert known.limit_per_s == 2.0
+        known.hear(self.said(8.0), 1.0, 1.2)
+        assert known.limit_per_s == 8.0
+
+    def test_upstream_itself_goes_before_what_others_were_told(self):
+        known = standing.Standing()
+        assert known.tell(3.0)
+        assert known.limit_per_s == 3.0
+        known.hear(self.said(standing.NO_LIMIT), 0.0, 1.0)
+        assert known.limit_per_s == standing.NO_LIMIT
+        assert not known.tell(3.0)
+
+    @hypothesis.given(strategies.lists(strategies.text(max_size=400)))
+    def test_any_header_is_a_limit_or_none(self, values):
+        limit_per_s = standing.read(values, values).limit_per_s
+        assert limit_per_s is None or limit_per_s >= 0.0
+
+    @pytest.mark.parametrize(
+        ("text", "limit_per_s"),
+        [("0", 0.0), ("2.6", 2.6), (" 7 ", 7.0), ("5.", 5.0), (".5", 0.5)],
+    )
+    def test_decimal_numbers_are_limits(self, text, limit_per_s):
+        assert standing.read([text], []).limit_per_s == limit_per_s
+
+
+class TestPlacement:
+    @pytest.mark.parametrize("share", [0.0, -1.0, math.nan, math.inf])
+    def test_senseless_share_of_a_peer_harms_nothing(self, share):
+        known = placement.Placement("dc", {}, None)
+        known.learn_standing("i", 2.0, share, False, 0.0)
+        known.sent("i", 1.0)
+        assert known.limit_per_s("i") == 2.0
