--- a/tests/test_stated_limits.py
+++ b/tests/test_stated_limits.py
@@ -27,8 +27,8 @@
 
     async def work():
         there = mesh.Mesh()
-        config = mesh.configuration(1, **HEALTH)
-        await there.start(services, config=config, **changes)
+        changes.setdefault("config", mesh.configuration(1, **HEALTH))
+        await there.start(services, **changes)
         return await scenario(there)
 
     return net.run(work)
@@ -117,6 +117,42 @@
         told = play(scenario)
         assert sum(told) / len(told) > 0.4
 
+    def test_chains_that_end_in_a_limit_are_refused_at_their_top(self):
+        services = {
+            "drawers": ["low-a", "low-b"],
+            "desk": ["low-a"],
+            "ledger": ["low-a", "low-b"],
+        }
+        config = mesh.configuration(1, **HEALTH)
+        config["routes"]["r-ledger"] = mesh.route("ledger", auth_exempt=True)
+
+        async def scenario(there):
+            for host in of(there):
+
+                async def calls(given, host=host):
+                    left_ms = int(given["x-savorytally-deadline-ms"])
+                    reply = await there.send(
+                        host,
+                        "/ledger/1",
+                        key=None,
+                        remaining_ms=min(left_ms, 700),
+                    )
+                    return 200 if reply.status == 200 else 500
+
+                host.upstream.calls = calls
+            for host in of(there, "ledger"):
+                host.upstream.says[stated.LIMIT] = "5"
+            load = stated.Load(there)
+            began = now()
+            await load.run(60, 12)
+            return [item.status for item in load.asked if item.at > began + 2]
+
+        statuses = play(scenario, services, config=config)
+        # Ten a second can be served of sixty.
+        assert statuses.count(200) >= 0.7 * 10 * 10
+        assert statuses.count(500) <= 0.15 * len(statuses)
+        assert set(statuses) <= {200, 500, 503}
+
     def test_limit_of_zero_lets_only_trials_through(self):
         async def scenario(there):
             limited = of(there)[0].upstream
@@ -329,6 +365,26 @@
 
         assert play(scenario) > 50
 
+    def test_hosts_that_use_it_hear_of_a_limit_in_half_a_second(self):
+        """Also those of another region, without a request of their own."""
+
+        async def scenario(there):
+            (limited,) = of(there)
+            load = stated.Load(there)
+            await load.run(200, 2)
+            limited.upstream.says[stated.LIMIT] = "2.6"
+            load.down = {host.address for host in there.hosts}
+            load.down.discard(limited.address)
+            # Only the host beside it sends.
+            await load.run(100, 0.25)
+            await asyncio.sleep(0.25)
+            return [
+                host.node.entry.placement.limit_per_s(limited.instance_id)
+                for host in of(there, "desk")
+            ]
+
+        assert play(scenario, LAST) == [2.6, 2.6]
+
     def test_other_hosts_do_not_send_in_vain_what_the_limit_leaves_out(self):
         async def scenario(there):
             limited = of(there)[0]
