--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -342,7 +342,7 @@
     store = [fault for fault in record.faults if fault.group == "store"]
     by_name = {sent.name: sent for sent in record.sent}
     for arrival in record.arrivals:
-        since = record.leaving.get(arrival.instance)
+        since = record.leaving.get(arrival.start)
         if since is None or arrival.at <= since + DRAIN_S or not arrival.ran:
             continue
         sent = by_name.get(arrival.name)
@@ -353,7 +353,7 @@
             continue
         if mesh.calm(sent.host, since, arrival.at):
             late_s = arrival.at - since
-            yield f"{arrival.name} reached {arrival.instance} {late_s:.2f} s"
+            yield f"{arrival.name} reached {arrival.start} {late_s:.2f} s"
 
 
 @_check
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -316,7 +316,7 @@
         fault.run.store.put(key, fault.host.entry("draining"))
     else:
         fault.run.store.delete(key)
-    fault.run.record.leaving[upstream.instance_id] = time.time()
+    fault.run.record.leaving[upstream.start_id] = time.time()
     await asyncio.sleep(DRAIN_S + fault.for_s)
     fault.run.store.delete(key)
     if not upstream.up:
--- a/tools/soak_record.py
+++ b/tools/soak_record.py
@@ -121,7 +121,7 @@
     :param ends: ends of runs by the arrival's number.
     :param faults: what was done, and when.
     :param revoked: when keys were withdrawn.
-    :param leaving: when upstreams said that they leave.
+    :param leaving: when the list said of starts of upstreams that they leave.
     :param limits: limits that upstreams have named.
     :param own_ends: hosts whose node ended by itself.
     :param peaks: most resident memory of the nodes, in bytes, by host.
