--- a/tests/fakes/upstream.py
+++ b/tests/fakes/upstream.py
@@ -28,6 +28,8 @@
         self.service_s = service_s
         self.seen: list[web.BaseRequest] = []
         self.executed = 0
+        # Headers of all its answers.
+        self.says: dict[str, str] = {}
         self._child = child
         self._random = random.Random(seed)
         self._slots = asyncio.Semaphore(slots)
@@ -64,9 +66,9 @@
         if self._child:
             status, below = await self._call_child(request)
             if status >= 300:
-                return web.Response(status=502, body=below)
+                return web.Response(status=502, body=below, headers=self.says)
         text = f"{request.method} {request.path} {len(body)}\n"
-        return web.Response(text=text)
+        return web.Response(text=text, headers=self.says)
 
     async def _call_child(self, request: web.BaseRequest) -> tuple[int, bytes]:
         token = request.headers.get(CALL_TOKEN, "")
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -2,13 +2,16 @@
 
 import asyncio
 
+from fakes import upstream as stand_ins
 import pytest
 
 from savorytally import defaults
 from savorytally import outcomes
 from savorytally import ports
 from savorytally import results
+from savorytally.decisions import standing
 from savorytally.http import upstream
+from savorytally.parts import headers
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 
@@ -199,3 +202,18 @@
             return task.cancelled()
 
         assert run(work())
+
+
+def test_what_an_upstream_says_of_itself_comes_with_its_answer(run, free_port):
+    async def scenario():
+        port = free_port()
+        stand_in = stand_ins.Upstream()
+        stand_in.says = {"Server-Limit": "2.6", "Server-Leaving": "1"}
+        await stand_in.start("127.0.0.1", port)
+        client = upstream.HttpUpstream(f"http://127.0.0.1:{port}")
+        answer = await client.exchange(request(), 1.0)
+        await client.close()
+        await stand_in.stop()
+        return headers.said(answer.headers)
+
+    assert run(scenario()) == standing.Said(2.6, True)
