Show that a store restored from a copy is not followed

The store's stand-in is restored from a copy: revisions go back and are given out again, a watch from one that it does not have gets 410, and Store-Era rises. The stand-in now also keeps the revision of an item's creation when it is written again.

--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import os
 import random
@@ -177,6 +178,15 @@
         self.write(connection, answer)
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """A copy of the store's state, from which it can be restored."""
+
+    items: dict[str, dict[str, t.Any]]
+    history: list[dict[str, t.Any]]
+    revision: int
+
+
 class Store:
     """A fake of the platform's store, with items, revisions and watches."""
 
@@ -184,6 +194,8 @@
         self.items: dict[str, dict[str, t.Any]] = {}
         self.history: list[dict[str, t.Any]] = []
         self.revision = 1
+        # Value of the ``Store-Era`` header, ``None`` to leave it out.
+        self.era: int | str | None = 1
         self.changed = asyncio.Event()
         self.calls: list[str] = []
         self.status = 0
@@ -200,11 +212,12 @@
         """Write an item as JSON; bytes are written unchanged."""
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
         self.revision += 1
+        known = self.items.get(key)
         item = {
             "key": key,
             "value": base64.b64encode(raw).decode(),
             "revision": self.revision,
-            "created": self.revision,
+            "created": known["created"] if known else self.revision,
             "lease": 0,
         }
         self.items[key] = item
@@ -220,6 +233,18 @@
         """Drop the history of changes."""
         self.history = []
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the current state."""
+        return StoreCopy(dict(self.items), list(self.history), self.revision)
+
+    def restore(self, copied: StoreCopy) -> None:
+        """Go back to a copy; later changes are lost, revisions are reused."""
+        self.items = dict(copied.items)
+        self.history = list(copied.history)
+        self.revision = copied.revision
+        if isinstance(self.era, int):
+            self.era += 1
+
     def _note(self, event: dict[str, t.Any]) -> None:
         self.history.append(event)
         self.changed.set()
@@ -236,7 +261,7 @@
         path, _, query = target.partition("?")
         parameters = dict(urllib.parse.parse_qsl(query))
         if self.status:
-            connection.transport.write(response(self.status))
+            self._respond(connection, self.status)
             return
         if path == "/-/kv-range":
             after = parameters.get("after", "")
@@ -252,16 +277,18 @@
             after_revision + 1
         ):
             if after_revision < self.revision:
-                connection.transport.write(response(410))
+                self._respond(connection, 410)
                 return
+        if after_revision > self.revision:
+            self._respond(connection, 410)
+            return
         wait_s = int(parameters["wait_ms"]) / 1000
-        changed = self.changed
-        if self.revision <= after_revision:
-            try:
-                async with asyncio.timeout(wait_s):
-                    await changed.wait()
-            except TimeoutError:
-                pass
+        try:
+            async with asyncio.timeout(wait_s):
+                while self.revision <= after_revision:
+                    await self.changed.wait()
+        except TimeoutError:
+            pass
         events = [
             event
             for event in self.history
@@ -271,10 +298,16 @@
 
     def _send(self, connection: HttpServer, value: dict[str, t.Any]) -> None:
         value["current_rev"] = self.revision
+        self._respond(connection, 200, json.dumps(value).encode())
+
+    def _respond(
+        self, connection: HttpServer, status: int, body: bytes = b""
+    ) -> None:
         if connection.lost:
             # The node was killed while the watch waited.
             return
-        connection.transport.write(response(200, json.dumps(value).encode()))
+        headers = {} if self.era is None else {"Store-Era": str(self.era)}
+        connection.transport.write(response(status, body, headers))
 
 
 def route(service_name: str, **changes: t.Any) -> dict[str, t.Any]:
@@ -353,7 +386,14 @@
         }
         return options.Options(**{**defaults, **changes})
 
-    def entry(self, slots: int = 8, state: str = "ready") -> dict[str, t.Any]:
+    @property
+    def key(self) -> str:
+        """Key of the upstream's entry in the store."""
+        return f"servers/{self.instance_id}"
+
+    def entry(
+        self, slots: int = 8, state: str = "ready", sequence: int = 1
+    ) -> dict[str, t.Any]:
         """Return the upstream's entry in the store."""
         return {
             "service": self.service_name,
@@ -363,7 +403,7 @@
             "slots": slots,
             "state": state,
             "cold_remaining": "0ms",
-            "sequence": 1,
+            "sequence": sequence,
         }
 
     async def start_node(self, **changes: t.Any) -> None:
