--- a/src/savorytally/dataplane/store_watch.py
+++ b/src/savorytally/dataplane/store_watch.py
@@ -136,6 +136,8 @@
         self._history_lost = False
         # Whether the latest read of changes did not wait.
         self._read_at_once = False
+        # Whether changes were read since history was lost.
+        self._watched = False
 
     @property
     def healthy(self) -> bool:
@@ -174,15 +176,20 @@
             except HistoryLost:
                 self._subscriber.store_read(ReadResult.HISTORY_LOST)
                 self._history_lost = True
-                continue
+                if self._watched:
+                    # Later snapshots wait, in case this one does not help.
+                    self._watched = False
+                    continue
             except Unavailable as error:
                 self._subscriber.store_read(ReadResult.UNAVAILABLE)
                 self._healthy = False
                 self._subscriber.source_state(False, str(error))
-                await asyncio.sleep(pause_s * (0.5 + self._random.random()))
-                pause_s = min(RETRY_MAX_S, pause_s * 2)
+            else:
+                if self._watched:
+                    pause_s = RETRY_MIN_S
                 continue
-            pause_s = RETRY_MIN_S
+            await asyncio.sleep(pause_s * (0.5 + self._random.random()))
+            pause_s = min(RETRY_MAX_S, pause_s * 2)
 
     async def _step(self) -> None:
         known = self._subscriber.position
@@ -204,6 +211,7 @@
             raise Unavailable(f"era {changes.position.era} after era {era}")
         if changes.after is not None and changes.position.era > era:
             raise HistoryLost(f"restored in era {changes.position.era}")
+        self._watched = self._watched or changes.after is not None
         self._subscriber.store_read(_result(changes))
         first, self._healthy = not self._healthy, True
         self._read_at = asyncio.get_running_loop().time()
--- a/tests/test_store_watch.py
+++ b/tests/test_store_watch.py
@@ -149,3 +149,59 @@
             Position(1, 21),
             None,
         ]
+
+    def test_lost_history_is_read_again_without_a_pause(self):
+        source, _ = play(self._lost, 10.0, known=Position(1, 20))
+        # Two reads each time, with pauses of 0.1 s to a second.
+        assert len(source.reads) <= 2 * 20
+
+    def test_snapshot_that_is_behind_is_read_again_without_a_pause(self):
+        """A store that states no era went back to an earlier revision."""
+
+        async def respond(after, wait_s, reads):
+            if after is not None:
+                raise store_watch.HistoryLost
+            return changes(None, Position(0, 15))
+
+        source, subscriber = play(respond, 10.0, known=Position(0, 20))
+        assert subscriber.position == Position(0, 20)
+        assert len(source.reads) <= 2 * 20
+
+    @pytest.mark.parametrize("hosts", [4, 30, 300])
+    def test_hosts_read_lost_history_at_the_same_time(self, hosts):
+        times = []
+
+        async def work():
+            loop = asyncio.get_running_loop()
+
+            async def respond(after, wait_s, reads):
+                times.append(loop.time())
+                return await self._lost(after, wait_s, reads)
+
+            watches = []
+            for number in range(hosts):
+                subscriber = Subscriber()
+                subscriber.published(changes(None, Position(1, 20)))
+                watches.append(
+                    store_watch.StoreWatch(
+                        Source(respond), subscriber, random.Random(number), 0.6
+                    )
+                )
+            for watch in watches:
+                watch.start()
+            await asyncio.sleep(12.0)
+            for watch in watches:
+                watch.stop()
+
+        virtual = clock.VirtualClock()
+        with asyncio.Runner(
+            loop_factory=lambda: virtual_loop.VirtualLoop(virtual)
+        ) as runner:
+            runner.run(work())
+        # Later on, each host reads twice in about a second, and the hosts do
+        # not read together.
+        late = [int((at - times[0]) * 10) for at in times if at - times[0] > 4]
+        per_slot = [late.count(slot) for slot in range(45, 115)]
+        assert sum(per_slot) <= 2 * 2 * 7 * hosts
+        if hosts > 100:
+            assert max(per_slot) < hosts
