Send configuration versions between regions

What callers would see: after a restore, the hosts of a region may serve an older configuration than those of another for as long as the operator has not written the lost version again.

Cause: versions were sent at random within a region only. Each region relied on its readers to get them from the store, which loses nothing, until it does.

The lists of the region's and other regions' hosts are made with the host list instead of for each message.

--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -142,6 +142,9 @@
         self._compressed = b""
         self._rejected_raw = b""
         self._at_address: dict[str, list[str]] = {}
+        # Addresses of the other hosts of this region, and of other regions.
+        self._near: list[str] = []
+        self._far: list[str] = []
         self._configuration_pull = configuration_pull.ConfigurationPull(
             lambda: self.version, self._in_region
         )
@@ -450,6 +453,11 @@
                     name, instance.started_ms
                 )
         self._at_address = hosts
+        self._near, self._far = [], []
+        for address in hosts:
+            if address != self._options.address:
+                near = self._in_region(address)
+                (self._near if near else self._far).append(address)
         self._slack_share.learn_hosts(hosts, now)
         self.crash_watch.learn_hosts(hosts)
         self.rates.learn_instances(instances.values())
@@ -493,17 +501,20 @@
                 self.reload()
 
     def _gossip(self) -> None:
-        """Send the configuration's version to a random host of the region."""
-        regions = self._options.regions
-        near = [
-            item.address
-            for item in self._reconciler.instances.values()
-            if regions.get(item.data_centre) == self._options.region
-            and item.address != self._options.address
-        ]
-        if near and self.version:
-            chosen = self._random.choice(near)
-            self.peers.send(chosen, frames.Kind.VERSION, self.version)
+        """Send the configuration's version to a random host of the region.
+
+        Readers of the store send it to another region too, since the store may
+        have lost a version that the readers there have not read.
+        """
+        if not self.version:
+            return
+        groups = [self._near]
+        if self.store_sharing.is_reader:
+            groups.append(self._far)
+        for hosts in groups:
+            if hosts:
+                chosen = self._random.choice(hosts)
+                self.peers.send(chosen, frames.Kind.VERSION, self.version)
 
     def _sweep_callers(self, now: float) -> None:
         """Close callers' connections that are idle or slow for too long."""
--- a/src/savorytally/dataplane/store_sharing.py
+++ b/src/savorytally/dataplane/store_sharing.py
@@ -134,6 +134,11 @@
         """Number of hosts that follow this host."""
         return len(self._followers)
 
+    @property
+    def is_reader(self) -> bool:
+        """Whether this host is one of those that read for the others."""
+        return self._store_readers.is_reader
+
     def learn_hosts(self, addresses: t.Iterable[str]) -> None:
         """Apply the hosts of the data centre."""
         self._store_readers.learn_hosts(addresses)
--- a/src/savorytally/decisions/entry_reconciler.py
+++ b/src/savorytally/decisions/entry_reconciler.py
@@ -88,8 +88,8 @@
         for name, instance in before.items():
             if name not in self._instances:
                 self._removed[name] = (instance, now)
-        for name in self._instances:
-            self._removed.pop(name, None)
+        for name in self._removed.keys() & self._instances.keys():
+            del self._removed[name]
         while self._removed:
             _, removed_at = next(iter(self._removed.values()))
             recent = now - removed_at <= REMOVED_KEPT_S
--- a/src/savorytally/decisions/store_readers.py
+++ b/src/savorytally/decisions/store_readers.py
@@ -57,6 +57,11 @@
         self._last_followed_at = float("-inf")
         self._has_followers_until = float("-inf")
 
+    @property
+    def is_reader(self) -> bool:
+        """Whether this host is among the first in the data centre's order."""
+        return self._own in self._readers
+
     def learn_hosts(self, addresses: t.Iterable[str]) -> None:
         """Apply the hosts of the data centre."""
         ranks = sorted(set(addresses), key=_rank)
@@ -123,7 +128,7 @@
         following = pending = 0
         # A reader follows one host less, because it needs another host only
         # for changes that it does not receive itself.
-        wanted = READERS_FOLLOWED - (self._own in self._readers)
+        wanted = READERS_FOLLOWED - self.is_reader
         for address, candidate in self._candidates.items():
             if following == wanted:
                 break
@@ -147,7 +152,7 @@
 
     def reads_store(self, now: float) -> bool:
         """Return whether this host must read the store."""
-        if self._own in self._readers or now < self._has_followers_until:
+        if self.is_reader or now < self._has_followers_until:
             return True
         return now - self._last_followed_at > NO_READER_S
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -455,3 +455,31 @@
             return await requests(cluster, "/new/1", spread_s=3.0)
 
         assert run_scenario(scenario) == {200}
+
+    def test_other_region_never_gets_the_lost_configuration(self):
+        """Its readers had not read the version before it was lost."""
+
+        async def scenario(cluster):
+            copied = cluster.store.copy()
+            far = [host for host in cluster.hosts if host.place == "up-a"]
+            for host in far:
+                host.store_client._pool.acquire = lambda fresh, take: None
+            for connection in cluster.net.open[
+                mesh.STORE.host, mesh.STORE.port
+            ]:
+                for host in far:
+                    if connection.protocol in host.store_client._pool._open:
+                        connection.drops_data = True
+            for host in cluster.hosts:
+                host.node.peers.announce = lambda version: None
+            cluster.store.put("op/config", mesh.configuration(7))
+            await asyncio.sleep(0.3)
+            cluster.store.restore(copied)
+            for host in far:
+                del host.store_client._pool.acquire
+            cluster.net.reset(mesh.STORE.host, mesh.STORE.port)
+            await asyncio.sleep(3.0)
+            return {host.node.version for host in cluster.hosts}
+
+        places = ["low-a"] * 4 + ["up-a"] * 4
+        assert run_scenario(scenario, {"drawers": places}) == {7}
