Ask other hosts before a start trusts the store's configuration

What callers saw: a host that starts while the copy still holds an older configuration answered by it: 404 for a confirmed route, 200 for a withdrawn key, until a peer's newer version came.

Cause: a start put in force what the store had. Versions only rise within a process, which a start has none of; the store was taken for the newest, which it is until it loses something.

A host that starts keeps the store's configuration back until two of five random hosts with a configuration have told their versions, all have told that they have none, or 0.5 s have passed; for a newer one that a host names it waits up to 1.5 s. Hosts of two regions are asked. The question is a version of -1, which builds before this answer too. Requests that arrive meanwhile are held as before a first read. At a first start of all hosts there is nothing to ask.

Ruled out: a check only when the era has risen. A host that starts does not know the last era.

--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -13,6 +13,7 @@
 from ..decisions import memory_budget
 from ..decisions import retry_budget
 from ..decisions import retry_slack
+from ..decisions import startup_check
 from ..world import catalog
 from ..world import store_position
 from . import callers
@@ -38,6 +39,8 @@
 TICK_S = 0.05
 # How long an unresponsive host gets no new calls.
 UNRESPONSIVE_AVOID_S = 0.3
+# Sent as a version to ask a host for its own.
+ASK_VERSION = -1
 # Interval at which a node sends its configuration version to a random host of
 # its region.
 GOSSIP_INTERVAL_S = 0.6
@@ -148,6 +151,9 @@
         self._configuration_pull = configuration_pull.ConfigurationPull(
             lambda: self.version, self._in_region
         )
+        self._startup_check: startup_check.StartupCheck | None = None
+        if not node_options.first_start:
+            self._startup_check = startup_check.StartupCheck(rand)
         self._reachable: bool | None = None
         self._confirmed = float("-inf")
         self._connections: set[callers.CallerConnection] = set()
@@ -279,9 +285,11 @@
             if restored or change.changed or change.removed:
                 self._apply_instances(now)
             self.store_sharing.changed(change)
+            self._check_startup()
         if self._store_watch.healthy:
             self.confirmed(self._store_watch.read_at)
-        self.entry.handle_held()
+        if self._startup_check is None:
+            self.entry.handle_held()
 
     def _log_hosts(self, change: change_log.Change, whole: bool) -> None:
         """Log a change of the host list.
@@ -329,6 +337,9 @@
             return
         if newest.version <= self.version:
             return
+        if self._startup_check is not None and origin == "store":
+            self._startup_check.hold(raw, newest.version)
+            return
         self._catalog, self._raw, self._compressed = newest, raw, b""
         self.entry.learn_catalog(newest)
         self.gate.health.learn_path(
@@ -362,6 +373,14 @@
         """
         self._configuration_pull.announced(stream, version, at_once)
 
+    def version_reported(self, stream: t.Any, version: int) -> None:
+        """Note the version of a peer's configuration, 0 for none."""
+        if self._startup_check is None:
+            return
+        self._startup_check.replied(stream.peer, version)
+        self.newer_at(stream, version, True)
+        self._check_startup()
+
     def token_requested(
         self, number: int, organisation: str, urgency: int
     ) -> tuple[int, int, bool, int]:
@@ -430,6 +449,23 @@
         """Apply the state of a request that may crash upstreams."""
         self.crash_watch.apply_state(state, fingerprint)
 
+    def _check_startup(self) -> None:
+        """Ask hosts for their versions; use the store's once they replied."""
+        check = self._startup_check
+        if check is None or self.position is None:
+            return
+        now = self._loop.time()
+        for host in check.choose_hosts(self._near, self._far, now):
+            self.peers.send(host, frames.Kind.VERSION, ASK_VERSION)
+        for host in check.waiting_for:
+            if not self.peers.reaches(host):
+                check.replied(host, 0)
+        if check.finished(self.version, now):
+            self._startup_check = None
+            if check.held:
+                self.learn_configuration(check.held, "store")
+            self.entry.handle_held()
+
     def _in_region(self, address: str) -> bool:
         regions = self._options.regions
         listed = self._reconciler.instances
@@ -492,6 +528,7 @@
             self.store_sharing.tick(now)
             if self._reconciler.due(now):
                 self._apply_instances(now)
+            self._check_startup()
             if now >= self._gossip_at:
                 spread = 0.5 + self._random.random()
                 self._gossip_at = now + GOSSIP_INTERVAL_S * spread
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -51,6 +51,9 @@
         :param at_once: whether to request it without a delay.
         """
 
+    def version_reported(self, stream: t.Any, version: int) -> None:
+        """Note the version of a peer's configuration, 0 for none."""
+
     def token_requested(
         self, number: int, organisation: str, urgency: int
     ) -> tuple[int, int, bool, int]:
@@ -257,6 +260,8 @@
 
     def _on_version(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         version = int(frame[1])
+        if version >= 0:
+            self._owner.version_reported(stream, version)
         if version > self._owner.version:
             self._owner.newer_at(stream, version)
         elif version < self._owner.version:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -456,6 +456,56 @@
 
         assert run_scenario(scenario) == {200}
 
+    def test_starting_host_accepts_a_withdrawn_key(self):
+        async def scenario(cluster):
+            copied = cluster.store.copy()
+            tenants = mesh.configuration(7)["tenants"]
+            tenants["growers"]["api_keys"] = ["another"]
+            newer = mesh.configuration(7, tenants=tenants)
+            cluster.store.put("op/config", newer)
+            await asyncio.sleep(IN_FORCE_S)
+            restarted = cluster.hosts[0]
+            fault_run.end(cluster.net, restarted)
+            await lose(cluster, copied)
+            await restarted.start_node(first_start=False)
+            return await requests(cluster, spread_s=3.0)
+
+        assert run_scenario(scenario) == {401}
+
+    def test_starting_host_does_not_serve_beside_unresponsive_hosts(self):
+        async def scenario(cluster):
+            for host in cluster.hosts[1:]:
+                fault_run.end(cluster.net, host)
+                address = (host.address, mesh.PEER_PORT)
+                cluster.net.unreachable.add(address)
+            restarted = cluster.hosts[0]
+            fault_run.end(cluster.net, restarted)
+            await restarted.start_node(first_start=False)
+            await asyncio.sleep(0.7)
+            return restarted.node.version
+
+        assert run_scenario(scenario) == 1
+
+    def test_hosts_that_all_restarted_miss_the_rewritten_configuration(self):
+        """Nobody knows the lost version until it is written again."""
+
+        async def scenario(cluster):
+            copied = cluster.store.copy()
+            cluster.store.put("op/config", mesh.configuration(7))
+            await asyncio.sleep(IN_FORCE_S)
+            for host in cluster.hosts:
+                fault_run.end(cluster.net, host)
+            await lose(cluster, copied)
+            for host in cluster.hosts:
+                await host.start_node(first_start=False)
+            await asyncio.sleep(1.0)
+            before = {host.node.version for host in cluster.hosts}
+            cluster.store.put("op/config", mesh.configuration(7))
+            await asyncio.sleep(IN_FORCE_S)
+            return before, {host.node.version for host in cluster.hosts}
+
+        assert run_scenario(scenario) == ({1}, {7})
+
     def test_other_region_never_gets_the_lost_configuration(self):
         """Its readers had not read the version before it was lost."""
 
