Refuse calls for an upstream that the host list shows as draining

What callers saw: a host that starts after a restore sends requests to an upstream that began to leave in the lost seconds, later than the drain time.

Cause: only senders kept to the list; the gate beside the upstream heeded what its answers said, not what the list had said. A sender that has started since knows only the copy, in which the upstream is ready. The same holds for senders that were cut off or frozen.

The gate refuses calls from the drain time after its host list first showed the upstream as draining, as not run, so that they go elsewhere; a state of ready ends that.

Evidence: test_draining_upstream_gets_requests_of_a_starting_host failed before and passes.

--- a/src/savorytally/dataplane/advertisements.py
+++ b/src/savorytally/dataplane/advertisements.py
@@ -49,6 +49,8 @@
         # The instance that responded last, and what it advertises.
         self._latest = ""
         self._current = advertised_state.AdvertisedState()
+        # The instance that the host list shows as draining, and since when.
+        self._listed_draining: tuple[str, float] | None = None
         # Start time of the instance in the host list, by identifier.
         self._start_times: dict[str, int] = {}
         self._shares = pacing.SenderShares()
@@ -75,6 +77,16 @@
             state.instance_restarted()
         self._start_times = {instance_id: started_ms}
 
+    def learn_state(self, instance_id: str, ready: bool, now: float) -> None:
+        """Apply the state of the instance in the host list."""
+        if ready:
+            self._listed_draining = None
+        elif (
+            self._listed_draining is None
+            or self._listed_draining[0] != instance_id
+        ):
+            self._listed_draining = (instance_id, now)
+
     def apply_headers(
         self, instance_id: str, headers: callers.Headers, sent_at: float
     ) -> None:
@@ -109,10 +121,13 @@
 
     def drained(self, instance_id: str, now: float) -> bool:
         """Return whether an instance gets no new calls because it drains."""
+        since = []
         state = self._instances.get(instance_id)
-        if state is None or state.leaving_since is None:
-            return False
-        return now - state.leaving_since >= self._drain_s
+        if state is not None and state.leaving_since is not None:
+            since.append(state.leaving_since)
+        if self._listed_draining and self._listed_draining[0] == instance_id:
+            since.append(self._listed_draining[1])
+        return bool(since) and now - min(since) >= self._drain_s
 
     def note_sender(self, sender: t.Hashable, now: float) -> None:
         """Note that a host has sent a call."""
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -488,6 +488,7 @@
                 self.gate.advertisements.learn_start_time(
                     name, instance.started_ms
                 )
+                self.gate.advertisements.learn_state(name, instance.ready, now)
         self._at_address = hosts
         self._near, self._far = [], []
         for address in hosts:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -418,6 +418,25 @@
 
         assert run_scenario(scenario) == 0
 
+    def test_draining_upstream_gets_requests_of_a_starting_host(self):
+        """A host that starts knows only the copy, in which it is ready."""
+
+        async def scenario(cluster):
+            leaving = cluster.hosts[1]
+            copied = cluster.store.copy()
+            draining = leaving.entry(state="draining", sequence=4)
+            cluster.store.put(leaving.key, draining)
+            await asyncio.sleep(2 * IN_FORCE_S)
+            leaving.upstream.ran.clear()
+            restarted = cluster.hosts[0]
+            fault_run.end(cluster.net, restarted)
+            await lose(cluster, copied)
+            await restarted.start_node(first_start=False)
+            statuses = await requests(cluster, spread_s=REWRITTEN_S)
+            return statuses, len(leaving.upstream.ran)
+
+        assert run_scenario(scenario) == ({200}, 0)
+
     def test_upstream_that_joined_in_the_lost_seconds_gets_no_requests(self):
         async def scenario(cluster):
             joined = await add_host(cluster, "drawers")
