Encode a change of the host list once for all followers

The fields of an entry were collected anew for each follower since followers of older builds get other frames. Old frames are made for those only. Versions that a reader of an older build reports are still requested from it, although its list is not followed.

--- a/src/savorytally/dataplane/store_sharing.py
+++ b/src/savorytally/dataplane/store_sharing.py
@@ -173,12 +173,18 @@
 
     def changed(self, change: change_log.Change) -> None:
         """Send a change of the host list to the followers."""
+        if not self._followers:
+            return
+        fields = self._change_fields(change)
+        restored = change.after.era != change.position.era
         for stream, follower in self._followers.items():
-            restored = change.after.era != change.position.era
-            if restored and not follower.knows_eras:
+            if follower.knows_eras:
+                stream.send(frames.Kind.CHANGES, *fields)
+            elif restored:
                 self._send_whole_without_era(stream, follower)
             else:
-                self._send_change(stream, follower, change)
+                revisions = change.after.revision, change.position.revision
+                self._send_without_era(stream, *revisions, change)
 
     def host_stopping(self, address: str) -> None:
         """Replace a followed host that stops."""
@@ -206,13 +212,13 @@
         current = self._upstream_list.position
         if current is None:
             return
-        if known is None:
-            known = store_position.Position(current.era, number)
-        behind = not follower.knows_eras and known > current
-        if follower.is_ahead or behind:
+        if known is not None:
+            self._send_missed(stream, known)
+        elif follower.is_ahead or number > current.revision:
             self._send_whole_without_era(stream, follower)
         else:
-            self._send_missed(stream, follower, known)
+            known = store_position.Position(current.era, number)
+            self._send_missed_without_era(stream, follower, known)
         self._send_fresh(stream, follower, now)
 
     def handle_fresh(
@@ -234,6 +240,7 @@
         now = self._loop.time()
         if isinstance(position, int):
             self._store_readers.cannot_follow(stream.peer, now)
+            self._owner.newer_at(stream, version, True)
             return
         self._store_readers.reported(stream.peer, reads_store, now)
         if not reads_store:
@@ -377,34 +384,21 @@
         )
 
     def _send_missed(
-        self,
-        stream: streams.Stream,
-        follower: _Follower,
-        known: store_position.Position,
+        self, stream: streams.Stream, known: store_position.Position
     ) -> None:
         """Send a follower the changes since the position that it knows."""
         missed = self._upstream_list.since(known)
         if missed is None:
             missed = [self._upstream_list.whole()]
         for change in missed:
-            self._send_change(stream, follower, change)
+            stream.send(frames.Kind.CHANGES, *self._change_fields(change))
 
-    def _send_change(
-        self,
-        stream: streams.Stream,
-        follower: _Follower,
-        change: change_log.Change | store_watch.Changes,
-    ) -> None:
-        """Send a follower a change or the whole list."""
-        if not follower.knows_eras:
-            after = None if change.after is None else change.after.revision
-            self._send_without_era(
-                stream, after, change.position.revision, change
-            )
-            return
+    def _change_fields(
+        self, change: change_log.Change | store_watch.Changes
+    ) -> tuple[t.Any, ...]:
+        """Return the fields of a CHANGES frame."""
         restored_s = self._owner.restored_s
-        stream.send(
-            frames.Kind.CHANGES,
+        return (
             change.after,
             change.position,
             change.stepwise,
@@ -414,6 +408,20 @@
             int(restored_s * 1000) if math.isfinite(restored_s) else -1,
         )
 
+    def _send_missed_without_era(
+        self,
+        stream: streams.Stream,
+        follower: _Follower,
+        known: store_position.Position,
+    ) -> None:
+        missed = self._upstream_list.since(known)
+        if missed is None:
+            self._send_whole_without_era(stream, follower)
+            return
+        for change in missed:
+            revisions = change.after.revision, change.position.revision
+            self._send_without_era(stream, *revisions, change)
+
     def _send_whole_without_era(
         self, stream: streams.Stream, follower: _Follower
     ) -> None:
