Follow a product platform that is restored from a copy

What callers would see: hosts that are published at a version given out again are ignored, and a host that leaves goes on to get work, until the platform's counter passes the known one.

The version of the host list is the platform's counter, which was compared without asking whose count it is.

The platform states in Value-Era how often it was restored; without the header it never was. Era and version are combined into one number, in which every version of a later era is newer and those before the first restore are the platform's own, so that messages, ages and builds before this see a rising version. A response of a later era without a newer value is followed by a read of the value; the first read after a failure does not wait.

--- a/src/savorytally/http/platform.py
+++ b/src/savorytally/http/platform.py
@@ -4,6 +4,11 @@
 service responds with status 200 and the value as soon as its version is
 greater than ``after``, with the version in the ``Value-Version`` header. It
 responds with 304 if no such version appears within ``wait_ms``.
+
+A service that is restored from a copy assigns versions again. It states in the
+``Value-Era`` header of each response how often that has happened; without the
+header, it never has. A node combines era and version into one number, so that
+every version of a later era is newer.
 """
 
 import asyncio
@@ -12,9 +17,11 @@
 
 from .. import defaults
 from .. import ports
+from ..world import store_position
 from . import limited_client
 
 VERSION_HEADER = "Value-Version"
+ERA_HEADER = "Value-Era"
 _TIMEOUT_MARGIN_S = 2.0
 
 
@@ -41,31 +48,46 @@
         :param name: name of the value.
         :param after: the last version that is known, 0 for none.
         :param wait_s: time to wait for a newer version, in seconds.
-        :return: ``None`` if there is no newer version in that time.
+        :return: ``None`` if there is no newer version in that time. Its
+            version includes the era.
         :raises OSError: if the platform can't be read.
         """
+        known = store_position.from_version(after)
         try:
             async with asyncio.timeout(wait_s + _TIMEOUT_MARGIN_S):
-                return await self._read(name, after, wait_s)
+                era, value = await self._read(name, known, wait_s)
+                if value is None and era > known.era:
+                    # The known version may not exist in this era.
+                    first = store_position.Position(era, 0)
+                    era, value = await self._read(name, first, 0.0)
         except (aiohttp.ClientError, ValueError) as error:
             raise OSError(f"platform: {error}") from error
+        if era < known.era:
+            raise OSError(f"platform: era {era} after era {known.era}")
+        return value
 
     async def _read(
-        self, name: str, after: int, wait_s: float
-    ) -> ports.Value | None:
+        self, name: str, known: store_position.Position, wait_s: float
+    ) -> tuple[int, ports.Value | None]:
+        """Return the platform's era and a version newer than the known."""
         if self._session is None:
             self._session = aiohttp.ClientSession(
                 connector=limited_client.LimitedConnector()
             )
-        query = {"after": str(after), "wait_ms": str(int(wait_s * 1000))}
+        query = {
+            "after": str(known.revision),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
         url = f"{self._base}/values/{name}"
         async with self._session.get(url, params=query) as response:
+            era = int(response.headers.get(ERA_HEADER, known.era))
             if response.status == 304:
-                return None
+                return era, None
             if response.status != 200:
                 raise OSError(f"platform: status {response.status}")
             body = await limited_client.read(
                 response, defaults.PLATFORM_VALUE_MAX_BYTES
             )
-            version = int(response.headers[VERSION_HEADER])
-            return ports.Value(name, version, body)
+            revision = int(response.headers[VERSION_HEADER])
+            at = store_position.Position(era, revision)
+            return era, ports.Value(name, at.to_version(), body)
--- a/src/savorytally/parts/platform_watch.py
+++ b/src/savorytally/parts/platform_watch.py
@@ -65,7 +65,9 @@
                 await asyncio.sleep(defaults.CONTROL_TICK_S)
                 continue
             try:
-                last_version = await self._poll_once(name, last_version)
+                last_version = await self._poll_once(
+                    name, last_version, at_once=failures > 0
+                )
                 failures = 0
             except OSError as error:
                 logging.warning(
@@ -77,10 +79,17 @@
                 await asyncio.sleep(self._backoff_s(name, failures))
                 failures += 1
 
-    async def _poll_once(self, name: str, last_version: int) -> int:
+    async def _poll_once(
+        self, name: str, last_version: int, at_once: bool
+    ) -> int:
+        """Read a value once and return the last version read.
+
+        :param at_once: whether not to wait for a newer version, since the
+            platform may have been restored from a copy.
+        """
         started = self._clock.now()
         confirming = not self._disseminator.pause_detector.confirmed(started)
-        wait_s = 0.0 if confirming else _LONG_POLL_S[name]
+        wait_s = 0.0 if confirming or at_once else _LONG_POLL_S[name]
         read_task = asyncio.ensure_future(
             self._platform.read(name, last_version, wait_s)
         )
--- a/src/savorytally/world/store_position.py
+++ b/src/savorytally/world/store_position.py
@@ -20,17 +20,28 @@
     era: int
     revision: int
 
+    def to_version(self) -> int:
+        """Return a number that orders positions; see :func:`from_version`.
+
+        It is the revision itself before the first restore.
+        """
+        return self.era << REVISION_BITS | self.revision
+
     def to_number(self) -> int:
         """Return a number from which :func:`from_number` reads the position.
 
         It is greater than every revision.
         """
-        return (self.era + 1) << REVISION_BITS | self.revision
+        return Position(self.era + 1, self.revision).to_version()
+
+
+def from_version(version: int) -> Position:
+    """Return the position of a number from :meth:`Position.to_version`."""
+    revision = version & ((1 << REVISION_BITS) - 1)
+    return Position(version >> REVISION_BITS, revision)
 
 
 def from_number(number: int) -> Position | None:
     """Read a position, ``None`` if the number is a revision without an era."""
-    era = (number >> REVISION_BITS) - 1
-    if era < 0:
-        return None
-    return Position(era, number & ((1 << REVISION_BITS) - 1))
+    found = from_version(number)
+    return Position(found.era - 1, found.revision) if found.era else None
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 VERSION_HEADER = "Value-Version"
+ERA_HEADER = "Value-Era"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,6 +24,7 @@
 
     def __init__(self) -> None:
         self.calls = 0
+        self.era = 0
         self._values: dict[str, Stored] = {}
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
@@ -33,6 +35,15 @@
             self._values[name] = Stored(version, body)
             self._changed.notify_all()
 
+    def copy(self) -> dict[str, Stored]:
+        """Return a copy of all values."""
+        return dict(self._values)
+
+    def restore(self, copied: dict[str, Stored]) -> None:
+        """Go back to a copy; later versions are lost and assigned again."""
+        self._values = dict(copied)
+        self.era += 1
+
     async def start(self, address: str, port: int) -> None:
         """Listen for reads, and for ``PUT`` requests that publish values."""
         app = web.Application(client_max_size=4 << 20)
@@ -71,13 +82,14 @@
                     await self._changed.wait_for(newer)
             except TimeoutError:
                 pass
+        era = {ERA_HEADER: str(self.era)}
         if not newer():
-            return web.Response(status=304)
+            return web.Response(status=304, headers=era)
         value = self._values[name]
         return web.Response(
             body=value.body,
             content_type="application/json",
-            headers={VERSION_HEADER: str(value.version)},
+            headers={**era, VERSION_HEADER: str(value.version)},
         )
 
 
