Restore the soak's store from a copy

The fault store_restored copies the store, lets a configuration and other writes follow, restores the copy with or without an outage, and writes again what was lost, as operator and upstreams do; entries that the copy brought back expire. Each configuration adds a route, which a prober requests at random hosts. The check routes_stay_in_force: a route that some host has served is unknown to no host 3 s later, unless that host was cut off. Its mutant is a record with a late 404.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -171,6 +171,22 @@
         with_responses([ADVERTISING, *copies(1, SAFE, at=103.0, ended=103.2)]),
         copies(1, ARRIVAL, at=103.1, start="i-1@1"),
     ),
+    "routes_stay_in_force": record(
+        with_responses(copies(1, SAFE, service="added-2", key=""))
+        + [
+            changed(
+                SAFE,
+                name="late",
+                service="added-2",
+                key="",
+                at=103.2,
+                status=404,
+                body=b"",
+                signature="",
+            )
+        ],
+        [changed(ARRIVAL, name="n0", headers={})],
+    ),
     "nodes_keep_running": record(unexpected_exits=[HOST]),
     "nodes_keep_their_memory": record(peak_memory_bytes={HOST: 201 << 20}),
 }
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -11,9 +11,11 @@
 import argparse
 import asyncio
 import collections
+import itertools
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -39,6 +41,13 @@
 START_TIMEOUT_S = 20.0
 # Node processes that are started at the same time.
 START_BATCH = 8
+# Time within which upstreams write again what a restored store has lost.
+REWRITE_MAX_S = 1.8
+# Service of the routes that versions of the configuration add, and requests to
+# these routes.
+PROBED_SERVICE = "vault"
+PROBE_INTERVAL_S = 0.05
+PROBE_TIMEOUT_S = 0.5
 # Interval between measurements of the lag of the event loop.
 LAG_INTERVAL_S = 0.05
 # Interval between measurements of the memory of the nodes.
@@ -81,6 +90,7 @@
     :param hosts: number of hosts.
     :param seconds: duration of the load.
     :param tree: root of the source tree that the nodes run.
+    :param other_tree: the tree of every second node, by default the same.
     """
 
     def __init__(
@@ -89,6 +99,7 @@
         hosts: int,
         seconds: float,
         tree: pathlib.Path,
+        other_tree: pathlib.Path | None = None,
     ) -> None:
         self.seed = seed
         # Under a low load the constant part of the retry bound applies.
@@ -110,13 +121,16 @@
                 SERVICES[number % len(SERVICES)],
                 ZONES[number % len(ZONES)],
                 self.folder,
-                tree,
+                (tree, other_tree or tree)[number % 2],
                 self.record,
                 hosts <= SMALL_RUN_HOSTS_MAX,
             )
             for number in range(hosts)
         ]
         self._version = 1
+        self._configuration: dict[str, t.Any] = {}
+        # Prefixes of the routes that versions have added.
+        self._added_routes: list[str] = []
         self._instances = hosts
         self.loop_lag_s = 0.0
 
@@ -137,10 +151,12 @@
             )
             monitor = asyncio.ensure_future(self._monitor())
             callers = asyncio.ensure_future(self._callers())
+            prober = asyncio.ensure_future(self._probe_routes())
             await soak_faults.play(self, planned)
             await callers
             await asyncio.sleep(1.0)
             monitor.cancel()
+            prober.cancel()
         finally:
             self._end_processes()
             for proxy in (self.store_proxy, *(h.proxy for h in self.hosts)):
@@ -162,15 +178,44 @@
             }
             for name in KEYS.values()
         }
-        config = mesh.configuration(
+        self._added_routes.append(f"{checks.ADDED_ROUTE}{self._version}")
+        routes = {name: _route(name) for name in SERVICES}
+        for name in self._added_routes:
+            routes[name] = mesh.route(
+                PROBED_SERVICE, prefix=f"/{name}/", auth_exempt=True
+            )
+        self._configuration = mesh.configuration(
             self._version,
-            routes={name: _route(name) for name in SERVICES},
+            routes=routes,
             services={name: {"health_path": "/healthz"} for name in SERVICES},
             tenants=tenants,
         )
-        self.store.put("op/config", config)
+        self.store.put("op/config", self._configuration)
         self._version += 1 + seed % 4
 
+    async def rewrite_store(self) -> None:
+        """Write what a restored store has lost, as its writers do.
+
+        Entries that the copy brought back expire, unless they are written.
+        """
+        self.store.put("op/config", self._configuration)
+        listed = {
+            f"servers/{host.upstream.instance_id}" for host in self.hosts
+        }
+        revived = [
+            key
+            for key in self.store.items
+            if key.startswith("servers/") and key not in listed
+        ]
+        for host in self.hosts:
+            await asyncio.sleep(REWRITE_MAX_S / len(self.hosts))
+            if host.upstream.up:
+                self.list_upstream(host)
+        await asyncio.sleep(soak_faults.ENTRY_EXPIRY_S)
+        for key in revived:
+            if key in self.store.items:
+                self.store.delete(key)
+
     def revoke_key(self, seed: int) -> None:
         """Revoke a key, unless it is the last one.
 
@@ -248,6 +293,23 @@
             )
         )
 
+    async def _probe_routes(self) -> None:
+        """Request added routes at random hosts, as operators do."""
+        chosen = random.Random(self.seed)
+        for number in itertools.count():
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            host = chosen.choice(self.hosts)
+            target = f"/{chosen.choice(self._added_routes)}/1"
+            request = soak_client.Request(
+                f"p{self.seed}-{number}", target, PROBE_TIMEOUT_S
+            )
+            connection = await soak_client.ClientConnection.open(host.address)
+            if connection is None:
+                continue
+            response = await connection.send(request)
+            self.record.sent.append(request.to_record(host.address, response))
+            connection.close()
+
     async def _monitor(self) -> None:
         """Measure the lag of the event loop and the memory of the nodes."""
         loop = asyncio.get_running_loop()
@@ -314,10 +376,21 @@
     )
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--tree", type=pathlib.Path, default=ROOT)
+    parser.add_argument(
+        "--other-tree",
+        type=pathlib.Path,
+        help="source tree of every second node, such as an earlier build",
+    )
     options = parser.parse_args(arguments)
     failed = 0
     for seed in options.seeds:
-        soak = Soak(seed, options.hosts, options.seconds, options.tree)
+        soak = Soak(
+            seed,
+            options.hosts,
+            options.seconds,
+            options.tree,
+            options.other_tree,
+        )
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             breaches = runner.run(soak.run())
         failed += bool(breaches)
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -47,6 +47,11 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVERAGE = 1.5
 LIMIT_SLACK = 5
+# Start of the names of routes that versions of the configuration add, and time
+# until a route that one host has served is known to all.
+ADDED_ROUTE = "added-"
+ROUTE_REACTION_S = 3.0
+NOT_FOUND = 404
 CUT = "cut"
 ANSWERED = "answered"
 TIMED_OUT = "timeout"
@@ -463,6 +468,36 @@
     return forwarded
 
 
+@_check
+def routes_stay_in_force(record: Record) -> t.Iterator[str]:
+    """A route that some host has served is unknown to no host later.
+
+    Hosts that lack a version get it from the store or from other hosts.
+    """
+    served: dict[str, float] = {}
+    probes = [
+        sent for sent in record.sent if sent.service.startswith(ADDED_ROUTE)
+    ]
+    for sent in probes:
+        if sent.status == 200:
+            since = served.get(sent.service, sent.ended)
+            served[sent.service] = min(since, sent.ended)
+    for sent in probes:
+        since = served.get(sent.service)
+        if sent.status != NOT_FOUND or since is None:
+            continue
+        late_s = sent.at - since
+        apart = any(
+            (fault.group == "link" or fault.kind == "pause")
+            and fault.host == sent.host
+            and fault.at < sent.at
+            and fault.until + SETTLE_S > since
+            for fault in record.faults
+        )
+        if late_s > ROUTE_REACTION_S and not apart:
+            yield f"{sent.service} at {sent.host} {late_s:.2f} s later"
+
+
 @_check
 def abandoned_requests_end(record: Record) -> t.Iterator[str]:
     """Few requests reach upstreams after their callers have timed out."""
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -23,6 +23,10 @@
 # duration of the fault.
 LIMITS_PER_S = (0.0, 0.2, 2.6, 7.6, 15.0)
 LIMIT_DURATION_FACTOR = 4.0
+# Least time from the copy of a restored store to its last lost write, and from
+# there to its return; then the time until the first lost write is repeated.
+LOST_TIME_S = 1.0
+REWRITE_DELAY_S = 1.0
 # Time after which the store removes the entry of a crashed upstream.
 ENTRY_EXPIRY_S = 3.0
 PLANNED = "planned"
@@ -260,6 +264,24 @@
     fault.run.store_proxy.reset()
 
 
+@_fault("store", everywhere=True)
+async def store_restored(fault: ActiveFault) -> None:
+    """Restore the store from a copy, then write again what it has lost."""
+    run = fault.run
+    copied = run.store.copy()
+    await asyncio.sleep(LOST_TIME_S + fault.duration_s)
+    run.put_configuration(fault.seed)
+    await asyncio.sleep(LOST_TIME_S)
+    if fault.seed % 4:
+        run.store.status = 503
+        run.store_proxy.reset()
+        await asyncio.sleep(fault.duration_s / 2)
+        run.store.status = 0
+    run.store.restore(copied)
+    await asyncio.sleep(REWRITE_DELAY_S)
+    await run.rewrite_store()
+
+
 @_fault("upstream")
 async def crash(fault: ActiveFault) -> None:
     """Crash an upstream and restart it under the same identifier."""
--- a/tools/soak_hosts.py
+++ b/tools/soak_hosts.py
@@ -185,7 +185,8 @@
         written.replace(self._settings)
 
     def entry(self, state: str = "ready") -> dict[str, t.Any]:
-        """Return the upstream's entry for the store."""
+        """Return the upstream's next entry for the store."""
+        self.upstream.sequence += 1
         return {
             "service": self.upstream.service,
             "address": f"{self.upstream.address}:8547",
@@ -194,7 +195,7 @@
             "slots": self.upstream.slots,
             "state": state,
             "cold_remaining": "0ms",
-            "sequence": 1,
+            "sequence": self.upstream.sequence,
             "born": self.upstream.born,
         }
 
--- a/tools/soak_upstreams.py
+++ b/tools/soak_upstreams.py
@@ -160,6 +160,8 @@
         self.service = service
         self.slots = SLOTS
         self.born = int(time.time() * 1000)
+        # Number of the heartbeat that wrote the entry in the store.
+        self.sequence = 0
         self.work_s = 0.01
         self.draining = False
         # Rate limit that its responses advertise, None for no limit.
@@ -183,6 +185,7 @@
         self.limit_per_s = None
         self.up = True
         self.born = int(time.time() * 1000)
+        self.sequence = 0
         self._slots = asyncio.Semaphore(SLOTS)
         self._admitted = 0
         loop = asyncio.get_running_loop()
