Keep the list's age when a restored store's entries settle

The merge at the end of the settling time applied the list as if it had been read, so that shares of the retry slack could be used for 6 s longer than the list's age allows. test_end_of_the_settling_time_confirms_the_list failed before. An upstream of another service that is ready at the same address no longer ends what the gate knows of a draining one.

--- a/src/savorytally/dataplane/advertisements.py
+++ b/src/savorytally/dataplane/advertisements.py
@@ -79,12 +79,10 @@
 
     def learn_state(self, instance_id: str, ready: bool, now: float) -> None:
         """Apply the state of the instance in the host list."""
-        if ready:
+        known, _ = self._listed_draining or ("", now)
+        if ready and known == instance_id:
             self._listed_draining = None
-        elif (
-            self._listed_draining is None
-            or self._listed_draining[0] != instance_id
-        ):
+        elif not ready and known != instance_id:
             self._listed_draining = (instance_id, now)
 
     def apply_headers(
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -475,7 +475,11 @@
             if name in listed
         )
 
-    def _apply_instances(self, now: float) -> None:
+    def _apply_instances(self, now: float, confirmed: bool = True) -> None:
+        """Apply the host list.
+
+        :param confirmed: whether it was read just now.
+        """
         listed = self._reconciler.merge(self._upstream_list.instances, now)
         instances = catalog.latest_instances(listed)
         self.entry.placement.learn_instances(instances, now)
@@ -495,7 +499,7 @@
             if address != self._options.address:
                 near = self._in_region(address)
                 (self._near if near else self._far).append(address)
-        self._slack_share.learn_hosts(hosts, now)
+        self._slack_share.learn_hosts(hosts, now, confirmed)
         self.crash_watch.learn_hosts(hosts)
         self.rates.learn_instances(instances.values())
         self.store_sharing.learn_hosts(
@@ -528,7 +532,7 @@
             self.rates.tick(now)
             self.store_sharing.tick(now)
             if self._reconciler.due(now):
-                self._apply_instances(now)
+                self._apply_instances(now, confirmed=False)
             self._check_startup()
             if now >= self._gossip_at:
                 spread = 0.5 + self._random.random()
--- a/src/savorytally/decisions/retry_slack.py
+++ b/src/savorytally/decisions/retry_slack.py
@@ -54,8 +54,13 @@
         self._confirmed_at = 0.0
         self._share: int | None = None
 
-    def learn_hosts(self, listed: t.Iterable[str], now: float) -> None:
-        """Apply the addresses in the host list."""
+    def learn_hosts(
+        self, listed: t.Iterable[str], now: float, confirmed: bool = True
+    ) -> None:
+        """Apply the addresses in the host list.
+
+        :param confirmed: whether the list was read just now.
+        """
         addresses = frozenset(listed)
         for address in self._listed - addresses:
             self._removed[address] = now
@@ -64,7 +69,8 @@
                 del self._removed[address]
         self._listed = addresses
         self._share = None
-        self.confirm_list(now)
+        if confirmed:
+            self.confirm_list(now)
 
     def confirm_list(self, now: float) -> None:
         """Record that the host list was read and is unchanged."""
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -385,6 +385,26 @@
 
         assert run_scenario(scenario) == (True, True)
 
+    def test_end_of_the_settling_time_confirms_the_list(self):
+        """The store is away again, so that the list is not confirmed."""
+
+        async def scenario(cluster):
+            copied = cluster.store.copy()
+            write(cluster, LOST_WRITES)
+            await asyncio.sleep(IN_FORCE_S)
+            await lose(cluster, copied)
+            await asyncio.sleep(2.0)
+            cluster.store.status = 503
+            cluster.net.reset(mesh.STORE.host, mesh.STORE.port)
+            at = asyncio.get_running_loop().time()
+            await asyncio.sleep(10.0)
+            return all(
+                host.node._slack_share._confirmed_at <= at
+                for host in cluster.hosts
+            )
+
+        assert run_scenario(scenario)
+
 
 class TestLostEntries:
     def test_upstream_that_left_in_the_lost_seconds_gets_requests(self):
