Restart a host while the soak's store holds the copy

A configuration is now in force for 3.5 s before it is lost and missing for 1.8 s after, two of three times a host starts meanwhile, and four probers ask for the latest routes more often.

Two errors of the soak itself are mended.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from tools import soak_checks as checks
 from tools import soak_faults
 from tools import soak_record
+from tools import soak_upstreams
 
 KEY = "key-of-the-growers-1"
 HOST = "127.0.0.1"
@@ -316,6 +317,22 @@
         assert json.loads(base64.b64decode(value))["state"] == state
 
 
+def test_connection_that_is_being_accepted_ends_the_run():
+    """Seed 1: an upstream crashed between accept and connection."""
+
+    class Transport:
+        aborted = False
+
+        def abort(self):
+            self.aborted = True
+
+    connection = soak_upstreams.Connection(lambda connection: None)
+    connection.abort()
+    transport = Transport()
+    connection.connection_made(transport)
+    assert transport.aborted
+
+
 # Seed 5 draws planned operations only, seed 1 faults of upstreams too, and
 # seed 9 faults of all groups.
 @pytest.mark.live
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -46,8 +46,10 @@
 # Service of the routes that versions of the configuration add, and requests to
 # these routes.
 PROBED_SERVICE = "vault"
-PROBE_INTERVAL_S = 0.05
+PROBERS = 4
+PROBE_INTERVAL_S = 0.025
 PROBE_TIMEOUT_S = 0.5
+LATEST_ROUTES = 2
 # Interval between measurements of the lag of the event loop.
 LAG_INTERVAL_S = 0.05
 # Interval between measurements of the memory of the nodes.
@@ -151,12 +153,16 @@
             )
             monitor = asyncio.ensure_future(self._monitor())
             callers = asyncio.ensure_future(self._callers())
-            prober = asyncio.ensure_future(self._probe_routes())
+            probers = [
+                asyncio.ensure_future(self._probe_routes(number))
+                for number in range(PROBERS)
+            ]
             await soak_faults.play(self, planned)
             await callers
             await asyncio.sleep(1.0)
             monitor.cancel()
-            prober.cancel()
+            for prober in probers:
+                prober.cancel()
         finally:
             self._end_processes()
             for proxy in (self.store_proxy, *(h.proxy for h in self.hosts)):
@@ -293,15 +299,21 @@
             )
         )
 
-    async def _probe_routes(self) -> None:
-        """Request added routes at random hosts, as operators do."""
-        chosen = random.Random(self.seed)
+    async def _probe_routes(self, prober: int) -> None:
+        """Request added routes at random hosts, as operators do.
+
+        :param prober: number of the prober.
+        """
+        chosen = random.Random(f"{self.seed}-{prober}")
         for number in itertools.count():
             await asyncio.sleep(PROBE_INTERVAL_S)
             host = chosen.choice(self.hosts)
-            target = f"/{chosen.choice(self._added_routes)}/1"
+            # Half of the requests are for one of the latest routes.
+            latest = self._added_routes[-LATEST_ROUTES:]
+            name = chosen.choice(chosen.choice((self._added_routes, latest)))
+            target = f"/{name}/1"
             request = soak_client.Request(
-                f"p{self.seed}-{number}", target, PROBE_TIMEOUT_S
+                f"p{self.seed}-{prober}-{number}", target, PROBE_TIMEOUT_S
             )
             connection = await soak_client.ClientConnection.open(host.address)
             if connection is None:
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -23,10 +23,12 @@
 # duration of the fault.
 LIMITS_PER_S = (0.0, 0.2, 2.6, 7.6, 15.0)
 LIMIT_DURATION_FACTOR = 4.0
-# Least time from the copy of a restored store to its last lost write, and from
-# there to its return; then the time until the first lost write is repeated.
-LOST_TIME_S = 1.0
-REWRITE_DELAY_S = 1.0
+# Time that a configuration is in force before a restored store loses it, and
+# until the first lost write is repeated.
+LOST_TIME_S = 3.5
+REWRITE_DELAY_S = 1.8
+# Time from the end of a process until it is started again.
+RESTART_S = 0.2
 # Time after which the store removes the entry of a crashed upstream.
 ENTRY_EXPIRY_S = 3.0
 PLANNED = "planned"
@@ -269,7 +271,7 @@
     """Restore the store from a copy, then write again what it has lost."""
     run = fault.run
     copied = run.store.copy()
-    await asyncio.sleep(LOST_TIME_S + fault.duration_s)
+    await asyncio.sleep(fault.duration_s)
     run.put_configuration(fault.seed)
     await asyncio.sleep(LOST_TIME_S)
     if fault.seed % 4:
@@ -278,6 +280,12 @@
         await asyncio.sleep(fault.duration_s / 2)
         run.store.status = 0
     run.store.restore(copied)
+    if fault.seed % 3:
+        # The host starts while the store holds the copy.
+        with run.record.fault("kill", fault.host.address, "process"):
+            fault.host.signal(signal.SIGKILL)
+            await asyncio.sleep(RESTART_S)
+            fault.host.start()
     await asyncio.sleep(REWRITE_DELAY_S)
     await run.rewrite_store()
 
--- a/tools/soak_upstreams.py
+++ b/tools/soak_upstreams.py
@@ -68,12 +68,24 @@
     def __init__(self, handle: t.Callable[[t.Any], t.Any]) -> None:
         super().__init__(handle)
         self.task: asyncio.Task[None] | None = None
+        self._aborted = False
+
+    def connection_made(self, transport: t.Any) -> None:
+        super().connection_made(transport)
+        if self._aborted:
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         if self.task is not None:
             self.task.cancel()
 
+    def abort(self) -> None:
+        """Abort the connection, at once or when it is established."""
+        self._aborted = True
+        if self.transport is not None:
+            self.transport.abort()
+
     def respond(self, response: bytes) -> None:
         """Respond to the request, if the connection is open."""
         self.task = None
@@ -211,7 +223,7 @@
             if connection.lost:
                 self._connections.discard(connection)
             elif not (idle_only and connection.task is not None):
-                connection.transport.abort()
+                connection.abort()
 
     def _accept(self) -> Connection:
         connection = Connection(self._receive)
@@ -314,6 +326,8 @@
             echo["connection"] = "close"
         response = mesh.response(status, b"answer to " + name.encode(), echo)
         response = self._with_advertisements(response)
+        if connection.transport.is_closing():
+            return
         for kind, inject in _RESPONSE_FAULTS.items():
             if self._draw_fault(kind):
                 self._record_end(arrival, 0, broke=True)
