Compare revisions of creation within an era only

An upstream that registers after a restore at the address of one that crashed was not used for up to 6 s: the crashed one's entry, newer than the copy's, was kept with the revision of its creation, which the store had assigned in the era before and which is higher. The kept entry takes the revision of the copy's entry, in whose order later ones follow.

test_new_upstream_at_a_reused_address_is_not_used failed before.

--- a/src/savorytally/decisions/entry_reconciler.py
+++ b/src/savorytally/decisions/entry_reconciler.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import dataclasses
 import math
 import typing as t
 
@@ -126,7 +127,11 @@
             return entry
         known = self._known.get(name)
         if known is not None:
-            return known if _precedes(entry, known) else entry
+            if not _precedes(entry, known):
+                return entry
+            # Revisions of creation compare within an era only.
+            created = entry.created_revision
+            return dataclasses.replace(known, created_revision=created)
         removed, _ = self._removed.get(name, (None, 0.0))
         if removed is None or _precedes(removed, entry):
             return entry
--- a/tests/test_entry_reconciler.py
+++ b/tests/test_entry_reconciler.py
@@ -54,6 +54,15 @@
         merged = restored(known).merge(listed(entry), RESTORED_AT)
         assert merged == listed(expected or entry)
 
+    def test_new_upstream_at_a_reused_address_is_not_used(self):
+        """The revision of its creation was assigned before the restore."""
+        known = dataclasses.replace(KNOWN, created_revision=19)
+        new = dataclasses.replace(KNOWN, instance_id="i-3")
+        new = dataclasses.replace(new, created_revision=17)
+        older = dataclasses.replace(OLDER, created_revision=5)
+        merged = restored(known).merge(listed(older, new), RESTORED_AT)
+        assert set(catalog.latest_instances(merged)) == {"i-3"}
+
     def test_older_entry_is_never_accepted(self):
         reconciler = restored(KNOWN)
         reconciler.merge(listed(OLDER), RESTORED_AT)
