--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -233,6 +233,35 @@
         return taken
 
 
+class TestChangedReaders:
+    @pytest.mark.parametrize("killed_at_s", [0.0, 0.3, 1.0])
+    def test_readers_are_killed_around_the_return(self, killed_at_s):
+        """Followers turn to readers that are of another era."""
+
+        async def scenario(cluster):
+            copied = cluster.store.copy()
+            write(cluster, LOST_WRITES)
+            await asyncio.sleep(IN_FORCE_S)
+            ended = [
+                host
+                for host in cluster.hosts
+                if host.node._store_watch.healthy
+            ]
+            await lose(cluster, copied)
+            await asyncio.sleep(killed_at_s)
+            for host in ended:
+                fault_run.end(cluster.net, host)
+            cluster.store.put("op/config", mesh.configuration(5))
+            await asyncio.sleep(IN_FORCE_S)
+            return {
+                (host.node.version, host.node.position.era)
+                for host in cluster.hosts
+                if host not in ended
+            }
+
+        assert run_scenario(scenario) == {(5, 2)}
+
+
 class TestBuildsWithoutEras:
     """Their frames contain revisions, and entries have ten fields."""
 
--- a/tests/test_store_sharing.py
+++ b/tests/test_store_sharing.py
@@ -350,6 +350,58 @@
             assert follower.instances == states[follower.position.revision]
 
 
+def written_states(before, written):
+    """Return the state before some writes, and after each of them."""
+    states = [before]
+    for name, slots in written:
+        state = dict(states[-1])
+        state.pop(name, None)
+        if slots is not None:
+            state[name] = instance(name, slots)
+        states.append(state)
+    return states
+
+
+class TestRestoredStore:
+    @hypothesis.given(st.data())
+    def test_reused_revisions_mix_the_states_of_two_eras(self, data):
+        """Snapshots and changes of both eras arrive in any order."""
+        names = st.sampled_from("abc")
+        step = st.tuples(names, st.one_of(st.none(), st.integers(1, 3)))
+        first = data.draw(st.lists(step, min_size=1, max_size=8))
+        copied = data.draw(st.integers(0, len(first)))
+        later = data.draw(st.lists(step, max_size=8))
+        writes = {1: first, 2: first[:copied] + later}
+        states = {era: written_states({}, writes[era]) for era in writes}
+        follower = upstream_list.UpstreamList()
+        follower.apply(snapshot(position(0)))
+        span = st.tuples(
+            st.sampled_from((1, 2)), st.integers(0, 16), st.integers(0, 16)
+        )
+        for era, one, other in data.draw(st.lists(span, max_size=12)):
+            last = len(writes[era])
+            after, at = sorted((min(one, last), min(other, last)))
+            if one >= other:
+                listed = states[era][at].values()
+                follower.apply(snapshot(position(at, era), listed))
+            else:
+                touched = {name for name, _ in writes[era][after:at]}
+                now = states[era][at]
+                changes = store_watch.Changes(
+                    position(after, era),
+                    position(at, era),
+                    None,
+                    {name: now[name] for name in touched & now.keys()},
+                    tuple(touched - now.keys()),
+                )
+                try:
+                    follower.apply(changes)
+                except upstream_list.MissingChanges:
+                    continue
+            era, revision = follower.position
+            assert follower.instances == states[era][revision]
+
+
 class TestChangeLog:
     def log(self, *steps):
         made = change_log.ChangeLog()
