Forward no call that has waited until its upstream had drained

What callers saw: nothing; a leaving upstream got calls later than the drain time after its gate knew, since the gate looked when it took a call and not when it forwarded it. Below a rate limit calls wait in between.

The gate looks again before it forwards a call and refuses it as not run, so that it goes elsewhere.

Evidence: test_call_that_waited_below_a_limit_arrives_after_the_drain[6] failed before (an arrival 2.16 s after the first answer that says so).

--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -285,6 +285,11 @@
             self._pool.release(connection)
             self._end(run, results.DEADLINE_TOO_SHORT, _Reason.NO_TIME)
             return
+        if self.advertisements.drained(run.call.instance_id, now):
+            # The call waited until the upstream had drained.
+            self._pool.release(connection)
+            self._end(run, results.HOST_LEAVING, _Reason.LEAVING)
+            return
         reserved = None
         if run.retry:
             reserved = self.subtree_budget.reserve(run.call.route, now)
--- a/tests/test_advertised_limits.py
+++ b/tests/test_advertised_limits.py
@@ -508,6 +508,31 @@
         assert {item.status for item in refused} == {503}
         assert all(item.retry_after_s for item in refused)
 
+    @pytest.mark.parametrize("limit_per_s", ["2.6", "6"])
+    def test_call_that_waited_below_a_limit_arrives_after_the_drain(
+        self, limit_per_s
+    ):
+        """Seed 3000 of the soak: 2.2 s after the upstream drained."""
+
+        async def scenario(cluster):
+            host = hosts_of(cluster)[0]
+            host.upstream.advertised_headers[advertised.LIMIT] = limit_per_s
+            load = advertised.Load(cluster)
+            await load.run(20, 2)
+            arrivals = advertised.Arrivals(host.upstream)
+            await self._advertise_draining(host, load)
+            await load.run(100, 5)
+            instances = host.node.gate.advertisements._instances
+            since = instances[host.instance_id].leaving_since
+            late = arrivals.count_between(
+                since + advertised.DRAIN_S, since + 9
+            )
+            return late, {item.status for item in load.sent}
+
+        late, statuses = run_scenario(scenario, LAST)
+        assert late == 0
+        assert statuses <= {200, 503}
+
     def test_draining_upstream_is_used_if_it_is_the_only_one(self):
         async def scenario(cluster):
             host = hosts_of(cluster)[0]
