Serve evacuated data centres and requests confined to regions

Change: the store's evacuations are entries of the list that hosts read and exchange. An entry sends nothing to an evacuated data centre; a gate in it refuses what arrives or waits. Routes and organisations have homes; both restrict placement, and the gate checks them before it forwards. New result codes 1031 and 1032.

--- a/src/savorytally/dataplane/calls.py
+++ b/src/savorytally/dataplane/calls.py
@@ -34,6 +34,7 @@
         "parent",
         "rank",
         "reached",
+        "regions",
         "request",
         "request_id",
         "retries",
@@ -55,6 +56,8 @@
         self.route: catalog.Route | None = None
         self.service = ""
         self.organisation = ""
+        # The regions in which it may be served, ``None`` for all.
+        self.regions: frozenset[str] | None = None
         self.rank = 0
         self.flags = 0
         self.deadline = 0.0
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -50,6 +50,8 @@
         results.HOST_LEAVING,
         results.NODE_STOPPING,
         results.NO_HOST,
+        results.DATA_CENTRE_EVACUATED,
+        results.NOT_AT_HOME,
     )
 )
 _Reason = not_run_reasons.NotRunReason
@@ -266,7 +268,11 @@
         if remaining_s > 0:
             instance = self._choose(call, route, now)
         if instance is None:
-            self._fail(call, call.worst_code or results.NO_HOST)
+            self._fail(
+                call,
+                call.worst_code
+                or self.placement.refusal_code(call.service, call.regions),
+            )
             return
         flags = call.flags
         if self.placement.is_unlisted(instance.instance_id):
@@ -318,11 +324,24 @@
         name, objective_s = route.name, route.objective_s
         if len(call.reached) < route.attempts:
             tried = call.tried
-            instance = choose(call.service, name, tried, objective_s, now)
+            instance = choose(
+                call.service,
+                name,
+                tried,
+                objective_s,
+                now,
+                regions=call.regions,
+            )
             if instance is not None or not call.reached:
                 return instance
         return choose(
-            call.service, name, (), objective_s, now, only=call.reached
+            call.service,
+            name,
+            (),
+            objective_s,
+            now,
+            only=call.reached,
+            regions=call.regions,
         )
 
     def _offer_locally(
@@ -431,6 +450,11 @@
         if code is results.HOST_LEAVING or code is results.INSTANCE_GONE:
             placed.host_leaving(name, now)
             return
+        if code is results.DATA_CENTRE_EVACUATED:
+            placed.avoid(name, now + UNREACHABLE_AVOID_S)
+            return
+        if code is results.NOT_AT_HOME:
+            return
         if code in (results.NOT_DISPATCHED, results.OUTCOME_UNKNOWN):
             placed.avoid(name, now + UNREACHABLE_AVOID_S)
         if result.limit:
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -10,6 +10,7 @@
 from ..decisions import parent_matching
 from ..decisions import retry_budget
 from ..decisions import subtree_budget
+from ..world import catalog
 from . import advertisements
 from . import counters
 from . import crash_watch
@@ -19,6 +20,7 @@
 from . import header_names
 from . import health
 from . import not_run_reasons
+from . import options
 from . import pool
 from . import upstream_protocol
 
@@ -116,7 +118,7 @@
     :param retry_budget: the retry budget of this host.
     :param log: logs each call that ends without a response.
     :param counts: counts the calls that have not run.
-    :param drain_s: how long a draining upstream may get new calls, in seconds.
+    :param node_options: the node's options.
     """
 
     def __init__(
@@ -128,7 +130,7 @@
         retry_budget: retry_budget.FleetRetryBudget,
         log: event_log.EventLog,
         counts: counters.Counters,
-        drain_s: float,
+        node_options: options.Options,
     ) -> None:
         self._protocol = upstream_protocol.UpstreamProtocol(names)
         self._log = log
@@ -142,7 +144,10 @@
         self.retry_budget = retry_budget
         self.subtree_budget = subtree_budget.SubtreeBudget(retry_budget)
         self.advertisements = advertisements.Advertisements(
-            self._protocol, log, drain_s, self._apply_pace
+            self._protocol,
+            log,
+            node_options.bounds.drain_s,
+            self._apply_pace,
         )
         self.health = health.Health(
             names, connections, self.advertisements.apply_headers
@@ -150,6 +155,12 @@
         # Timer of the next start that the rate limit allows.
         self._start_timer: asyncio.TimerHandle | None = None
         self.leaving = False
+        self._evacuated = False
+        self._service = node_options.service
+        self._region = node_options.region
+        # The homes of routes and organisations that have some.
+        self._route_homes: dict[str, frozenset[str]] = {}
+        self._organisation_homes: dict[str, frozenset[str]] = {}
         # Loop time until which an instance counts as replaced, by identifier.
         self._replaced: dict[str, float] = {}
 
@@ -178,10 +189,11 @@
                 call.instance_id, call.limit_per_s
             )
         run = Run(call, now + call.remaining_ms / 1000, on_result)
+        blocked = self._blocked(call, now)
         if self.leaving:
             self._finish(run, results.HOST_LEAVING, _Reason.LEAVING)
-        elif self.advertisements.drained(call.instance_id, now):
-            self._finish(run, results.HOST_LEAVING, _Reason.LEAVING)
+        elif blocked is not None:
+            self._finish(run, *blocked)
         elif self._replaced.get(call.instance_id, 0.0) > now:
             self._finish(run, results.INSTANCE_GONE, _Reason.REPLACED)
         elif self._watch.refused_s(call):
@@ -196,6 +208,57 @@
             self._enqueue(run, now)
         return run
 
+    def learn_catalog(self, newest: catalog.Catalog) -> None:
+        """Apply a newer configuration."""
+        self.health.learn_path(newest.health_paths.get(self._service, ""))
+        self._route_homes = {
+            name: route.homes
+            for name, route in newest.routes.items()
+            if route.homes
+        }
+        self._organisation_homes = {
+            name: organisation.homes
+            for name, organisation in newest.organisations().items()
+            if organisation.homes
+        }
+
+    def learn_evacuated(self, evacuated: bool) -> None:
+        """Apply whether this host's data centre is evacuated.
+
+        Waiting calls are refused, so that other data centres can run them.
+        """
+        self._evacuated = evacuated
+        if evacuated:
+            for job in self._queue.clear():
+                self._finish(
+                    job.context,
+                    results.DATA_CENTRE_EVACUATED,
+                    _Reason.EVACUATED,
+                )
+
+    def _blocked(
+        self, call: frames.Call, now: float
+    ) -> tuple[results.ResultCode, not_run_reasons.NotRunReason] | None:
+        """Return why a call may not be forwarded, ``None`` if it may.
+
+        The sender may not have learned yet that the upstream drains, that the
+        data centre is evacuated or where the call may be served.
+        """
+        if self.advertisements.drained(call.instance_id, now):
+            return results.HOST_LEAVING, _Reason.LEAVING
+        if self._evacuated:
+            return results.DATA_CENTRE_EVACUATED, _Reason.EVACUATED
+        if not self._route_homes and not self._organisation_homes:
+            return None
+        none: frozenset[str] = frozenset()
+        regions = catalog.permitted_regions(
+            self._route_homes.get(call.route, none),
+            self._organisation_homes.get(call.organisation, none),
+        )
+        if regions is not None and self._region not in regions:
+            return results.NOT_AT_HOME, _Reason.NOT_AT_HOME
+        return None
+
     def _health_checked(self, run: Run, serves: bool) -> None:
         """Continue a call whose upstream is no longer in the host list.
 
@@ -285,10 +348,11 @@
             self._pool.release(connection)
             self._end(run, results.DEADLINE_TOO_SHORT, _Reason.NO_TIME)
             return
-        if self.advertisements.drained(run.call.instance_id, now):
-            # The call waited until the upstream had drained.
+        blocked = self._blocked(run.call, now)
+        if blocked is not None:
+            # The state has changed while the call waited.
             self._pool.release(connection)
-            self._end(run, results.HOST_LEAVING, _Reason.LEAVING)
+            self._end(run, *blocked)
             return
         reserved = None
         if run.retry:
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -22,6 +22,7 @@
 from . import counters
 from . import crash_watch
 from . import entry
+from . import evacuations
 from . import event_log
 from . import frames
 from . import gate
@@ -109,7 +110,7 @@
             budget,
             self.log,
             self.counts,
-            bounds.drain_s,
+            node_options,
         )
         self.gate.advertisements.notify = self._broadcast_advertised
         self.peers = peers.Peers(node_options.peer_port, self.gate, self, rand)
@@ -145,6 +146,7 @@
         self._compressed = b""
         self._rejected_raw = b""
         self._at_address: dict[str, list[str]] = {}
+        self.evacuations = evacuations.Evacuations(node_options, self.log)
         # Addresses of the other hosts of this region, and of other regions.
         self._near: list[str] = []
         self._far: list[str] = []
@@ -342,9 +344,7 @@
             return
         self._catalog, self._raw, self._compressed = newest, raw, b""
         self.entry.learn_catalog(newest)
-        self.gate.health.learn_path(
-            newest.health_paths.get(self._options.service, "")
-        )
+        self.gate.learn_catalog(newest)
         self.rates.learn_catalog(newest)
         self.log.event("configuration", version=newest.version, origin=origin)
         self.peers.announce(newest.version)
@@ -483,6 +483,7 @@
         listed = self._reconciler.merge(self._upstream_list.instances, now)
         instances = catalog.latest_instances(listed)
         self.entry.placement.learn_instances(instances, now)
+        self._apply_evacuations(now)
         own = self._options.upstream
         hosts: dict[str, list[str]] = {}
         for name, instance in instances.items():
@@ -509,6 +510,13 @@
             and instance.data_centre == self._options.data_centre
         )
 
+    def _apply_evacuations(self, now: float) -> None:
+        """Apply which data centres are evacuated."""
+        self.evacuations.apply(self._upstream_list.evacuated, now)
+        evacuated = self.evacuations.in_force
+        self.entry.placement.learn_evacuated(evacuated)
+        self.gate.learn_evacuated(self._options.data_centre in evacuated)
+
     def _readiness(self) -> tuple[int, bytes]:
         return (200, b"ready\n") if self.ready else (503, b"not ready\n")
 
@@ -626,5 +634,6 @@
         add("followers", lambda: self.store_sharing.followers)
         add("reads_store", lambda: int(self._store_watch.healthy))
         add("requests_active", lambda: self.entry.active)
+        add("data_centres_evacuated", lambda: len(self.evacuations.in_force))
         add("log_lines_dropped", lambda: self.log.dropped)
         add("answers_held_bytes", lambda: self._held.total_bytes)
--- a/src/savorytally/dataplane/not_run_reasons.py
+++ b/src/savorytally/dataplane/not_run_reasons.py
@@ -13,6 +13,8 @@
     QUEUE = "queue"
     LIMIT = "limit"
     LEAVING = "leaving"
+    EVACUATED = "evacuated"
+    NOT_AT_HOME = "not_at_home"
     HEALTH = "health"
     CULPRIT = "culprit"
     NO_CONNECTION = "no_connection"
--- a/src/savorytally/dataplane/options.py
+++ b/src/savorytally/dataplane/options.py
@@ -25,6 +25,8 @@
     :param rate_overage: fraction by which a rate may be exceeded.
     :param rate_slack: further requests by which a rate may be exceeded.
     :param rate_window_s: window in which a rate is measured, in seconds.
+    :param cold_overage: fraction of a cold upstream's rate that it may get.
+    :param cold_slack: further requests that a cold upstream may get.
     """
 
     drain_s: float = 2.0
@@ -35,6 +37,8 @@
     rate_overage: float = 0.25
     rate_slack: float = 20.0
     rate_window_s: float = 5.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/savorytally/dataplane/request_terms.py
+++ b/src/savorytally/dataplane/request_terms.py
@@ -77,6 +77,10 @@
         organisation = self._identify(call, newest)
         if isinstance(organisation, results.ResultCode):
             return organisation
+        call.regions = catalog.permitted_regions(
+            route.homes,
+            organisation.homes if organisation is not None else frozenset(),
+        )
         self._set_terms(call, route, organisation, now)
         return None
 
--- a/src/savorytally/dataplane/store_sharing.py
+++ b/src/savorytally/dataplane/store_sharing.py
@@ -279,10 +279,12 @@
             self._store_readers.cannot_follow(stream.peer, self._loop.time())
             return
         try:
-            instances = [catalog.Instance(*fields) for fields in changed]
+            found = {
+                entry.key: entry
+                for entry in map(catalog.entry_from_fields, changed)
+            }
         except TypeError as error:
             raise frames.MalformedFrame(str(error)) from error
-        found = {item.instance_id: item for item in instances}
         changes = store_watch.Changes(
             None if after is None else _read_position(after),
             _read_position(position),
--- a/src/savorytally/dataplane/store_watch.py
+++ b/src/savorytally/dataplane/store_watch.py
@@ -45,8 +45,8 @@
         changes since ``after``.
     :param configuration: bytes of the newest configuration, ``None`` if it has
         not changed.
-    :param changed: upstreams that were added or changed, by identifier.
-    :param removed: identifiers of upstreams that are gone.
+    :param changed: entries that were added or changed, by identifier.
+    :param removed: identifiers of entries that are gone.
     :param stepwise: whether it contains every entry that was written in
         between, instead of the difference between two states.
     """
@@ -54,7 +54,7 @@
     after: store_position.Position | None
     position: store_position.Position
     configuration: bytes | None
-    changed: dict[str, catalog.Instance]
+    changed: dict[str, catalog.Entry]
     removed: tuple[str, ...]
     stepwise: bool = True
 
--- a/src/savorytally/dataplane/upstream_list.py
+++ b/src/savorytally/dataplane/upstream_list.py
@@ -1,4 +1,4 @@
-"""The list of upstreams that the store holds."""
+"""The list of upstreams and evacuations that the store holds."""
 
 import dataclasses
 
@@ -13,11 +13,13 @@
 
 
 class UpstreamList:
-    """The upstreams of all services up to a position in the store."""
+    """The list's entries up to a position in the store."""
 
     def __init__(self) -> None:
         self._position: store_position.Position | None = None
+        self._entries: dict[str, catalog.Entry] = {}
         self._instances: dict[str, catalog.Instance] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._change_log = change_log.ChangeLog()
 
     @property
@@ -30,6 +32,11 @@
         """The upstreams by identifier."""
         return self._instances
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The data centres whose upstreams are to get nothing."""
+        return self._evacuated
+
     def apply(self, changes: store_watch.Changes) -> change_log.Change | None:
         """Apply a snapshot or changes.
 
@@ -55,8 +62,9 @@
                 f"{known} is known, changes follow {change.after}"
             )
         for name in change.removed:
-            self._instances.pop(name, None)
-        self._instances.update(change.changed)
+            self._entries.pop(name, None)
+        self._entries.update(change.changed)
+        self._split()
         return self._note(known, change)
 
     def since(
@@ -69,12 +77,13 @@
         """Return a snapshot of the list, which must have been read."""
         assert self._position is not None
         return store_watch.Changes(
-            None, self._position, None, self._instances, ()
+            None, self._position, None, self._entries, ()
         )
 
     def _replace(self, changes: store_watch.Changes) -> change_log.Change:
         """Replace the list by a snapshot; return the difference."""
-        before, self._instances = self._instances, dict(changes.changed)
+        before, self._entries = self._entries, dict(changes.changed)
+        self._split()
         change = change_log.Change(
             self._position or store_position.Position(0, 0),
             changes.position,
@@ -90,6 +99,9 @@
         self._change_log.append(change)
         return change
 
+    def _split(self) -> None:
+        self._instances, self._evacuated = catalog.split_entries(self._entries)
+
     def _note(
         self, known: store_position.Position, applied: change_log.Change
     ) -> change_log.Change:
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -15,12 +15,16 @@
 in this node's share of the limit is due. One that advertises that it is
 leaving gets requests only if no other upstream is available, and none after
 the drain time.
+
+Upstreams in data centres that an operator has evacuated get nothing, and a
+request that is confined to some regions is not sent to others.
 """
 
 import dataclasses
 import random
 import typing as t
 
+from .. import results
 from ..world import catalog
 from . import advertised_state
 
@@ -65,6 +69,7 @@
 
     :param instance: its entry in the host list.
     :param distance_s: penalty in seconds for another data centre.
+    :param region: its region.
     :param far: whether it is in another region.
     :param first_listed_at: when it was added to the host list.
     :param in_flight: requests from this node that have not ended.
@@ -80,6 +85,7 @@
 
     instance: catalog.Instance
     distance_s: float
+    region: str
     far: bool
     first_listed_at: float
     in_flight: int = 0
@@ -140,6 +146,13 @@
         self._upstreams: dict[str, _UpstreamState] = {}
         self._services: dict[str, list[_UpstreamState]] = {}
         self._unlisted: dict[str, list[_UpstreamState]] = {}
+        self._evacuated: frozenset[str] = frozenset()
+
+    def learn_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Apply which data centres are evacuated."""
+        if data_centres != self._evacuated:
+            self._evacuated = data_centres
+            self._group_by_service()
 
     def learn_instances(
         self, instances: t.Mapping[str, catalog.Instance], now: float
@@ -156,12 +169,7 @@
             else:
                 state.instance = instance
                 state.unlisted_at = 0.0
-        self._services = {}
-        self._unlisted = {}
-        for state in self._upstreams.values():
-            if state.instance.ready:
-                table = self._unlisted if state.unlisted_at else self._services
-                table.setdefault(state.instance.service, []).append(state)
+        self._group_by_service()
 
     def learn_advertised(
         self,
@@ -227,19 +235,18 @@
         objective_s: float,
         now: float,
         only: t.Container[str] | None = None,
+        regions: frozenset[str] | None = None,
     ) -> catalog.Instance | None:
         """Return the upstream with the least expected response time, if any.
 
         :param objective_s: latency objective of the request.
         :param tried: upstreams that are left out.
         :param only: the upstreams to choose from, all if ``None``.
+        :param regions: the regions to choose from, all if ``None``.
         """
         best: _UpstreamState | None = None
         best_score = float("inf")
-        candidates = self._services.get(service)
-        if not candidates:
-            candidates = self._unlisted.get(service, [])
-        for state in candidates:
+        for state in self._candidates(service, regions):
             name = state.instance.instance_id
             if state.leaving_until > now or name in tried:
                 continue
@@ -255,6 +262,31 @@
                 best, best_score = state, score
         return best.instance if best is not None else None
 
+    def refusal_code(
+        self, service: str, regions: frozenset[str] | None
+    ) -> results.ResultCode:
+        """Return the result code of a request that has no upstream.
+
+        :param regions: the regions that it may be sent to, all if ``None``.
+        """
+        ready = [
+            state
+            for state in self._upstreams.values()
+            if state.instance.service == service and state.instance.ready
+        ]
+        at_home = [
+            state
+            for state in ready
+            if regions is None or state.region in regions
+        ]
+        if ready and not at_home:
+            return results.NOT_AT_HOME
+        if at_home and all(
+            state.instance.data_centre in self._evacuated for state in at_home
+        ):
+            return results.DATA_CENTRE_EVACUATED
+        return results.NO_HOST
+
     def sent(self, instance_id: str, now: float) -> None:
         """Record that a request was sent."""
         advertisement = self._advertisements.get(instance_id)
@@ -317,6 +349,28 @@
         if state is not None:
             state.leaving_until = now + LEAVING_HOST_S
 
+    def _group_by_service(self) -> None:
+        """Group the upstreams that may get requests by service."""
+        self._services = {}
+        self._unlisted = {}
+        for state in self._upstreams.values():
+            instance = state.instance
+            if instance.ready and instance.data_centre not in self._evacuated:
+                table = self._unlisted if state.unlisted_at else self._services
+                table.setdefault(instance.service, []).append(state)
+
+    def _candidates(
+        self, service: str, regions: frozenset[str] | None
+    ) -> list[_UpstreamState]:
+        """Return the upstreams that a request may be sent to."""
+        for table in (self._services, self._unlisted):
+            found = table.get(service, [])
+            if regions is not None:
+                found = [item for item in found if item.region in regions]
+            if found:
+                return found
+        return []
+
     def _mark_unlisted(
         self, identifier: str, state: _UpstreamState, now: float
     ) -> None:
@@ -331,14 +385,14 @@
             del self._upstreams[identifier]
 
     def _new(self, instance: catalog.Instance, now: float) -> _UpstreamState:
-        far = self._region(instance.data_centre) != self._region(
-            self._data_centre
-        )
+        region = self._region(instance.data_centre)
+        far = region != self._region(self._data_centre)
         near = instance.data_centre == self._data_centre
         distance_s = 0.0 if near else OTHER_CENTRE_PENALTY_S
         return _UpstreamState(
             instance=instance,
             distance_s=distance_s,
+            region=region,
             far=far,
             first_listed_at=now,
         )
--- a/src/savorytally/platform/documents.py
+++ b/src/savorytally/platform/documents.py
@@ -12,6 +12,8 @@
 CONFIGURATION_KEY = "op/config"
 # Prefix of the upstreams' entries, followed by the instance's identifier.
 INSTANCE_PREFIX = "servers/"
+# Prefix of the keys of evacuations, followed by the data centre.
+EVACUATION_PREFIX = "op/evacuate/"
 
 # Exceptions raised while reading a document of unexpected form.
 _PARSE_ERRORS = (
@@ -66,12 +68,20 @@
             for name, value in (document.get("services") or {}).items()
             if isinstance(value.get("health_path"), str)
         }
+        place = "services"
+        cold_terms = _cold_terms(document.get("services") or {})
         place = "limits"
         limits = _limits(document.get("limits") or {})
     except _PARSE_ERRORS as error:
         raise Malformed(f"{place}: {error!r}") from error
     return catalog.Catalog(
-        version, routes, keys, limits, bool(tenants), health_paths
+        version,
+        routes,
+        keys,
+        limits,
+        bool(tenants),
+        health_paths,
+        cold_terms,
     )
 
 
@@ -150,9 +160,43 @@
         clusters=parts,
         attempts=int(value.get("retry_attempts", 1)),
         open_to_all=bool(value.get("auth_exempt", False)),
+        homes=_homes(value),
     )
 
 
+def _homes(value: t.Mapping[str, t.Any]) -> frozenset[str]:
+    """Return the regions that a route or tenant is confined to.
+
+    :raises ValueError: if they are not a list of names.
+    """
+    regions = value.get("allowed_regions") or []
+    if not isinstance(regions, list) or not all(
+        isinstance(name, str) and name for name in regions
+    ):
+        raise ValueError("allowed_regions must be a list of names")
+    return frozenset(regions)
+
+
+def _cold_terms(
+    services: t.Mapping[str, t.Mapping[str, t.Any]],
+) -> dict[str, catalog.ColdTerms]:
+    """Return what cold upstreams tolerate, by service.
+
+    :raises ValueError: if a duration or rate is invalid.
+    """
+    found = {}
+    for name, value in services.items():
+        start, per_s = value.get("cold_start"), value.get("cold_per_s")
+        if start is None and per_s is None:
+            continue
+        rate_per_s = float(per_s or 0)
+        if not 0.0 <= rate_per_s < float("inf"):
+            raise ValueError(f"{name}: cold_per_s must not be negative")
+        start_s = durations.seconds(start) if start else 0.0
+        found[name] = catalog.ColdTerms(start_s, rate_per_s)
+    return found
+
+
 def _organisation(
     name: str, value: t.Mapping[str, t.Any]
 ) -> catalog.Organisation:
@@ -162,6 +206,7 @@
         priority=None if priority is None else int(priority),
         rate_per_s=float(value.get("rate_per_s") or 0),
         burst=float(value.get("burst") or 0),
+        homes=_homes(value),
     )
 
 
--- a/src/savorytally/platform/settings.py
+++ b/src/savorytally/platform/settings.py
@@ -151,6 +151,8 @@
         rate_window_s=take(
             "quota_window", durations.seconds, defaults.rate_window_s
         ),
+        cold_overage=take("cold_overage", float, defaults.cold_overage),
+        cold_slack=take("cold_slack", float, defaults.cold_slack),
     )
 
 
--- a/src/savorytally/platform/store.py
+++ b/src/savorytally/platform/store.py
@@ -10,6 +10,7 @@
 from ..dataplane import options
 from ..dataplane import pool
 from ..dataplane import store_watch
+from ..world import catalog
 from ..world import store_position
 from . import documents
 
@@ -171,7 +172,7 @@
         reached: store_position.Position,
     ) -> store_watch.Changes:
         configuration: bytes | None = None
-        changed = {}
+        changed: dict[str, catalog.Entry] = {}
         removed = []
         prefix = documents.INSTANCE_PREFIX
         for item in items:
@@ -182,12 +183,18 @@
                         self._configuration(key, item) or configuration
                     )
                 continue
-            if not key.startswith(prefix):
-                continue
-            name = key[len(prefix) :]
             found = None
-            if not item.get("deleted"):
-                found = self._instance(key, item)
+            if key.startswith(documents.EVACUATION_PREFIX):
+                name = key
+                data_centre = key[len(documents.EVACUATION_PREFIX) :]
+                if not item.get("deleted") and data_centre:
+                    found = catalog.Evacuation(key, data_centre)
+            elif key.startswith(prefix):
+                name = key[len(prefix) :]
+                if not item.get("deleted"):
+                    found = self._instance(key, item)
+            else:
+                continue
             if found is not None:
                 changed[name] = found
                 if name in removed:
--- a/src/savorytally/results.py
+++ b/src/savorytally/results.py
@@ -222,6 +222,20 @@
     "The node stops before the request's deadline and took it no more.",
     "Wait for the time in Retry-After; the node is back then.",
 )
+DATA_CENTRE_EVACUATED = _code(
+    1031,
+    "data_centre_evacuated",
+    503,
+    "The data centres of all upstreams that could run it are evacuated.",
+    "Wait for the time in Retry-After, or ask the operator.",
+)
+NOT_AT_HOME = _code(
+    1032,
+    "not_at_home",
+    503,
+    "No upstream of the service is in a region that the request may use.",
+    "Wait for the time in Retry-After, or ask the operator.",
+)
 
 ANSWERED = _code(
     2000,
--- a/src/savorytally/world/catalog.py
+++ b/src/savorytally/world/catalog.py
@@ -37,6 +37,7 @@
     :param attempts: maximum number of upstreams that one request is sent to,
         the first one included.
     :param open_to_all: whether requests need no key.
+    :param homes: regions in which its requests may be served, empty for all.
     """
 
     name: str
@@ -49,6 +50,7 @@
     clusters: tuple[Cluster, ...]
     attempts: int
     open_to_all: bool
+    homes: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,12 +63,41 @@
     :param rate_per_s: permitted requests per second over all hosts, 0 for no
         limit.
     :param burst: requests that may exceed the rate at once.
+    :param homes: regions in which its requests may be served, empty for all.
     """
 
     name: str
     priority: int | None
     rate_per_s: float
     burst: float
+    homes: frozenset[str] = frozenset()
+
+
+def permitted_regions(
+    route_homes: frozenset[str], organisation_homes: frozenset[str]
+) -> frozenset[str] | None:
+    """Return the regions in which a request may be served.
+
+    :param route_homes: homes of its route, empty for all regions.
+    :param organisation_homes: homes of its organisation, empty for all.
+    :return: ``None`` for all regions; empty if the two exclude each other.
+    """
+    if not route_homes or not organisation_homes:
+        return route_homes or organisation_homes or None
+    return route_homes & organisation_homes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdTerms:
+    """What the upstreams of a service tolerate while they are cold.
+
+    :param start_s: how long an upstream is cold after its start, in seconds.
+    :param per_s: requests per second that it tolerates meanwhile, 0 for no
+        limit.
+    """
+
+    start_s: float
+    per_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,11 +126,13 @@
     :param limits: size and time limits of callers' requests.
     :param keyed: whether requests need an API key at all.
     :param health_paths: path of the health check by service.
+    :param cold_terms: what cold upstreams tolerate, by service.
     """
 
     __slots__ = (
         "_by_host",
         "_keys",
+        "cold_terms",
         "health_paths",
         "keyed",
         "limits",
@@ -115,11 +148,13 @@
         limits: RequestLimits,
         keyed: bool,
         health_paths: t.Mapping[str, str] = {},  # noqa: B006, not changed
+        cold_terms: t.Mapping[str, ColdTerms] = {},  # noqa: B006, not changed
     ) -> None:
         self.version = version
         self.limits = limits
         self.keyed = keyed
         self.health_paths = health_paths
+        self.cold_terms = cold_terms
         self.routes = {route.name: route for route in routes}
         self._keys = organisations
         self._by_host: dict[str, dict[str, Route]] = {}
@@ -182,6 +217,51 @@
     started_ms: int = 0
     sequence: int = 0
 
+    @property
+    def key(self) -> str:
+        """Its identifier in the list of entries."""
+        return self.instance_id
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """An operator's request to send nothing to a data centre's upstreams.
+
+    :param key: its identifier in the list of entries.
+    :param data_centre: the data centre.
+    """
+
+    key: str
+    data_centre: str
+
+
+# An entry of the list that hosts read from the store and exchange.
+Entry = Instance | Evacuation
+
+
+def entry_from_fields(fields: t.Sequence[t.Any]) -> Entry:
+    """Return the entry with these fields, in the order of its class.
+
+    :raises TypeError: if no entry has this number of fields.
+    """
+    if len(fields) == len(dataclasses.fields(Evacuation)):
+        return Evacuation(*fields)
+    return Instance(*fields)
+
+
+def split_entries(
+    entries: t.Mapping[str, Entry],
+) -> tuple[dict[str, Instance], frozenset[str]]:
+    """Return the upstreams by identifier, and the evacuated data centres."""
+    instances: dict[str, Instance] = {}
+    evacuated = set()
+    for name, item in entries.items():
+        if isinstance(item, Evacuation):
+            evacuated.add(item.data_centre)
+        else:
+            instances[name] = item
+    return instances, frozenset(evacuated)
+
 
 def latest_instances(
     instances: t.Mapping[str, Instance],
