--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -635,5 +635,6 @@
         add("reads_store", lambda: int(self._store_watch.healthy))
         add("requests_active", lambda: self.entry.active)
         add("data_centres_evacuated", lambda: len(self.evacuations.in_force))
+        add("evacuations_ignored", lambda: self.evacuations.ignored)
         add("log_lines_dropped", lambda: self.log.dropped)
         add("answers_held_bytes", lambda: self._held.total_bytes)
