Let the soak evacuate data centres and confine routes

Cause: the soak did not know evacuations and homes. Change: two faults, one check with records that breach it, and the rewrite of evacuations after a restored store.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -168,6 +168,13 @@
             soak_record.AdvertisedLimit("i-1@1", 1.0, 99.0, 110.0)
         ],
     ),
+    "confined_requests_stay": record(
+        confinements=[
+            soak_record.Confinement(
+                "desk", frozenset((OTHER,)), 94.0, 110.0, 5.0
+            )
+        ]
+    ),
     "leaving_answers_are_heeded": record(
         with_responses([ADVERTISING, *copies(1, SAFE, at=103.0, ended=103.2)]),
         copies(1, ARRIVAL, at=103.1, start="i-1@1"),
@@ -272,6 +279,34 @@
         )
 
 
+class TestConfinements:
+    @pytest.mark.parametrize(
+        "confined",
+        [
+            soak_record.Confinement("desk", frozenset((OTHER,)), *span, 5.0)
+            for span in ((96.0, 110.0), (90.0, 100.0))
+        ]
+        + [
+            soak_record.Confinement(
+                "desk", frozenset((HOST,)), 90.0, 110.0, 5.0
+            ),
+            soak_record.Confinement(
+                "vault", frozenset((OTHER,)), 90.0, 110.0, 5.0
+            ),
+        ],
+    )
+    def test_arrival_that_is_not_excluded_is_no_breach(self, confined):
+        assert checks.find_breaches(record(confinements=[confined])) == []
+
+    def test_arrival_after_a_fault_of_the_store_is_excused(self):
+        confined = soak_record.Confinement(
+            "", frozenset((OTHER,)), 90.0, 110.0, 5.0
+        )
+        fault = soak_record.Fault("store_down", "", "store", 92.0, 93.0)
+        found = record(confinements=[confined], faults=[fault])
+        assert checks.find_breaches(found) == []
+
+
 class TestRetries:
     def test_bound_grows_with_the_number_of_requests(self):
         breaching = calls_below_a_retry(70)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -13,6 +13,7 @@
 import collections
 import itertools
 import json
+import math
 import os
 import pathlib
 import random
@@ -36,7 +37,12 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 SERVICES = (*soak_upstreams.ENTRY_SERVICES, *soak_upstreams.CALLED_SERVICES)
-ZONES = ("low-a", "low-b", "up-a")
+REGIONS = {"low-a": "low", "low-b": "low", "up-a": "up"}
+ZONES = tuple(REGIONS)
+# Time within which all hosts comply with an evacuation, and with a route's
+# homes in a newer configuration.
+EVACUATION_REACTION_S = 5.0
+HOMES_REACTION_S = 3.0
 KEYS = {"key-of-the-growers-1": "growers", "key-of-the-agents-22": "agents"}
 START_TIMEOUT_S = 20.0
 # Node processes that are started at the same time.
@@ -129,6 +135,10 @@
             )
             for number in range(hosts)
         ]
+        self.regions = tuple(sorted(set(REGIONS.values())))
+        self.evacuated: set[str] = set()
+        # Region of the services that are confined.
+        self.homes: dict[str, str] = {}
         self._version = 1
         self._configuration: dict[str, t.Any] = {}
         # Prefixes of the routes that versions have added.
@@ -186,6 +196,8 @@
         }
         self._added_routes.append(f"{checks.ADDED_ROUTE}{self._version}")
         routes = {name: _route(name) for name in SERVICES}
+        for name, region in self.homes.items():
+            routes[name]["allowed_regions"] = [region]
         for name in self._added_routes:
             routes[name] = mesh.route(
                 PROBED_SERVICE, prefix=f"/{name}/", auth_exempt=True
@@ -205,6 +217,12 @@
         Entries that the copy brought back expire, unless they are written.
         """
         self.store.put("op/config", self._configuration)
+        for zone in ZONES:
+            key = f"op/evacuate/{zone}"
+            if zone in self.evacuated:
+                self.store.put(key, {})
+            elif key in self.store.items:
+                self.store.delete(key)
         listed = {
             f"servers/{host.upstream.instance_id}" for host in self.hosts
         }
@@ -222,6 +240,50 @@
             if key in self.store.items:
                 self.store.delete(key)
 
+    def evacuate(self, zone: str) -> float:
+        """Evacuate a data centre; return the Unix time in seconds."""
+        self.evacuated.add(zone)
+        self.store.put(f"op/evacuate/{zone}", {})
+        return time.time()
+
+    def take_back(self, zone: str, began: float) -> None:
+        """End an evacuation that began at a Unix time."""
+        self._note_confinement(
+            "",
+            began,
+            lambda host: host.zone == zone,
+            time.time(),
+            EVACUATION_REACTION_S,
+        )
+        self.evacuated.discard(zone)
+        self.store.delete(f"op/evacuate/{zone}")
+
+    def confine(self, service: str, region: str) -> None:
+        """Let a service's requests run in one region from now on."""
+        self.homes[service] = region
+        self._note_confinement(
+            service,
+            time.time(),
+            lambda host: REGIONS[host.zone] != region,
+            math.inf,
+            HOMES_REACTION_S,
+        )
+
+    def _note_confinement(
+        self,
+        service: str,
+        at: float,
+        excludes: t.Callable[[soak_hosts.Host], bool],
+        until: float,
+        reaction_s: float,
+    ) -> None:
+        hosts = frozenset(
+            host.address for host in self.hosts if excludes(host)
+        )
+        self.record.confinements.append(
+            soak_record.Confinement(service, hosts, at, until, reaction_s)
+        )
+
     def revoke_key(self, seed: int) -> None:
         """Revoke a key, unless it is the last one.
 
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -391,6 +391,35 @@
             yield f"{arrival.name} reached {arrival.start} {late_s:.2f} s"
 
 
+@_check
+def confined_requests_stay(record: Record) -> t.Iterator[str]:
+    """Nothing runs in evacuated data centres or outside a route's homes."""
+    history = _History(record)
+    store = [fault for fault in record.faults if fault.group == "store"]
+    by_name = {sent.name: sent for sent in record.sent}
+    for confined in record.confinements:
+        since = confined.at
+        for arrival in record.arrivals:
+            if (
+                not arrival.ran
+                or arrival.host not in confined.hosts
+                or not since + confined.reaction_s < arrival.at
+                or arrival.at >= confined.until
+            ):
+                continue
+            sent = by_name.get(arrival.name)
+            if sent is None or confined.service not in ("", sent.service):
+                continue
+            if any(
+                fault.at < arrival.at and fault.until + SETTLE_S > since
+                for fault in store
+            ):
+                continue
+            if history.undisturbed(sent.host, since, arrival.at):
+                late_s = arrival.at - since
+                yield f"{arrival.name} reached {arrival.host} {late_s:.2f} s"
+
+
 @_check
 def named_limits_are_kept(record: Record) -> t.Iterator[str]:
     """Hosts comply with a limit that an upstream has advertised to them."""
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -27,6 +27,8 @@
 # until the first lost write is repeated.
 LOST_TIME_S = 3.5
 REWRITE_DELAY_S = 1.8
+# Time for which a data centre stays evacuated, beyond the fault's duration.
+EVACUATION_S = 5.5
 # Time from the end of a process until it is started again.
 RESTART_S = 0.2
 # Time after which the store removes the entry of a crashed upstream.
@@ -99,13 +101,16 @@
 
 KINDS: dict[str, FaultKind] = {}
 _ALL = frozenset(
-    (PLANNED, "leaving", "process", "link", "store", "upstream", "release")
+    (
+        *(PLANNED, "leaving", "process", "link", "store", "upstream"),
+        *("release", "zone"),
+    )
 )
 # Groups that the faults of a run are drawn from, by seed modulo length.
 GROUPS_BY_SEED = (
     frozenset((PLANNED,)),
     frozenset((PLANNED, "upstream", "leaving")),
-    frozenset((PLANNED, "release", "process")),
+    frozenset((PLANNED, "release", "process", "zone")),
     frozenset((PLANNED, "process", "link", "store")),
     _ALL,
 )
@@ -290,6 +295,26 @@
     await run.rewrite_store()
 
 
+@_fault("zone", everywhere=True)
+async def evacuate(fault: ActiveFault) -> None:
+    """Evacuate a data centre and take it back."""
+    run, zone = fault.run, fault.host.zone
+    if zone in run.evacuated:
+        return
+    began = run.evacuate(zone)
+    await asyncio.sleep(EVACUATION_S + fault.duration_s)
+    run.take_back(zone, began)
+
+
+@_fault("zone", everywhere=True)
+async def confine(fault: ActiveFault) -> None:
+    """Confine a service's requests to a region until the end of the run."""
+    run, service = fault.run, fault.host.upstream.service
+    if service not in run.homes:
+        run.confine(service, run.regions[fault.seed % len(run.regions)])
+        run.put_configuration(fault.seed)
+
+
 @_fault("upstream")
 async def crash(fault: ActiveFault) -> None:
     """Crash an upstream and restart it under the same identifier."""
--- a/tools/soak_record.py
+++ b/tools/soak_record.py
@@ -121,6 +121,24 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Confinement:
+    """A time in which requests may not reach some hosts' upstreams.
+
+    :param service: the route that is confined, empty for all.
+    :param hosts: addresses of the nodes beside the excluded upstreams.
+    :param at: Unix time at which the store had it, in seconds.
+    :param until: Unix time from which it no longer held.
+    :param reaction_s: time within which all hosts comply, in seconds.
+    """
+
+    service: str
+    hosts: frozenset[str]
+    at: float
+    until: float
+    reaction_s: float
+
+
 @dataclasses.dataclass
 class Record:
     """Everything recorded in a soak run.
@@ -134,6 +152,7 @@
     :param draining_since: Unix time at which the store's host list showed
         an upstream as draining or removed, by incarnation.
     :param advertised_limits: rate limits that upstreams advertised.
+    :param confinements: evacuations, and homes of routes.
     :param unexpected_exits: hosts whose node exited without a signal to
         stop.
     :param peak_memory_bytes: peak resident memory of the node, by host.
@@ -149,6 +168,7 @@
     advertised_limits: list[AdvertisedLimit] = dataclasses.field(
         default_factory=list
     )
+    confinements: list[Confinement] = dataclasses.field(default_factory=list)
     unexpected_exits: list[str] = dataclasses.field(default_factory=list)
     peak_memory_bytes: dict[str, int] = dataclasses.field(default_factory=dict)
 
