Compare failures of an upstream with its service

Cause: placement adds 1.5 x objective x the upstream's own failure rate. When all upstreams of a service reject alike, the noise of that rate and the lack of outcomes elsewhere move calls to other regions.

Change: only the excess over the least failing region of the service counts, beyond what moving means differ by chance. Without outcomes of others, or if nearly all requests to a region fail, the whole rate counts as before.

--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -27,6 +27,7 @@
 from .. import results
 from ..world import catalog
 from . import advertised_state
+from . import failure_excess
 
 # Weight of the latest observation in a moving mean.
 WEIGHT = 0.15
@@ -38,7 +39,8 @@
 # least; traffic over the link between regions is billed by volume.
 OTHER_REGION_FRACTION = 0.3
 OTHER_REGION_PENALTY_MIN_S = 0.08
-# Penalty for a failure rate of 100 %, in multiples of the latency objective.
+# Penalty for a failure rate of 100 % at an upstream whose service does not
+# fail otherwise, in multiples of the latency objective.
 FAILURE_RATE_FACTOR = 1.5
 # Half-life of the failure rate.
 FAILURE_HALF_LIFE_S = 2.0
@@ -79,6 +81,7 @@
     :param run_s: mean run time in seconds by route.
     :param failure_rate: failure rate at ``failed_at``.
     :param failed_at: when the failure rate was last updated.
+    :param outcomes: outcomes of the latest requests.
     :param avoid_until: until when it counts as unreachable.
     :param leaving_until: until when nothing is sent to its leaving host.
     """
@@ -95,6 +98,9 @@
     run_s: dict[str, float] = dataclasses.field(default_factory=dict)
     failure_rate: float = 0.0
     failed_at: float = 0.0
+    outcomes: failure_excess.Outcomes = dataclasses.field(
+        default_factory=failure_excess.Outcomes
+    )
     avoid_until: float = 0.0
     leaving_until: float = 0.0
     # When its entry expired, 0 while it is in the host list.
@@ -147,6 +153,8 @@
         self._services: dict[str, list[_UpstreamState]] = {}
         self._unlisted: dict[str, list[_UpstreamState]] = {}
         self._evacuated: frozenset[str] = frozenset()
+        # Outcomes of each service by region.
+        self._outcomes: dict[str, dict[str, failure_excess.Outcomes]] = {}
 
     def learn_evacuated(self, data_centres: frozenset[str]) -> None:
         """Apply which data centres are evacuated."""
@@ -336,6 +344,12 @@
         state.failure_rate += WEIGHT * (
             (0.0 if good else 1.0) - state.failure_rate
         )
+        state.outcomes.add(good, now)
+        service = state.instance.service
+        regions = self._outcomes.setdefault(service, {})
+        regions.setdefault(state.region, failure_excess.Outcomes()).add(
+            good, now
+        )
 
     def avoid(self, instance_id: str, until: float) -> None:
         """Avoid an unreachable upstream until the given time."""
@@ -454,8 +468,8 @@
             expected_s += max(OTHER_REGION_PENALTY_MIN_S, distance_s)
         else:
             expected_s += state.distance_s
-        failing = self._failure_rate(state, now)
-        expected_s += FAILURE_RATE_FACTOR * objective_s * failing
+        excess = self._failure_excess(state, now)
+        expected_s += FAILURE_RATE_FACTOR * objective_s * excess
         if state.avoid_until > now:
             expected_s += AVOIDED_PENALTY_S
         return expected_s
@@ -468,6 +482,16 @@
         ]
         return sum(seen) / len(seen) if seen else RUN_UNKNOWN_S
 
+    def _failure_excess(self, state: _UpstreamState, now: float) -> float:
+        """Return by how much an upstream fails more than its service."""
+        rate = self._failure_rate(state, now)
+        if not rate:
+            return 0.0
+        regions = self._outcomes[state.instance.service]
+        return failure_excess.excess(
+            rate, WEIGHT, state.outcomes, state.region, regions, now
+        )
+
     def _failure_rate(self, state: _UpstreamState, now: float) -> float:
         if not state.failure_rate:
             return 0.0
