Skip the comparison of failures below two per cent

Cause: the comparison builds a table by region for each candidate of each call; a rate decays and never reaches zero. Change: upstreams below 2 % are not compared. Measured: the tests of failures pass.

--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -42,6 +42,9 @@
 # Penalty for a failure rate of 100 % at an upstream whose service does not
 # fail otherwise, in multiples of the latency objective.
 FAILURE_RATE_FACTOR = 1.5
+# Failure rate below which upstreams are not compared, to save time for each
+# choice: the penalty would be within the random spread.
+FAILURE_RATE_MIN = 0.02
 # Half-life of the failure rate.
 FAILURE_HALF_LIFE_S = 2.0
 # Factor on the run time of an upstream that is still warming up.
@@ -485,7 +488,7 @@
     def _failure_excess(self, state: _UpstreamState, now: float) -> float:
         """Return by how much an upstream fails more than its service."""
         rate = self._failure_rate(state, now)
-        if not rate:
+        if rate < FAILURE_RATE_MIN:
             return 0.0
         regions = self._outcomes[state.instance.service]
         return failure_excess.excess(
