Bound the rate of requests to cold upstreams at the gate

Cause: an upstream that starts during traffic or returns after an outage crashes at rates that it serves easily when warm. Nothing limited them; placement only doubled its expected run time.

Change: decisions/cold_rate.py counts what the gate has sent in the last second and is about to send. The bound applies after a start, an outage, an evacuation or a new instance, and until a new gate has learned that its upstream is warm. Calls that can't start soon are refused as not run. The limit and load in results express the bound to other hosts, in place of COLD_FACTOR.

--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -111,6 +111,8 @@
         self.keep_alive_s = 0.0
         self.last_used = self._loop.time()
         self.uses = 0
+        # Whether the server has ended it while it was idle.
+        self.lost_idle = False
 
     @property
     def open(self) -> bool:
@@ -136,6 +138,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self.lost_idle = self.reusable and self._done is None
         self.reusable = False
         if self._done is not None:
             if self._in_message and self._reads_to_close and exc is None:
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -6,12 +6,14 @@
 
 from .. import results
 from ..decisions import backpressure
+from ..decisions import cold_rate
 from ..decisions import gate_queue
 from ..decisions import parent_matching
 from ..decisions import retry_budget
 from ..decisions import subtree_budget
 from ..world import catalog
 from . import advertisements
+from . import callers
 from . import counters
 from . import crash_watch
 from . import event_log
@@ -150,8 +152,10 @@
             self._apply_pace,
         )
         self.health = health.Health(
-            names, connections, self.advertisements.apply_headers
+            names, connections, self._apply_health, self._health_silent
         )
+        connections.on_lost_idle = self._idle_connection_lost
+        self._cold_reason = cold_rate.Reason.NONE
         # Timer of the next start that the rate limit allows.
         self._start_timer: asyncio.TimerHandle | None = None
         self.leaving = False
@@ -211,6 +215,12 @@
     def learn_catalog(self, newest: catalog.Catalog) -> None:
         """Apply a newer configuration."""
         self.health.learn_path(newest.health_paths.get(self._service, ""))
+        self._cold.learn_terms(
+            newest.cold_terms.get(self._service),
+            self.health.available,
+            self._loop.time(),
+        )
+        self._probe_if_due()
         self._route_homes = {
             name: route.homes
             for name, route in newest.routes.items()
@@ -227,6 +237,8 @@
 
         Waiting calls are refused, so that other data centres can run them.
         """
+        if self._evacuated and not evacuated:
+            self._cold.returns(self._loop.time())
         self._evacuated = evacuated
         if evacuated:
             for job in self._queue.clear():
@@ -236,6 +248,71 @@
                     _Reason.EVACUATED,
                 )
 
+    def learn_entry(self, instance: catalog.Instance, now: float) -> None:
+        """Apply the upstream's entry in the host list."""
+        self._queue.learn_slots(instance.slots)
+        name = instance.instance_id
+        self.advertisements.learn_start_time(name, instance.started_ms)
+        self.advertisements.learn_state(name, instance.ready, now)
+        self._cold.learn_entry(instance, now)
+        self._cold_changed(now)
+
+    @property
+    def _cold(self) -> cold_rate.ColdRate:
+        return self._queue.cold
+
+    def _apply_health(
+        self, instance_id: str, headers: callers.Headers, sent_at: float
+    ) -> None:
+        """Apply a response of the health check."""
+        self.advertisements.apply_headers(instance_id, headers, sent_at)
+        now = self._loop.time()
+        cold_s = self._protocol.cold_s(headers)
+        self._cold.learn_health(instance_id, cold_s, sent_at, now)
+        self._cold.probed(now)
+        self._cold_changed(now)
+
+    def _health_silent(self) -> None:
+        now = self._loop.time()
+        self._cold.failed(now)
+        self._cold.probed(now)
+        self._cold_changed(now)
+
+    def _idle_connection_lost(self) -> None:
+        """Check whether the upstream has restarted.
+
+        A restart ends all connections. The upstream may only have reached its
+        keep-alive timeout.
+        """
+        if self._pool.has_open:
+            return
+        now = self._loop.time()
+        self._cold.check_soon(now)
+        self._cold_changed(now)
+
+    def _probe_if_due(self) -> None:
+        """Ask the upstream how long it remains cold, if that matters now."""
+        now = self._loop.time()
+        if self._cold.probe_due(now):
+            self._cold.probed(now)
+            self.health.probe()
+
+    def _cold_changed(self, now: float) -> None:
+        """Log a change of the cold bound and apply it to waiting calls."""
+        if not self._cold.active:
+            return
+        self._probe_if_due()
+        reason = self._cold.reason(now)
+        if reason is not self._cold_reason:
+            self._cold_reason = reason
+            self._log.event(
+                "cold_bound",
+                reason=reason.value,
+                cold_s=round(self._cold.cold_s(now), 3),
+                allowed=self._cold.allowed,
+            )
+        self._advance(self._queue.advance(now), now)
+
     def _blocked(
         self, call: frames.Call, now: float
     ) -> tuple[results.ResultCode, not_run_reasons.NotRunReason] | None:
@@ -287,8 +364,12 @@
             self._start(run)
         elif verdict is gate_queue.Decision.REFUSE:
             self._finish(run, results.SHED_AT_GATE, self._shed_reason)
+        elif self._cold.certain(now):
+            # A more urgent request may displace a waiting one.
+            self._advance(self._queue.advance(now), now)
         else:
             self._await_pace(now)
+        self._probe_if_due()
 
     def cancel(self, run: Run) -> None:
         """Withdraw a call whose result is no longer needed.
@@ -313,6 +394,7 @@
         for job in self._queue.remove_overdue(now):
             self._finish(job.context, results.SHED_AT_GATE, self._shed_reason)
         self.advertisements.tick(now)
+        self._cold_changed(now)
 
     def refuse_new(self) -> None:
         """Refuse new calls from now on."""
@@ -339,10 +421,12 @@
                 self._pool.release(connection)
             self._release(run, None)
             return
+        now = self._loop.time()
         if connection is None:
+            self._cold.failed(now)
             self._end(run, results.NOT_DISPATCHED, _Reason.NO_CONNECTION)
+            self._cold_changed(now)
             return
-        now = self._loop.time()
         remaining_s = run.deadline - now
         if remaining_s < MIN_USEFUL_S:
             self._pool.release(connection)
@@ -361,6 +445,12 @@
                 self._pool.release(connection)
                 self._end(run, results.RETRIES_SPENT, _Reason.BUDGET)
                 return
+        if not self._queue.sending(t.cast(gate_queue.Job, run.job), now):
+            if reserved is not None:
+                self.subtree_budget.release(reserved, now)
+            self._pool.release(connection)
+            self._end(run, results.SHED_AT_GATE, _Reason.COLD)
+            return
         remaining_ms = int(remaining_s * 1000)
         run.state = State.RUNNING
         run.started = now
@@ -401,7 +491,11 @@
             run.failure = result.value
             self._counts.broken(result.name.lower())
             self._watch.broken(run.crash_ticket)
+            now = self._loop.time()
+            if not self._pool.has_open:
+                self._cold.failed(now)
             self._end(run, results.UPSTREAM_BROKEN)
+            self._cold_changed(now)
             return
         self._apply_advertised(run, result)
         verdict = self._protocol.interpret(result)
@@ -424,6 +518,7 @@
         instance_id = run.call.instance_id
         if self._protocol.interpret(response).code is results.INSTANCE_GONE:
             instance_id = self._protocol.responding_instance(response)
+        self._cold.responded(instance_id, self._loop.time())
         self.advertisements.apply_headers(
             instance_id, response.headers, run.started
         )
@@ -469,6 +564,8 @@
 
     @property
     def _shed_reason(self) -> not_run_reasons.NotRunReason:
+        if self._cold.certain(self._loop.time()):
+            return _Reason.COLD
         return _Reason.LIMIT if self._queue.rate_limited else _Reason.QUEUE
 
     def _note_replaced(self, instance_id: str) -> None:
@@ -486,6 +583,10 @@
             return
         self._abort(run)
         self._end(run, results.DEADLINE_PASSED)
+        now = self._loop.time()
+        if self._cold.silent_since(run.started):
+            self._cold.check_soon(now)
+            self._cold_changed(now)
 
     def _abort(self, run: Run) -> None:
         """Abort the connection that the call uses."""
@@ -566,6 +667,10 @@
             until = run.started or now
             wait_s = max(wait_s, until - run.job.arrived)
         below_s = self.child_waits.expected_s((call.route, call.rank), now)
+        # Nothing waits for a cold upstream, so that it prolongs no chain of
+        # calls.
+        retry_s = max(wait_s, queue.cold_wait_s(call.rank, is_child, now))
+        load, limit = queue.reported_load(now)
         headers: frames.Headers = []
         if reason is not None:
             self._counts.not_run(reason, run.echoes_id)
@@ -585,7 +690,7 @@
                 left_ms=round((run.deadline - now) * 1000, 1),
                 running=queue.running,
                 waiting=queue.waiting,
-                limit=queue.limit,
+                limit=limit,
             )
         if response is not None:
             headers = self._protocol.caller_headers(response)
@@ -599,14 +704,14 @@
                 status=response.status if response is not None else 0,
                 headers=headers,
                 body=response.body if response is not None else b"",
-                retry_after_ms=int(wait_s * 1000),
+                retry_after_ms=int(retry_s * 1000),
                 arrived=run.started > 0.0,
                 wait_ms=int(wait_s * 1000),
                 child_wait_ms=int(below_s * 1000),
                 child_failed=run.parent is not None and run.parent.failed > 0,
                 run_ms=int(ran_s * 1000) if ran_s is not None else 0,
-                load=queue.running + queue.waiting,
-                limit=queue.limit,
+                load=load,
+                limit=limit,
                 limit_per_s=limit_per_s,
                 share_per_s=share_per_s,
                 leaving=leaving,
--- a/src/savorytally/dataplane/header_names.py
+++ b/src/savorytally/dataplane/header_names.py
@@ -18,6 +18,8 @@
     :param rate_limit: the rate limit that an upstream advertises, in requests
         per second from all hosts together.
     :param draining: set by an upstream that is draining.
+    :param cold_ms: milliseconds for which an upstream remains cold, in
+        responses of its health check.
     :param responding_instance: the upstream instance that sent the response.
     :param call_separator: separator in the identifier of a call that an
         upstream makes: it follows the identifier of the request that caused
@@ -36,6 +38,7 @@
     load: bytes
     rate_limit: bytes
     draining: bytes
+    cold_ms: bytes
     responding_instance: bytes
     call_separator: bytes
     key_scheme: bytes
--- a/src/savorytally/dataplane/health.py
+++ b/src/savorytally/dataplane/health.py
@@ -19,6 +19,8 @@
 # Receives the instance that responded, its headers and the loop time when the
 # check was sent.
 OnHeaders = t.Callable[[str, callers.Headers, float], None]
+# Called when a check got no response.
+OnSilent = t.Callable[[], None]
 
 
 class Health:
@@ -27,6 +29,7 @@
     :param names: the header names.
     :param connections: connections to the upstream.
     :param on_headers: receives the headers of the responses.
+    :param on_silent: called when a check got no response.
     """
 
     def __init__(
@@ -34,8 +37,10 @@
         names: header_names.HeaderNames,
         connections: pool.Pool,
         on_headers: OnHeaders,
+        on_silent: OnSilent = lambda: None,
     ) -> None:
         self._on_headers = on_headers
+        self._on_silent = on_silent
         self._names = names
         self._pool = connections
         self._loop = asyncio.get_running_loop()
@@ -47,6 +52,11 @@
         self._timer: asyncio.TimerHandle | None = None
         self._sent_at = 0.0
 
+    @property
+    def available(self) -> bool:
+        """Whether the upstream has a health check."""
+        return bool(self._path)
+
     def learn_path(self, path: str) -> None:
         """Apply the path of the health check; it is empty if there is none."""
         self._path = path.encode()
@@ -70,8 +80,15 @@
             if len(self._waiting) == 1:
                 self._pool.acquire(True, self._opened)
 
+    def probe(self) -> None:
+        """Send a check, even if a recent result exists."""
+        if self._path and not self._waiting:
+            self._waiting.append(("", lambda good: None))
+            self._pool.acquire(True, self._opened)
+
     def _opened(self, connection: exchanges.Connection | None) -> None:
         if connection is None:
+            self._on_silent()
             self._set_result("")
             return
         self._timer = self._loop.call_later(
@@ -89,6 +106,7 @@
 
     def _timed_out(self, connection: exchanges.Connection) -> None:
         connection.abort()
+        self._on_silent()
         self._set_result("")
 
     def _ended(
@@ -108,6 +126,8 @@
             self._on_headers(name, result.headers, self._sent_at)
             if result.status == _OK:
                 instance = name
+        else:
+            self._on_silent()
         self._set_result(instance)
 
     def _set_result(self, instance_id: str) -> None:
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -8,6 +8,7 @@
 import typing as t
 
 from ..decisions import change_log
+from ..decisions import cold_rate
 from ..decisions import entry_reconciler
 from ..decisions import gate_queue
 from ..decisions import memory_budget
@@ -105,7 +106,11 @@
         self.gate = gate.Gate(
             names,
             self._upstream,
-            gate_queue.GateQueue(),
+            gate_queue.GateQueue(
+                cold_rate.ColdRate(
+                    bounds.cold_overage, bounds.cold_slack, self._loop.time()
+                )
+            ),
             self.crash_watch,
             budget,
             self.log,
@@ -489,11 +494,7 @@
         for name, instance in instances.items():
             hosts.setdefault(instance.address, []).append(name)
             if (instance.address, instance.port) == (own.host, own.port):
-                self.gate.queue.learn_slots(instance.slots)
-                self.gate.advertisements.learn_start_time(
-                    name, instance.started_ms
-                )
-                self.gate.advertisements.learn_state(name, instance.ready, now)
+                self.gate.learn_entry(instance, now)
         self._at_address = hosts
         self._near, self._far = [], []
         for address in hosts:
@@ -611,12 +612,20 @@
             "gate_waiting": self.gate.queue.waiting,
         }
 
+    def _cold_s(self) -> float:
+        return self.gate.queue.cold.cold_s(self._loop.time())
+
     def _add_gauges(self) -> None:
         add = self.counts.add_gauge
         add("configuration_version", lambda: self.version)
         add("gate_running", lambda: self.gate.queue.running)
         add("gate_waiting", lambda: self.gate.queue.waiting)
         add("gate_limit", lambda: self.gate.queue.limit)
+        add("upstream_cold_s", self._cold_s)
+        add(
+            "cold_bound",
+            lambda: int(self.gate.queue.cold.limited(self._loop.time())),
+        )
         add(
             "upstream_limit_per_s",
             lambda: self.gate.advertisements.limit_per_s,
--- a/src/savorytally/dataplane/not_run_reasons.py
+++ b/src/savorytally/dataplane/not_run_reasons.py
@@ -12,6 +12,7 @@
 
     QUEUE = "queue"
     LIMIT = "limit"
+    COLD = "cold"
     LEAVING = "leaving"
     EVACUATED = "evacuated"
     NOT_AT_HOME = "not_at_home"
--- a/src/savorytally/dataplane/pool.py
+++ b/src/savorytally/dataplane/pool.py
@@ -43,6 +43,8 @@
         self._open: set[exchanges.Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
+        # Called when the server has ended an idle connection.
+        self.on_lost_idle: t.Callable[[], None] = lambda: None
 
     @property
     def address(self) -> options.Address:
@@ -54,6 +56,11 @@
         """Whether an open connection is idle."""
         return any(connection.open for connection in self._idle)
 
+    @property
+    def has_open(self) -> bool:
+        """Whether any connection is open."""
+        return any(connection.open for connection in self._open)
+
     def acquire(self, run_once: bool, on_opened: OnOpened) -> None:
         """Provide a connection.
 
@@ -151,9 +158,14 @@
         if task.cancelled():
             on_opened(None)
 
+    def _connection_lost(self, connection: exchanges.Connection) -> None:
+        self._open.discard(connection)
+        if connection.lost_idle:
+            self.on_lost_idle()
+
     async def _connect(self, on_opened: OnOpened) -> None:
         make = functools.partial(
-            exchanges.Connection, self._open.discard, self._held
+            exchanges.Connection, self._connection_lost, self._held
         )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- a/src/savorytally/dataplane/upstream_protocol.py
+++ b/src/savorytally/dataplane/upstream_protocol.py
@@ -1,6 +1,7 @@
 """Encodes requests to upstreams and interprets their responses."""
 
 import dataclasses
+import re
 
 from .. import results
 from ..decisions import advertised_state
@@ -13,6 +14,8 @@
 _MISDIRECTED_STATUS = 421
 _TIMEOUT_STATUS = 408
 _REFUSED_STATUS_MIN = 429
+# A duration in milliseconds; one with more digits is ignored.
+_MILLISECONDS = re.compile(rb"\d{1,9}")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,6 +128,19 @@
             [v.decode("latin-1") for k, v in headers if k == names.draining],
         )
 
+    def cold_s(self, headers: callers.Headers) -> float | None:
+        """Return how long an upstream says that it remains cold, in seconds.
+
+        ``None`` if it does not say or says it in an invalid form.
+        """
+        values = {v.strip() for k, v in headers if k == self._names.cold_ms}
+        if len(values) != 1:
+            return None
+        value = values.pop()
+        if _MILLISECONDS.fullmatch(value) is None:
+            return None
+        return int(value) / 1000
+
     def caller_headers(self, reply: exchanges.Response) -> callers.Headers:
         """Return the headers that are passed on to the caller."""
         return [
--- a/src/savorytally/decisions/gate_queue.py
+++ b/src/savorytally/decisions/gate_queue.py
@@ -12,8 +12,10 @@
 import enum
 import heapq
 import itertools
+import math
 import typing as t
 
+from . import cold_rate
 from . import pacing
 
 # Fraction of the slots that is left free: upstreams slow down when nearly
@@ -25,8 +27,13 @@
 RUN_WEIGHT = 0.1
 # Assumed run time before the first request has finished.
 RUN_UNKNOWN_S = 0.05
+# Longest time that a request waits for the bound of a cold upstream; other
+# upstreams may serve it sooner.
+COLD_WAIT_MAX_S = 0.15
 # Concurrency limit before the upstream's slots are known.
 LIMIT_UNKNOWN = 8
+# A rank that no request has; all others precede it.
+LAST_RANK = 1 << 30
 
 
 class Decision(enum.Enum):
@@ -49,6 +56,7 @@
     :param context: the gate's own object for the request.
     :param arrived: when it arrived at the gate.
     :param removed: whether it was removed; its heap entry is then skipped.
+    :param reserved: whether it has room within the bound of a cold upstream.
     """
 
     rank: int
@@ -59,6 +67,7 @@
     context: t.Any = None
     arrived: float = 0.0
     removed: bool = False
+    reserved: bool = False
 
     @property
     def sort_key(self) -> tuple[int, bool]:
@@ -79,9 +88,13 @@
 
 
 class GateQueue:
-    """Running and waiting requests at one upstream."""
+    """Running and waiting requests at one upstream.
 
-    def __init__(self) -> None:
+    :param cold: the bound while the upstream is cold, ``None`` for no bound.
+    """
+
+    def __init__(self, cold: cold_rate.ColdRate | None = None) -> None:
+        self._cold = cold or cold_rate.ColdRate(1.0, 0.0, 0.0)
         self._limit = LIMIT_UNKNOWN
         self._pacer = pacing.Pacer()
         self._heap: list[tuple[int, bool, int, Job]] = []
@@ -123,19 +136,21 @@
         """Whether the upstream advertises a rate limit."""
         return self._pacer.limited
 
+    @property
+    def cold(self) -> cold_rate.ColdRate:
+        """The bound while the upstream is cold."""
+        return self._cold
+
     def next_start_s(self, now: float) -> float | None:
-        """Return the time until the rate limit allows the next request.
+        """Return the time until a rate allows the next request.
 
-        :return: seconds, ``None`` unless the rate limit is the only reason
-            why a request waits.
+        :return: seconds, ``None`` unless the upstream's rate limit or the
+            bound of a cold upstream is the only reason why a request waits.
         """
-        if (
-            not self.rate_limited
-            or not self.waiting
-            or self._running >= self._limit
-        ):
+        limited = self.rate_limited or self._cold.active
+        if not limited or not self.waiting or self._running >= self._limit:
             return None
-        return self._pacer.wait_s(0, now)
+        return max(self._pacer.wait_s(0, now), self._cold.wait_s(0, now))
 
     def run_s(self, route: str) -> float:
         """Return the mean run time of a route in seconds."""
@@ -147,22 +162,46 @@
         :param rank: rank of the request.
         :param child: whether a request in progress waits for it.
         """
-        ahead = sum(
-            count
-            for order, count in self._waiting.items()
-            if order <= (rank, not child)
-        )
+        ahead = self._ahead(rank, child)
         excess = ahead + self._running + 1 - self._limit
         slot_wait_s = max(0, excess) * self._run_s / self._limit
         return max(slot_wait_s, self._pacer.wait_s(ahead, now))
 
+    def cold_wait_s(self, rank: int, child: bool, now: float) -> float:
+        """Return when a cold upstream may get a new request, in seconds.
+
+        :param rank: rank of the request.
+        :param child: whether a request in progress waits for it.
+        """
+        if not self._cold.active:
+            return 0.0
+        return self._cold.wait_s(self._ahead(rank, child), now)
+
+    def reported_load(self, now: float) -> tuple[int, int]:
+        """Return the load and the limit for the results.
+
+        They express the bound of a cold upstream: the limit is what runs at
+        the permitted rate, and the load rises with the time until the next
+        request is permitted.
+        """
+        load = self._running + self.waiting
+        if not self._cold.certain(now):
+            return load, self._limit
+        run_s = max(self._run_s, 0.001)
+        limit = min(self._limit, max(1, int(self._cold.per_s * run_s)))
+        wait_s = self.cold_wait_s(LAST_RANK, False, now)
+        if wait_s > 0.0:
+            load = max(load, limit + math.ceil(wait_s * limit / run_s))
+        return load, limit
+
     def offer(self, job: Job, now: float) -> Decision:
         """Start, queue or refuse a request that has arrived."""
         job.arrived = now
-        free = self._running < self._limit and not self.waiting
-        if free and self._pacer.try_acquire(now):
-            self._running += 1
+        self._cold.arrived(now)
+        if not self.waiting and self._take(job, now):
             return Decision.START
+        if self.cold_wait_s(job.rank, job.child, now) > COLD_WAIT_MAX_S:
+            return Decision.REFUSE
         if self.wait_s(job.rank, job.child, now) > self._max_wait_s(job, now):
             return Decision.REFUSE
         heapq.heappush(self._heap, (*job.sort_key, next(self._sequence), job))
@@ -187,6 +226,9 @@
         self._running -= 1
         if not sent:
             self._pacer.refund()
+            if job.reserved:
+                job.reserved = False
+                self._cold.release()
         if ran_s is not None:
             self._run_s += RUN_WEIGHT * (ran_s - self._run_s)
             mean_s = self._route_run_s.get(job.route, ran_s)
@@ -201,18 +243,34 @@
         while self._heap:
             job = self._heap[0][3]
             if not job.removed and not self._overdue(job, now):
-                if self._running >= self._limit or not self._pacer.try_acquire(
-                    now
-                ):
+                if not self._take(job, now):
                     break
                 started.append(job)
-                self._running += 1
             elif not job.removed:
                 dropped.append(job)
             heapq.heappop(self._heap)
             self.cancel(job)
+        if self._heap and self._cold.certain(now):
+            dropped += self._remove_beyond_bound(now)
         return Change(started, dropped)
 
+    def sending(self, job: Job, now: float) -> bool:
+        """Record that a started request is sent to the upstream now.
+
+        :return: whether it may be sent; the upstream may have turned cold
+            while the connection was opened.
+        """
+        if not job.reserved and self._cold.limited(now):
+            job.reserved = self._cold.try_reserve(now)
+            if not job.reserved:
+                return False
+        if job.reserved:
+            job.reserved = False
+            self._cold.sent(now)
+        else:
+            self._cold.sent_freely(now)
+        return True
+
     def remove_overdue(self, now: float) -> list[Job]:
         """Remove and return all requests that have waited too long."""
         late = [
@@ -231,6 +289,42 @@
             self.cancel(job)
         return waiting
 
+    def _ahead(self, rank: int, child: bool) -> int:
+        """Return how many waiting requests precede a new one."""
+        return sum(
+            count
+            for order, count in self._waiting.items()
+            if order <= (rank, not child)
+        )
+
+    def _take(self, job: Job, now: float) -> bool:
+        """Occupy a slot for a request; return whether there is one."""
+        if self._running >= self._limit:
+            return False
+        limited = self._cold.limited(now)
+        if limited and not self._cold.try_reserve(now):
+            return False
+        if not self._pacer.try_acquire(now):
+            if limited:
+                self._cold.release()
+            return False
+        job.reserved = limited
+        self._running += 1
+        return True
+
+    def _remove_beyond_bound(self, now: float) -> list[Job]:
+        """Remove the requests that a cold upstream may not get soon."""
+        waiting = [item[3] for item in sorted(self._heap)]
+        waiting = [job for job in waiting if not job.removed]
+        beyond = [
+            job
+            for ahead, job in enumerate(waiting)
+            if self._cold.wait_s(ahead, now) > COLD_WAIT_MAX_S
+        ]
+        for job in beyond:
+            self.cancel(job)
+        return beyond
+
     def _max_wait_s(self, job: Job, now: float) -> float:
         left_s = job.deadline - now - self.run_s(job.route)
         if job.child:
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -42,8 +42,9 @@
 FAILURE_RATE_FACTOR = 1.5
 # Half-life of the failure rate.
 FAILURE_HALF_LIFE_S = 2.0
-# Factor on the run time of an upstream that is still warming up.
-COLD_FACTOR = 2.0
+# Assumed concurrency limit of a cold upstream before its gate has reported
+# one.
+COLD_LIMIT_UNKNOWN = 1
 # Time over which a gate's load report loses its weight.
 REPORT_FADE_S = 0.5
 # How long nothing is sent to a host that leaves; afterwards its node may have
@@ -437,10 +438,7 @@
         run_s = state.run_s.get(route)
         if run_s is None:
             run_s = self._mean_run_s(state.instance.service, route)
-        cold_s = state.instance.cold_s
-        if cold_s > 0.0 and now - state.first_listed_at < cold_s:
-            run_s *= COLD_FACTOR
-        limit = state.limit or max(1, state.instance.slots - 1)
+        limit = state.limit or self._assumed_limit(state, now)
         age = min(1.0, (now - state.reported_at) / REPORT_FADE_S)
         load = max(state.in_flight, state.load * (1.0 - age))
         wait_s = max(0.0, load + 1 - limit) * run_s / limit
@@ -460,6 +458,14 @@
             expected_s += AVOIDED_PENALTY_S
         return expected_s
 
+    @staticmethod
+    def _assumed_limit(state: _UpstreamState, now: float) -> int:
+        """Return the limit of an upstream whose gate has reported none."""
+        cold_s = state.instance.cold_s
+        if cold_s > 0.0 and now - state.first_listed_at < cold_s:
+            return COLD_LIMIT_UNKNOWN
+        return max(1, state.instance.slots - 1)
+
     def _mean_run_s(self, service: str, route: str) -> float:
         seen = [
             state.run_s[route]
--- a/src/savorytally/platform/headers.py
+++ b/src/savorytally/platform/headers.py
@@ -13,6 +13,7 @@
     load=b"x-savorytally-server-load",
     rate_limit=b"server-limit",
     draining=b"server-leaving",
+    cold_ms=b"x-savorytally-cold-ms",
     responding_instance=b"x-savorytally-instance-id",
     # The platform does not guarantee this separator. Calls whose identifier
     # does not use it are matched to their request by time.
