Refuse requests whose call chains hardly ever succeed

Cause: when a service at the end of chains rejects 55 % of the calls, 4 calls succeed with 4 %, 8 calls with 1 %. Chains run, fail midway, use several services and are not retried by their callers.

Change: hosts share the outcomes of runs by route and rank. Entries refuse new requests of a kind from a failed share of 0.75 on, up to 97 % from 0.85 on, with the longest Retry-After that callers honour. Evidence decays, so that about four probes per second of a kind remain. Rows of the new table have names that builds with two tables store without using them.

--- a/src/savorytally/dataplane/calls.py
+++ b/src/savorytally/dataplane/calls.py
@@ -20,6 +20,7 @@
     """
 
     __slots__ = (
+        "chain_refused",
         "charged_as",
         "client_remaining_ms",
         "deadline",
@@ -79,6 +80,8 @@
         self.charged_as = ""
         # Whether the retry budget refused a retry.
         self.retry_refused = False
+        # Whether it was refused because hardly any chain of its kind succeeds.
+        self.chain_refused = False
         # Identifiers of the upstream instances that the request has reached.
         self.reached: list[str] = []
         self.instance_id = ""
--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -50,6 +50,7 @@
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
         self._gauges: dict[str, t.Callable[[], float]] = {}
+        self._route_gauges: dict[str, t.Callable[[], dict[str, float]]] = {}
         self._sent: collections.Counter[tuple[str, str]]
         self._sent = collections.Counter()
         self._retries_refused: collections.Counter[tuple[str, str]]
@@ -127,6 +128,12 @@
         """Add a gauge whose value is read when the metrics are rendered."""
         self._gauges[name] = read
 
+    def add_route_gauge(
+        self, name: str, read: t.Callable[[], dict[str, float]]
+    ) -> None:
+        """Add a gauge with a value for each route, read when rendered."""
+        self._route_gauges[name] = read
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         lines = ["# TYPE savorytally_requests_total counter"]
@@ -174,6 +181,12 @@
         for name, read in self._gauges.items():
             lines.append(f"# TYPE savorytally_{name} gauge")
             lines.append(f"savorytally_{name} {read()}")
+        for name, read_all in self._route_gauges.items():
+            lines.append(f"# TYPE savorytally_{name} gauge")
+            for route, value in sorted(read_all().items()):
+                lines.append(
+                    f'savorytally_{name}{{route="{route}"}} {value:.3f}'
+                )
         return ("\n".join(lines) + "\n").encode()
 
     @staticmethod
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -7,6 +7,7 @@
 
 from .. import results
 from ..decisions import backpressure
+from ..decisions import chain_success
 from ..decisions import parent_matching
 from ..decisions import placement
 from ..decisions import retry_after
@@ -104,6 +105,7 @@
             own_gate.retry_budget, own_gate, counts
         )
         self.backpressure = backpressure.Backpressure()
+        self.chain_success = chain_success.ChainSuccess()
         self._slowest = tail_latency.TailLatency()
         self.progress = in_progress.InProgress(names, counts, log)
         # The schedule of the planned stop, set when the stop signal arrives.
@@ -246,7 +248,7 @@
     def _shed_code(
         self, call: calls.Call, now: float
     ) -> results.ResultCode | None:
-        """Return the refusal of a request whose call chain is overloaded."""
+        """Return the refusal of a request whose call chain would fail."""
         if call.child:
             return None
         route = t.cast(catalog.Route, call.route)
@@ -257,6 +259,10 @@
             call.kind, useful_s, is_retry, random_draw, now
         ):
             return results.SHED_FOR_CHAIN
+        # Retried requests are refused like new ones: their chains fail too.
+        if self.chain_success.refuses(call.kind, self._random.random(), now):
+            call.chain_refused = True
+            return results.SHED_FOR_CHAIN
         return None
 
     def _offer(self, call: calls.Call) -> None:
@@ -394,6 +400,8 @@
             wait_s = (result.child_wait_ms + result.wait_ms) / 1000
             self._note_wait(call, wait_s, now)
         if result.answered:
+            failed = result.status >= _SERVER_ERROR and result.child_failed
+            self.chain_success.record(call.kind, failed, now)
             # If a call below has failed, a retry would fail again and repeat
             # all other calls below it.
             failed = result.status >= _SERVER_ERROR and not result.child_failed
@@ -535,6 +543,8 @@
         if call.client_remaining_ms:
             remaining_s = call.client_remaining_ms / 1000
         random_draw = self._random.random()
+        if call.chain_refused:
+            return retry_after.longest_honoured_s(remaining_s)
         if code in _RESTART_CODES:
             restart_s = retry_after.STARTUP_S
             if self.stop_schedule is not None:
@@ -570,9 +580,13 @@
         if code.not_run:
             self._counts.not_run(call.not_run_reason)
         if not served or self._log.samples_served():
-            below_s = self.backpressure.wait_s((route, call.rank), now)
+            kind = (route, call.rank)
+            below = request_log.Below(
+                self.backpressure.wait_s(kind, now),
+                self.chain_success.refused_fraction(kind, now),
+            )
             fields = request_log.describe(
-                call, code, status, self._terms.version, below_s, now
+                call, code, status, self._terms.version, below, now
             )
             self._log.event("request", **fields)
 
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -138,7 +138,11 @@
             self._store_watch,
             self._upstream_list,
             self,
-            (self.entry.backpressure.waits, self.gate.child_waits.waits),
+            (
+                self.entry.backpressure.waits,
+                self.gate.child_waits.waits,
+                self.entry.chain_success,
+            ),
         )
         self._ready_path = names.ready_path
         self._catalog: catalog.Catalog | None = None
@@ -204,6 +208,10 @@
         await self._listen(probe, chosen.ready.host, chosen.ready.port)
         await self._listen(probe, chosen.address, chosen.metrics_port)
         self._add_gauges()
+        self.counts.add_route_gauge(
+            "chains_failed_share",
+            lambda: self.entry.chain_success.shares(self._loop.time()),
+        )
         self._store_watch.start()
         self._tasks = [
             self._loop.create_task(self._tick()),
--- a/src/savorytally/dataplane/request_log.py
+++ b/src/savorytally/dataplane/request_log.py
@@ -1,5 +1,6 @@
 """The log line that is written when a request has ended."""
 
+import dataclasses
 import typing as t
 
 from .. import results
@@ -7,12 +8,25 @@
 from . import gate
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Below:
+    """What the entry expects of the calls that a request makes.
+
+    :param wait_s: their expected wait, in seconds.
+    :param refused_fraction: fraction of such requests that is refused because
+        of failing calls.
+    """
+
+    wait_s: float
+    refused_fraction: float
+
+
 def describe(
     call: calls.Call,
     code: results.ResultCode,
     status: int,
     version: int,
-    below_s: float,
+    below: Below,
     now: float,
 ) -> dict[str, t.Any]:
     """Return the fields of the log line.
@@ -21,7 +35,7 @@
     :param code: its result code.
     :param status: HTTP status of the response.
     :param version: version of the configuration in force.
-    :param below_s: expected wait of the calls below, in seconds.
+    :param below: what is expected of the calls below.
     :param now: loop time.
     """
     fields: dict[str, t.Any] = {
@@ -51,5 +65,6 @@
     if call.retry_refused:
         fields["repeats_refused"] = True
     if code is not results.ANSWERED and call.route is not None:
-        fields["below_ms"] = round(below_s * 1000, 1)
+        fields["below_ms"] = round(below.wait_s * 1000, 1)
+        fields["chain_refused"] = round(below.refused_fraction, 2)
     return fields
--- a/src/savorytally/dataplane/store_sharing.py
+++ b/src/savorytally/dataplane/store_sharing.py
@@ -39,6 +39,16 @@
 FIELDS_WITHOUT_ERAS = 10
 
 
+# Builds with two tables end a stream that contains a row of another table.
+# Rows of further tables are sent as rows of the first one with a name that no
+# route has: table, content and route. These builds store such rows without
+# using them, and return the means of samples, which are ignored.
+TABLES_BY_NUMBER = 2
+_SEPARATOR = "\0"
+_SAMPLES = "samples"
+_MEANS = "means"
+
+
 class Carrier(t.Protocol):
     """Sends control frames to other hosts."""
 
@@ -102,8 +112,8 @@
     :param watch: reads the store while this host has to.
     :param known_upstreams: the host list.
     :param owner: applies what the followed hosts send.
-    :param waits: tables of wait times that the hosts of the data centre share,
-        in the same order on all hosts.
+    :param waits: tables that the hosts of the data centre share, in the same
+        order on all hosts.
     """
 
     def __init__(
@@ -113,7 +123,7 @@
         watch: store_watch.StoreWatch,
         known_upstreams: upstream_list.UpstreamList,
         owner: Owner,
-        waits: t.Sequence[shared_waits.SharedWaits],
+        waits: t.Sequence[shared_waits.SharedTable],
     ) -> None:
         self._waits = waits
         self._share_at = 0.0
@@ -308,9 +318,12 @@
         """Merge the wait times that a follower has measured."""
         now = self._loop.time()
         try:
-            for table, route, rank, count, sum_ms in rows:
+            for table, name, rank, count, sum_ms in rows:
                 samples = shared_waits.Samples(count, sum_ms / 1000)
-                self._waits[table].merge({(route, rank): samples}, now)
+                found = self._read_name(table, name, _SAMPLES)
+                if found is not None:
+                    shared, route = found
+                    shared.merge({(route, rank): samples}, now)
         except (TypeError, ValueError, IndexError) as error:
             raise frames.MalformedFrame(f"samples: {error}") from error
 
@@ -318,16 +331,39 @@
         """Apply the mean wait times that a followed host has sent."""
         now = self._loop.time()
         try:
-            for table, route, rank, mean_ms in rows:
-                means = {(route, rank): mean_ms / 1000}
-                self._waits[table].apply_means(means, now)
+            for table, name, rank, mean_ms in rows:
+                found = self._read_name(table, name, _MEANS)
+                if found is not None:
+                    shared, route = found
+                    shared.apply_means({(route, rank): mean_ms / 1000}, now)
         except (TypeError, ValueError, IndexError) as error:
             raise frames.MalformedFrame(f"waits: {error}") from error
 
+    def _read_name(
+        self, table: int, name: str, content: str
+    ) -> tuple[shared_waits.SharedTable, str] | None:
+        """Return the table and the route of a row, ``None`` to ignore it.
+
+        :param content: ``_SAMPLES`` or ``_MEANS``.
+        """
+        text, separator, rest = name.partition(_SEPARATOR)
+        if separator:
+            table = int(text)
+            found, _, name = rest.partition(_SEPARATOR)
+            if found != content:
+                return None
+        if not 0 <= table < len(self._waits):
+            return None
+        return self._waits[table], name
+
     def _share_waits(self, now: float) -> None:
         """Send measured waits to followed hosts and the means to followers."""
         samples = [
-            (table, *kind, found.count, int(found.sum_s * 1000))
+            (
+                *_row_start(table, kind, _SAMPLES),
+                found.count,
+                int(found.sum_s * 1000),
+            )
             for table, waits in enumerate(self._waits)
             for kind, found in waits.take_samples().items()
         ]
@@ -337,7 +373,7 @@
         if not self._followers:
             return
         means = [
-            (table, *kind, int(mean_s * 1000))
+            (*_row_start(table, kind, _MEANS), int(mean_s * 1000))
             for table, waits in enumerate(self._waits)
             for kind, mean_s in waits.means(now).items()
         ]
@@ -457,6 +493,19 @@
         )
 
 
+def _row_start(
+    table: int, kind: shared_waits.Kind, content: str
+) -> tuple[int, str, int]:
+    """Return the first fields of a row: table, name and rank.
+
+    :param content: ``_SAMPLES`` or ``_MEANS``.
+    """
+    route, rank = kind
+    if table < TABLES_BY_NUMBER:
+        return table, route, rank
+    return 0, _SEPARATOR.join((str(table), content, route)), rank
+
+
 def _read_position(fields: t.Any) -> store_position.Position:
     try:
         era, revision = fields
--- a/src/savorytally/decisions/retry_after.py
+++ b/src/savorytally/decisions/retry_after.py
@@ -33,6 +33,14 @@
     return min(base_s * (0.5 + draw), left_s * HONOURED_FRACTION)
 
 
+def longest_honoured_s(left_s: float) -> float:
+    """Return the longest Retry-After delay that callers honour, in seconds.
+
+    :param left_s: time until the caller's deadline.
+    """
+    return left_s * HONOURED_FRACTION
+
+
 def after_restart_s(left_s: float, back_s: float, draw: float) -> float:
     """Return the Retry-After delay until a node or upstream serves again.
 
--- a/src/savorytally/decisions/shared_waits.py
+++ b/src/savorytally/decisions/shared_waits.py
@@ -54,6 +54,22 @@
     sum_s: float
 
 
+class SharedTable(t.Protocol):
+    """Values by kind of request that hosts estimate jointly."""
+
+    def take_samples(self) -> dict[Kind, Samples]:
+        """Return the samples since the last call, and reset them."""
+
+    def merge(self, samples: t.Mapping[Kind, Samples], now: float) -> None:
+        """Add the samples that a follower reports."""
+
+    def means(self, now: float) -> dict[Kind, float]:
+        """Return the values to publish to the followers of this host."""
+
+    def apply_means(self, means: t.Mapping[Kind, float], now: float) -> None:
+        """Apply the values of a host that this one follows."""
+
+
 class SharedWaits:
     """Mean waits by kind of request, from local and reported samples."""
 
