Explain where a node would send a request

Cause: operators could not see why an upstream is preferred, passed over or refused without sending requests. Change: GET /where on the metrics port and 'savorytally where' (codes 9013-9016, exit code 7). The probe server's handlers get the query. The placement's score takes its random draw as an argument, so that the explanation uses the same rule and draws nothing.

--- a/src/savorytally/cli.py
+++ b/src/savorytally/cli.py
@@ -10,6 +10,7 @@
 from .commands import replay  # noqa: F401, registers a command
 from .commands import status  # noqa: F401, registers a command
 from .commands import version  # noqa: F401, registers a command
+from .commands import where  # noqa: F401, registers a command
 
 _DESCRIPTION = """\
 Overload control layer for service call graphs.
--- a/src/savorytally/commands/base.py
+++ b/src/savorytally/commands/base.py
@@ -18,6 +18,7 @@
 EXIT_REFUSED = 4
 EXIT_PORT = 5
 EXIT_UNMET = 6
+EXIT_REPLY = 7
 
 EXIT_MEANINGS = {
     EXIT_OK: "done",
@@ -27,6 +28,7 @@
     EXIT_REFUSED: "the node refused the request",
     EXIT_PORT: "the node can't open one of its ports",
     EXIT_UNMET: "a stated outcome of a trace is not met",
+    EXIT_REPLY: "the node's reply is malformed",
 }
 
 STANDARD_INPUT = pathlib.Path("-")
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -36,6 +36,7 @@
 from . import store_sharing
 from . import store_watch
 from . import upstream_list
+from . import where
 
 TICK_S = 0.05
 # How long an unresponsive host gets no new calls.
@@ -126,6 +127,9 @@
             self.log,
             rand,
         )
+        self._where = where.Where(
+            self.entry.placement, self.entry.backpressure, self.rates
+        )
         pause_s = node_options.bounds.drain_s * WATCH_PAUSE_FRACTION
         self._upstream_list = upstream_list.UpstreamList()
         self._reconciler = entry_reconciler.EntryReconciler(
@@ -198,7 +202,10 @@
         await self._listen(self.peers.accept, chosen.address, chosen.peer_port)
         handlers = {
             self._ready_path.decode(): self._readiness,
-            "/metrics": lambda: (200, self.counts.render()),
+            "/metrics": lambda query: (200, self.counts.render()),
+            "/where": lambda query: self._where.answer(
+                self._catalog, query, self._loop.time()
+            ),
         }
         probe = functools.partial(probe_server.ProbeServer, handlers)
         await self._listen(probe, chosen.ready.host, chosen.ready.port)
@@ -517,7 +524,7 @@
         self.entry.placement.learn_evacuated(evacuated)
         self.gate.learn_evacuated(self._options.data_centre in evacuated)
 
-    def _readiness(self) -> tuple[int, bytes]:
+    def _readiness(self, query: probe_server.Query) -> tuple[int, bytes]:
         return (200, b"ready\n") if self.ready else (503, b"not ready\n")
 
     async def _listen(
--- a/src/savorytally/dataplane/probe_server.py
+++ b/src/savorytally/dataplane/probe_server.py
@@ -1,19 +1,25 @@
-"""A small HTTP server for readiness probes and metrics."""
+"""A small HTTP server for readiness probes, metrics and questions."""
 
 import asyncio
 import typing as t
+import urllib.parse
 
 import httptools
 
 from . import callers
 
-Handler = t.Callable[[], tuple[int, bytes]]
+# Longer queries are not parsed.
+PARAMETERS_MAX = 16
+# Parameters of the query; the last one counts if a name is repeated.
+Query = t.Mapping[str, str]
+Handler = t.Callable[[Query], tuple[int, bytes]]
 
 
 class ProbeServer(asyncio.Protocol):
     """One connection of a client.
 
-    :param handlers: return status and body of the response, by path.
+    :param handlers: return status and body of the response to a query, by
+        path.
     """
 
     def __init__(self, handlers: t.Mapping[str, Handler]) -> None:
@@ -42,9 +48,11 @@
         self._target += url
 
     def on_message_complete(self) -> None:
-        path = self._target.decode("latin-1").partition("?")[0]
+        path, _, text = self._target.decode("latin-1").partition("?")
         handler = self._handlers.get(path)
-        status, body = handler() if handler is not None else (404, b"")
+        status, body = 404, b""
+        if handler is not None:
+            status, body = handler(_parse_query(text))
         if self._transport is None:
             return
         self._transport.write(
@@ -54,3 +62,18 @@
         )
         if not self._parser.should_keep_alive():
             self._transport.close()
+
+
+def _parse_query(text: str) -> Query:
+    """Return the parameters of a query.
+
+    Those beyond ``PARAMETERS_MAX`` make all of them count as absent.
+    """
+    try:
+        return dict(
+            urllib.parse.parse_qsl(
+                text, keep_blank_values=True, max_num_fields=PARAMETERS_MAX
+            )
+        )
+    except ValueError:
+        return {}
--- a/src/savorytally/dataplane/rates.py
+++ b/src/savorytally/dataplane/rates.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import typing as t
 
 from ..decisions import shared_rates
@@ -27,6 +28,28 @@
 OnDecided = t.Callable[[shared_rates.Grant], None]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateView:
+    """What a node knows of an organisation's rate.
+
+    :param owner: address of the host that decides.
+    :param owned_here: whether that is this host.
+    :param region_fraction: part of the rate that the region may use.
+    :param tokens: tokens in the bucket of this host, ``None`` without one.
+    :param needed: tokens that the next request needs, ``None`` likewise.
+    :param refused_s: how long requests are refused, as far as it is known.
+    :param avoided_s: how long the owner gets no token requests.
+    """
+
+    owner: str
+    owned_here: bool
+    region_fraction: float
+    tokens: float | None
+    needed: float | None
+    refused_s: float
+    avoided_s: float
+
+
 class Carrier(t.Protocol):
     """Sends control frames to other hosts."""
 
@@ -144,6 +167,35 @@
         )
         self._pending[number] = (on_decided, timer, organisation)
 
+    def view(
+        self, organisation: catalog.Organisation, urgency: int
+    ) -> RateView | None:
+        """Return what is known of a rate, ``None`` without a limit.
+
+        Changes nothing and takes no token.
+
+        :param urgency: the route's priority, 0 is the most urgent.
+        """
+        name = organisation.name
+        if not self.pool.limited(name):
+            return None
+        now = self._loop.time()
+        # The owner is not looked up in the cache, which would be filled.
+        hosts = self._region_hosts or [self._options.address]
+        owner = shared_rates.rate_owner(name, hosts)
+        owned_here = owner == self._options.address
+        known = self.pool.view(organisation, urgency, now)
+        refused_s = self._refused_until.get((name, urgency), 0.0) - now
+        return RateView(
+            owner=owner,
+            owned_here=owned_here,
+            region_fraction=known.region_fraction,
+            tokens=known.tokens if owned_here else None,
+            needed=known.needed if owned_here else None,
+            refused_s=known.wait_s if owned_here else max(0.0, refused_s),
+            avoided_s=max(0.0, self._avoided.get(owner, 0.0) - now),
+        )
+
     def handle_request(
         self, number: int, organisation: str, urgency: int
     ) -> tuple[int, int, bool, int]:
--- a/src/savorytally/dataplane/request_terms.py
+++ b/src/savorytally/dataplane/request_terms.py
@@ -18,6 +18,29 @@
 ROUTE_RANKS = 16
 
 
+def find_route(
+    newest: catalog.Catalog, host: str, path: str
+) -> catalog.Route | None:
+    """Return the route of a request, ``None`` if there is none.
+
+    :param host: value of the ``Host`` header, also with a port.
+    :param path: the path without the query.
+    """
+    host = host.lower()
+    return newest.match(host, path) or newest.match(
+        host.partition(":")[0], path
+    )
+
+
+def rank(
+    route: catalog.Route, organisation: catalog.Organisation | None
+) -> int:
+    """Return the rank of a caller's request, 0 is the most urgent."""
+    if organisation is None or organisation.priority is None:
+        return route.priority
+    return route.priority + ROUTE_RANKS * organisation.priority
+
+
 class RequestTerms:
     """Determines the terms of requests from the configuration in force.
 
@@ -66,11 +89,8 @@
         target = request.target.decode("latin-1")
         if not target.startswith("/"):
             return results.MALFORMED_REQUEST
-        host = request.header(b"host").decode("latin-1").lower()
-        path = target.partition("?")[0]
-        route = newest.match(host, path)
-        if route is None:
-            route = newest.match(host.partition(":")[0], path)
+        host = request.header(b"host").decode("latin-1")
+        route = find_route(newest, host, target.partition("?")[0])
         if route is None:
             return results.UNKNOWN_ROUTE
         call.route = route
@@ -120,9 +140,7 @@
         call.objective_s = min(route.objective_s, remaining_s)
         if route.idempotent:
             call.flags |= frames.Flag.IDEMPOTENT
-        call.rank = route.priority
-        if organisation is not None and organisation.priority is not None:
-            call.rank += ROUTE_RANKS * organisation.priority
+        call.rank = rank(route, organisation)
         if organisation is None and call.client_remaining_ms:
             keyed = self._catalog is not None and self._catalog.keyed
             given_up_at = now + call.client_remaining_ms / 1000
--- a/src/savorytally/decisions/backpressure.py
+++ b/src/savorytally/decisions/backpressure.py
@@ -83,15 +83,23 @@
         :param retried: whether its caller retries it after a refusal.
         :param draw: a random number from 0 to 1.
         """
+        return draw < self.refused_fraction(kind, useful_s, retried, now)
+
+    def refused_fraction(
+        self, kind: Kind, useful_s: float, retried: bool, now: float
+    ) -> float:
+        """Return the fraction of the requests of a kind that is refused.
+
+        :param useful_s: time within which the response is useful.
+        :param retried: whether their callers retry them after a refusal.
+        """
         wait_s = self.wait_s(kind, now)
         if not wait_s:
-            return False
+            return 0.0
         low_s, high_s = (
             WAIT_MIN_FRACTION * useful_s,
             WAIT_MAX_FRACTION * useful_s,
         )
         fraction = (wait_s - low_s) / (high_s - low_s)
         fraction = min(REFUSED_FRACTION_MAX, max(0.0, fraction))
-        if retried:
-            fraction *= RETRIED_FACTOR
-        return draw < fraction
+        return fraction * RETRIED_FACTOR if retried else fraction
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -27,6 +27,7 @@
 from .. import results
 from ..world import catalog
 from . import advertised_state
+from . import placement_report
 
 # Weight of the latest observation in a moving mean.
 WEIGHT = 0.15
@@ -255,7 +256,8 @@
             advertisement = self._advertisements.get(name)
             if advertisement is not None and self._drained(advertisement, now):
                 continue
-            score = self._score(state, route, objective_s, now)
+            draw = self._random.random()
+            score = self._score(state, route, objective_s, now, draw)
             if advertisement is not None:
                 score += self._rate_limit_wait_s(advertisement, now)
             if score < best_score:
@@ -287,6 +289,67 @@
             return results.DATA_CENTRE_EVACUATED
         return results.NO_HOST
 
+    def candidates(
+        self,
+        service: str,
+        route: str,
+        objective_s: float,
+        now: float,
+        regions: frozenset[str] | None = None,
+    ) -> list[placement_report.Candidate]:
+        """Return what is known of each upstream of a service.
+
+        Changes nothing and draws no random number.
+
+        :param objective_s: latency objective of the request.
+        :param regions: the regions that it may be sent to, all if ``None``.
+        """
+        offered = {
+            state.instance.instance_id
+            for state in self._candidates(service, regions)
+        }
+        return [
+            self._describe(
+                state,
+                self._score(state, route, objective_s, now, 0.5),
+                name in offered,
+                now,
+            )
+            for name, state in self._upstreams.items()
+            if state.instance.service == service
+        ]
+
+    def estimate_parts(
+        self, instance_id: str, route: str, objective_s: float, now: float
+    ) -> placement_report.Parts | None:
+        """Return the parts of an upstream's expected response time.
+
+        Each part is what the estimate would be shorter by without its cause.
+        Changes nothing and draws no random number.
+
+        :return: ``None`` if the upstream is not known.
+        """
+        state = self._upstreams.get(instance_id)
+        if state is None:
+            return None
+
+        def without(draw: float = 0.5, **changes: t.Any) -> float:
+            changed = dataclasses.replace(state, **changes)
+            return self._score(changed, route, objective_s, now, draw)
+
+        whole_s = without()
+        wait_s = whole_s - without(in_flight=0, load=0)
+        distance_s = whole_s - without(far=False, distance_s=0.0)
+        failure_s = whole_s - without(failure_rate=0.0)
+        avoided_s = whole_s - without(avoid_until=0.0)
+        return placement_report.Parts(
+            run_s=whole_s - wait_s - distance_s - failure_s - avoided_s,
+            wait_s=wait_s,
+            distance_s=distance_s,
+            failure_s=failure_s,
+            spread_s=without(draw=1.0) - without(draw=0.0),
+        )
+
     def sent(self, instance_id: str, now: float) -> None:
         """Record that a request was sent."""
         advertisement = self._advertisements.get(instance_id)
@@ -397,6 +460,47 @@
             first_listed_at=now,
         )
 
+    def _describe(
+        self,
+        state: _UpstreamState,
+        expected_s: float,
+        offered: bool,
+        now: float,
+    ) -> placement_report.Candidate:
+        """Return what is known of an upstream."""
+        instance = state.instance
+        advertisement = self._advertisements.get(instance.instance_id)
+        held_s, draining, drained = 0.0, False, False
+        if advertisement is not None:
+            draining = advertisement.leaving_at is not None
+            drained = self._drained(advertisement, now)
+            held_s = max(0.0, advertisement.next_at - now)
+            expected_s += self._rate_limit_wait_s(advertisement, now)
+        return placement_report.Candidate(
+            instance_id=instance.instance_id,
+            data_centre=instance.data_centre,
+            region=state.region,
+            listed=not state.unlisted_at,
+            ready=instance.ready,
+            evacuated=instance.data_centre in self._evacuated,
+            offered=offered,
+            leaving=state.leaving_until > now,
+            draining=draining,
+            drained=drained,
+            avoided_s=max(0.0, state.avoid_until - now),
+            rate_limit_s=held_s,
+            cold_s=max(0.0, instance.cold_s - (now - state.first_listed_at)),
+            expected_s=expected_s,
+            in_flight=state.in_flight,
+            load=state.load,
+            limit=state.limit,
+            slots=instance.slots,
+            report_age_s=(
+                now - state.reported_at if state.reported_at >= 0 else None
+            ),
+            failure_rate=self._failure_rate(state, now),
+        )
+
     def _apply_instance_start(self, instance: catalog.Instance) -> None:
         """Reset the leaving state when a new instance has started."""
         advertisement = self._advertisements.get(instance.instance_id)
@@ -432,7 +536,12 @@
         return self._regions.get(data_centre, data_centre)
 
     def _score(
-        self, state: _UpstreamState, route: str, objective_s: float, now: float
+        self,
+        state: _UpstreamState,
+        route: str,
+        objective_s: float,
+        now: float,
+        draw: float,
     ) -> float:
         run_s = state.run_s.get(route)
         if run_s is None:
@@ -446,9 +555,7 @@
         wait_s = max(0.0, load + 1 - limit) * run_s / limit
         # Prefers the less loaded host among those without a queue.
         fill_s = 0.3 * run_s * min(1.0, load / limit)
-        expected_s = (run_s + wait_s + fill_s) * (
-            1.0 + SPREAD * self._random.random()
-        )
+        expected_s = (run_s + wait_s + fill_s) * (1.0 + SPREAD * draw)
         if state.far:
             distance_s = OTHER_REGION_FRACTION * objective_s
             expected_s += max(OTHER_REGION_PENALTY_MIN_S, distance_s)
--- a/src/savorytally/decisions/shared_rates.py
+++ b/src/savorytally/decisions/shared_rates.py
@@ -185,6 +185,22 @@
     wait_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What a host knows of an organisation's rate.
+
+    :param region_fraction: part of the rate that its region may use.
+    :param tokens: tokens in the bucket, ``None`` if it has none here.
+    :param needed: tokens that the next request needs, ``None`` without bucket.
+    :param wait_s: time until they are there, 0 if they are.
+    """
+
+    region_fraction: float
+    tokens: float | None = None
+    needed: float | None = None
+    wait_s: float = 0.0
+
+
 class SharedRates:
     """The rate buckets that a host owns or may have to own.
 
@@ -255,10 +271,7 @@
         if contract is None or contract.rate_per_s <= 0:
             return Grant(True)
         fraction = self._region_fraction(organisation, contract, now)
-        rate = contract.rate_per_s * self._factor * fraction
-        size = max(
-            1.0, (contract.burst * self._factor + self._slack) * fraction
-        )
+        rate, size = self._bucket_terms(contract, fraction)
         bucket = self._buckets.get(organisation)
         if bucket is None:
             tokens = min(size, self._initial_tokens(contract, fraction, now))
@@ -267,13 +280,47 @@
         bucket.tokens = min(size, bucket.tokens + gained)
         bucket.filled = now
         bucket.requests += 1.0
-        reserve = min(RESERVE_MAX, RESERVE_STEP * urgency) * size
-        needed = 1.0 + min(reserve, size - 1.0)
+        needed = self._tokens_needed(size, urgency)
         if bucket.tokens >= needed:
             bucket.tokens -= 1.0
             return Grant(True)
         return Grant(False, int((needed - bucket.tokens) / rate * 1000) + 1)
 
+    def view(
+        self, contract: catalog.Organisation, urgency: int, now: float
+    ) -> View:
+        """Return what is known of a rate; changes nothing.
+
+        :param urgency: the route's priority, 0 is the most urgent.
+        """
+        fraction = self._region_fraction(contract.name, contract, now)
+        bucket = self._buckets.get(contract.name)
+        if bucket is None or contract.rate_per_s <= 0:
+            return View(fraction)
+        rate, size = self._bucket_terms(contract, fraction)
+        tokens = min(size, bucket.tokens + (now - bucket.filled) * rate)
+        needed = self._tokens_needed(size, urgency)
+        return View(
+            fraction, tokens, needed, max(0.0, (needed - tokens) / rate)
+        )
+
+    def _bucket_terms(
+        self, contract: catalog.Organisation, fraction: float
+    ) -> tuple[float, float]:
+        """Return rate and size of a bucket.
+
+        :param fraction: this region's part of the organisation's rate.
+        """
+        rate = contract.rate_per_s * self._factor * fraction
+        size = (contract.burst * self._factor + self._slack) * fraction
+        return rate, max(1.0, size)
+
+    @staticmethod
+    def _tokens_needed(size: float, urgency: int) -> float:
+        """Return the tokens at which a request is granted one."""
+        reserve = min(RESERVE_MAX, RESERVE_STEP * urgency) * size
+        return 1.0 + min(reserve, size - 1.0)
+
     def measure(self, now: float) -> dict[str, float]:
         """End a period; return this region's demand by organisation."""
         period_s = now - self._measured_at
--- a/src/savorytally/results.py
+++ b/src/savorytally/results.py
@@ -415,3 +415,31 @@
     "The published document is too large to be checked by a serving node.",
     "Check the patch with savorytally config patch.",
 )
+ORGANISATION_UNKNOWN = _code(
+    9013,
+    "organisation_unknown",
+    404,
+    "The configuration in force has no organisation of that name.",
+    "Check the name; it is not the key.",
+)
+QUESTION_FAULT = _code(
+    9014,
+    "question_fault",
+    400,
+    "A question to a node about a request is malformed.",
+    "Correct the parameter that the detail names.",
+)
+NODE_SILENT = _code(
+    9015,
+    "node_silent",
+    0,
+    "The node did not answer a question in time.",
+    "Check that it runs, its address and its metrics port.",
+)
+NODE_REPLY_FAULT = _code(
+    9016,
+    "node_reply_fault",
+    0,
+    "The reply to a question is not one that a node gives.",
+    "Check the address, and that node and command are of one release.",
+)
