--- a/src/savorytally/commands/where.py
+++ b/src/savorytally/commands/where.py
@@ -51,7 +51,7 @@
         )
         parser.add_argument(
             "--timeout-s",
-            type=float,
+            type=_positive,
             default=TIMEOUT_S,
             metavar="S",
             help="how long to wait for the answer (%(default)s)",
@@ -103,6 +103,17 @@
         return base.EXIT_OK
 
 
+def _positive(text: str) -> float:
+    """Return a number above 0; 0 would switch the time-out off.
+
+    :raises ValueError: if the text is none.
+    """
+    value = float(text)
+    if not 0.0 < value < float("inf"):
+        raise ValueError(text)
+    return value
+
+
 async def _get(
     url: str, query: dict[str, str], timeout_s: float
 ) -> tuple[int, bytes]:
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -488,6 +488,13 @@
         assert silent == base.EXIT_UNREACHABLE
         assert capsys.readouterr().err.startswith("9015 node_silent: ")
 
+    @pytest.mark.parametrize("text", ["0", "-1", "nan", "inf", "soon"])
+    def test_time_out_must_be_positive(self, text):
+        # The HTTP client takes 0 for no time-out.
+        with pytest.raises(SystemExit) as stopped:
+            command("127.0.0.1:1", "--timeout-s", text)
+        assert stopped.value.code == base.EXIT_USAGE
+
     def test_node_that_is_down_is_reported(self, capsys):
         with socket.socket() as unused:
             unused.bind(("127.0.0.1", 0))
