Count retries of requests that run once in the bound

Cause: a rejected request has not run and may be sent again even if it must run once; without these retries the result was no upper bound. Change: 'repeatable' no longer limits retries after rejections.

--- a/tests/test_upper_bound.py
+++ b/tests/test_upper_bound.py
@@ -107,11 +107,14 @@
         )
         assert found.possible == about(100 * (10 + 3))
 
-    def test_caller_retries_a_rejection_once(self):
+    @pytest.mark.parametrize("repeatable", [True, False])
+    def test_caller_retries_a_rejection_once(self, repeatable):
+        # A rejected request has not run, so one that must run once is
+        # retried as well.
         found = bounds(
             20,
             {"deep": service()},
-            {"direct": requests(100, work_ms=0)},
+            {"direct": requests(100, work_ms=0, repeatable=repeatable)},
             [{"service": "deep", "from_s": 0, "to_s": 30, "rejects": 0.55}],
             hold_share=0,
         )
--- a/tools/upper_bound.py
+++ b/tools/upper_bound.py
@@ -13,7 +13,9 @@
     By name: ``service``; ``offered``, a series by data centre, absent for
     calls that only other requests make; ``work_ms``, mean work at its own
     service; ``value`` (1) within ``objective_ms``, ``value_late`` (equal)
-    until ``deadline_ms``; ``repeatable`` (true); ``calls``, a list of
+    until ``deadline_ms``; ``repeatable`` (true), which
+    is only checked: rejected calls have not run and may always be sent again;
+    ``calls``, a list of
     ``{"class": NAME, "count": 1}``, each with the calls of its own class.
     A series is ``{"steps": [[SINCE_S, PER_S], ...]}`` or ``{"mean": PER_S,
     "swing": 0, "period_s": 1, "phase_s": 0}`` (a sine), with ``bursts``, a
@@ -301,10 +303,6 @@
         """
         least = numpy.full(self._load.windows, numpy.inf)
         which = numpy.full(self._load.windows, -1)
-        if not self._load.classes[self.names[row]].repeatable:
-            # The calls of a request that runs once may be repeated.
-            if len(self._load.chain(self.names[row])) < 2:
-                return least, which
         for number, budget in enumerate(self.budgets):
             if not budget.accepts or not self._calls_to[row, budget.service]:
                 continue
@@ -357,9 +355,7 @@
         )
         reach_s = self._load.retries.reach_share * item.deadline_s + work_s
         reach_s = min(limit_s, reach_s)
-        attempts = 1 + (
-            self._load.retries.caller_count if item.repeatable else 0
-        )
+        attempts = 1 + self._load.retries.caller_count
         accepted = numpy.ones(len(self._load.ticks))
         for below, count in self._load.chain(name).items():
             service = self._load.classes[below].service
