--- a/tests/test_store_sharing.py
+++ b/tests/test_store_sharing.py
@@ -146,6 +146,35 @@
 
         assert run_scenario(scenario, 2) == pytest.approx(0.25)
 
+    def test_rows_of_unknown_tables_are_ignored(self):
+        """An error would end the stream and the calls on it."""
+
+        async def scenario(cluster):
+            sharing = cluster.hosts[0].node.store_sharing
+            sharing.handle_samples([[9, "drawers", 16, 1, 250]])
+            sharing.handle_mean_waits([[9, "drawers", 16, 250]])
+            sharing.handle_mean_waits([[0, "9\0means\0drawers", 16, 250]])
+            now = asyncio.get_running_loop().time()
+            return sharing._waits[0].means(now)
+
+        assert run_scenario(scenario, 2) == {}
+
+    def test_means_of_samples_by_older_builds_are_ignored(self):
+        """Older builds average the samples of tables they don't know."""
+
+        async def scenario(cluster):
+            sharing = cluster.hosts[0].node.store_sharing
+            sharing.handle_mean_waits([[0, "2\0samples\0drawers", 16, 900]])
+            sharing.handle_mean_waits([[0, "2\0means\0desk", 16, 900]])
+            now = asyncio.get_running_loop().time()
+            refusals = cluster.hosts[0].node.entry.chain_success
+            return [
+                refusals.refused_fraction((route, 16), now)
+                for route in ("drawers", "desk")
+            ]
+
+        assert run_scenario(scenario, 2) == [0.0, 0.9]
+
 
 class TestReaderFailures:
     """Readers that are killed, disconnected, refused or frozen."""
