Route calls by their homes and around evacuations

Cause: routing policies knew neither homes nor evacuated data centres. Change: a routing request has the permitted regions; both policies send only there and to no evacuated data centre, and refuse with 1032 or 1031 where no host is left. Recent refusals of gates for an evacuation can be kept for entries that lag; one host alone does not close its data centre. The random policy states a time to retry with all its refusals.

--- a/src/savorytally/decisions/balanced.py
+++ b/src/savorytally/decisions/balanced.py
@@ -29,7 +29,6 @@
 DISTANCE_COST_CALLS = 1.0
 FAILURE_COST_CALLS = 4.0
 SHED_RETRY_AFTER_MS = 500
-NO_HOST_RETRY_AFTER_MS = 1_000
 LINK_RETRY_AFTER_MS = 1_000
 
 Hosts = list[host.Host]
@@ -37,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _HostsByDistance:
-    """The live hosts of a service by distance.
+    """The live hosts of a service outside evacuations, by distance.
 
     :param near: hosts in the local data centre.
     :param region: hosts in the local region, including ``near``.
@@ -65,6 +64,8 @@
         self._source = source
         self._links = link_budget.LinkBudget(place)
         self._regions: dict[str, str] = {}
+        self._live: dict[str, Hosts] = {}
+        self._evacuated: frozenset[region.Place] = frozenset()
         self._services: dict[str, _HostsByDistance] = {}
         self._health: dict[str, host_health.HostHealth] = {}
         self._levels = received_levels.ReceivedLevels()
@@ -72,8 +73,11 @@
     def learn_configuration(
         self, version: configuration.Configuration, now: float
     ) -> None:
-        """Apply the links between regions in a newer configuration."""
+        """Apply links and evacuations in a newer configuration."""
         self._links.learn_configuration(version, now)
+        if version.evacuated != self._evacuated:
+            self._evacuated = version.evacuated
+            self._group_by_distance()
 
     def learn_hosts(
         self, hosts: t.Mapping[str, host.Host], now: float
@@ -83,10 +87,8 @@
         self._regions = {
             item.host_id: item.place.region_id for item in hosts.values()
         }
-        self._services = {
-            service_id: self._by_distance(live)
-            for service_id, live in routing.group_live(hosts).items()
-        }
+        self._live = routing.group_live(hosts)
+        self._group_by_distance()
         self._health = {
             host_id: health
             for host_id, health in self._health.items()
@@ -98,7 +100,7 @@
         self, request: routing.RoutingRequest, now: float
     ) -> routing.Choice:
         """Return the host to call, or the reason why there is none."""
-        service = self._services.get(request.service_id, _NO_HOSTS)
+        service = self._hosts_for(request)
         drawn = self._draw_available(service, request, now)
         if drawn is not None:
             return routing.Chosen(drawn)
@@ -135,10 +137,21 @@
     def route_level(self, called: route.Route, now: float) -> int:
         """Return the lowest shed level among the region's hosts.
 
-        Hosts with an open circuit breaker are left out: they take no calls.
+        Without hosts in this region that may run the route, it is that of
+        the others that may. Hosts with an open circuit breaker are left out:
+        they take no calls.
         """
         service = self._services.get(called.service_id, _NO_HOSTS)
-        hosts = service.region or service.far
+        homes = called.homes
+        hosts = service.region
+        if homes and self._place.region_id not in homes:
+            hosts = []
+        if not hosts:
+            hosts = [
+                item
+                for item in service.far
+                if not homes or item.place.region_id in homes
+            ]
         levels = (
             self._levels.level(item.host_id, called.route_id, now)
             for item in hosts
@@ -146,6 +159,20 @@
         )
         return min(levels, default=0)
 
+    def _group_by_distance(self) -> None:
+        self._services = {
+            service_id: self._by_distance(
+                [item for item in live if item.place not in self._evacuated]
+            )
+            for service_id, live in self._live.items()
+        }
+
+    def _hosts_for(self, request: routing.RoutingRequest) -> _HostsByDistance:
+        service = self._services.get(request.service_id, _NO_HOSTS)
+        if request.may_run_in(self._place.region_id):
+            return service
+        return _HostsByDistance([], [], service.far)
+
     def _by_distance(self, live: Hosts) -> _HostsByDistance:
         regional = [
             item
@@ -155,7 +182,11 @@
         return _HostsByDistance(
             near=[item for item in regional if item.place == self._place],
             region=regional,
-            far=[item for item in live if item not in regional],
+            far=[
+                item
+                for item in live
+                if item.place.region_id != self._place.region_id
+            ],
         )
 
     def _health_of(self, host_id: str) -> host_health.HostHealth:
@@ -192,7 +223,7 @@
         return [
             item
             for item in hosts
-            if item.host_id not in request.tried
+            if request.fits(item)
             and self._health_of(item.host_id).available(now)
         ]
 
@@ -235,7 +266,11 @@
             return routing.Unavailable(
                 results.SHED_AT_ENTRY, SHED_RETRY_AFTER_MS
             )
-        return routing.Unavailable(results.NO_HOST, NO_HOST_RETRY_AFTER_MS)
+        live = self._live.get(request.service_id, [])
+        return routing.Unavailable(
+            routing.absence(live, request, self._evacuated),
+            routing.ABSENT_RETRY_AFTER_MS,
+        )
 
     def _draw(
         self,
--- a/src/savorytally/decisions/routing.py
+++ b/src/savorytally/decisions/routing.py
@@ -15,6 +15,9 @@
 from ..world import route
 
 LEVEL_UNKNOWN = -1
+# Time until a caller may ask again that has no host for its homes or for an
+# evacuation; operators change both by hand.
+ABSENT_RETRY_AFTER_MS = 1_000
 
 
 def admits_all(level: int) -> bool:
@@ -32,6 +35,9 @@
     :param admits: returns whether a shed level admits the call.
     :param size_bytes: bytes that it is expected to move over a link.
     :param tried: hosts of earlier attempts at this call.
+    :param regions: regions in which it may run, ``None`` for all.
+    :param refuses: returns whether a host is expected to refuse the call
+        because its data centre is evacuated, ``None`` if none is.
     """
 
     service_id: str
@@ -40,6 +46,20 @@
     admits: t.Callable[[int], bool] = admits_all
     size_bytes: int = 0
     tried: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
+    refuses: t.Callable[[host.Host], bool] | None = None
+
+    def may_run_in(self, region_id: str) -> bool:
+        """Return whether the call may run in a region."""
+        return self.regions is None or region_id in self.regions
+
+    def fits(self, item: host.Host) -> bool:
+        """Return whether the call may be sent to a host now."""
+        if item.host_id in self.tried:
+            return False
+        if not self.may_run_in(item.place.region_id):
+            return False
+        return self.refuses is None or not self.refuses(item)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,7 +111,7 @@
     def learn_configuration(
         self, version: configuration.Configuration, now: float
     ) -> None:
-        """Apply the links between regions in a newer configuration."""
+        """Apply links and evacuations in a newer configuration."""
 
     def learn_hosts(
         self, hosts: t.Mapping[str, host.Host], now: float
@@ -129,6 +149,29 @@
     return groups
 
 
+def absence(
+    live: t.Sequence[host.Host],
+    request: RoutingRequest,
+    evacuated: frozenset[region.Place],
+) -> results.ResultCode:
+    """Return the result code of a call that no host can be sent.
+
+    :param live: the live hosts of its service.
+    :param evacuated: the evacuated data centres.
+    """
+    at_home = [
+        item for item in live if request.may_run_in(item.place.region_id)
+    ]
+    if live and not at_home:
+        return results.NOT_AT_HOME
+    refuses = request.refuses or (lambda item: False)
+    if at_home and all(
+        item.place in evacuated or refuses(item) for item in at_home
+    ):
+        return results.DATA_CENTRE_EVACUATED
+    return results.NO_HOST
+
+
 @policies.register("random")
 class RandomRouting:
     """Baseline: a random live host of the service that was not tried yet.
@@ -140,11 +183,13 @@
     def __init__(self, place: region.Place, source: random.Random) -> None:
         self._source = source
         self._by_service: dict[str, list[host.Host]] = {}
+        self._evacuated: frozenset[region.Place] = frozenset()
 
     def learn_configuration(
         self, version: configuration.Configuration, now: float
     ) -> None:
-        """Do nothing; the baseline has no link budget."""
+        """Apply evacuations; the baseline has no link budget."""
+        self._evacuated = version.evacuated
 
     def learn_hosts(
         self, hosts: t.Mapping[str, host.Host], now: float
@@ -154,13 +199,15 @@
 
     def choose(self, request: RoutingRequest, now: float) -> Choice:
         """Return one of the hosts with equal probability."""
+        live = self._by_service.get(request.service_id, [])
         fit = [
             item
-            for item in self._by_service.get(request.service_id, ())
-            if item.host_id not in request.tried
+            for item in live
+            if item.place not in self._evacuated and request.fits(item)
         ]
         if not fit:
-            return Unavailable(results.NO_HOST, 0)
+            code = absence(live, request, self._evacuated)
+            return Unavailable(code, ABSENT_RETRY_AFTER_MS)
         return Chosen(self._source.choice(fit))
 
     def sent(self, host_id: str, now: float) -> None:
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -1,18 +1,28 @@
 """Homes of requests and evacuated data centres of the product's interface."""
 
+import dataclasses
 import json
+import random
 
 from fakes import documents
 import pytest
 
+from savorytally import results
 from savorytally import view
+from savorytally.decisions import balanced  # noqa: F401, registers a policy
 from savorytally.decisions import dissemination
+from savorytally.decisions import evacuation_refusals
+from savorytally.decisions import routing
 from savorytally.parts import publications
+from savorytally.world import configuration
 from savorytally.world import document
 from savorytally.world import document_parts
+from savorytally.world import host
+from savorytally.world import hosts
 from savorytally.world import patch
 from savorytally.world import publication
 from savorytally.world import region
+from savorytally.world import route
 from savorytally.world import sections
 
 KIRTIPUR = region.Place("bagmati", "kirtipur")
@@ -158,3 +168,140 @@
         delta = offered.replace(4, document_parts.divide(later)).since(3)
         assert [item.name for item in delta.sections] == [""]
         assert received.check(offered.apply(delta))
+
+
+def configured(**fields):
+    """Return the configuration of a document with these fields."""
+    read = document.read(document_with(**fields))
+    assert isinstance(read, configuration.Configuration)
+    return read
+
+
+def hosts_of(service, count=8, state="live"):
+    """Return hosts in all data centres in rotation."""
+    listed = {
+        f"{service}-{number}": documents.host(
+            service, number, 1 + number, state
+        )
+        for number in range(count)
+    }
+    return hosts.read(1, listed)
+
+
+def choose(router, count=200, **fields):
+    """Return the places that calls are sent to, or the refusal's code."""
+    request = routing.RoutingRequest(
+        "browse", "species", route.Priority.CRITICAL, **fields
+    )
+    found = set()
+    for _ in range(count):
+        choice = router.choose(request, 1.0)
+        if isinstance(choice, routing.Unavailable):
+            assert choice.retry_after_ms > 0
+            return choice.code
+        router.sent(choice.host.host_id, 1.0)
+        found.add(choice.host.place)
+    return found
+
+
+KIND = pytest.mark.parametrize("kind", ["balanced", "random"])
+
+
+class TestRouting:
+    @staticmethod
+    def router(kind, listed=None, **fields):
+        made = routing.policies.get(kind)(KIRTIPUR, random.Random(7))
+        made.learn_hosts((listed or hosts_of("browse")).hosts, 0.0)
+        made.learn_configuration(configured(**fields), 0.0)
+        return made
+
+    @KIND
+    @pytest.mark.parametrize("homes", [{"bagmati"}, {"gandaki"}])
+    def test_calls_stay_in_the_permitted_regions(self, kind, homes):
+        router = self.router(kind)
+        places = choose(router, regions=frozenset(homes))
+        assert {place.region_id for place in places} == homes
+
+    @KIND
+    def test_full_home_is_no_reason_to_leave_it(self, kind):
+        # Calls of high classes cross regions when the nearest one sheds.
+        router = self.router(kind)
+        for number in range(0, 8, 2):
+            shed = routing.Result(f"browse-{number}", "species", True, 9, 0.1)
+            router.done(shed, 1.0)
+        home = frozenset({"bagmati"})
+        found = choose(router, regions=home, admits=lambda level: level < 9)
+        if kind == "balanced":
+            assert found is results.SHED_AT_ENTRY
+        else:
+            assert {place.region_id for place in found} == home
+
+    @KIND
+    @pytest.mark.parametrize("homes", [(), ("gandaki",)])
+    def test_no_upstream_at_home_is_named(self, kind, homes):
+        listed = host.HostList(
+            1,
+            {
+                name: item
+                for name, item in hosts_of("browse").hosts.items()
+                if item.place.region_id == "bagmati"
+            },
+        )
+        router = self.router(kind, listed)
+        code = choose(router, regions=frozenset(homes))
+        assert code is results.NOT_AT_HOME
+
+    @KIND
+    def test_evacuated_data_centre_gets_nothing_until_it_ends(self, kind):
+        # The node's own data centre is preferred otherwise.
+        router = self.router(kind, evacuated=[KIRTIPUR])
+        assert KIRTIPUR not in choose(router)
+        router.learn_hosts(hosts_of("browse").hosts, 2.0)
+        assert KIRTIPUR not in choose(router)
+        router.learn_configuration(configured(version=2), 3.0)
+        assert KIRTIPUR in choose(router)
+
+    @KIND
+    def test_refusal_says_that_all_hosts_are_evacuated(self, kind):
+        everywhere = [region.Place(*names) for names in documents.PLACES]
+        router = self.router(kind, evacuated=everywhere)
+        assert choose(router) is results.DATA_CENTRE_EVACUATED
+        router = self.router(kind, evacuated=everywhere[::2])
+        home = frozenset({"bagmati"})
+        assert choose(router, regions=home) is results.DATA_CENTRE_EVACUATED
+        assert choose(router)
+
+    def test_level_of_a_confined_route_is_that_of_its_home(self):
+        # The hosts of this region never report a level of such a route.
+        router = self.router("balanced")
+        confined = configured(route=["gandaki"]).routes["species"]
+        for number in range(1, 8, 2):
+            router.done(
+                routing.Result(f"browse-{number}", "species", True, 9, 0.1),
+                1.0,
+            )
+        assert router.route_level(confined, 1.0) == 9
+
+
+class TestEvacuationRefusals:
+    def test_one_lagging_gate_does_not_close_its_data_centre(self):
+        # After an evacuation a node that is cut off still refuses.
+        seen = evacuation_refusals.EvacuationRefusals()
+        first, _, _, _, second, _, _, _ = hosts_of("browse").hosts.values()
+        seen.note(first, 1.0)
+        seen.note(first, 1.1)
+        assert seen.expected(first, 1.2)
+        assert not seen.expected(second, 1.2)
+
+    def test_two_gates_close_their_data_centre_for_a_while(self):
+        # Each refused attempt of an entry that lags costs a retry.
+        seen = evacuation_refusals.EvacuationRefusals()
+        first, _, other, _, second, _, _, _ = hosts_of("browse").hosts.values()
+        seen.note(first, 1.0)
+        seen.note(second, 1.1)
+        third = dataclasses.replace(first, host_id="browse-8")
+        assert seen.expected(third, 1.2)
+        assert not seen.expected(other, 1.2)
+        later = 1.2 + evacuation_refusals.AVOID_S
+        assert not seen.expected(third, later)
+        assert not seen.expected(first, later)
