Confine calls to their homes and obey evacuations

Cause: entries and gates of the product's interface sent and ran calls in any data centre. Change: the dispatcher passes the permitted regions to the routing policy, also for calls below, checks a host chosen before a wait again, and refuses a request that must run once if its owner is evacuated or not at home. Gates refuse such calls on arrival, while they wait and before they forward them. An entry that lags sends refused calls elsewhere and avoids the host, or the data centre after two hosts of it have refused. The platform of the chain's fake can publish newer values.

--- a/src/savorytally/decisions/retry.py
+++ b/src/savorytally/decisions/retry.py
@@ -24,6 +24,8 @@
         results.NOT_CONFIGURED,
         results.STALE_VIEW,
         results.RECORD_FULL,
+        results.DATA_CENTRE_EVACUATED,
+        results.NOT_AT_HOME,
     }
 )
 
--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -140,6 +140,7 @@
         )
         self.gate = gate.Gate(
             environment,
+            options.place,
             self.view,
             admission.policies.get(policies.admission)(
                 admission.Capacity(slots=1, connections=1)
@@ -177,6 +178,7 @@
         self.quota.learn_configuration(version, now)
         self.routing.learn_configuration(version, now)
         self.dispatcher.learn_configuration(version)
+        self.gate.configuration_changed()
         service = version.services.get(self.settings.service_id)
         if service is not None:
             self.gate.policy.learn_capacity(
@@ -221,6 +223,11 @@
             "Concurrency limit of the gate.",
             lambda: policy.limit,
         )
+        add(
+            "data_centres_evacuated",
+            "Evacuated data centres in the current configuration.",
+            lambda: len(self.view.evacuated),
+        )
         add(
             "hosts",
             "Hosts in the current host list.",
--- a/src/savorytally/parts/dispatch.py
+++ b/src/savorytally/parts/dispatch.py
@@ -11,6 +11,7 @@
 from .. import ports
 from .. import results
 from ..decisions import advertised_by_host
+from ..decisions import evacuation_refusals
 from ..decisions import execution_record
 from ..decisions import executor_choice
 from ..decisions import fair_shares
@@ -22,6 +23,7 @@
 from ..peer import messages
 from ..world import configuration
 from ..world import host
+from ..world import region
 from ..world import route
 from . import context
 from . import headers
@@ -54,6 +56,36 @@
     idempotency_key: str = ""
 
 
+@dataclasses.dataclass(slots=True)
+class _Tried:
+    """Where attempts at a job were made or refused.
+
+    :param hosts: the hosts of all attempts.
+    :param evacuated: data centres in which a gate refused it as evacuated.
+    :param foreign: regions in which a gate refused it as not at home.
+    """
+
+    hosts: set[str] = dataclasses.field(default_factory=set)
+    evacuated: set[region.Place] = dataclasses.field(default_factory=set)
+    foreign: set[str] = dataclasses.field(default_factory=set)
+
+    def note_refusal(
+        self, target: host.Host, outcome: outcomes.Outcome
+    ) -> None:
+        """Record where gates refuse the job, from an attempt's outcome."""
+        if outcome.code is results.DATA_CENTRE_EVACUATED:
+            self.evacuated.add(target.place)
+        elif outcome.code is results.NOT_AT_HOME:
+            self.foreign.add(target.place.region_id)
+
+    def refused_at(self, item: host.Host) -> bool:
+        """Return whether a host's gate would refuse the job as well."""
+        return (
+            item.place in self.evacuated
+            or item.place.region_id in self.foreign
+        )
+
+
 class Dispatcher:
     """Runs jobs by calling the gates of other hosts.
 
@@ -71,6 +103,8 @@
         self._response_estimates = moving_estimates.MovingEstimates()
         self._shares = fair_shares.FairShares()
         self._weights: dict[str, float] = {}
+        self._configuration: configuration.Configuration | None = None
+        self._refusals = evacuation_refusals.EvacuationRefusals()
         self._refusal_cache = refusal_cache.RefusalCache()
         self._advertised_by_host = advertised_by_host.HostAdvertisements()
         self._owners = executor_choice.ExecutorChoice()
@@ -80,10 +114,11 @@
     def learn_configuration(
         self, version: configuration.Configuration
     ) -> None:
-        """Apply the retry ratio and weights of a newer configuration.
+        """Apply a newer configuration.
 
         :param version: the newer configuration.
         """
+        self._configuration = version
         self._weights = {
             identifier: item.contract.weight
             for identifier, item in version.organisations.items()
@@ -107,7 +142,7 @@
         :return: the chosen host, or the failure that rejects the request.
         """
         self._record_demand(job.context)
-        choice = self._choose(job, set())
+        choice = self._choose(job, _Tried())
         if isinstance(choice, routing.Chosen):
             return choice
         return _unavailable(choice)
@@ -119,7 +154,7 @@
 
         :param first: the host of the first attempt, ``None`` to choose one.
         """
-        tried: set[str] = set()
+        tried = _Tried()
         outcome: outcomes.Outcome | None = None
         suspect = False
         content_digest = fingerprint(job)
@@ -131,6 +166,8 @@
                 results.QUARANTINED, retry_after_ms=refused_ms
             )
         self._retry_ratio.first_attempt()
+        if first is not None and self._misplaced(job, first.host):
+            first = None
         for attempt in itertools.count():
             choice = first or self._choose(job, tried)
             first = None
@@ -138,8 +175,9 @@
                 return outcome or _unavailable(choice)
             if outcome is not None and not self._spend_retry(job):
                 return outcome
-            tried.add(choice.host.host_id)
+            tried.hosts.add(choice.host.host_id)
             latest = await self._attempt(job, choice.host, attempt, suspect)
+            tried.note_refusal(choice.host, latest)
             self._record_refusal(content_digest, latest)
             outcome = retry.combined_outcome(outcome, latest)
             suspect = _may_have_crashed_upstream(latest)
@@ -156,9 +194,23 @@
                 content_digest, outcome.retry_after_ms, now
             )
 
-    def _choose(self, job: Job, tried: set[str]) -> routing.Choice:
+    def _misplaced(
+        self, job: Job, target: host.Host
+    ) -> results.ResultCode | None:
+        """Return why a job may not be sent to a host's data centre.
+
+        :return: ``None`` if it may.
+        """
+        if self._configuration is None:
+            return None
+        return self._configuration.misplaced(
+            target.place, job.route.route_id, job.context.organisation_id
+        )
+
+    def _choose(self, job: Job, tried: _Tried) -> routing.Choice:
         if not job.route.idempotent and job.idempotency_key:
             return self._choose_owner(job, tried)
+        now = self._clock.now()
         route_id = job.route.route_id
         request_bytes = len(job.request.body)
         query = routing.RoutingRequest(
@@ -170,9 +222,10 @@
                 request_bytes,
                 int(self._response_estimates.size_bytes(route_id)),
             ),
-            tried=frozenset(tried),
+            tried=frozenset(tried.hosts),
+            regions=self._permitted_regions(job),
+            refuses=self._refuses(tried, now),
         )
-        now = self._clock.now()
         leaving = self._advertised_by_host.leaving(now)
         if leaving:
             query = dataclasses.replace(query, tried=query.tried | leaving)
@@ -182,10 +235,28 @@
             return choice
         # Only leaving hosts are left. They serve until they have drained.
         query = dataclasses.replace(
-            query, tried=query.tried - (draining - tried)
+            query, tried=query.tried - (draining - tried.hosts)
         )
         return self._routing.choose(query, now)
 
+    def _permitted_regions(self, job: Job) -> frozenset[str] | None:
+        if self._configuration is None:
+            return None
+        return self._configuration.permitted_regions(
+            job.route.route_id, job.context.organisation_id
+        )
+
+    def _refuses(
+        self, tried: _Tried, now: float
+    ) -> t.Callable[[host.Host], bool] | None:
+        if not self._refusals.active(now):
+            # The usual case: hosts need not be checked one by one.
+            refused = tried.evacuated or tried.foreign
+            return tried.refused_at if refused else None
+        return lambda item: (
+            tried.refused_at(item) or self._refusals.expected(item, now)
+        )
+
     def _admits(self, call_context: context.Context, level: int) -> bool:
         if call_context.depth:
             # The entry has admitted the root request. Shedding one of its
@@ -199,10 +270,12 @@
             shedding.root_number(call_context.root_id),
         )
 
-    def _choose_owner(self, job: Job, tried: set[str]) -> routing.Choice:
+    def _choose_owner(self, job: Job, tried: _Tried) -> routing.Choice:
         """Return the host that owns the record of a non-idempotent request.
 
-        No other host may run the request, so that it runs at most once.
+        No other host may run the request, so that it runs at most once. It
+        is refused if the owner is in an evacuated data centre or not in the
+        request's homes.
         """
         key = execution_record.Key(
             job.context.organisation_id, job.idempotency_key
@@ -212,8 +285,15 @@
             return routing.Unavailable(
                 results.NO_HOST, defaults.RETRY_AFTER_MS
             )
+        misplaced = self._misplaced(job, owner)
+        if misplaced is not None:
+            return routing.Unavailable(
+                misplaced, routing.ABSENT_RETRY_AFTER_MS
+            )
         drained_hosts = self._advertised_by_host.drained(self._clock.now())
-        unavailable = owner.host_id in tried or owner.host_id in drained_hosts
+        unavailable = (
+            owner.host_id in tried.hosts or owner.host_id in drained_hosts
+        )
         if unavailable or owner.host_id not in self._accepting_hosts:
             return routing.Unavailable(
                 results.OWNER_UNSETTLED, defaults.RETRY_AFTER_MS
@@ -281,6 +361,8 @@
         took_s = now - started
         size_bytes = len(job.request.body)
         outcome = result.outcome if result else None
+        if outcome and outcome.code is results.DATA_CENTRE_EVACUATED:
+            self._refusals.note(target, now)
         if isinstance(outcome, outcomes.Answer):
             size_bytes = max(size_bytes, len(outcome.body))
             advertised = headers.advertised(outcome.headers)
--- a/src/savorytally/parts/gate.py
+++ b/src/savorytally/parts/gate.py
@@ -1,10 +1,12 @@
 """The gate: limits the calls that run at the local upstream."""
 
 import asyncio
+import dataclasses
 import itertools
 
 from absl import logging
 
+from .. import defaults
 from .. import logs
 from .. import outcomes
 from .. import ports
@@ -19,6 +21,7 @@
 from ..decisions import retry
 from ..decisions import shedding
 from ..peer import messages
+from ..world import region
 from ..world import route
 from . import call_tokens
 from . import headers
@@ -35,10 +38,23 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _WaitingCall:
+    """A call that waits for admission.
+
+    :param call: the call.
+    :param decision: receives the policy's decision.
+    """
+
+    call: messages.Call
+    decision: asyncio.Future[admission.Decision]
+
+
 class Gate:
     """Runs calls at the local upstream as the admission policy allows.
 
     :param environment: provides the clock and the upstream.
+    :param place: region and data centre of this node.
     :param current_view: provides the configuration in force.
     :param policy: decides which calls run, wait or are rejected.
     :param running_calls: running calls by call token, shared with the
@@ -53,6 +69,7 @@
     def __init__(
         self,
         environment: ports.Environment,
+        place: region.Place,
         current_view: view.View,
         policy: admission.Admission,
         running_calls: call_tokens.RunningCalls,
@@ -62,6 +79,8 @@
     ) -> None:
         self._clock = environment.clock
         self._upstream = environment.upstream
+        self._place = place
+        self._evacuated = False
         self._view = current_view
         self._admission = policy
         self._running_calls = running_calls
@@ -75,7 +94,7 @@
         self._leaving = False
         self._advertised = advertised_state.AdvertisedState()
         self._advertised_by_host = advertised_by_host.HostAdvertisements()
-        self._waiting: dict[int, asyncio.Future[admission.Decision]] = {}
+        self._waiting: dict[int, _WaitingCall] = {}
 
     @property
     def policy(self) -> admission.Admission:
@@ -105,12 +124,33 @@
     def leave(self) -> None:
         """Reject all waiting and all later calls."""
         self._leaving = True
-        now = self._clock.now()
         for ticket in list(self._waiting):
             refused = admission.Refuse(ticket, results.HOST_LEAVING, 0)
-            self._resolve_waiting(
-                [refused, *self._admission.cancel(ticket, now)]
+            self._refuse_waiting(refused)
+
+    def configuration_changed(self) -> None:
+        """Reject the waiting calls that may no longer run here."""
+        version = self._view.configuration
+        evacuated = version is not None and self._place in version.evacuated
+        if evacuated != self._evacuated:
+            self._evacuated = evacuated
+            logging.info(
+                "data centre is %s",
+                "evacuated" if evacuated else "no longer evacuated",
+                extra=logs.fields(waiting=len(self._waiting)),
             )
+        for ticket, waiting in list(self._waiting.items()):
+            code = self._misplaced(waiting.call)
+            if code is not None:
+                self._refuse_waiting(
+                    admission.Refuse(ticket, code, defaults.RETRY_AFTER_MS)
+                )
+
+    def _refuse_waiting(self, refused: admission.Refuse) -> None:
+        if refused.ticket not in self._waiting:
+            return
+        decisions = self._admission.cancel(refused.ticket, self._clock.now())
+        self._resolve_waiting([refused, *decisions])
 
     async def run(self, call: messages.Call) -> outcomes.Outcome:
         """Run a call once it is admitted and return its outcome."""
@@ -180,6 +220,10 @@
         verdict = await self._isolation.await_verdict(call, deadline)
         if isinstance(verdict, outcomes.Failure):
             return verdict
+        # Calls may have waited for the verdict.
+        misplacement = self._misplacement(call)
+        if misplacement is not None:
+            return misplacement
         ticket = next(self._tickets)
         decision = await self._admit(
             call, called_route, ticket, deadline, verdict
@@ -219,7 +263,7 @@
             return self._missing_in_configuration(results.UNKNOWN_ROUTE)
         if not self._key_is_granted(call):
             return self._missing_in_configuration(results.KEY_REJECTED)
-        return called_route
+        return self._misplacement(call) or called_route
 
     def _missing_in_configuration(
         self, code: results.ResultCode
@@ -235,6 +279,31 @@
             results.STALE_VIEW if self._view.lagging else code
         )
 
+    def _misplaced(self, call: messages.Call) -> results.ResultCode | None:
+        """Return why a call may not run in this data centre.
+
+        The sender may have an older configuration, and that of this node may
+        change while the call waits.
+
+        :return: ``None`` if it may run.
+        """
+        version = self._view.configuration
+        if version is None:
+            return None
+        return version.misplaced(
+            self._place, call.route_id, call.organisation_id
+        )
+
+    def _misplacement(self, call: messages.Call) -> outcomes.Failure | None:
+        code = self._misplaced(call)
+        if code is None:
+            return None
+        return outcomes.Failure(
+            code,
+            retry_after_ms=defaults.RETRY_AFTER_MS,
+            retries_unused=call.retries,
+        )
+
     def _key_is_granted(self, call: messages.Call) -> bool:
         if not call.organisation_id:
             return True
@@ -265,7 +334,7 @@
             isolated=verdict is quarantine.RUN_ISOLATED,
         )
         future = asyncio.get_running_loop().create_future()
-        self._waiting[ticket] = future
+        self._waiting[ticket] = _WaitingCall(call, future)
         self._resolve_waiting(
             self._admission.arrive(arrival, self._clock.now())
         )
@@ -293,9 +362,9 @@
 
     def _resolve_waiting(self, decisions: list[admission.Decision]) -> None:
         for decision in decisions:
-            future = self._waiting.pop(decision.ticket, None)
-            if future is not None and not future.done():
-                future.set_result(decision)
+            waiting = self._waiting.pop(decision.ticket, None)
+            if waiting is not None and not waiting.decision.done():
+                waiting.decision.set_result(decision)
 
     async def _execute(
         self,
@@ -308,6 +377,9 @@
             return outcomes.Failure(results.STALE_VIEW)
         if not self._key_is_granted(call):
             return outcomes.Failure(results.KEY_REJECTED)
+        misplacement = self._misplacement(call)
+        if misplacement is not None:
+            return misplacement
         remaining_s = deadline - self._clock.now()
         if remaining_s <= 0:
             return outcomes.Failure(results.DEADLINE_TOO_SHORT)
--- a/src/savorytally/view.py
+++ b/src/savorytally/view.py
@@ -4,6 +4,7 @@
 
 from .world import configuration
 from .world import host
+from .world import region
 
 Configuration = configuration.Configuration
 
@@ -41,6 +42,13 @@
         """The current host list, empty before the first."""
         return self._hosts
 
+    @property
+    def evacuated(self) -> frozenset[region.Place]:
+        """The evacuated data centres, empty before the first version."""
+        if self._configuration is None:
+            return frozenset()
+        return self._configuration.evacuated
+
     @property
     def version(self) -> int:
         """Version of the current configuration, 0 before the first."""
--- a/src/savorytally/world/configuration.py
+++ b/src/savorytally/world/configuration.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing as t
 
+from .. import results
 from . import catalog
 from . import names
 from . import organisation
@@ -109,6 +110,21 @@
             caller.contract.homes if caller else frozenset(),
         )
 
+    def misplaced(
+        self, place: region.Place, route_id: str, organisation_id: str
+    ) -> results.ResultCode | None:
+        """Return why a request may not run in a data centre.
+
+        :return: ``NOT_AT_HOME`` or ``DATA_CENTRE_EVACUATED``, ``None`` if it
+            may run there.
+        """
+        regions = self.permitted_regions(route_id, organisation_id)
+        if regions is not None and place.region_id not in regions:
+            return results.NOT_AT_HOME
+        if place in self.evacuated:
+            return results.DATA_CENTRE_EVACUATED
+        return None
+
     def find_route(self, service: str, name: str) -> route.Route | None:
         """Return the route with these names, ``None`` if there is none.
 
--- a/tests/fakes/chain.py
+++ b/tests/fakes/chain.py
@@ -23,26 +23,35 @@
 from . import documents
 
 HOP_S = 0.0015
+# How often a waiting read looks for a newer value.
+POLL_S = 0.1
 
 
 class StoredPlatform:
-    """A platform with fixed values."""
+    """A platform with values that tests publish."""
 
     def __init__(self, **values: t.Any) -> None:
-        self._values = {
-            name: ports.Value(name, 1, json.dumps(value).encode())
-            for name, value in values.items()
-        }
+        self._values: dict[str, ports.Value] = {}
+        for name, value in values.items():
+            self.publish(name, 1, value)
+
+    def publish(self, name: str, version: int, value: t.Any) -> None:
+        """Replace a value."""
+        body = json.dumps(value).encode()
+        self._values[name] = ports.Value(name, version, body)
 
     async def read(
         self, name: str, after: int, wait_s: float
     ) -> ports.Value | None:
         """Return a newer value, or ``None`` after ``wait_s`` seconds."""
-        value = self._values[name]
-        if value.version > after:
-            return value
-        await asyncio.sleep(wait_s)
-        return None
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_s
+        while self._values[name].version <= after:
+            remaining_s = end - loop.time()
+            if remaining_s <= 0.0:
+                return None
+            await asyncio.sleep(min(remaining_s, POLL_S))
+        return self._values[name]
 
 
 class DelayedPeers:
@@ -201,6 +210,7 @@
         self._policies = policies
         self._clock = clock.VirtualClock()
         self._random = random.Random(seed)
+        self._rate_per_s = rate_per_s
         self._platform = StoredPlatform(
             configuration=configuration(rate_per_s),
             hosts={
@@ -248,6 +258,12 @@
             )
             asyncio.ensure_future(self._request(organisation))
 
+    def publish(self, version: int, **fields: t.Any) -> None:
+        """Publish a version of the configuration with further fields."""
+        value = configuration(self._rate_per_s)
+        value.update(fields, version=version)
+        self._platform.publish("configuration", version, value)
+
     def between(self, start: float, end: float) -> list[SentRequest]:
         """Return the logical requests first sent in a time interval."""
         return [item for item in self.sent if start <= item.at < end]
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -1,18 +1,29 @@
 """Homes of requests and evacuated data centres of the product's interface."""
 
+import asyncio
 import dataclasses
 import json
 import random
 
+from fakes import chain
 from fakes import documents
+from fakes import nodes
+from fakes import virtual_loop
 import pytest
 
+from savorytally import outcomes
 from savorytally import results
+from savorytally import settings
 from savorytally import view
+from savorytally.decisions import admission
 from savorytally.decisions import balanced  # noqa: F401, registers a policy
 from savorytally.decisions import dissemination
 from savorytally.decisions import evacuation_refusals
+from savorytally.decisions import retry
 from savorytally.decisions import routing
+from savorytally.parts import context
+from savorytally.parts import dispatch
+from savorytally.parts import headers
 from savorytally.parts import publications
 from savorytally.world import configuration
 from savorytally.world import document
@@ -26,6 +37,8 @@
 from savorytally.world import sections
 
 KIRTIPUR = region.Place("bagmati", "kirtipur")
+# Time within which an evacuation takes effect on all nodes in touch.
+EVACUATION_BOUND_S = 5.0
 
 
 def entry_of(place):
@@ -305,3 +318,327 @@
         later = 1.2 + evacuation_refusals.AVOID_S
         assert not seen.expected(third, later)
         assert not seen.expected(first, later)
+
+
+OK = outcomes.Answer(200, (), b"ok")
+ADAPTIVE = settings.Policies(admission="adaptive", quota="local")
+
+
+async def answer_ok(request, timeout_s):
+    return OK
+
+
+def get(path="/browse/species", **extra):
+    """Return a request of an organisation, with further headers."""
+    credentials = f"Bearer {documents.key_of('org1')}"
+    pairs = [(name.replace("_", "-"), value) for name, value in extra.items()]
+    return context.Request(
+        "GET", path, "", (("Authorization", credentials), *pairs), b""
+    )
+
+
+def report(key):
+    """Return a request that must run once."""
+    request = get("/sightings/report", Idempotency_Key=key)
+    return dataclasses.replace(request, method="POST")
+
+
+class Fleet(nodes.Fleet):
+    """Nodes of some services in all data centres.
+
+    :param serve: returns the outcomes of all upstreams.
+    :param services: the services; each has ``count`` hosts.
+    :param fields: fields of the document.
+    """
+
+    def __init__(
+        self, serve=answer_ok, services=("browse",), count=4, **fields
+    ):
+        listed = {}
+        for service in services:
+            listed |= hosts_of(service, count).hosts
+        super().__init__(configured(**fields), host.HostList(1, listed))
+        self.nodes = self.peers.nodes
+        self.ran = []
+        for host_id in listed:
+            self.add(host_id, self._record(host_id, serve), policies=ADAPTIVE)
+
+    def publish(self, *host_ids, **fields):
+        """Apply version 2 of the document at some nodes, at all if none."""
+        version = configured(version=2, **fields)
+        for host_id in host_ids or self.nodes:
+            self.nodes[host_id].view.offer_configuration(version, 0.0)
+
+    def regions_ran(self):
+        """Return the regions whose upstreams got requests."""
+        return {self._hosts.hosts[name].place.region_id for name in self.ran}
+
+    def _record(self, host_id, serve):
+        async def recorded(request, timeout_s):
+            self.ran.append(host_id)
+            return await serve(request, timeout_s)
+
+        return recorded
+
+
+async def settle():
+    """Let all tasks run that are ready."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+class TestEntry:
+    @pytest.mark.parametrize("kind", ["route", "organisation"])
+    def test_requests_stay_in_their_homes(self, run, kind):
+        # The entry is in the other region and prefers its own hosts.
+        fleet = Fleet(**{kind: ["gandaki"]})
+        for _ in range(20):
+            outcome = run(fleet.nodes["browse-0"].entry.handle(get()))
+            assert outcome.code is results.ANSWERED
+        assert fleet.regions_ran() == {"gandaki"}
+
+    def test_homes_that_exclude_each_other_refuse_the_request(self, run):
+        fleet = Fleet(route=["gandaki"], organisation=["bagmati"])
+        outcome = run(fleet.nodes["browse-0"].entry.handle(get()))
+        assert outcome.code is results.NOT_AT_HOME
+        assert outcome.retry_after_ms > 0
+        assert fleet.peers.calls == []
+
+    def test_calls_below_are_confined_by_the_organisation(self, run):
+        # Homes change while the parent runs in a region that is left.
+        async def call_child(request, timeout_s):
+            if request.path != "/pull":
+                return OK
+            fleet.publish(organisation=["gandaki"])
+            token = dict(request.headers)[headers.CALL_TOKEN]
+            (parent,) = [
+                node
+                for node in fleet.nodes.values()
+                if node.tokens.find(token)
+            ]
+            child = get(**{headers.CALL_TOKEN: token})
+            return await parent.egress.handle(child)
+
+        fleet = Fleet(call_child, ["checklist", "browse"])
+        entry = fleet.nodes["browse-0"].entry
+        outcome = run(entry.handle(get("/checklist/pull")))
+        assert outcome.code is results.ANSWERED
+        above, below = fleet.ran
+        assert above in ("checklist-0", "checklist-2")
+        assert below in ("browse-1", "browse-3")
+
+    def test_requests_avoid_an_evacuated_data_centre(self, run):
+        # Also those of entries in it, which prefer their own data centre.
+        fleet = Fleet(evacuated=[KIRTIPUR])
+        for _ in range(20):
+            outcome = run(fleet.nodes["browse-0"].entry.handle(get()))
+            assert outcome.code is results.ANSWERED
+        assert "browse-0" not in fleet.ran
+        assert len(fleet.peers.calls) == 20
+
+    def test_request_is_refused_when_all_are_evacuated(self, run):
+        everywhere = [region.Place(*names) for names in documents.PLACES]
+        fleet = Fleet(evacuated=everywhere)
+        outcome = run(fleet.nodes["browse-0"].entry.handle(get()))
+        assert outcome.code is results.DATA_CENTRE_EVACUATED
+        assert outcome.retry_after_ms > 0
+        assert fleet.peers.calls == []
+
+    def test_host_chosen_before_an_evacuation_gets_nothing(self, run):
+        # Requests wait for their rate after their host has been chosen.
+        fleet = Fleet()
+        node = fleet.nodes["browse-0"]
+        job = dispatch.Job(
+            node.view.configuration.routes["species"],
+            "",
+            get(),
+            context.Context(
+                "0000",
+                "org1",
+                documents.digest_of("org1")[: configuration.KEY_ID_LENGTH],
+                route.Priority.BROWSING,
+                fleet.clock.now() + 1.0,
+                retry.RetryBudget(0),
+                0,
+            ),
+        )
+        first = node.dispatcher.choose_first(job)
+        fleet.publish(evacuated=[first.host.place])
+        outcome = run(node.dispatcher.run(job, first))
+        assert outcome.code is results.ANSWERED
+        assert len(fleet.peers.calls) == 1
+        assert fleet.ran != [first.host.host_id]
+
+
+class TestGate:
+    # The entry lags with its own gate, which takes no calls in these tests.
+
+    def test_gate_refuses_for_an_entry_that_has_not_heard(self, run):
+        fleet = Fleet(count=12)
+        rest = [name for name in fleet.nodes if name != "browse-2"]
+        fleet.publish(*rest, evacuated=[region.Place("bagmati", "lalitpur")])
+        fleet.nodes["browse-2"].gate.leave()
+        for _ in range(40):
+            outcome = run(fleet.nodes["browse-2"].entry.handle(get()))
+            assert outcome.code is results.ANSWERED
+        assert not {"browse-6", "browse-10"} & set(fleet.ran)
+
+    def test_call_that_is_not_at_home_is_sent_to_another_region(self, run):
+        fleet = Fleet()
+        rest = [name for name in fleet.nodes if name != "browse-0"]
+        fleet.publish(*rest, organisation=["gandaki"])
+        fleet.nodes["browse-0"].gate.leave()
+        outcome = run(fleet.nodes["browse-0"].entry.handle(get()))
+        assert outcome.code is results.ANSWERED
+        assert fleet.regions_ran() == {"gandaki"}
+
+    @pytest.mark.parametrize(
+        ("fields", "code"),
+        [
+            ({"evacuated": [KIRTIPUR]}, results.DATA_CENTRE_EVACUATED),
+            ({"route": ["gandaki"]}, results.NOT_AT_HOME),
+            ({"organisation": ["gandaki"]}, results.NOT_AT_HOME),
+        ],
+    )
+    def test_waiting_calls_are_refused_and_running_ones_end_well(
+        self, run, fields, code
+    ):
+        async def work():
+            released = asyncio.Event()
+
+            async def hold(request, timeout_s):
+                await released.wait()
+                return OK
+
+            fleet = Fleet(hold, count=1)
+            node = fleet.nodes["browse-0"]
+            node.gate.policy.learn_capacity(admission.Capacity(1, 1))
+            calls = [
+                asyncio.ensure_future(node.entry.handle(get()))
+                for _ in range(4)
+            ]
+            await settle()
+            assert node.gate.policy.waiting > 0
+            fleet.publish(**fields)
+            await settle()
+            refused = [item.result() for item in calls if item.done()]
+            released.set()
+            answered = [
+                item.code
+                for item in await asyncio.gather(*calls)
+                if item not in refused
+            ]
+            return refused, answered, len(fleet.ran)
+
+        refused, answered, ran = run(work())
+        assert [item.code for item in refused] == [code] * 3
+        assert all(item.retry_after_ms > 0 for item in refused)
+        assert answered == [results.ANSWERED]
+        assert ran == 1
+
+    def test_homes_are_checked_again_before_a_call_is_forwarded(self, run):
+        # The configuration changes after a waiting call has been admitted.
+        async def work():
+            released = asyncio.Event()
+
+            async def hold(request, timeout_s):
+                await released.wait()
+                return OK
+
+            fleet = Fleet(hold, count=1)
+            node = fleet.nodes["browse-0"]
+            policy = node.gate.policy
+            policy.learn_capacity(admission.Capacity(1, 1))
+            calls = [
+                asyncio.ensure_future(node.entry.handle(get()))
+                for _ in range(2)
+            ]
+            await settle()
+            finish = policy.finish
+
+            def finish_then_publish(*args):
+                loop = asyncio.get_running_loop()
+                loop.call_soon(lambda: fleet.publish(route=["gandaki"]))
+                return finish(*args)
+
+            policy.finish = finish_then_publish
+            released.set()
+            return await asyncio.gather(*calls), fleet.ran
+
+        (first, second), ran = run(work())
+        assert first.code is results.ANSWERED
+        assert second.code is results.NOT_AT_HOME
+        assert len(ran) == 1
+
+
+class TestUnderLoad:
+    def test_evacuation_reaches_all_nodes_and_ends(self):
+        # Callers send to all nodes and the chain's calls start at them.
+        async def work(deployment):
+            counts = []
+            rates = dict.fromkeys([f"org{number}" for number in range(8)], 12)
+            await deployment.start()
+            upstream = deployment.upstreams["browse-0"]
+            await deployment.load(3.0, rates)
+            counts.append(sum(upstream.executed.values()))
+            deployment.publish(2, evacuated=[entry_of(KIRTIPUR)])
+            await deployment.load(EVACUATION_BOUND_S, rates)
+            counts.append(sum(upstream.executed.values()))
+            await deployment.load(4.0, rates)
+            counts.append(sum(upstream.executed.values()))
+            deployment.publish(3)
+            await deployment.load(EVACUATION_BOUND_S + 3.0, rates)
+            counts.append(sum(upstream.executed.values()))
+            await asyncio.sleep(2.0)
+            await deployment.stop()
+            return counts
+
+        deployment = chain.Chain(settings.Policies(), 40.0)
+        counts = virtual_loop.run(deployment.clock, work(deployment))
+        before, within, evacuated, after = counts
+        assert 0 < before
+        assert evacuated == within
+        assert after > evacuated
+        served = sum(item.served for item in deployment.sent)
+        assert served >= 0.99 * len(deployment.sent)
+
+
+class TestSingleExecution:
+    @pytest.mark.parametrize("lagging", [False, True])
+    @pytest.mark.parametrize(
+        ("fields", "code", "left"),
+        [
+            (
+                {"evacuated": [KIRTIPUR]},
+                results.DATA_CENTRE_EVACUATED,
+                {"sightings-0"},
+            ),
+            (
+                {"organisation": ["gandaki"]},
+                results.NOT_AT_HOME,
+                {"sightings-0", "sightings-2"},
+            ),
+        ],
+    )
+    def test_keys_stay_with_their_owners(
+        self, run, fields, code, left, lagging
+    ):
+        # A second host would not know that the first had run the request.
+        owners = {}
+        before = Fleet(services=["sightings"])
+        for number in range(24):
+            key = f"key{number}"
+            run(before.nodes["sightings-3"].entry.handle(report(key)))
+            owners[key] = before.ran[-1]
+        assert set(owners.values()) == set(before.nodes)
+        fleet = Fleet(services=["sightings"])
+        informed = set(fleet.nodes) - ({"sightings-3"} if lagging else set())
+        fleet.publish(*informed, **fields)
+        for key, owner in owners.items():
+            outcome = run(fleet.nodes["sightings-3"].entry.handle(report(key)))
+            if owner in left:
+                assert outcome.code is code
+            else:
+                assert outcome.code is results.ANSWERED
+                assert fleet.ran[-1] == owner
+        assert not left & set(fleet.ran)
