--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -21,6 +21,7 @@
 from savorytally.decisions import evacuation_refusals
 from savorytally.decisions import retry
 from savorytally.decisions import routing
+from savorytally.http import admin_views
 from savorytally.parts import context
 from savorytally.parts import dispatch
 from savorytally.parts import headers
@@ -163,6 +164,16 @@
         ended = patch.apply_value(begun.value, change)
         assert ended.configuration.evacuated == frozenset()
 
+    def test_administration_api_shows_both(self):
+        # Operators check there what is in force on a node.
+        read = document.read(document_with(["gandaki"], evacuated=[KIRTIPUR]))
+        shown = admin_views.show_configuration(read)
+        assert shown["evacuated"] == [entry_of(KIRTIPUR)]
+        shown = admin_views.show_member(read.routes["pull"])
+        assert shown["regions"] == ["gandaki"]
+        shown = admin_views.show_member(read.organisations["org1"])
+        assert shown["regions"] == []
+
     def test_divided_documents_carry_both_to_the_nodes(self):
         # A field that relays dropped would not reach nodes that do not read
         # the platform.
