--- a/src/savorytally/world/configuration.py
+++ b/src/savorytally/world/configuration.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing as t
 
+from .. import results
+from . import catalog
 from . import names
 from . import organisation
 from . import region
@@ -45,6 +47,7 @@
     :param service_names: resolves names of services.
     :param route_names: resolves names of routes, by service identifier.
     :param keys: organisation identifiers by digest of the API key.
+    :param evacuated: data centres to which no requests are sent.
     """
 
     version: int
@@ -59,6 +62,7 @@
     service_names: names.NameTable
     route_names: t.Mapping[str, names.NameTable]
     keys: t.Mapping[str, str]
+    evacuated: frozenset[region.Place] = frozenset()
     _grants: frozenset[tuple[str, str]] = dataclasses.field(
         init=False, repr=False, compare=False
     )
@@ -88,6 +92,39 @@
             return None
         return self.organisations[organisation_id]
 
+    def permitted_regions(
+        self, route_id: str, organisation_id: str
+    ) -> frozenset[str] | None:
+        """Return the regions in which a request may run.
+
+        :param route_id: the called route; an unknown one has no homes.
+        :param organisation_id: the organisation on whose behalf it is
+            called, empty if none.
+        :return: ``None`` for all regions; empty if the homes of route and
+            organisation exclude each other.
+        """
+        called = self.routes.get(route_id)
+        caller = self.organisations.get(organisation_id)
+        return catalog.permitted_regions(
+            called.homes if called else frozenset(),
+            caller.contract.homes if caller else frozenset(),
+        )
+
+    def misplaced(
+        self, place: region.Place, route_id: str, organisation_id: str
+    ) -> results.ResultCode | None:
+        """Return why a request may not run in a data centre.
+
+        :return: ``NOT_AT_HOME`` or ``DATA_CENTRE_EVACUATED``, ``None`` if it
+            may run there.
+        """
+        regions = self.permitted_regions(route_id, organisation_id)
+        if regions is not None and place.region_id not in regions:
+            return results.NOT_AT_HOME
+        if place in self.evacuated:
+            return results.DATA_CENTRE_EVACUATED
+        return None
+
     def find_route(self, service: str, name: str) -> route.Route | None:
         """Return the route with these names, ``None`` if there is none.
 
