Cross data centres only for lack of local capacity

Cause: an upstream was chosen by expected response time plus fixed penalties for distance, so that the spread of run times and noise sent calls over links that are billed by volume.

Change: spill.py averages the queues that results report by service and data centre. A request stays local while there is room or a wait that its objective bears; beyond that, a growing share goes to the region and then to other regions. Attempts are counted by distance. Deployments with one data centre are placed as before.

--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -52,6 +52,8 @@
         self._gauges: dict[str, t.Callable[[], float]] = {}
         self._sent: collections.Counter[tuple[str, str]]
         self._sent = collections.Counter()
+        self._placed: collections.Counter[tuple[str, str]]
+        self._placed = collections.Counter()
         self._retries_refused: collections.Counter[tuple[str, str]]
         self._retries_refused = collections.Counter()
         self._matched: collections.Counter[str] = collections.Counter()
@@ -63,6 +65,13 @@
         """
         self._sent[service, why] += 1
 
+    def placed(self, service: str, distance: str) -> None:
+        """Count an attempt by how far the chosen upstream of a service is.
+
+        :param distance: as :meth:`.placement.Placement.distance` returns it.
+        """
+        self._placed[service, distance] += 1
+
     def retry_refused(self, service: str, why: str) -> None:
         """Count a retry that the retry budget of a service refused.
 
@@ -163,6 +172,7 @@
         for route, buckets in sorted(self._buckets.items()):
             lines += self._histogram(route, buckets)
         lines += self._by_service("sent_total", self._sent)
+        lines += self._by_service("placed_total", self._placed)
         lines += self._by_service(
             "retries_refused_total", self._retries_refused
         )
--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -282,6 +282,9 @@
         call.instance_id = instance.instance_id
         call.run = None
         self.placement.sent(instance.instance_id, now)
+        self._counts.placed(
+            call.service, self.placement.distance(instance.instance_id)
+        )
         sent = frames.Call(
             number=0,
             instance_id=instance.instance_id,
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -3,8 +3,8 @@
 The upstream with the least expected response time is chosen. The estimate is
 based on the load that gates report and on the outcomes of earlier requests,
 and so covers upstreams that are slow, cold, partially failing or down. Links
-between regions are expensive: another region is used only when the local one
-has no free capacity.
+between data centres and between regions are expensive: they are used as far as
+local capacity lacks (see :mod:`.spill`).
 
 An upstream whose entry in the host list has expired may only have lost its
 connection to the list. If a service has no listed upstream left, requests are
@@ -27,6 +27,7 @@
 from .. import results
 from ..world import catalog
 from . import advertised_state
+from . import spill
 
 # Weight of the latest observation in a moving mean.
 WEIGHT = 0.15
@@ -40,6 +41,9 @@
 OTHER_REGION_PENALTY_MIN_S = 0.08
 # Penalty for a failure rate of 100 %, in multiples of the latency objective.
 FAILURE_RATE_FACTOR = 1.5
+# Run time, as a fraction of the latency objective, that is no reason to use
+# another data centre.
+RUN_BORNE = 0.5
 # Half-life of the failure rate.
 FAILURE_HALF_LIFE_S = 2.0
 # Factor on the run time of an upstream that is still warming up.
@@ -122,6 +126,22 @@
     leaving_at: float | None = None
 
 
+# Upstreams of one service from near to far, with the wait borne before
+# requests go that far.
+_Levels = tuple[tuple[list[_UpstreamState], float], ...]
+
+
+class _Terms(t.NamedTuple):
+    """What :meth:`Placement.choose` is asked for."""
+
+    service: str
+    route: str
+    tried: t.Container[str]
+    objective_s: float
+    now: float
+    only: t.Container[str] | None
+
+
 class Placement:
     """Chooses among the upstreams of all services, for one node.
 
@@ -147,6 +167,10 @@
         self._services: dict[str, list[_UpstreamState]] = {}
         self._unlisted: dict[str, list[_UpstreamState]] = {}
         self._evacuated: frozenset[str] = frozenset()
+        # The upstreams of each service by distance, for services that have
+        # some at several distances.
+        self._levels: dict[str, _Levels] = {}
+        self._spill = spill.Spill()
 
     def learn_evacuated(self, data_centres: frozenset[str]) -> None:
         """Apply which data centres are evacuated."""
@@ -244,9 +268,71 @@
         :param only: the upstreams to choose from, all if ``None``.
         :param regions: the regions to choose from, all if ``None``.
         """
+        terms = _Terms(service, route, tried, objective_s, now, only)
+        levels = self._levels.get(service)
+        best: _UpstreamState | None = None
+        # After a refusal, all upstreams are compared: the estimate that led
+        # there was wrong.
+        if levels is not None and not tried and only is None:
+            best = self._best_by_level(levels, terms, regions)
+        if best is None:
+            found = self._candidates(service, regions)
+            best = self._best(found, terms, True)
+        return best.instance if best is not None else None
+
+    def _best_by_level(
+        self,
+        levels: _Levels,
+        terms: _Terms,
+        regions: frozenset[str] | None,
+    ) -> _UpstreamState | None:
+        """Return the best upstream at the level where there is room.
+
+        Only the upstreams of the levels that come into question are looked
+        at.
+        """
+        best: _UpstreamState | None = None
+        least_s = draw = 0.0
+        for candidates, borne in levels:
+            if best is not None and draw >= spill.crossing_share(
+                least_s, 0.0, terms.objective_s, borne
+            ):
+                break
+            if regions is not None:
+                candidates = [
+                    item for item in candidates if item.region in regions
+                ]
+            found = self._best(candidates, terms, False)
+            if found is None:
+                continue
+            if best is None:
+                best = found
+                least_s = self._delay_s(found, terms, True)
+                draw = self._random.random() if least_s else 1.0
+                continue
+            # What nearer levels have room for does not go further.
+            delay_s = self._delay_s(found, terms, False)
+            if draw < spill.crossing_share(
+                least_s, delay_s, terms.objective_s, borne
+            ):
+                best = found
+            least_s = min(least_s, delay_s)
+        return best
+
+    def _best(
+        self,
+        candidates: t.Iterable[_UpstreamState],
+        terms: _Terms,
+        distant: bool,
+    ) -> _UpstreamState | None:
+        """Return the upstream with the least expected response time, if any.
+
+        :param distant: whether distance counts.
+        """
         best: _UpstreamState | None = None
         best_score = float("inf")
-        for state in self._candidates(service, regions):
+        service, route, tried, objective_s, now, only = terms
+        for state in candidates:
             name = state.instance.instance_id
             if state.leaving_until > now or name in tried:
                 continue
@@ -256,11 +342,44 @@
             if advertisement is not None and self._drained(advertisement, now):
                 continue
             score = self._score(state, route, objective_s, now)
+            if distant and (state.far or state.distance_s):
+                score += self._distance_s(state, objective_s)
             if advertisement is not None:
                 score += self._rate_limit_wait_s(advertisement, now)
             if score < best_score:
                 best, best_score = state, score
-        return best.instance if best is not None else None
+        return best
+
+    def _delay_s(
+        self, state: _UpstreamState, terms: _Terms, nearest: bool
+    ) -> float:
+        """Return what an upstream costs beyond its run time, in seconds.
+
+        That is the wait to expect in its data centre, and penalties if it is
+        not in order itself.
+        """
+        now, instance = terms.now, state.instance
+        limit = state.limit or max(1, instance.slots - 1)
+        fresh = max(0.0, 1.0 - (now - state.reported_at) / REPORT_FADE_S)
+        load = max(state.in_flight, state.load * fresh)
+        queued = spill.queued(load, limit)
+        place = (terms.service, instance.data_centre)
+        if nearest:
+            delay_s = self._spill.borne_wait_s(
+                *place, queued, fresh, terms.objective_s, now
+            )
+        else:
+            delay_s = self._spill.known_wait_s(*place, queued, now)
+        run_s = state.run_s.get(terms.route, 0.0)
+        delay_s += max(0.0, run_s - RUN_BORNE * terms.objective_s)
+        failing = self._failure_rate(state, now)
+        delay_s += FAILURE_RATE_FACTOR * terms.objective_s * failing
+        if state.avoid_until > now:
+            delay_s += AVOIDED_PENALTY_S
+        advertisement = self._advertisements.get(instance.instance_id)
+        if advertisement is not None:
+            delay_s += self._rate_limit_wait_s(advertisement, now)
+        return delay_s
 
     def refusal_code(
         self, service: str, regions: frozenset[str] | None
@@ -287,6 +406,16 @@
             return results.DATA_CENTRE_EVACUATED
         return results.NO_HOST
 
+    def distance(self, instance_id: str) -> str:
+        """Return how far an upstream is, as a label of metrics."""
+        state = self._upstreams.get(instance_id)
+        if state is None:
+            return "unknown"
+        if state.far:
+            return "other_region"
+        near = state.instance.data_centre == self._data_centre
+        return "data_centre" if near else "region"
+
     def sent(self, instance_id: str, now: float) -> None:
         """Record that a request was sent."""
         advertisement = self._advertisements.get(instance_id)
@@ -322,6 +451,14 @@
         if state is None:
             return
         state.load, state.limit, state.reported_at = load, limit, now
+        if state.instance.service in self._levels:
+            self._spill.record(
+                state.instance.service,
+                state.instance.data_centre,
+                spill.queued(load, limit),
+                run_s,
+                now,
+            )
         if run_s is not None:
             mean = state.run_s.get(route, run_s)
             state.run_s[route] = mean + WEIGHT * (run_s - mean)
@@ -358,6 +495,33 @@
             if instance.ready and instance.data_centre not in self._evacuated:
                 table = self._unlisted if state.unlisted_at else self._services
                 table.setdefault(instance.service, []).append(state)
+        self._group_by_level()
+
+    def _group_by_level(self) -> None:
+        """Group the listed upstreams of each service by distance.
+
+        Services whose upstreams are all at the same distance are left out.
+        """
+        self._levels = {}
+        used = set()
+        for service, found in self._services.items():
+            near: list[_UpstreamState] = []
+            region: list[_UpstreamState] = []
+            far: list[_UpstreamState] = []
+            for state in found:
+                level = far if state.far else region
+                if state.instance.data_centre == self._data_centre:
+                    level = near
+                level.append(state)
+            if len(found) in (len(near), len(region), len(far)):
+                continue
+            self._levels[service] = (
+                (near, spill.REGION_BORNE),
+                (region, spill.REGION_BORNE),
+                (far, spill.OTHER_REGION_BORNE),
+            )
+            used |= {(service, item.instance.data_centre) for item in found}
+        self._spill.retain(used)
 
     def _candidates(
         self, service: str, regions: frozenset[str] | None
@@ -449,17 +613,20 @@
         expected_s = (run_s + wait_s + fill_s) * (
             1.0 + SPREAD * self._random.random()
         )
-        if state.far:
-            distance_s = OTHER_REGION_FRACTION * objective_s
-            expected_s += max(OTHER_REGION_PENALTY_MIN_S, distance_s)
-        else:
-            expected_s += state.distance_s
         failing = self._failure_rate(state, now)
         expected_s += FAILURE_RATE_FACTOR * objective_s * failing
         if state.avoid_until > now:
             expected_s += AVOIDED_PENALTY_S
         return expected_s
 
+    @staticmethod
+    def _distance_s(state: _UpstreamState, objective_s: float) -> float:
+        """Return the penalty for the distance of an upstream, in seconds."""
+        if not state.far:
+            return state.distance_s
+        distance_s = OTHER_REGION_FRACTION * objective_s
+        return max(OTHER_REGION_PENALTY_MIN_S, distance_s)
+
     def _mean_run_s(self, service: str, route: str) -> float:
         seen = [
             state.run_s[route]
