Merge placement by lack of local capacity

Placement.candidates marks the upstream that the choice by distance prefers, so that the command where agrees with it.

--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -3,8 +3,8 @@
 The upstream with the least expected response time is chosen. The estimate is
 based on the load that gates report and on the outcomes of earlier requests,
 and so covers upstreams that are slow, cold, partially failing or down. Links
-between regions are expensive: another region is used only when the local one
-has no free capacity.
+between data centres and between regions are expensive: they are used as far as
+local capacity lacks (see :mod:`.spill`).
 
 An upstream whose entry in the host list has expired may only have lost its
 connection to the list. If a service has no listed upstream left, requests are
@@ -29,6 +29,7 @@
 from . import advertised_state
 from . import failure_excess
 from . import placement_report
+from . import spill
 
 # Weight of the latest observation in a moving mean.
 WEIGHT = 0.15
@@ -46,6 +47,9 @@
 # Failure rate below which upstreams are not compared, to save time for each
 # choice: the penalty would be within the random spread.
 FAILURE_RATE_MIN = 0.02
+# Run time, as a fraction of the latency objective, that is no reason to use
+# another data centre.
+RUN_BORNE = 0.5
 # Half-life of the failure rate.
 FAILURE_HALF_LIFE_S = 2.0
 # Assumed concurrency limit of a cold upstream before its gate has reported
@@ -68,6 +72,8 @@
 # Relative random spread of the expected times, so that equal upstreams share
 # the load.
 SPREAD = 0.15
+# Mean of the random draws, for reports.
+MEAN_DRAW = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -133,6 +139,25 @@
     leaving_at: float | None = None
 
 
+# Upstreams of one service from near to far, with the wait borne before
+# requests go that far.
+_Levels = tuple[tuple[list[_UpstreamState], float], ...]
+
+
+class _Terms(t.NamedTuple):
+    """What :meth:`Placement.choose` is asked for."""
+
+    service: str
+    route: str
+    tried: t.Container[str]
+    objective_s: float
+    now: float
+    only: t.Container[str] | None
+    regions: frozenset[str] | None
+    # Draws a random number from 0 to 1.
+    draw: t.Callable[[], float]
+
+
 class Placement:
     """Chooses among the upstreams of all services, for one node.
 
@@ -160,6 +185,10 @@
         self._evacuated: frozenset[str] = frozenset()
         # Outcomes of each service by region.
         self._outcomes: dict[str, dict[str, failure_excess.Outcomes]] = {}
+        # The upstreams of each service by distance, for services that have
+        # some at several distances.
+        self._levels: dict[str, _Levels] = {}
+        self._spill = spill.Spill()
 
     def learn_evacuated(self, data_centres: frozenset[str]) -> None:
         """Apply which data centres are evacuated."""
@@ -257,9 +286,84 @@
         :param only: the upstreams to choose from, all if ``None``.
         :param regions: the regions to choose from, all if ``None``.
         """
+        best = self._choose(
+            _Terms(
+                service,
+                route,
+                tried,
+                objective_s,
+                now,
+                only,
+                regions,
+                self._random.random,
+            )
+        )
+        return best.instance if best is not None else None
+
+    def _choose(self, terms: _Terms) -> _UpstreamState | None:
+        levels = self._levels.get(terms.service)
+        best: _UpstreamState | None = None
+        # After a refusal, all upstreams are compared: the estimate that led
+        # there was wrong.
+        if levels is not None and not terms.tried and terms.only is None:
+            best = self._best_by_level(levels, terms)
+        if best is None:
+            found = self._candidates(terms.service, terms.regions)
+            best = self._best(found, terms, True)
+        return best
+
+    def _best_by_level(
+        self,
+        levels: _Levels,
+        terms: _Terms,
+    ) -> _UpstreamState | None:
+        """Return the best upstream at the level where there is room.
+
+        Only the upstreams of the levels that come into question are looked
+        at.
+        """
+        best: _UpstreamState | None = None
+        least_s = draw = 0.0
+        for candidates, borne in levels:
+            if best is not None and draw >= spill.crossing_share(
+                least_s, 0.0, terms.objective_s, borne
+            ):
+                break
+            if terms.regions is not None:
+                candidates = [
+                    item for item in candidates if item.region in terms.regions
+                ]
+            found = self._best(candidates, terms, False)
+            if found is None:
+                continue
+            if best is None:
+                best = found
+                least_s = self._delay_s(found, terms, True)
+                draw = terms.draw() if least_s else 1.0
+                continue
+            # What nearer levels have room for does not go further.
+            delay_s = self._delay_s(found, terms, False)
+            if draw < spill.crossing_share(
+                least_s, delay_s, terms.objective_s, borne
+            ):
+                best = found
+            least_s = min(least_s, delay_s)
+        return best
+
+    def _best(
+        self,
+        candidates: t.Iterable[_UpstreamState],
+        terms: _Terms,
+        distant: bool,
+    ) -> _UpstreamState | None:
+        """Return the upstream with the least expected response time, if any.
+
+        :param distant: whether distance counts.
+        """
         best: _UpstreamState | None = None
         best_score = float("inf")
-        for state in self._candidates(service, regions):
+        _, route, tried, objective_s, now, only, _, draw = terms
+        for state in candidates:
             name = state.instance.instance_id
             if state.leaving_until > now or name in tried:
                 continue
@@ -268,13 +372,45 @@
             advertisement = self._advertisements.get(name)
             if advertisement is not None and self._drained(advertisement, now):
                 continue
-            draw = self._random.random()
-            score = self._score(state, route, objective_s, now, draw)
+            score = self._score(state, route, objective_s, now, draw())
+            if distant and (state.far or state.distance_s):
+                score += self._distance_s(state, objective_s)
             if advertisement is not None:
                 score += self._rate_limit_wait_s(advertisement, now)
             if score < best_score:
                 best, best_score = state, score
-        return best.instance if best is not None else None
+        return best
+
+    def _delay_s(
+        self, state: _UpstreamState, terms: _Terms, nearest: bool
+    ) -> float:
+        """Return what an upstream costs beyond its run time, in seconds.
+
+        That is the wait to expect in its data centre, and penalties if it is
+        not in order itself.
+        """
+        now, instance = terms.now, state.instance
+        limit = state.limit or self._assumed_limit(state, now)
+        fresh = max(0.0, 1.0 - (now - state.reported_at) / REPORT_FADE_S)
+        load = max(state.in_flight, state.load * fresh)
+        queued = spill.queued(load, limit)
+        place = (terms.service, instance.data_centre)
+        if nearest:
+            delay_s = self._spill.borne_wait_s(
+                *place, queued, fresh, terms.objective_s, now
+            )
+        else:
+            delay_s = self._spill.known_wait_s(*place, queued, now)
+        run_s = state.run_s.get(terms.route, 0.0)
+        delay_s += max(0.0, run_s - RUN_BORNE * terms.objective_s)
+        excess = self._failure_excess(state, now)
+        delay_s += FAILURE_RATE_FACTOR * terms.objective_s * excess
+        if state.avoid_until > now:
+            delay_s += AVOIDED_PENALTY_S
+        advertisement = self._advertisements.get(instance.instance_id)
+        if advertisement is not None:
+            delay_s += self._rate_limit_wait_s(advertisement, now)
+        return delay_s
 
     def refusal_code(
         self, service: str, regions: frozenset[str] | None
@@ -320,11 +456,25 @@
             state.instance.instance_id
             for state in self._candidates(service, regions)
         }
+        preferred = self._choose(
+            _Terms(
+                service,
+                route,
+                (),
+                objective_s,
+                now,
+                None,
+                regions,
+                lambda: MEAN_DRAW,
+            )
+        )
         return [
             self._describe(
                 state,
-                self._score(state, route, objective_s, now, 0.5),
+                self._score(state, route, objective_s, now, MEAN_DRAW)
+                + self._distance_s(state, objective_s),
                 name in offered,
+                state is preferred,
                 now,
             )
             for name, state in self._upstreams.items()
@@ -345,23 +495,33 @@
         if state is None:
             return None
 
-        def without(draw: float = 0.5, **changes: t.Any) -> float:
+        def without(draw: float = MEAN_DRAW, **changes: t.Any) -> float:
             changed = dataclasses.replace(state, **changes)
             return self._score(changed, route, objective_s, now, draw)
 
         whole_s = without()
         wait_s = whole_s - without(in_flight=0, load=0)
-        distance_s = whole_s - without(far=False, distance_s=0.0)
+        distance_s = self._distance_s(state, objective_s)
         failure_s = whole_s - without(failure_rate=0.0)
         avoided_s = whole_s - without(avoid_until=0.0)
         return placement_report.Parts(
-            run_s=whole_s - wait_s - distance_s - failure_s - avoided_s,
+            run_s=whole_s - wait_s - failure_s - avoided_s,
             wait_s=wait_s,
             distance_s=distance_s,
             failure_s=failure_s,
             spread_s=without(draw=1.0) - without(draw=0.0),
         )
 
+    def distance(self, instance_id: str) -> str:
+        """Return how far an upstream is, as a label of metrics."""
+        state = self._upstreams.get(instance_id)
+        if state is None:
+            return "unknown"
+        if state.far:
+            return "other_region"
+        near = state.instance.data_centre == self._data_centre
+        return "data_centre" if near else "region"
+
     def sent(self, instance_id: str, now: float) -> None:
         """Record that a request was sent."""
         advertisement = self._advertisements.get(instance_id)
@@ -397,6 +557,14 @@
         if state is None:
             return
         state.load, state.limit, state.reported_at = load, limit, now
+        if state.instance.service in self._levels:
+            self._spill.record(
+                state.instance.service,
+                state.instance.data_centre,
+                spill.queued(load, limit),
+                run_s,
+                now,
+            )
         if run_s is not None:
             mean = state.run_s.get(route, run_s)
             state.run_s[route] = mean + WEIGHT * (run_s - mean)
@@ -439,6 +607,33 @@
             if instance.ready and instance.data_centre not in self._evacuated:
                 table = self._unlisted if state.unlisted_at else self._services
                 table.setdefault(instance.service, []).append(state)
+        self._group_by_level()
+
+    def _group_by_level(self) -> None:
+        """Group the listed upstreams of each service by distance.
+
+        Services whose upstreams are all at the same distance are left out.
+        """
+        self._levels = {}
+        used = set()
+        for service, found in self._services.items():
+            near: list[_UpstreamState] = []
+            region: list[_UpstreamState] = []
+            far: list[_UpstreamState] = []
+            for state in found:
+                level = far if state.far else region
+                if state.instance.data_centre == self._data_centre:
+                    level = near
+                level.append(state)
+            if len(found) in (len(near), len(region), len(far)):
+                continue
+            self._levels[service] = (
+                (near, spill.REGION_BORNE),
+                (region, spill.REGION_BORNE),
+                (far, spill.OTHER_REGION_BORNE),
+            )
+            used |= {(service, item.instance.data_centre) for item in found}
+        self._spill.retain(used)
 
     def _candidates(
         self, service: str, regions: frozenset[str] | None
@@ -483,6 +678,7 @@
         state: _UpstreamState,
         expected_s: float,
         offered: bool,
+        preferred: bool,
         now: float,
     ) -> placement_report.Candidate:
         """Return what is known of an upstream."""
@@ -502,6 +698,7 @@
             ready=instance.ready,
             evacuated=instance.data_centre in self._evacuated,
             offered=offered,
+            preferred=preferred,
             leaving=state.leaving_until > now,
             draining=draining,
             drained=drained,
@@ -571,11 +768,6 @@
         # Prefers the less loaded host among those without a queue.
         fill_s = 0.3 * run_s * min(1.0, load / limit)
         expected_s = (run_s + wait_s + fill_s) * (1.0 + SPREAD * draw)
-        if state.far:
-            distance_s = OTHER_REGION_FRACTION * objective_s
-            expected_s += max(OTHER_REGION_PENALTY_MIN_S, distance_s)
-        else:
-            expected_s += state.distance_s
         excess = self._failure_excess(state, now)
         expected_s += FAILURE_RATE_FACTOR * objective_s * excess
         if state.avoid_until > now:
@@ -590,6 +782,14 @@
             return COLD_LIMIT_UNKNOWN
         return max(1, state.instance.slots - 1)
 
+    @staticmethod
+    def _distance_s(state: _UpstreamState, objective_s: float) -> float:
+        """Return the penalty for the distance of an upstream, in seconds."""
+        if not state.far:
+            return state.distance_s
+        distance_s = OTHER_REGION_FRACTION * objective_s
+        return max(OTHER_REGION_PENALTY_MIN_S, distance_s)
+
     def _mean_run_s(self, service: str, route: str) -> float:
         seen = [
             state.run_s[route]
--- a/src/savorytally/decisions/placement_report.py
+++ b/src/savorytally/decisions/placement_report.py
@@ -22,6 +22,8 @@
     AVOIDED = "avoided"
     RATE_LIMIT = "rate_limit"
     SLOWER = "slower"
+    # Nearer upstreams have capacity.
+    FURTHER = "further"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +37,7 @@
     :param ready: whether its entry in the list says that it accepts requests.
     :param evacuated: whether its data centre is evacuated.
     :param offered: whether it may get requests, also with all others busy.
+    :param preferred: whether it is the one that the node would choose.
     :param leaving: whether its host has announced that it leaves.
     :param draining: whether the upstream advertises that it leaves.
     :param drained: whether its drain time has passed.
@@ -57,6 +60,7 @@
     ready: bool
     evacuated: bool
     offered: bool
+    preferred: bool
     leaving: bool
     draining: bool
     drained: bool
@@ -112,13 +116,18 @@
         ``None``.
     """
     ordered = sorted(
-        candidates, key=lambda item: (item.excluded, item.expected_s)
+        candidates,
+        key=lambda item: (not item.preferred, item.excluded, item.expected_s),
     )
     verdicts = []
-    for index, item in enumerate(ordered):
+    for item in ordered:
         reason = _passed_over(item, regions)
-        if index == 0 and not item.excluded:
+        if item.preferred:
             reason = Reason.CHOSEN
+        elif (
+            reason is Reason.SLOWER and item.expected_s < ordered[0].expected_s
+        ):
+            reason = Reason.FURTHER
         verdicts.append(Verdict(item, reason))
     return verdicts
 
