Ramp up the limit of upstreams that start or return

Cause: an upstream that had started or was down got its full share at once, or, after refused connections, hardly any for more than 6 s, since its failure rate in placement decays slowly.

Change: decisions/start_pace.py limits the concurrent requests after a new instance and after an outage. The limit starts at one and follows the run times, lateness and rejections of responses. A gate that starts beside a warm upstream has no ramp-up. A refused connection no longer counts as a failure in placement; the upstream is avoided for 0.6 s as before.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -54,6 +54,12 @@
         results.NOT_AT_HOME,
     )
 )
+# Results that do not count as failures of the upstream. One that is down is
+# avoided for a moment instead: its failure rate would keep requests away for
+# many seconds after its return.
+_NO_FAILURE_CODES = frozenset(
+    (results.SHED_AT_GATE, results.RETRIES_SPENT, results.NOT_DISPATCHED)
+)
 _Reason = not_run_reasons.NotRunReason
 
 
@@ -462,7 +468,7 @@
             placed.record_load(
                 name, route, run_s, result.load, result.limit, now
             )
-        if code is results.SHED_AT_GATE or code is results.RETRIES_SPENT:
+        if code in _NO_FAILURE_CODES:
             return
         succeeded = result.answered and result.status < _SERVER_ERROR
         placed.record_outcome(name, succeeded, now)
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -10,6 +10,7 @@
 from ..decisions import gate_queue
 from ..decisions import parent_matching
 from ..decisions import retry_budget
+from ..decisions import start_pace
 from ..decisions import subtree_budget
 from ..world import catalog
 from . import advertisements
@@ -33,6 +34,7 @@
 REPLACED_TTL_S = 1.0
 # Shortest delay until the queue is checked for the next paced start.
 PACE_CHECK_MIN_S = 0.001
+_SERVER_ERROR = 500
 
 _Reason = not_run_reasons.NotRunReason
 
@@ -156,6 +158,10 @@
         )
         connections.on_lost_idle = self._idle_connection_lost
         self._cold_reason = cold_rate.Reason.NONE
+        self._pace_reason = start_pace.Reason.NONE
+        # Start time of the instance in the host list, by identifier; it is
+        # empty before the first host list.
+        self._started_ms: dict[str, int] = {}
         # Timer of the next start that the rate limit allows.
         self._start_timer: asyncio.TimerHandle | None = None
         self.leaving = False
@@ -254,9 +260,46 @@
         name = instance.instance_id
         self.advertisements.learn_start_time(name, instance.started_ms)
         self.advertisements.learn_state(name, instance.ready, now)
+        self._learn_start(instance, now)
         self._cold.learn_entry(instance, now)
         self._cold_changed(now)
 
+    def learn_no_entry(self) -> None:
+        """Note that the host list has no entry of the upstream.
+
+        One that is listed later has then just started.
+        """
+        if not self._started_ms:
+            self._started_ms = {"": 0}
+
+    def _learn_start(self, instance: catalog.Instance, now: float) -> None:
+        """Start a ramp-up if the entry is that of a new instance.
+
+        The upstream of a gate that has just started may have been serving for
+        long; it has if its first entry shows that it is not cold.
+        """
+        name, started_ms = instance.instance_id, instance.started_ms
+        known_ms = self._started_ms.get(name)
+        if known_ms is None:
+            begins = bool(self._started_ms) or instance.cold_s > 0.0
+        else:
+            begins = 0 < known_ms < started_ms
+        if known_ms is None or begins:
+            self._started_ms = {name: started_ms}
+        if begins:
+            self._queue.pace.begin(now)
+            self._log_pace()
+
+    def _log_pace(self) -> None:
+        """Log when a ramp-up begins, is held or rises again, and ends."""
+        reason = self._queue.pace.reason
+        if reason is self._pace_reason:
+            return
+        self._pace_reason = reason
+        self._log.event(
+            "ramp_up", reason=reason.value, limit=self._queue.limit
+        )
+
     @property
     def _cold(self) -> cold_rate.ColdRate:
         return self._queue.cold
@@ -274,10 +317,14 @@
 
     def _health_silent(self) -> None:
         now = self._loop.time()
-        self._cold.failed(now)
+        self._upstream_down(now)
         self._cold.probed(now)
         self._cold_changed(now)
 
+    def _upstream_down(self, now: float) -> None:
+        self._cold.failed(now)
+        self._queue.pace.failed()
+
     def _idle_connection_lost(self) -> None:
         """Check whether the upstream has restarted.
 
@@ -395,6 +442,7 @@
             self._finish(job.context, results.SHED_AT_GATE, self._shed_reason)
         self.advertisements.tick(now)
         self._cold_changed(now)
+        self._log_pace()
 
     def refuse_new(self) -> None:
         """Refuse new calls from now on."""
@@ -423,7 +471,7 @@
             return
         now = self._loop.time()
         if connection is None:
-            self._cold.failed(now)
+            self._upstream_down(now)
             self._end(run, results.NOT_DISPATCHED, _Reason.NO_CONNECTION)
             self._cold_changed(now)
             return
@@ -493,7 +541,8 @@
             self._watch.broken(run.crash_ticket)
             now = self._loop.time()
             if not self._pool.has_open:
-                self._cold.failed(now)
+                self._upstream_down(now)
+            self._queue.pace.rejected(self._queue.running, now)
             self._end(run, results.UPSTREAM_BROKEN)
             self._cold_changed(now)
             return
@@ -505,6 +554,12 @@
         run.connection_uses = connection.uses
         if verdict.code is results.INSTANCE_GONE:
             self._note_replaced(run.call.instance_id)
+        failed = verdict.code is not results.INSTANCE_GONE and (
+            verdict.code is not results.ANSWERED
+            or result.status >= _SERVER_ERROR
+        )
+        if failed:
+            self._queue.pace.rejected(self._queue.running, self._loop.time())
         if verdict.code is not results.ANSWERED:
             self._end(run, verdict.code, verdict.reason)
             return
@@ -518,7 +573,9 @@
         instance_id = run.call.instance_id
         if self._protocol.interpret(response).code is results.INSTANCE_GONE:
             instance_id = self._protocol.responding_instance(response)
-        self._cold.responded(instance_id, self._loop.time())
+        now = self._loop.time()
+        self._cold.responded(instance_id, now)
+        self._queue.pace.responded(now)
         self.advertisements.apply_headers(
             instance_id, response.headers, run.started
         )
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -14,6 +14,7 @@
 from ..decisions import memory_budget
 from ..decisions import retry_budget
 from ..decisions import retry_slack
+from ..decisions import start_pace
 from ..decisions import startup_check
 from ..world import catalog
 from ..world import store_position
@@ -491,10 +492,14 @@
         self._apply_evacuations(now)
         own = self._options.upstream
         hosts: dict[str, list[str]] = {}
+        listed_here = False
         for name, instance in instances.items():
             hosts.setdefault(instance.address, []).append(name)
             if (instance.address, instance.port) == (own.host, own.port):
+                listed_here = True
                 self.gate.learn_entry(instance, now)
+        if not listed_here:
+            self.gate.learn_no_entry()
         self._at_address = hosts
         self._near, self._far = [], []
         for address in hosts:
@@ -612,6 +617,9 @@
             "gate_waiting": self.gate.queue.waiting,
         }
 
+    def _ramps(self, reason: start_pace.Reason) -> int:
+        return int(self.gate.queue.pace.reason is reason)
+
     def _cold_s(self) -> float:
         return self.gate.queue.cold.cold_s(self._loop.time())
 
@@ -621,6 +629,13 @@
         add("gate_running", lambda: self.gate.queue.running)
         add("gate_waiting", lambda: self.gate.queue.waiting)
         add("gate_limit", lambda: self.gate.queue.limit)
+        add("ramp_up_limit", lambda: self.gate.queue.limit)
+        for reason in start_pace.Reason:
+            if reason is not start_pace.Reason.NONE:
+                add(
+                    f"ramp_up_{reason.value}",
+                    functools.partial(self._ramps, reason),
+                )
         add("upstream_cold_s", self._cold_s)
         add(
             "cold_bound",
--- a/src/savorytally/decisions/gate_queue.py
+++ b/src/savorytally/decisions/gate_queue.py
@@ -17,6 +17,7 @@
 
 from . import cold_rate
 from . import pacing
+from . import start_pace
 
 # Fraction of the slots that is left free: upstreams slow down when nearly
 # full, and health probes and new connections briefly occupy slots.
@@ -96,6 +97,7 @@
     def __init__(self, cold: cold_rate.ColdRate | None = None) -> None:
         self._cold = cold or cold_rate.ColdRate(1.0, 0.0, 0.0)
         self._limit = LIMIT_UNKNOWN
+        self._pace = start_pace.StartPace()
         self._pacer = pacing.Pacer()
         self._heap: list[tuple[int, bool, int, Job]] = []
         self._waiting: dict[tuple[int, bool], int] = {}
@@ -117,7 +119,12 @@
     @property
     def limit(self) -> int:
         """Maximum number of concurrent requests at the upstream."""
-        return self._limit
+        return self._pace.ceiling(self._limit)
+
+    @property
+    def pace(self) -> start_pace.StartPace:
+        """The ramp-up after a start or an outage."""
+        return self._pace
 
     def learn_slots(self, slots: int) -> None:
         """Apply the number of requests that the upstream runs at once."""
@@ -148,7 +155,7 @@
             bound of a cold upstream is the only reason why a request waits.
         """
         limited = self.rate_limited or self._cold.active
-        if not limited or not self.waiting or self._running >= self._limit:
+        if not limited or not self.waiting or self._running >= self.limit:
             return None
         return max(self._pacer.wait_s(0, now), self._cold.wait_s(0, now))
 
@@ -163,8 +170,8 @@
         :param child: whether a request in progress waits for it.
         """
         ahead = self._ahead(rank, child)
-        excess = ahead + self._running + 1 - self._limit
-        slot_wait_s = max(0, excess) * self._run_s / self._limit
+        excess = ahead + self._running + 1 - self.limit
+        slot_wait_s = max(0, excess) * self._run_s / self.limit
         return max(slot_wait_s, self._pacer.wait_s(ahead, now))
 
     def cold_wait_s(self, rank: int, child: bool, now: float) -> float:
@@ -186,9 +193,9 @@
         """
         load = self._running + self.waiting
         if not self._cold.certain(now):
-            return load, self._limit
+            return load, self.limit
         run_s = max(self._run_s, 0.001)
-        limit = min(self._limit, max(1, int(self._cold.per_s * run_s)))
+        limit = min(self.limit, max(1, int(self._cold.per_s * run_s)))
         wait_s = self.cold_wait_s(LAST_RANK, False, now)
         if wait_s > 0.0:
             load = max(load, limit + math.ceil(wait_s * limit / run_s))
@@ -223,6 +230,15 @@
             representative.
         :param sent: whether the request was sent to the upstream.
         """
+        if ran_s is not None:
+            self._pace.answered(
+                job.route,
+                ran_s,
+                job.objective_s,
+                self._running,
+                self._limit,
+                now,
+            )
         self._running -= 1
         if not sent:
             self._pacer.refund()
@@ -299,7 +315,7 @@
 
     def _take(self, job: Job, now: float) -> bool:
         """Occupy a slot for a request; return whether there is one."""
-        if self._running >= self._limit:
+        if self._running >= self.limit:
             return False
         limited = self._cold.limited(now)
         if limited and not self._cold.try_reserve(now):
