--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -9,6 +9,7 @@
 from ..decisions import cold_rate
 from ..decisions import gate_queue
 from ..decisions import parent_matching
+from ..decisions import reported_load
 from ..decisions import retry_budget
 from ..decisions import start_pace
 from ..decisions import subtree_budget
@@ -162,6 +163,10 @@
         # Start time of the instance in the host list, by identifier; it is
         # empty before the first host list.
         self._started_ms: dict[str, int] = {}
+        # The load that the upstream reports.
+        self.reported = reported_load.ReportedLoad()
+        # Number of requests that were sent to the upstream and have not ended.
+        self._sent = 0
         # Timer of the next start that the rate limit allows.
         self._start_timer: asyncio.TimerHandle | None = None
         self.leaving = False
@@ -311,6 +316,7 @@
         self.advertisements.apply_headers(instance_id, headers, sent_at)
         now = self._loop.time()
         cold_s = self._protocol.cold_s(headers)
+        self._apply_load(headers, now, False)
         self._cold.learn_health(instance_id, cold_s, sent_at, now)
         self._cold.probed(now)
         self._cold_changed(now)
@@ -443,6 +449,8 @@
         self.advertisements.tick(now)
         self._cold_changed(now)
         self._log_pace()
+        if self._queue.learn_reported(self.reported.ceiling(now)):
+            self._advance(self._queue.advance(now), now)
 
     def refuse_new(self) -> None:
         """Refuse new calls from now on."""
@@ -512,6 +520,7 @@
         run.parent.reserved = reserved
         run.connection = connection
         self._counts.forwarded()
+        self._sent += 1
         run.crash_ticket = self._watch.started(run.call)
         run.timer = self._loop.call_at(run.deadline, self._expired, run)
         connection.request(
@@ -548,6 +557,8 @@
             return
         self._apply_advertised(run, result)
         verdict = self._protocol.interpret(result)
+        rejected = verdict.code is results.UPSTREAM_SHED
+        self._apply_load(result.headers, connection.head_at, rejected)
         connection.ambiguous = connection.ambiguous or verdict.ambiguous
         self._pool.release(connection)
         run.echoes_id = verdict.echoes_id
@@ -580,6 +591,20 @@
             instance_id, response.headers, run.started
         )
 
+    def _apply_load(
+        self, headers: callers.Headers, received_at: float, rejected: bool
+    ) -> None:
+        """Apply the load that a response reports.
+
+        :param received_at: loop time when its head was received.
+        :param rejected: whether the upstream has rejected the request.
+        """
+        report = self._protocol.reported_load(headers)
+        now = self._loop.time()
+        if report is not None:
+            self.reported.apply(report, received_at, self._sent, rejected, now)
+        self._queue.learn_reported(self.reported.ceiling(now))
+
     def _apply_partial_head(
         self, run: Run, connection: exchanges.Connection
     ) -> None:
@@ -686,6 +711,8 @@
         if run.timer is not None:
             run.timer.cancel()
         self._watch.ended(run.crash_ticket)
+        if run.started:
+            self._sent -= 1
         now = self._loop.time()
         whole = ran_s is not None
         parent = run.parent
@@ -754,6 +781,9 @@
         limit_per_s, share_per_s, leaving = self.advertisements.report(
             call, now
         )
+        slowdown = None
+        if call.flags & frames.Flag.OPTIONAL_FIELDS:
+            slowdown = self.reported.slowdown(now)
         run.on_result(
             frames.Result(
                 number=call.number,
@@ -772,5 +802,6 @@
                 limit_per_s=limit_per_s,
                 share_per_s=share_per_s,
                 leaving=leaving,
+                slowdown=slowdown,
             )
         )
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -638,6 +638,23 @@
     def _cold_s(self) -> float:
         return self.gate.queue.cold.cold_s(self._loop.time())
 
+    def _add_reported_gauges(self) -> None:
+        """Add the figures of the upstream's load reports, -1 without one."""
+        add, reported = self.counts.add_gauge, self.gate.reported
+        now = self._loop.time
+
+        def read(name: str) -> t.Callable[[], float]:
+            return lambda: getattr(reported.report(now()), name, -1)
+
+        add("upstream_reported_running", read("running"))
+        add("upstream_reported_waiting", read("waiting"))
+        add("upstream_reported_slots", read("slots"))
+        add(
+            "upstream_slowdown_percent",
+            lambda: reported.slowdown(now()) or -1,
+        )
+        add("upstream_reports_trusted", lambda: int(reported.trusted))
+
     def _add_gauges(self) -> None:
         add = self.counts.add_gauge
         add("configuration_version", lambda: self.version)
@@ -656,6 +673,7 @@
             "cold_bound",
             lambda: int(self.gate.queue.cold.limited(self._loop.time())),
         )
+        self._add_reported_gauges()
         add(
             "upstream_limit_per_s",
             lambda: self.gate.advertisements.limit_per_s,
--- a/src/savorytally/dataplane/upstream_protocol.py
+++ b/src/savorytally/dataplane/upstream_protocol.py
@@ -5,6 +5,7 @@
 
 from .. import results
 from ..decisions import advertised_state
+from ..decisions import reported_load
 from . import callers
 from . import exchanges
 from . import frames
@@ -141,6 +142,20 @@
             return None
         return int(value) / 1000
 
+    def reported_load(
+        self, headers: callers.Headers
+    ) -> reported_load.Report | None:
+        """Return the load that a response reports, ``None`` without one.
+
+        Upstreams that state no slowdown do not share their machines. Their
+        slots are those of the host list, and all their requests pass the gate.
+        """
+        name = self._names.load
+        report = reported_load.parse([v for k, v in headers if k == name])
+        if report is None or report.slowdown is None:
+            return None
+        return report
+
     def caller_headers(self, reply: exchanges.Response) -> callers.Headers:
         """Return the headers that are passed on to the caller."""
         return [
