Judge a ramp-up by means instead of single responses

Cause: single responses decided. Requests of one route differ in length, so that most were over 1.5 times the shortest one and held the limit, and long ones counted as late.

Change: moving means of the ratio to the unloaded run time and of the late part decide; a test replays such requests and fails on the parent commit.

--- a/src/savorytally/decisions/start_pace.py
+++ b/src/savorytally/decisions/start_pace.py
@@ -1,17 +1,30 @@
 """Ramp-up of the concurrency limit of an upstream that starts or recovers.
 
 The limit follows what the upstream's responses show, never a fixed time. It
-starts at one request. Each response that is as fast as the route's unloaded
-time raises it by one, so that it doubles in each run time. Responses that are
-slow but steady raise it by one in each run time. Those that have slowed down
-since the start hold it, and late responses and rejections lower it.
+starts at one request. While responses are as fast as the route's unloaded time
+on average, each raises it by one, so that it doubles in each run time. Somewhat
+slower ones raise it by one in each run time, much slower ones hold it. It is
+lowered if many responses are late, and by rejections.
+
+Requests of one route differ in length, so that single responses are no
+evidence: moving means of the latest responses decide.
 """
 
 import enum
 import math
 
-# Ratio to the unloaded run time up to which a response counts as fast.
+# Mean ratio to the unloaded run time up to which responses count as fast, and
+# up to which the limit still rises.
 FAST_RATIO = 1.5
+SLOW_RATIO = 2.5
+# Weight of the latest response in the means; the first ones weigh more.
+SAMPLE_WEIGHT = 0.1
+# Number of responses from which the unloaded run time of a route is estimated
+# if it was not known before.
+REFERENCE_RESPONSES = 6
+# Part of the responses that may be late. Some requests take several times as
+# long as most of their route.
+LATE_SHARE_MAX = 0.3
 # Part of the latency objective within which a response is in time.
 IN_TIME_FRACTION = 0.8
 # Factors on the limit after a late response, and after a rejection, of which
@@ -56,8 +69,13 @@
         self._held = False
         # Unloaded run time of each route, from the time without a ramp-up.
         self._baseline_s: dict[str, float] = {}
-        # Shortest run time of each route in this ramp-up.
-        self._shortest_s: dict[str, float] = {}
+        # Number and mean run time of the first responses of each route.
+        self._first: dict[str, tuple[int, float]] = {}
+        # Responses in this ramp-up, and moving means of their ratio to the
+        # unloaded run time and of the part that was late.
+        self._responses = 0
+        self._ratio = 1.0
+        self._late = 0.0
 
     @property
     def active(self) -> bool:
@@ -94,7 +112,10 @@
         self._proven = 1
         self._held = False
         self._full_since = None
-        self._shortest_s = {}
+        self._first = {}
+        self._responses = 0
+        self._ratio = 1.0
+        self._late = 0.0
 
     def failed(self) -> None:
         """Record that the upstream is down."""
@@ -129,34 +150,48 @@
         :param running: requests at the upstream, this one included.
         :param full: the limit without a ramp-up.
         """
-        baseline_s = self._baseline_s.get(route)
         if not self._active:
-            baseline_s = baseline_s or ran_s
+            baseline_s = self._baseline_s.get(route, ran_s)
             baseline_s += BASELINE_WEIGHT * (ran_s - baseline_s)
             self._baseline_s[route] = baseline_s
             return
-        shortest_s = min(ran_s, self._shortest_s.get(route, ran_s))
-        self._shortest_s[route] = shortest_s
-        if ran_s > objective_s * IN_TIME_FRACTION:
+        late = ran_s > objective_s * IN_TIME_FRACTION
+        self._record_response(ran_s / self._unloaded_s(route, ran_s), late)
+        if self._late > LATE_SHARE_MAX:
             self._reduce(LATE_FACTOR, running, ran_s, now)
             return
-        if ran_s <= FAST_RATIO * (baseline_s or shortest_s):
-            self._proven = max(self._proven, running)
-            careful = (
-                now < self._careful_until and self._limit >= self._threshold
-            )
-            rise = 1.0 / self._limit if careful else 1.0
-        elif ran_s <= FAST_RATIO * shortest_s:
-            rise = 1.0 / self._limit
-        else:
+        if self._ratio > SLOW_RATIO:
             self._held = True
             return
+        careful = now < self._careful_until and self._limit >= self._threshold
+        rise = 1.0 / self._limit
+        if self._ratio <= FAST_RATIO:
+            self._proven = max(self._proven, running)
+            rise = rise if careful else 1.0
         # Without use of the limit, a response is no evidence for a higher one.
         if 2 * running > self._limit:
             self._held = False
             self._limit = min(self._limit + rise, float(full))
         self._settle(full, now)
 
+    def _unloaded_s(self, route: str, ran_s: float) -> float:
+        """Return the unloaded run time of a route, also from this response."""
+        known_s = self._baseline_s.get(route)
+        if known_s is not None:
+            return known_s
+        count, mean_s = self._first.get(route, (0, 0.0))
+        if count < REFERENCE_RESPONSES:
+            count += 1
+            mean_s += (ran_s - mean_s) / count
+            self._first[route] = (count, mean_s)
+        return mean_s
+
+    def _record_response(self, ratio: float, late: bool) -> None:
+        self._responses += 1
+        weight = max(SAMPLE_WEIGHT, 1.0 / self._responses)
+        self._ratio += weight * (ratio - self._ratio)
+        self._late += weight * (float(late) - self._late)
+
     def _settle(self, full: int, now: float) -> None:
         """End the ramp-up after some time at the full limit."""
         if self._limit < full:
--- a/tests/test_start_pace.py
+++ b/tests/test_start_pace.py
@@ -169,6 +169,19 @@
         replay = Replay(steady, 1200.0, works_s).run(FULL_WITHIN_S)
         assert replay.limit_at(FULL_WITHIN_S) == replay.full
 
+    @pytest.mark.parametrize("seed", range(4))
+    def test_long_requests_among_typical_ones_do_not_hold_the_limit(
+        self, seed
+    ):
+        # Three in a hundred requests take seven times as long and are late.
+        # A ramp-up that took them for a slow upstream refused a third of the
+        # requests on a day without faults.
+        lengths = random.Random(seed)
+        works_s = [lengths.lognormvariate(-2.3, 0.5) for _ in range(97)]
+        works_s += [0.7] * 3
+        replay = Replay(steady, 700.0, works_s).run(FULL_WITHIN_S)
+        assert replay.limit_at(FULL_WITHIN_S) == replay.full
+
     def test_rejections_hold_the_limit(self):
         # The upstream has room for eight and says so.
         def rejects(now, running):
