--- a/src/savorytally/decisions/start_pace.py
+++ b/src/savorytally/decisions/start_pace.py
@@ -1,10 +1,10 @@
 """Ramp-up of the concurrency limit of an upstream that starts or recovers.
 
 The limit follows what the upstream's responses show, never a fixed time. It
-starts at one request. While responses are as fast as the route's unloaded time
-on average, each raises it by one, so that it doubles in each run time. Somewhat
-slower ones raise it by one in each run time, much slower ones hold it. It is
-lowered if many responses are late, and by rejections.
+starts at one request. While responses are as fast as the route's unloaded
+time on average, each raises it by one, so that it doubles in each run time.
+Somewhat slower ones raise it by one in each run time, much slower ones hold
+it. It is lowered if many responses are late, and by rejections.
 
 Requests of one route differ in length, so that single responses are no
 evidence: moving means of the latest responses decide.
