Let the soak start upstreams cold

Cause: the soak did not know what cold upstreams tolerate. Change: upstreams that start during traffic are cold for 3 s and tolerate 17 requests in a second; a check with a record that breaches it.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -168,6 +168,11 @@
             soak_record.AdvertisedLimit("i-1@1", 1.0, 99.0, 110.0)
         ],
     ),
+    "cold_upstreams_get_few": record(
+        with_responses(copies(18, SAFE)),
+        copies(18, ARRIVAL, start="i-1@1"),
+        cold_spells=[soak_record.ColdSpell("i-1@1", 101.0)],
+    ),
     "confined_requests_stay": record(
         confinements=[
             soak_record.Confinement(
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -205,7 +205,14 @@
         self._configuration = mesh.configuration(
             self._version,
             routes=routes,
-            services={name: {"health_path": "/healthz"} for name in SERVICES},
+            services={
+                name: {
+                    "health_path": "/healthz",
+                    "cold_start": f"{soak_record.COLD_START_S}s",
+                    "cold_per_s": soak_record.COLD_PER_S,
+                }
+                for name in SERVICES
+            },
             tenants=tenants,
         )
         self.store.put("op/config", self._configuration)
@@ -327,7 +334,7 @@
             host.address,
             self.record,
         )
-        await host.upstream.start()
+        await host.upstream.start(cold=True)
         self.list_upstream(host)
 
     async def _start_nodes(self) -> None:
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -391,6 +391,24 @@
             yield f"{arrival.name} reached {arrival.start} {late_s:.2f} s"
 
 
+@_check
+def cold_upstreams_get_few(record: Record) -> t.Iterator[str]:
+    """A cold upstream gets no more in a second than it tolerates."""
+    allowed = soak_record.COLD_PER_S * soak_record.COLD_OVERAGE
+    allowed += soak_record.COLD_SLACK
+    for spell in record.cold_spells:
+        times = [
+            arrival.at
+            for arrival in record.arrivals
+            if arrival.start == spell.start and arrival.at < spell.until
+        ]
+        for first, at in enumerate(times):
+            count = bisect.bisect_left(times, at + 1.0) - first
+            if count > allowed:
+                yield f"{spell.start} got {count} from {at:.2f}"
+                break
+
+
 @_check
 def confined_requests_stay(record: Record) -> t.Iterator[str]:
     """Nothing runs in evacuated data centres or outside a route's homes."""
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -324,7 +324,7 @@
     upstream.end()
     await asyncio.sleep(fault.duration_s)
     if fault.host.upstream is upstream and not upstream.up:
-        await upstream.start()
+        await upstream.start(cold=True)
         fault.run.list_upstream(fault.host)
 
 
--- a/tools/soak_hosts.py
+++ b/tools/soak_hosts.py
@@ -34,6 +34,8 @@
 platform.platform.address={store}:8545
 terms.bounds.drain=2000ms
 terms.bounds.grace=6s
+terms.bounds.cold_overage={overage}
+terms.bounds.cold_slack={slack}
 """
 
 
@@ -179,6 +181,8 @@
             first=str(self._first_start).lower(),
             upstream=self.upstream.address,
             store=self._store_address,
+            overage=soak_record.COLD_OVERAGE,
+            slack=int(soak_record.COLD_SLACK),
         )
         written = self._settings.with_suffix(".new")
         written.write_text(text + more)
@@ -194,7 +198,7 @@
             "version": "v1",
             "slots": self.upstream.slots,
             "state": state,
-            "cold_remaining": "0ms",
+            "cold_remaining": f"{self.upstream.cold_ms}ms",
             "sequence": self.upstream.sequence,
             "born": self.upstream.born,
         }
--- a/tools/soak_record.py
+++ b/tools/soak_record.py
@@ -7,6 +7,13 @@
 import time
 import typing as t
 
+# How long upstreams are cold after a start during traffic, and what they
+# tolerate meanwhile: requests per second, factor on that and further requests.
+COLD_START_S = 3.0
+COLD_PER_S = 6.5
+COLD_OVERAGE = 1.5
+COLD_SLACK = 8.0
+
 
 @dataclasses.dataclass(frozen=True)
 class Sent:
@@ -139,6 +146,18 @@
     reaction_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class ColdSpell:
+    """A start of an upstream during traffic.
+
+    :param start: its incarnation.
+    :param until: Unix time at which it is warm, in seconds.
+    """
+
+    start: str
+    until: float
+
+
 @dataclasses.dataclass
 class Record:
     """Everything recorded in a soak run.
@@ -152,6 +171,7 @@
     :param draining_since: Unix time at which the store's host list showed
         an upstream as draining or removed, by incarnation.
     :param advertised_limits: rate limits that upstreams advertised.
+    :param cold_spells: starts of upstreams during traffic.
     :param confinements: evacuations, and homes of routes.
     :param unexpected_exits: hosts whose node exited without a signal to
         stop.
@@ -168,6 +188,7 @@
     advertised_limits: list[AdvertisedLimit] = dataclasses.field(
         default_factory=list
     )
+    cold_spells: list[ColdSpell] = dataclasses.field(default_factory=list)
     confinements: list[Confinement] = dataclasses.field(default_factory=list)
     unexpected_exits: list[str] = dataclasses.field(default_factory=list)
     peak_memory_bytes: dict[str, int] = dataclasses.field(default_factory=dict)
--- a/tools/soak_upstreams.py
+++ b/tools/soak_upstreams.py
@@ -179,6 +179,8 @@
         # Rate limit that its responses advertise, None for no limit.
         self.limit_per_s: float | None = None
         self.up = False
+        # Unix time until which it tolerates few requests only.
+        self.cold_until = 0.0
         self.node = node
         self.record = record
         self.random = random.Random(instance_id)
@@ -191,8 +193,19 @@
         self._connections: set[Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> None:
-        """Start a new incarnation, without any state of the last one."""
+    @property
+    def cold_ms(self) -> int:
+        """How much longer it is cold, in milliseconds."""
+        return max(0, int((self.cold_until - time.time()) * 1000))
+
+    async def start(self, cold: bool = False) -> None:
+        """Start a new incarnation, without any state of the last one.
+
+        :param cold: whether it starts during traffic.
+        """
+        if cold:
+            now = time.time()
+            self.cold_until = now + soak_record.COLD_START_S
         self.draining = False
         self.limit_per_s = None
         self.up = True
@@ -204,6 +217,10 @@
         self._server = await loop.create_server(
             self._accept, self.address, UPSTREAM_PORT, reuse_address=True
         )
+        if cold:
+            self.record.cold_spells.append(
+                soak_record.ColdSpell(self.incarnation_id, self.cold_until)
+            )
 
     def end(self) -> None:
         """Stop at once, as in a crash."""
@@ -234,6 +251,8 @@
     def _receive(self, connection: t.Any) -> None:
         if connection.target == b"/healthz":
             identity = {"x-savorytally-instance-id": self.instance_id}
+            if self.cold_ms:
+                identity["x-savorytally-cold-ms"] = str(self.cold_ms)
             status = 503 if self.draining else 200
             response = mesh.response(status, b"", identity)
             connection.transport.write(self._with_advertisements(response))
