Start no ramp-up after a lost response

Cause: a response lost with the only open connection counted as an outage, and the next response started a ramp-up.

--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -550,7 +550,9 @@
             self._watch.broken(run.crash_ticket)
             now = self._loop.time()
             if not self._pool.has_open:
-                self._upstream_down(now)
+                # The upstream may have restarted cold, or may only have lost a
+                # response: no reason for a ramp-up.
+                self._cold.failed(now)
             self._queue.pace.rejected(self._queue.running, now)
             self._end(run, results.UPSTREAM_BROKEN)
             self._cold_changed(now)
--- a/tests/test_start_pace.py
+++ b/tests/test_start_pace.py
@@ -243,6 +243,23 @@
         assert not queue.pace.active
         assert queue.limit == 30
 
+    def test_lost_response_does_not_start_a_ramp_up(self):
+        # The only open connection was reset instead of a response, as if the
+        # upstream had restarted.
+        async def scenario(cluster):
+            cluster.store.delete(cluster.hosts[1].key)
+            await asyncio.sleep(1)
+            host = cluster.hosts[0]
+            host.upstream.fault = lambda connection, name, answer: (
+                connection.transport.abort()
+            )
+            await cluster.send(host)
+            host.upstream.fault = None
+            await cluster.send(host)
+            return host.node.gate.queue.pace.active
+
+        assert not run_scenario(scenario)
+
     def test_replaced_and_returned_upstreams_ramp_up(self):
         async def scenario(cluster):
             loop = asyncio.get_running_loop()
