--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -226,11 +226,11 @@
     def learn_catalog(self, newest: catalog.Catalog) -> None:
         """Apply a newer configuration."""
         self.health.learn_path(newest.health_paths.get(self._service, ""))
-        self._cold.learn_terms(
-            newest.cold_terms.get(self._service),
-            self.health.available,
-            self._loop.time(),
-        )
+        terms = newest.cold_terms.get(self._service)
+        # Without a stated time after the start, upstreams are served as if
+        # they were warm from the start.
+        self._queue.pace.set_enabled(terms is not None and terms.start_s > 0.0)
+        self._cold.learn_terms(terms, self.health.available, self._loop.time())
         self._probe_if_due()
         self._route_homes = {
             name: route.homes
--- a/src/savorytally/decisions/start_pace.py
+++ b/src/savorytally/decisions/start_pace.py
@@ -56,6 +56,7 @@
     """
 
     def __init__(self) -> None:
+        self._enabled = True
         self._active = False
         self._down = False
         self._limit = math.inf
@@ -98,12 +99,20 @@
             return full
         return max(1, min(full, int(self._limit)))
 
+    def set_enabled(self, enabled: bool) -> None:
+        """Apply whether upstreams of the service need a ramp-up at all."""
+        self._enabled = enabled
+        if not enabled:
+            self._active = False
+
     def begin(self, now: float) -> None:
         """Start a ramp-up: the upstream has started or recovered.
 
         An upstream that goes down during its ramp-up rises fast only up to
         half of what it had reached.
         """
+        if not self._enabled:
+            return
         if self._active:
             self._threshold = max(1.0, self._limit / 2)
             self._careful_until = now + CAREFUL_S
--- a/tests/test_start_pace.py
+++ b/tests/test_start_pace.py
@@ -219,12 +219,17 @@
         assert sum(ran > OBJECTIVE_S for ran in slow) <= 0.01 * len(slow)
 
 
-def run_scenario(scenario, **changes):
-    """Run a scenario on a started mesh without cold terms."""
+SERVICES = {"drawers": {"health_path": "/healthz", "cold_start": "3s"}}
+
+
+def run_scenario(scenario, services=SERVICES):
+    """Run a scenario on a started mesh without a cold rate."""
 
     async def work():
         cluster = mesh.Mesh()
-        await cluster.start({"drawers": ["low-a", "low-a"]}, slots=32)
+        config = mesh.configuration(1, services=services)
+        places = {"drawers": ["low-a", "low-a"]}
+        await cluster.start(places, slots=32, config=config)
         return await scenario(cluster)
 
     return net.run(work)
@@ -243,6 +248,19 @@
         assert not queue.pace.active
         assert queue.limit == 30
 
+    def test_service_without_a_cold_start_has_no_ramp_up(self):
+        # Deployments that state none are served as before.
+        async def scenario(cluster):
+            host = cluster.hosts[0]
+            host.instance_id = host.upstream.instance_id = "i-new"
+            cluster.store.delete("servers/i-1")
+            cluster.store.put(host.key, host.entry(32))
+            await asyncio.sleep(1)
+            return host.node.gate.queue.pace.active
+
+        assert run_scenario(scenario)
+        assert not run_scenario(scenario, {})
+
     def test_lost_response_does_not_start_a_ramp_up(self):
         # The only open connection was reset instead of a response, as if the
         # upstream had restarted.
