--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -409,12 +409,12 @@
             wait_s = (result.child_wait_ms + result.wait_ms) / 1000
             self._note_wait(call, wait_s, now)
         if result.answered:
-            failed = result.status >= _SERVER_ERROR and result.child_failed
-            self.chain_success.record(call.kind, failed, now)
+            failed = result.status >= _SERVER_ERROR
+            chain_failed = failed and result.child_failed
+            self.chain_success.record(call.kind, chain_failed, now)
             # If a call below has failed, a retry would fail again and repeat
             # all other calls below it.
-            failed = result.status >= _SERVER_ERROR and not result.child_failed
-            may_retry = failed and not final
+            may_retry = failed and not chain_failed and not final
             if may_retry and self._retries.may_retry(call, route, result, now):
                 self._retry(call)
                 return
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -324,9 +324,7 @@
         return best
 
     def _best_by_level(
-        self,
-        levels: _Levels,
-        terms: _Terms,
+        self, levels: _Levels, terms: _Terms
     ) -> _UpstreamState | None:
         """Return the best upstream at the level where there is room.
 
