Ramp up only where operators ask for it

Change: the setting local_node.ramp_up, off by default; a test shows that nothing ramps up without it.

--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -172,6 +172,7 @@
         self.leaving = False
         self._evacuated = False
         self._service = node_options.service
+        self._ramp_up = node_options.ramp_up
         self._region = node_options.region
         # The homes of routes and organisations that have some.
         self._route_homes: dict[str, frozenset[str]] = {}
@@ -229,7 +230,9 @@
         terms = newest.cold_terms.get(self._service)
         # Without a stated time after the start, upstreams are served as if
         # they were warm from the start.
-        self._queue.pace.set_enabled(terms is not None and terms.start_s > 0.0)
+        self._queue.pace.set_enabled(
+            self._ramp_up and terms is not None and terms.start_s > 0.0
+        )
         self._cold.learn_terms(terms, self.health.available, self._loop.time())
         self._probe_if_due()
         self._route_homes = {
--- a/src/savorytally/dataplane/options.py
+++ b/src/savorytally/dataplane/options.py
@@ -62,6 +62,8 @@
     :param bounds: the limits and periods that the users require.
     :param heartbeat_s: interval at which upstreams renew their entries in the
         store, in seconds.
+    :param ramp_up: whether upstreams that start or return ramp up, if their
+        service states a cold start.
     """
 
     host_id: str
@@ -80,6 +82,7 @@
     first_start: bool
     bounds: Bounds
     heartbeat_s: float = 1.5
+    ramp_up: bool = False
 
     @property
     def region(self) -> str:
--- a/src/savorytally/platform/settings.py
+++ b/src/savorytally/platform/settings.py
@@ -126,6 +126,7 @@
         descriptors=take("local_node.limits.max_fds", int, 1024),
         first_start=take("local_node.first_start", _flag, False),
         heartbeat_s=take("platform.heartbeat", durations.seconds, 1.5),
+        ramp_up=take("local_node.ramp_up", _flag, False),
         bounds=_bounds(reader),
     )
     if reader.faults:
--- a/tests/test_start_pace.py
+++ b/tests/test_start_pace.py
@@ -222,14 +222,14 @@
 SERVICES = {"drawers": {"health_path": "/healthz", "cold_start": "3s"}}
 
 
-def run_scenario(scenario, services=SERVICES):
+def run_scenario(scenario, services=SERVICES, ramp_up=True):
     """Run a scenario on a started mesh without a cold rate."""
 
     async def work():
         cluster = mesh.Mesh()
         config = mesh.configuration(1, services=services)
         places = {"drawers": ["low-a", "low-a"]}
-        await cluster.start(places, slots=32, config=config)
+        await cluster.start(places, slots=32, config=config, ramp_up=ramp_up)
         return await scenario(cluster)
 
     return net.run(work)
@@ -248,8 +248,8 @@
         assert not queue.pace.active
         assert queue.limit == 30
 
-    def test_service_without_a_cold_start_has_no_ramp_up(self):
-        # Deployments that state none are served as before.
+    def test_ramp_up_needs_the_setting_and_a_cold_start(self):
+        # Deployments that ask for none are served as before.
         async def scenario(cluster):
             host = cluster.hosts[0]
             host.instance_id = host.upstream.instance_id = "i-new"
@@ -260,6 +260,7 @@
 
         assert run_scenario(scenario)
         assert not run_scenario(scenario, {})
+        assert not run_scenario(scenario, ramp_up=False)
 
     def test_lost_response_does_not_start_a_ramp_up(self):
         # The only open connection was reset instead of a response, as if the
