Derive a concurrency ceiling from reported load

Cause: nothing reads the load that upstreams report in their responses. An upstream with fewer slots than its entry says, or one that other work shares, rejects as full much of what its gate sends.

GateQueue applies the lowest of its ceilings.

--- a/src/savorytally/decisions/gate_queue.py
+++ b/src/savorytally/decisions/gate_queue.py
@@ -82,6 +82,9 @@
     """Running and waiting requests at one upstream."""
 
     def __init__(self) -> None:
+        # Ceilings on concurrency; the lowest applies.
+        self._listed_ceiling = LIMIT_UNKNOWN
+        self._reported_ceiling: int | None = None
         self._limit = LIMIT_UNKNOWN
         self._pacer = pacing.Pacer()
         self._heap: list[tuple[int, bool, int, Job]] = []
@@ -107,8 +110,23 @@
         return self._limit
 
     def learn_slots(self, slots: int) -> None:
-        """Apply the number of requests that the upstream runs at once."""
-        self._limit = max(1, slots - max(1, round(slots * HEADROOM)))
+        """Apply the number of slots that the host list states."""
+        headroom = max(1, round(slots * HEADROOM))
+        self._listed_ceiling = max(1, slots - headroom)
+        self._apply_ceilings()
+
+    def learn_reported(self, ceiling: int | None) -> bool:
+        """Apply the ceiling that the upstream's load reports yield.
+
+        :param ceiling: requests at once, ``None`` without usable reports.
+        :return: whether the concurrency limit has risen.
+        """
+        if ceiling == self._reported_ceiling:
+            return False
+        before = self._limit
+        self._reported_ceiling = ceiling
+        self._apply_ceilings()
+        return self._limit > before
 
     def learn_rate_limit(self, limit_per_s: float, now: float) -> Change:
         """Apply the rate limit that the upstream advertises.
@@ -231,6 +249,12 @@
             self.cancel(job)
         return waiting
 
+    def _apply_ceilings(self) -> None:
+        """Set the concurrency limit to the lowest ceiling."""
+        self._limit = self._listed_ceiling
+        if self._reported_ceiling is not None:
+            self._limit = max(1, min(self._limit, self._reported_ceiling))
+
     def _max_wait_s(self, job: Job, now: float) -> float:
         left_s = job.deadline - now - self.run_s(job.route)
         if job.child:
