Read load reports in the gate and in placement

Cause: the load header was removed from responses and not read.

Change: the gate applies the report of each response, rejections and health responses included. Results contain the slowdown as an optional last field, sent only if the upstream reports one and the call's sender has set the flag OPTIONAL_FIELDS, since older builds reject longer results. Placement scales the mean run time by the slowdown against its own mean while the report is at most 0.2 s old. Gauges for the reported figures.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -297,7 +297,7 @@
             remaining_ms=max(1, int(remaining_s * 1000)),
             objective_ms=int(call.objective_s * 1000),
             rank=call.rank,
-            flags=int(flags),
+            flags=int(flags) | frames.Flag.OPTIONAL_FIELDS,
             organisation=call.organisation,
             caller_service=self._options.service,
             request_id=call.request_id,
@@ -462,6 +462,8 @@
             placed.record_load(
                 name, route, run_s, result.load, result.limit, now
             )
+        if result.slowdown is not None:
+            placed.record_slowdown(name, result.slowdown, now)
         if code is results.SHED_AT_GATE or code is results.RETRIES_SPENT:
             return
         succeeded = result.answered and result.status < _SERVER_ERROR
--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -101,6 +101,8 @@
         self._body: list[bytes] = []
         self._in_message = False
         self._head_read = False
+        # Loop time when the head of the latest response was read.
+        self.head_at = 0.0
         self._reads_to_close = False
         self._response: Response | None = None
         self._loop = asyncio.get_running_loop()
@@ -275,6 +277,7 @@
                 raise _Oversized(f"more than {INTERIM_MAX} interim responses")
             return
         self._head_read = True
+        self.head_at = self._loop.time()
         if status in _NO_BODY:
             return
         headers = dict(self._headers)
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -51,6 +51,8 @@
     # The host list no longer contains its upstream; the gate checks whether
     # the upstream still serves.
     UNLISTED = 16
+    # The sender reads the optional last fields of results.
+    OPTIONAL_FIELDS = 32
 
 
 class Call(t.NamedTuple):
@@ -114,6 +116,8 @@
         it.
     :param share_per_s: the part of that limit that one sender may use.
     :param leaving: whether the upstream advertises that it is draining.
+    :param slowdown: how long work takes at the upstream at the moment, in
+        percent of the usual time, ``None`` if it does not report that.
     """
 
     number: int
@@ -132,6 +136,15 @@
     limit_per_s: float | None = None
     share_per_s: float = 0.0
     leaving: bool = False
+    slowdown: int | None = None
+
+    @property
+    def encoded_fields(self) -> tuple[t.Any, ...]:
+        """The fields that a frame contains.
+
+        Builds without the optional last field reject frames that contain it.
+        """
+        return self[:-1] if self.slowdown is None else self
 
     @property
     def answered(self) -> bool:
@@ -160,6 +173,7 @@
         *(int, int, int, list, bytes, int, bool),
         *(int, int, bool, int, int, int),
         *((int, float, type(None)), _NUMBER, bool),
+        (int, type(None)),
     ),
     Kind.CANCEL: (int,),
     Kind.PING: (),
@@ -184,7 +198,7 @@
     Kind.ADVERTISEMENT: (str, _NUMBER, _NUMBER, bool),
 }
 # Number of last fields that frames of older builds lack.
-_OPTIONAL_FIELDS = {Kind.CHANGES: 1}
+_OPTIONAL_FIELDS = {Kind.CHANGES: 1, Kind.RESULT: 1}
 # Index of the headers in the frames that contain them.
 _HEADERS_INDEX = {Kind.CALL: 6, Kind.RESULT: 4}
 
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -8,10 +8,12 @@
 from ..decisions import backpressure
 from ..decisions import gate_queue
 from ..decisions import parent_matching
+from ..decisions import reported_load
 from ..decisions import retry_budget
 from ..decisions import subtree_budget
 from ..world import catalog
 from . import advertisements
+from . import callers
 from . import counters
 from . import crash_watch
 from . import event_log
@@ -150,8 +152,12 @@
             self._apply_pace,
         )
         self.health = health.Health(
-            names, connections, self.advertisements.apply_headers
+            names, connections, self._apply_health_headers
         )
+        # The load that the upstream reports.
+        self.reported = reported_load.ReportedLoad()
+        # Number of requests that were sent to the upstream and have not ended.
+        self._sent = 0
         # Timer of the next start that the rate limit allows.
         self._start_timer: asyncio.TimerHandle | None = None
         self.leaving = False
@@ -313,6 +319,8 @@
         for job in self._queue.remove_overdue(now):
             self._finish(job.context, results.SHED_AT_GATE, self._shed_reason)
         self.advertisements.tick(now)
+        if self._queue.learn_reported(self.reported.ceiling(now)):
+            self._advance(self._queue.advance(now), now)
 
     def refuse_new(self) -> None:
         """Refuse new calls from now on."""
@@ -374,6 +382,7 @@
         run.parent.reserved = reserved
         run.connection = connection
         self._counts.forwarded()
+        self._sent += 1
         run.crash_ticket = self._watch.started(run.call)
         run.timer = self._loop.call_at(run.deadline, self._expired, run)
         connection.request(
@@ -405,6 +414,8 @@
             return
         self._apply_advertised(run, result)
         verdict = self._protocol.interpret(result)
+        rejected = verdict.code is results.UPSTREAM_SHED
+        self._apply_load(result.headers, connection.head_at, rejected)
         connection.ambiguous = connection.ambiguous or verdict.ambiguous
         self._pool.release(connection)
         run.echoes_id = verdict.echoes_id
@@ -428,6 +439,27 @@
             instance_id, response.headers, run.started
         )
 
+    def _apply_health_headers(
+        self, instance_id: str, headers: callers.Headers, sent_at: float
+    ) -> None:
+        """Apply the headers of the response to a health check."""
+        self.advertisements.apply_headers(instance_id, headers, sent_at)
+        self._apply_load(headers, self._loop.time(), False)
+
+    def _apply_load(
+        self, headers: callers.Headers, received_at: float, rejected: bool
+    ) -> None:
+        """Apply the load that a response reports.
+
+        :param received_at: loop time when its head was received.
+        :param rejected: whether the upstream has rejected the request.
+        """
+        report = self._protocol.reported_load(headers)
+        now = self._loop.time()
+        if report is not None:
+            self.reported.apply(report, received_at, self._sent, rejected, now)
+        self._queue.learn_reported(self.reported.ceiling(now))
+
     def _apply_partial_head(
         self, run: Run, connection: exchanges.Connection
     ) -> None:
@@ -528,6 +560,8 @@
         if run.timer is not None:
             run.timer.cancel()
         self._watch.ended(run.crash_ticket)
+        if run.started:
+            self._sent -= 1
         now = self._loop.time()
         whole = ran_s is not None
         parent = run.parent
@@ -592,6 +626,9 @@
         limit_per_s, share_per_s, leaving = self.advertisements.report(
             call, now
         )
+        slowdown = None
+        if call.flags & frames.Flag.OPTIONAL_FIELDS:
+            slowdown = self.reported.slowdown(now)
         run.on_result(
             frames.Result(
                 number=call.number,
@@ -610,5 +647,6 @@
                 limit_per_s=limit_per_s,
                 share_per_s=share_per_s,
                 leaving=leaving,
+                slowdown=slowdown,
             )
         )
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -611,12 +611,30 @@
             "gate_waiting": self.gate.queue.waiting,
         }
 
+    def _add_reported_gauges(self) -> None:
+        """Add the figures of the upstream's load reports, -1 without one."""
+        add, reported = self.counts.add_gauge, self.gate.reported
+        now = self._loop.time
+
+        def read(name: str) -> t.Callable[[], float]:
+            return lambda: getattr(reported.report(now()), name, -1)
+
+        add("upstream_reported_running", read("running"))
+        add("upstream_reported_waiting", read("waiting"))
+        add("upstream_reported_slots", read("slots"))
+        add(
+            "upstream_slowdown_percent",
+            lambda: reported.slowdown(now()) or -1,
+        )
+        add("upstream_reports_trusted", lambda: int(reported.trusted))
+
     def _add_gauges(self) -> None:
         add = self.counts.add_gauge
         add("configuration_version", lambda: self.version)
         add("gate_running", lambda: self.gate.queue.running)
         add("gate_waiting", lambda: self.gate.queue.waiting)
         add("gate_limit", lambda: self.gate.queue.limit)
+        self._add_reported_gauges()
         add(
             "upstream_limit_per_s",
             lambda: self.gate.advertisements.limit_per_s,
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -235,7 +235,7 @@
 
         def reply(result: frames.Result) -> None:
             runs.pop(call.number, None)
-            stream.send(frames.Kind.RESULT, *result)
+            stream.send(frames.Kind.RESULT, *result.encoded_fields)
 
         run = self._gate.run(call, reply, stream)
         if run.state is not gate.State.DONE:
@@ -250,7 +250,8 @@
         self._gate.cancel(run)
         if before:
             code = results.CANCELLED_BEFORE_START.number
-            stream.send(frames.Kind.RESULT, *frames.Result(number, code))
+            cancelled = frames.Result(number, code)
+            stream.send(frames.Kind.RESULT, *cancelled.encoded_fields)
 
     def _on_ping(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         stream.send(frames.Kind.PONG)
--- a/src/savorytally/dataplane/upstream_protocol.py
+++ b/src/savorytally/dataplane/upstream_protocol.py
@@ -4,6 +4,7 @@
 
 from .. import results
 from ..decisions import advertised_state
+from ..decisions import reported_load
 from . import callers
 from . import exchanges
 from . import frames
@@ -125,6 +126,13 @@
             [v.decode("latin-1") for k, v in headers if k == names.draining],
         )
 
+    def reported_load(
+        self, headers: callers.Headers
+    ) -> reported_load.Report | None:
+        """Return the load that a response reports, ``None`` without one."""
+        name = self._names.load
+        return reported_load.parse([v for k, v in headers if k == name])
+
     def caller_headers(self, reply: exchanges.Response) -> callers.Headers:
         """Return the headers that are passed on to the caller."""
         return [
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -46,6 +46,12 @@
 COLD_FACTOR = 2.0
 # Time over which a gate's load report loses its weight.
 REPORT_FADE_S = 0.5
+# Time over which a reported slowdown loses its weight; it changes many times a
+# second.
+SLOWDOWN_FADE_S = 0.2
+# Range of slowdowns that are taken for real, in percent.
+SLOWDOWN_MIN = 10
+SLOWDOWN_MAX = 1000
 # How long nothing is sent to a host that leaves; afterwards its node may have
 # been restarted beside the same upstream.
 LEAVING_HOST_S = 3.0
@@ -97,6 +103,11 @@
     failed_at: float = 0.0
     avoid_until: float = 0.0
     leaving_until: float = 0.0
+    # Reported slowdown in percent when last reported, and its moving mean,
+    # which the mean run times contain already.
+    slowdown: float = 100.0
+    mean_slowdown: float = 0.0
+    slowdown_at: float = -1e9
     # When its entry expired, 0 while it is in the host list.
     unlisted_at: float = 0.0
 
@@ -326,6 +337,22 @@
             mean = state.run_s.get(route, run_s)
             state.run_s[route] = mean + WEIGHT * (run_s - mean)
 
+    def record_slowdown(
+        self, instance_id: str, slowdown: int, now: float
+    ) -> None:
+        """Apply the slowdown that an upstream reports.
+
+        :param slowdown: how long work takes there at the moment, in percent of
+            the usual time.
+        """
+        state = self._upstreams.get(instance_id)
+        if state is None:
+            return
+        state.slowdown = float(min(SLOWDOWN_MAX, max(SLOWDOWN_MIN, slowdown)))
+        state.slowdown_at = now
+        mean = state.mean_slowdown or state.slowdown
+        state.mean_slowdown = mean + WEIGHT * (state.slowdown - mean)
+
     def record_outcome(self, instance_id: str, good: bool, now: float) -> None:
         """Update the failure rate with the outcome of a request."""
         state = self._upstreams.get(instance_id)
@@ -437,6 +464,7 @@
         run_s = state.run_s.get(route)
         if run_s is None:
             run_s = self._mean_run_s(state.instance.service, route)
+        run_s *= self._slowdown_factor(state, now)
         cold_s = state.instance.cold_s
         if cold_s > 0.0 and now - state.first_listed_at < cold_s:
             run_s *= COLD_FACTOR
@@ -460,6 +488,15 @@
             expected_s += AVOIDED_PENALTY_S
         return expected_s
 
+    @staticmethod
+    def _slowdown_factor(state: _UpstreamState, now: float) -> float:
+        """Return the expected run time in multiples of the mean run time."""
+        age = (now - state.slowdown_at) / SLOWDOWN_FADE_S
+        if age >= 1.0:
+            return 1.0
+        ratio = state.slowdown / state.mean_slowdown
+        return 1.0 + (1.0 - age) * (ratio - 1.0)
+
     def _mean_run_s(self, service: str, route: str) -> float:
         seen = [
             state.run_s[route]
