Share requests among unequal upstreams by speed

Cause: placement chose the least expected time, so the fastest upstream ran full, at its knee, while slower ones were idle.

Change: among the upstreams at the best one's distance that have a free slot, answer within 80 % of the objective and are worse by no more than their run time explains, two are drawn by speed and the less utilised one is chosen. Equal upstreams are chosen as before.

Upstreams beyond the range of speeds are tried once their last result is 1 s old.

--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -11,6 +11,10 @@
 still offered to the unlisted ones; the node on each upstream's host checks
 that it serves.
 
+Upstreams of one service differ in speed. While several at the same distance
+have free slots, they get shares of the requests by speed, so that the fastest
+one does not run full beside idle ones.
+
 An upstream that advertises a rate limit counts as busy until the next request
 in this node's share of the limit is due. One that advertises that it is
 leaving gets requests only if no other upstream is available, and none after
@@ -67,6 +71,22 @@
 # Relative random spread of the expected times, so that equal upstreams share
 # the load.
 SPREAD = 0.15
+# Addition to the expected run time at an upstream whose slots are all in use,
+# as a fraction of it.
+FILL_FRACTION = 0.3
+# Range of run times, as a multiple of the shortest, within which upstreams get
+# shares by speed: below it they count as equal, above it as faulty.
+SPEED_RATIO_MIN = 1.25
+SPEED_RATIO_MAX = 4.5
+# Time without results after which an upstream beyond that range is tried, and
+# its reported utilisation is not compared.
+SPEED_REVISIT_S = 1.0
+# Fraction of the latency objective that the expected time of an upstream may
+# take to get a share.
+SPEED_OBJECTIVE_SHARE = 0.8
+# Difference in utilisation from which the less utilised of two upstreams is
+# chosen; smaller ones are within the age of the reports.
+UTILISATION_MARGIN = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -255,8 +275,7 @@
         :param only: the upstreams to choose from, all if ``None``.
         :param regions: the regions to choose from, all if ``None``.
         """
-        best: _UpstreamState | None = None
-        best_score = float("inf")
+        scored: list[tuple[float, _UpstreamState]] = []
         for state in self._candidates(service, regions):
             name = state.instance.instance_id
             if state.leaving_until > now or name in tried:
@@ -269,9 +288,10 @@
             score = self._score(state, route, objective_s, now)
             if advertisement is not None:
                 score += self._rate_limit_wait_s(advertisement, now)
-            if score < best_score:
-                best, best_score = state, score
-        return best.instance if best is not None else None
+            scored.append((score, state))
+        if not scored:
+            return None
+        return self._share_by_speed(scored, route, objective_s, now).instance
 
     def refusal_code(
         self, service: str, regions: frozenset[str] | None
@@ -376,6 +396,61 @@
         if state is not None:
             state.leaving_until = now + LEAVING_HOST_S
 
+    def _share_by_speed(
+        self,
+        scored: list[tuple[float, _UpstreamState]],
+        route: str,
+        objective_s: float,
+        now: float,
+    ) -> _UpstreamState:
+        """Return the best upstream, or one that is as good but for its speed.
+
+        Upstreams at the distance of the best one are as good if they have a
+        free slot, answer within the objective, and score lower by no more than
+        their run time explains. Two of them are drawn by speed, and the less
+        utilised one is chosen.
+
+        :param scored: score and state of the candidates.
+        """
+        best_score, best = min(scored, key=lambda item: item[0])
+        best_run_s = self._expected_run_s(best, route, now)
+        score_max_s = objective_s * SPEED_OBJECTIVE_SHARE
+        noise = (1.0 + FILL_FRACTION) * (1.0 + SPREAD)
+        found, runs_s = [], []
+        for score, state in scored:
+            if (
+                state.far != best.far
+                or state.distance_s != best.distance_s
+                or self._load(state, now) + 1 > self._limit(state)
+            ):
+                continue
+            run_s = self._expected_run_s(state, route, now)
+            explained = score - noise * run_s <= best_score - best_run_s
+            # The mean run time of an upstream without recent results may be
+            # that of a few unusual requests.
+            in_range = (
+                run_s <= SPEED_RATIO_MAX * best_run_s
+                or now - state.reported_at > SPEED_REVISIT_S
+            )
+            if state is best or (
+                explained and in_range and score <= score_max_s
+            ):
+                found.append(state)
+                runs_s.append(run_s)
+        if not found:
+            return best
+        if best in found and max(runs_s) < SPEED_RATIO_MIN * min(runs_s):
+            return best
+        weights = [
+            self._limit(state) / run_s
+            for state, run_s in zip(found, runs_s, strict=True)
+        ]
+        first, second = self._random.choices(found, weights, k=2)
+        if now - min(first.reported_at, second.reported_at) > SPEED_REVISIT_S:
+            return first
+        difference = self._utilisation(first) - self._utilisation(second)
+        return second if difference > UTILISATION_MARGIN else first
+
     def _group_by_service(self) -> None:
         """Group the upstreams that may get requests by service."""
         self._services = {}
@@ -461,19 +536,12 @@
     def _score(
         self, state: _UpstreamState, route: str, objective_s: float, now: float
     ) -> float:
-        run_s = state.run_s.get(route)
-        if run_s is None:
-            run_s = self._mean_run_s(state.instance.service, route)
-        run_s *= self._slowdown_factor(state, now)
-        cold_s = state.instance.cold_s
-        if cold_s > 0.0 and now - state.first_listed_at < cold_s:
-            run_s *= COLD_FACTOR
-        limit = state.limit or max(1, state.instance.slots - 1)
-        age = min(1.0, (now - state.reported_at) / REPORT_FADE_S)
-        load = max(state.in_flight, state.load * (1.0 - age))
+        run_s = self._expected_run_s(state, route, now)
+        limit = self._limit(state)
+        load = self._load(state, now)
         wait_s = max(0.0, load + 1 - limit) * run_s / limit
         # Prefers the less loaded host among those without a queue.
-        fill_s = 0.3 * run_s * min(1.0, load / limit)
+        fill_s = FILL_FRACTION * run_s * min(1.0, load / limit)
         expected_s = (run_s + wait_s + fill_s) * (
             1.0 + SPREAD * self._random.random()
         )
@@ -488,6 +556,36 @@
             expected_s += AVOIDED_PENALTY_S
         return expected_s
 
+    def _expected_run_s(
+        self, state: _UpstreamState, route: str, now: float
+    ) -> float:
+        """Return the expected run time of a request in seconds."""
+        run_s = state.run_s.get(route)
+        if run_s is None:
+            run_s = self._mean_run_s(state.instance.service, route)
+        run_s *= self._slowdown_factor(state, now)
+        cold_s = state.instance.cold_s
+        if cold_s > 0.0 and now - state.first_listed_at < cold_s:
+            run_s *= COLD_FACTOR
+        return run_s
+
+    @staticmethod
+    def _limit(state: _UpstreamState) -> int:
+        return state.limit or max(1, state.instance.slots - 1)
+
+    @staticmethod
+    def _load(state: _UpstreamState, now: float) -> float:
+        age = min(1.0, (now - state.reported_at) / REPORT_FADE_S)
+        return max(state.in_flight, state.load * (1.0 - age))
+
+    def _utilisation(self, state: _UpstreamState) -> float:
+        """Return the part of the slots that was in use when last reported.
+
+        It does not fade, since slower upstreams report less often and would
+        seem to be less utilised.
+        """
+        return max(state.in_flight, state.load) / self._limit(state)
+
     @staticmethod
     def _slowdown_factor(state: _UpstreamState, now: float) -> float:
         """Return the expected run time in multiples of the mean run time."""
