--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -627,6 +627,8 @@
             lambda: reported.slowdown(now()) or -1,
         )
         add("upstream_reports_trusted", lambda: int(reported.trusted))
+        add("upstream_rejected_full", lambda: reported.rejected_full)
+        add("upstream_rejected_free", lambda: reported.rejected_free)
 
     def _add_gauges(self) -> None:
         add = self.counts.add_gauge
--- a/src/savorytally/decisions/reported_load.py
+++ b/src/savorytally/decisions/reported_load.py
@@ -145,6 +145,9 @@
         self._slowdown_at = -math.inf
         self._distrust = 0.0
         self._lowest = _Lowest()
+        # Rejections by whether the reported slots were in use.
+        self.rejected_full = 0
+        self.rejected_free = 0
         # Requests at the upstream that did not pass the gate: moving mean and
         # mean deviation, latest number, and time of the latest number.
         self._other_mean = 0.0
@@ -216,7 +219,10 @@
         """Compare a report with what the gate knows."""
         wrong = report.running > report.slots
         if rejected:
-            wrong |= report.occupied < report.slots * FREE_SHARE
+            has_free = report.occupied < report.slots * FREE_SHARE
+            self.rejected_free += has_free
+            self.rejected_full += not has_free
+            wrong |= has_free
         if current:
             self._lowest.add(sent, now)
             known = self._lowest.value * KNOWN_SHARE - TRANSIT
--- a/tests/test_reported_load.py
+++ b/tests/test_reported_load.py
@@ -344,9 +344,13 @@
             for host in cluster.hosts:
                 host.upstream.rejects = lambda: True
             await send_many(cluster, 4, 2)
-            return self.limits(cluster)
+            metrics = cluster.hosts[0].node.counts.render()
+            return self.limits(cluster), metrics
 
-        assert min(run_mesh(scenario, slots=20)) < 4
+        limits, metrics = run_mesh(scenario, slots=20)
+        assert min(limits) < 4
+        assert b"savorytally_upstream_rejected_free 0" in metrics
+        assert b"savorytally_upstream_rejected_full 0" not in metrics
 
     def test_gate_counts_the_requests_at_its_upstream(self):
         # Requests that are withdrawn or cut off must not be counted for ever.
