Score each upstream once when sharing by speed

Cause: the choice by speed computed run time and load of every candidate a second time.

Change: the score keeps run time and free slot in the state.

--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -128,6 +128,9 @@
     slowdown: float = 100.0
     mean_slowdown: float = 0.0
     slowdown_at: float = -1e9
+    # Expected run time, and whether a slot is free, when last scored.
+    scored_run_s: float = 0.0
+    scored_free: bool = False
     # When its entry expired, 0 while it is in the host list.
     unlisted_at: float = 0.0
 
@@ -291,7 +294,7 @@
             scored.append((score, state))
         if not scored:
             return None
-        return self._share_by_speed(scored, route, objective_s, now).instance
+        return self._share_by_speed(scored, objective_s, now).instance
 
     def refusal_code(
         self, service: str, regions: frozenset[str] | None
@@ -399,7 +402,6 @@
     def _share_by_speed(
         self,
         scored: list[tuple[float, _UpstreamState]],
-        route: str,
         objective_s: float,
         now: float,
     ) -> _UpstreamState:
@@ -413,18 +415,19 @@
         :param scored: score and state of the candidates.
         """
         best_score, best = min(scored, key=lambda item: item[0])
-        best_run_s = self._expected_run_s(best, route, now)
+        best_run_s = best.scored_run_s
         score_max_s = objective_s * SPEED_OBJECTIVE_SHARE
         noise = (1.0 + FILL_FRACTION) * (1.0 + SPREAD)
         found, runs_s = [], []
         for score, state in scored:
             if (
-                state.far != best.far
+                not state.scored_free
+                or score > score_max_s
+                or state.far != best.far
                 or state.distance_s != best.distance_s
-                or self._load(state, now) + 1 > self._limit(state)
             ):
                 continue
-            run_s = self._expected_run_s(state, route, now)
+            run_s = state.scored_run_s
             explained = score - noise * run_s <= best_score - best_run_s
             # The mean run time of an upstream without recent results may be
             # that of a few unusual requests.
@@ -432,14 +435,13 @@
                 run_s <= SPEED_RATIO_MAX * best_run_s
                 or now - state.reported_at > SPEED_REVISIT_S
             )
-            if state is best or (
-                explained and in_range and score <= score_max_s
-            ):
+            if state is best or (explained and in_range):
                 found.append(state)
                 runs_s.append(run_s)
         if not found:
             return best
-        if best in found and max(runs_s) < SPEED_RATIO_MIN * min(runs_s):
+        alike = max(runs_s) < SPEED_RATIO_MIN * min(runs_s)
+        if alike and best.scored_free:
             return best
         weights = [
             self._limit(state) / run_s
@@ -538,7 +540,9 @@
     ) -> float:
         run_s = self._expected_run_s(state, route, now)
         limit = self._limit(state)
-        load = self._load(state, now)
+        age = min(1.0, (now - state.reported_at) / REPORT_FADE_S)
+        load = max(state.in_flight, state.load * (1.0 - age))
+        state.scored_run_s, state.scored_free = run_s, load + 1 <= limit
         wait_s = max(0.0, load + 1 - limit) * run_s / limit
         # Prefers the less loaded host among those without a queue.
         fill_s = FILL_FRACTION * run_s * min(1.0, load / limit)
@@ -573,11 +577,6 @@
     def _limit(state: _UpstreamState) -> int:
         return state.limit or max(1, state.instance.slots - 1)
 
-    @staticmethod
-    def _load(state: _UpstreamState, now: float) -> float:
-        age = min(1.0, (now - state.reported_at) / REPORT_FADE_S)
-        return max(state.in_flight, state.load * (1.0 - age))
-
     def _utilisation(self, state: _UpstreamState) -> float:
         """Return the part of the slots that was in use when last reported.
 
