Share the restart of nodes and the soak's excuse for senders

Cause: two test files held the same restart, two checks the same excuse. Change: Host.restart_node in the stand-ins, one class in the soak's checks.

--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -419,6 +419,20 @@
         )
         await self.node.start()
 
+    async def restart_node(self, **changes: t.Any) -> None:
+        """Kill the node, without a graceful stop, and start a new one."""
+        killed = self.node
+        assert killed is not None
+        killed._store_watch.stop()
+        for task in killed._tasks:
+            task.cancel()
+        for server in killed._servers:
+            server.close()
+        killed._upstream.close()
+        killed.peers.close()
+        await asyncio.sleep(0.01)
+        await self.start_node(**{"first_start": False, **changes})
+
 
 class Mesh:
     """Hosts, store and callers on one simulated network."""
--- a/tests/test_cold_rate.py
+++ b/tests/test_cold_rate.py
@@ -374,20 +374,6 @@
     return server
 
 
-async def restart_node(host):
-    """Kill a host's node and start a new one."""
-    node = host.node
-    node._store_watch.stop()
-    for task in node._tasks:
-        task.cancel()
-    for server in node._servers:
-        server.close()
-    node._upstream.close()
-    node.peers.close()
-    await asyncio.sleep(0.01)
-    await host.start_node(first_start=False, bounds=BOUNDS)
-
-
 class TestMesh:
     @pytest.mark.parametrize("stated", [True, False])
     def test_upstreams_that_return_together_stay_within_the_bound(
@@ -466,7 +452,7 @@
             for _ in range(3):
                 await asyncio.sleep(1.3)
                 traffic.load.down = {host.address}
-                await restart_node(host)
+                await host.restart_node(bounds=BOUNDS)
                 traffic.load.down = set()
             await load
             return traffic.max_since(host, since)
@@ -517,7 +503,7 @@
             loop = asyncio.get_running_loop()
             host = cluster.hosts[0]
             ColdClock(host, 0.0)
-            await restart_node(host)
+            await host.restart_node(bounds=BOUNDS)
             await asyncio.sleep(0.5)
             since = loop.time()
             await traffic.load.run(LOAD_PER_S, 3.0)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -35,20 +35,6 @@
     ]
 
 
-async def restart_node(host, **changes):
-    """Kill a host's node and start a new one."""
-    node = host.node
-    node._store_watch.stop()
-    for task in node._tasks:
-        task.cancel()
-    for server in node._servers:
-        server.close()
-    node._upstream.close()
-    node.peers.close()
-    await asyncio.sleep(0.01)
-    await host.start_node(**changes)
-
-
 class TestEvacuation:
     def test_evacuated_upstreams_get_nothing_under_load(self):
         async def scenario(cluster):
@@ -128,7 +114,7 @@
             cluster.store.put(KEY, {})
             await asyncio.sleep(1)
             for host in cluster.hosts:
-                await restart_node(host, first_start=False)
+                await host.restart_node()
             before = len(arrivals_at(cluster, "low-a"))
             load = advertised.Load(cluster)
             await load.run(60, 3)
--- a/tests/test_start_pace.py
+++ b/tests/test_start_pace.py
@@ -240,7 +240,7 @@
         async def scenario(cluster):
             host = cluster.hosts[0]
             await asyncio.sleep(2)
-            await test_cold_rate.restart_node(host)
+            await host.restart_node(ramp_up=True)
             await asyncio.sleep(0.2)
             return host.node.gate.queue
 
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -366,12 +366,40 @@
         yield f"{late} of {total} arrivals carried too late a deadline"
 
 
+class _Senders:
+    """The senders of arrivals that nothing kept from knowing a state.
+
+    :param record: record of the run.
+    """
+
+    def __init__(self, record: Record) -> None:
+        self._history = _History(record)
+        self._store_faults = [
+            fault for fault in record.faults if fault.group == "store"
+        ]
+        self._by_name = {sent.name: sent for sent in record.sent}
+
+    def informed(
+        self, arrival: soak_record.Arrival, since: float
+    ) -> soak_record.Sent | None:
+        """Return the request if its host could know the store's state.
+
+        :param since: Unix time from which the store had it, in seconds.
+        """
+        sent = self._by_name.get(arrival.name)
+        if sent is None or any(
+            fault.at < arrival.at and fault.until + SETTLE_S > since
+            for fault in self._store_faults
+        ):
+            return None
+        calm = self._history.undisturbed(sent.host, since, arrival.at)
+        return sent if calm else None
+
+
 @_check
 def leaving_upstreams_get_nothing(record: Record) -> t.Iterator[str]:
     """No new request runs at an upstream that is listed as draining."""
-    history = _History(record)
-    store = [fault for fault in record.faults if fault.group == "store"]
-    by_name = {sent.name: sent for sent in record.sent}
+    senders = _Senders(record)
     for arrival in record.arrivals:
         since = record.draining_since.get(arrival.start)
         if (
@@ -380,13 +408,7 @@
             or not arrival.ran
         ):
             continue
-        sent = by_name.get(arrival.name)
-        if sent is None or any(
-            fault.at < arrival.at and fault.until + SETTLE_S > since
-            for fault in store
-        ):
-            continue
-        if history.undisturbed(sent.host, since, arrival.at):
+        if senders.informed(arrival, since) is not None:
             late_s = arrival.at - since
             yield f"{arrival.name} reached {arrival.start} {late_s:.2f} s"
 
@@ -412,9 +434,7 @@
 @_check
 def confined_requests_stay(record: Record) -> t.Iterator[str]:
     """Nothing runs in evacuated data centres or outside a route's homes."""
-    history = _History(record)
-    store = [fault for fault in record.faults if fault.group == "store"]
-    by_name = {sent.name: sent for sent in record.sent}
+    senders = _Senders(record)
     for confined in record.confinements:
         since = confined.at
         for arrival in record.arrivals:
@@ -425,15 +445,8 @@
                 or arrival.at >= confined.until
             ):
                 continue
-            sent = by_name.get(arrival.name)
-            if sent is None or confined.service not in ("", sent.service):
-                continue
-            if any(
-                fault.at < arrival.at and fault.until + SETTLE_S > since
-                for fault in store
-            ):
-                continue
-            if history.undisturbed(sent.host, since, arrival.at):
+            sent = senders.informed(arrival, since)
+            if sent is not None and confined.service in ("", sent.service):
                 late_s = arrival.at - since
                 yield f"{arrival.name} reached {arrival.host} {late_s:.2f} s"
 
