Forget the outcomes of dropped routes and services

Cause: found when reading the change again. Shares of failed chains were kept for each route that ever failed, and outcomes for each service. An upstream whose entry names another service than before raised KeyError in each choice once it had failed.

Change: a newer configuration drops the routes it lacks, a host list the services without upstreams; without outcomes the upstream's own rate counts.

Measured: one test for each; the second fails on the parent with KeyError. Tests of chains, placement, where and the data plane pass.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -140,6 +140,7 @@
         """Apply a newer configuration."""
         self._terms.learn_catalog(newest)
         self._limits = newest.limits
+        self.chain_success.retain(newest.routes)
 
     def refuse(self, request: callers.Request, status: int, why: str) -> None:
         """Respond with an error to a malformed or oversized request."""
--- a/src/savorytally/decisions/chain_success.py
+++ b/src/savorytally/decisions/chain_success.py
@@ -193,6 +193,14 @@
                 runs.published = large
         return published
 
+    def retain(self, routes: t.Container[str]) -> None:
+        """Forget the routes that a newer configuration lacks."""
+        self._routes = {
+            route: found
+            for route, found in self._routes.items()
+            if route in routes
+        }
+
     def apply_means(self, means: t.Mapping[Kind, float], now: float) -> None:
         """Apply the fractions of a host that this one follows."""
         for kind, fraction in means.items():
--- a/src/savorytally/decisions/placement.py
+++ b/src/savorytally/decisions/placement.py
@@ -632,6 +632,12 @@
             if instance.ready and instance.data_centre not in self._evacuated:
                 table = self._unlisted if state.unlisted_at else self._services
                 table.setdefault(instance.service, []).append(state)
+        used = {item.instance.service for item in self._upstreams.values()}
+        self._outcomes = {
+            service: regions
+            for service, regions in self._outcomes.items()
+            if service in used
+        }
         self._group_by_level()
 
     def _group_by_level(self) -> None:
@@ -838,7 +844,10 @@
         rate = self._failure_rate(state, now)
         if rate < FAILURE_RATE_MIN:
             return 0.0
-        regions = self._outcomes[state.instance.service]
+        regions = self._outcomes.get(state.instance.service, {})
+        if state.region not in regions:
+            # The upstream's entry names another service than before.
+            return rate
         return failure_excess.excess(
             rate, WEIGHT, state.outcomes, state.region, regions, now
         )
--- a/tests/test_chain_success.py
+++ b/tests/test_chain_success.py
@@ -187,6 +187,12 @@
         assert known.take_samples() == {}
         assert known.means(1.0) == {}
 
+    def test_routes_that_a_configuration_drops_are_forgotten(self):
+        """Otherwise, each route that ever failed would stay in memory."""
+        known = self.record(PAGE, 20)
+        known.retain({"other"})
+        assert known.shares(1.0) == {}
+
     def test_end_of_failures_is_published(self):
         known = self.record(PAGE, 20)
         assert known.means(1.0)[PAGE] > 0.9
--- a/tests/test_placement_failures.py
+++ b/tests/test_placement_failures.py
@@ -97,6 +97,19 @@
         assert local_share(rejecting) >= local_share(quiet) - 0.01
 
 
+def test_failing_upstream_whose_entry_names_another_service_is_usable():
+    """The outcomes of the new service were looked up and did not exist."""
+    known = make(0, 1)
+    for _ in range(5):
+        known.record_outcome("low-a-0", False, 1.0)
+    entry = catalog.Instance(
+        "low-a-0", "desk", "10.1.0.1", 8547, "low-a", 8, True, 0.0
+    )
+    known.learn_instances({"low-a-0": entry}, 1.0)
+    found = known.choose("desk", "r", (), OBJECTIVE_S, 1.1)
+    assert found.instance_id == "low-a-0"
+
+
 class TestFailuresOfSome:
     @pytest.mark.parametrize("seed", SEEDS)
     @pytest.mark.parametrize("rate_per_s", [30, 200])
