Refuse failing chains only where operators ask for it

Most refused requests come back into the same rejections.

Change: the setting local_node.refuse_failing_chains, off by default; a test shows that chains run without it.

Tests of chains and of the data plane pass.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -267,11 +267,21 @@
         ):
             return results.SHED_FOR_CHAIN
         # Retried requests are refused like new ones: their chains fail too.
-        if self.chain_success.refuses(call.kind, self._random.random(), now):
+        if self._random.random() < self._chain_refused_fraction(
+            call.kind, now
+        ):
             call.chain_refused = True
             return results.SHED_FOR_CHAIN
         return None
 
+    def _chain_refused_fraction(
+        self, kind: tuple[str, int], now: float
+    ) -> float:
+        """Return the fraction of a kind that is refused for failing chains."""
+        if not self._options.refuse_failing_chains:
+            return 0.0
+        return self.chain_success.refused_fraction(kind, now)
+
     def _offer(self, call: calls.Call) -> None:
         """Send a call to the best upstream that was not tried yet."""
         now = self._loop.time()
@@ -595,7 +605,7 @@
             kind = (route, call.rank)
             below = request_log.Below(
                 self.backpressure.wait_s(kind, now),
-                self.chain_success.refused_fraction(kind, now),
+                self._chain_refused_fraction(kind, now),
             )
             fields = request_log.describe(
                 call, code, status, self._terms.version, below, now
--- a/src/savorytally/dataplane/options.py
+++ b/src/savorytally/dataplane/options.py
@@ -64,6 +64,8 @@
         store, in seconds.
     :param ramp_up: whether upstreams that start or return ramp up, if their
         service states a cold start.
+    :param refuse_failing_chains: whether requests are refused whose call
+        chains hardly ever succeed.
     """
 
     host_id: str
@@ -83,6 +85,7 @@
     bounds: Bounds
     heartbeat_s: float = 1.5
     ramp_up: bool = False
+    refuse_failing_chains: bool = False
 
     @property
     def region(self) -> str:
--- a/src/savorytally/platform/settings.py
+++ b/src/savorytally/platform/settings.py
@@ -127,6 +127,9 @@
         first_start=take("local_node.first_start", _flag, False),
         heartbeat_s=take("platform.heartbeat", durations.seconds, 1.5),
         ramp_up=take("local_node.ramp_up", _flag, False),
+        refuse_failing_chains=take(
+            "local_node.refuse_failing_chains", _flag, False
+        ),
         bounds=_bounds(reader),
     )
     if reader.faults:
--- a/tests/test_chain_success_live.py
+++ b/tests/test_chain_success_live.py
@@ -22,7 +22,7 @@
 RECOVERY_S = 2.0
 
 
-def run_day(rate_per_s):
+def run_day(rate_per_s, refuse=True):
     """Return the load and the direct calls of a day with rejections.
 
     The day has 8 s before and 13.5 s after the rejections.
@@ -32,7 +32,12 @@
         cluster = mesh.Mesh()
         config = mesh.configuration(1)
         config["routes"]["r-ledger"] = mesh.route("ledger", auth_exempt=True)
-        await cluster.start(SERVICES, slots=64, config=config)
+        await cluster.start(
+            SERVICES,
+            slots=64,
+            config=config,
+            refuse_failing_chains=refuse,
+        )
         source = random.Random(3)
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + 8.0 + REJECTION_S
@@ -93,6 +98,16 @@
         assert all(0.5 <= item.retry_after_s <= 0.67 for item in refused)
         assert load.served_fraction(ends_at + RECOVERY_S) == 1.0
 
+    def test_chains_run_unless_operators_ask_for_refusals(self):
+        # On the users' days, refusals served fewer callers.
+        load, _, ends_at = run_day(100, refuse=False)
+        late = [
+            item
+            for item in load.sent
+            if ends_at - REJECTION_S + 2.0 < item.at < ends_at
+        ]
+        assert sum(item.status == 503 for item in late) <= 0.01 * len(late)
+
     def test_direct_callers_are_served(self, day):
         _, direct, ends_at = day
         sent = [
