Test that a watch lost by a silent store hides later versions

Cause: not yet mended. A watch that is sent while the store is silent is never answered; the readers wait for it for 22 s while the store can be read again.

Change: the simulated store can take requests without answering them.

The store has to fall silent within the readers' pause after a change (0.6 s), when the next watch has not been sent: 1 s and 3 s after it, the store answers the watch that it holds.

--- a/tests/fakes/mesh.py
+++ b/tests/fakes/mesh.py
@@ -199,6 +199,8 @@
         self.changed = asyncio.Event()
         self.calls: list[str] = []
         self.status = 0
+        # Whether requests are read and never answered.
+        self.silent = False
         self.page = 500
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -260,6 +262,8 @@
         self.calls.append(target)
         path, _, query = target.partition("?")
         parameters = dict(urllib.parse.parse_qsl(query))
+        if self.silent:
+            return
         if self.status:
             self._respond(connection, self.status)
             return
