Show the age of a node's view and of its waiting read

Change: metrics view_age_s and store_waiting_s, log lines view_unconfirmed and view_confirmed at the age within which changes must be in force (the platform's bound config). No logic changes.

--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -11,6 +11,7 @@
 from ..decisions import cold_rate
 from ..decisions import entry_reconciler
 from ..decisions import gate_queue
+from ..decisions import list_age
 from ..decisions import memory_budget
 from ..decisions import retry_budget
 from ..decisions import retry_slack
@@ -171,7 +172,10 @@
         if not node_options.first_start:
             self._startup_check = startup_check.StartupCheck(rand)
         self._reachable: bool | None = None
-        self._confirmed = float("-inf")
+        # When the configuration and the host list were last known to be the
+        # newest.
+        self._view_age = list_age.ListAge()
+        self._view_confirmed = True
         self._connections: set[callers.CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[t.Any]] = []
@@ -329,8 +333,8 @@
 
     def confirmed(self, at: float) -> None:
         """Note that the host list was up to date at a loop time."""
-        if at > self._confirmed:
-            self._confirmed = at
+        if at > self._view_age.confirmed_at():
+            self._view_age.confirm(at)
             self._slack_share.confirm_list(at)
 
     def source_state(self, reachable: bool, why: str) -> None:
@@ -563,6 +567,7 @@
             if self._reconciler.due(now):
                 self._apply_instances(now, confirmed=False)
             self._check_startup()
+            self._check_view(now)
             if now >= self._gossip_at:
                 spread = 0.5 + self._random.random()
                 self._gossip_at = now + GOSSIP_INTERVAL_S * spread
@@ -571,6 +576,31 @@
                 self._gossip()
                 self.reload()
 
+    def _check_view(self, now: float) -> None:
+        """Log when the view of the store is no longer recent, or again."""
+        if self.position is None:
+            return
+        age_s = self._view_age.age_s(now)
+        confirmed = age_s <= self._options.bounds.change_s
+        if confirmed == self._view_confirmed:
+            return
+        self._view_confirmed = confirmed
+        if confirmed:
+            self.log.event("view_confirmed", version=self.version)
+            return
+        self.log.event(
+            "view_unconfirmed",
+            age_s=round(age_s, 3),
+            version=self.version,
+            reads_store=self._store_watch.healthy,
+            waiting_s=round(self._store_waiting_s(now), 3),
+        )
+
+    def _store_waiting_s(self, now: float) -> float:
+        """Return how long a read of the store has waited, -1 without one."""
+        since = self._store_watch.waiting_since
+        return now - since if since is not None else -1.0
+
     def _gossip(self) -> None:
         """Send the configuration's version to a random host of the region.
 
@@ -689,6 +719,11 @@
             "store_revision",
             lambda: self.position.revision if self.position else 0,
         )
+        add("view_age_s", lambda: self._view_age.age_s(self._loop.time()))
+        add(
+            "store_waiting_s",
+            lambda: self._store_waiting_s(self._loop.time()),
+        )
         add("upstreams", lambda: len(self._reconciler.instances))
         add("followers", lambda: self.store_sharing.followers)
         add("reads_store", lambda: int(self._store_watch.healthy))
--- a/src/savorytally/dataplane/options.py
+++ b/src/savorytally/dataplane/options.py
@@ -15,6 +15,8 @@
 class Bounds:
     """The limits and periods that the users require.
 
+    :param change_s: time within which a confirmed change must be in force, in
+        seconds.
     :param drain_s: time after which a leaving upstream gets no new work, in
         seconds.
     :param grace_s: time from the stop signal until the process is killed, in
@@ -29,6 +31,7 @@
     :param cold_slack: further requests that a cold upstream may get.
     """
 
+    change_s: float = 2.0
     drain_s: float = 2.0
     grace_s: float = 6.0
     retry_ratio: float = 0.2
--- a/src/savorytally/dataplane/store_watch.py
+++ b/src/savorytally/dataplane/store_watch.py
@@ -133,6 +133,7 @@
         self._task: asyncio.Task[None] | None = None
         self._healthy = False
         self._read_at = 0.0
+        self._waiting_since: float | None = None
         self._history_lost = False
         # Whether the latest read of changes did not wait.
         self._read_at_once = False
@@ -149,6 +150,11 @@
         """Loop time of the latest successful read."""
         return self._read_at
 
+    @property
+    def waiting_since(self) -> float | None:
+        """Loop time at which the read in progress was sent, if any."""
+        return self._waiting_since
+
     def start(self) -> None:
         """Start watching the store, unless that has been done."""
         if self._task is None:
@@ -167,6 +173,7 @@
             self._task.cancel()
             self._task = None
             self._healthy = False
+            self._waiting_since = None
 
     async def _run(self) -> None:
         pause_s = RETRY_MIN_S
@@ -174,6 +181,7 @@
             try:
                 await self._step()
             except HistoryLost:
+                self._waiting_since = None
                 self._subscriber.store_read(ReadResult.HISTORY_LOST)
                 self._history_lost = True
                 if self._watched:
@@ -181,6 +189,7 @@
                     self._watched = False
                     continue
             except Unavailable as error:
+                self._waiting_since = None
                 self._subscriber.store_read(ReadResult.UNAVAILABLE)
                 self._healthy = False
                 self._subscriber.source_state(False, str(error))
@@ -192,6 +201,7 @@
             pause_s = min(RETRY_MAX_S, pause_s * 2)
 
     async def _step(self) -> None:
+        self._waiting_since = asyncio.get_running_loop().time()
         known = self._subscriber.position
         era = known.era if known is not None else 0
         if known is None or self._history_lost:
@@ -207,6 +217,7 @@
                 known, WATCH_S if waits else 0.0
             )
             self._read_at_once = not waits
+        self._waiting_since = None
         if changes.position.era < era:
             raise Unavailable(f"era {changes.position.era} after era {era}")
         if changes.after is not None and changes.position.era > era:
--- a/src/savorytally/decisions/list_age.py
+++ b/src/savorytally/decisions/list_age.py
@@ -18,6 +18,10 @@
         """Record that the active host list was the newest at that time."""
         self._confirmed_at = max(self._confirmed_at, at)
 
+    def age_s(self, now: float) -> float:
+        """Return the time since the last confirmation, in seconds."""
+        return now - self._confirmed_at
+
     def confirmed_at(self) -> float:
         """Return when the active host list was last known to be current."""
         return self._confirmed_at
--- a/src/savorytally/platform/settings.py
+++ b/src/savorytally/platform/settings.py
@@ -143,6 +143,7 @@
 
     defaults = options.Bounds()
     return options.Bounds(
+        change_s=take("config", durations.seconds, defaults.change_s),
         drain_s=take("drain", durations.seconds, defaults.drain_s),
         grace_s=take("grace", durations.seconds, defaults.grace_s),
         retry_ratio=take("retry_budget_ratio", float, defaults.retry_ratio),
