Deny nothing by a configuration that may be out of date

Cause: a node denied by whatever configuration it had, however long ago that was known to be the newest.

Allowed requests are served as before.

Measured: the three tests of TestRefusals fail before ({404, 401} and 413 instead of 503) and pass.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -8,6 +8,7 @@
 from .. import results
 from ..decisions import backpressure
 from ..decisions import chain_success
+from ..decisions import list_age
 from ..decisions import parent_matching
 from ..decisions import placement
 from ..decisions import retry_after
@@ -42,6 +43,8 @@
 # Callers take these statuses to mean that the request has not run and will not
 # run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# A request exceeds a limit of the configuration.
+_LIMIT_STATUSES = frozenset((413, 431))
 # Results that are typical while hosts start or stop. A retry is likely to get
 # the same result until that is over.
 _RESTART_CODES = frozenset(
@@ -72,6 +75,7 @@
     :param remote_gates: sends calls to the gates of other hosts.
     :param own_gate: the gate of this host.
     :param limits: admits requests within their organisations' rates.
+    :param view_age: when the configuration was last known to be the newest.
     :param counts: counts requests.
     :param log: logs requests.
     :param rand: random source.
@@ -84,6 +88,7 @@
         remote_gates: "peers.Peers",
         own_gate: gate.Gate,
         limits: rates.Rates,
+        view_age: list_age.ListAge,
         counts: counters.Counters,
         log: event_log.EventLog,
         rand: random.Random,
@@ -98,7 +103,9 @@
         self._log = log
         self._random = rand
         self._loop = asyncio.get_running_loop()
-        self._terms = request_terms.RequestTerms(names, own_gate)
+        self._terms = request_terms.RequestTerms(
+            names, own_gate, view_age, node_options.bounds.change_s
+        )
         self._limits = catalog.RequestLimits()
         self.placement = placement.Placement(
             node_options.data_centre,
@@ -144,9 +151,13 @@
 
     def refuse(self, request: callers.Request, status: int, why: str) -> None:
         """Respond with an error to a malformed or oversized request."""
+        headers = [(b"content-type", b"application/json")]
+        now = self._loop.time()
+        if status in _LIMIT_STATUSES and not self._terms.may_deny(now):
+            status = 503
+            headers.append((b"retry-after", b"%.3f" % retry_after.STARTUP_S))
         self._log.event("malformed", status=status, why=why)
         body = json.dumps({"detail": why}).encode()
-        headers = [(b"content-type", b"application/json")]
         request.respond(status, headers, body, close=True)
 
     def handle(self, request: callers.Request) -> None:
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -124,12 +124,16 @@
         self.peers = peers.Peers(node_options.peer_port, self.gate, self, rand)
         self.crash_watch.set_carrier(self.peers)
         self.rates = rates.Rates(node_options, self.peers)
+        # When the configuration and the host list were last known to be the
+        # newest.
+        self._view_age = list_age.ListAge()
         self.entry = entry.Entry(
             node_options,
             names,
             self.peers,
             self.gate,
             self.rates,
+            self._view_age,
             self.counts,
             self.log,
             rand,
@@ -172,9 +176,6 @@
         if not node_options.first_start:
             self._startup_check = startup_check.StartupCheck(rand)
         self._reachable: bool | None = None
-        # When the configuration and the host list were last known to be the
-        # newest.
-        self._view_age = list_age.ListAge()
         self._view_confirmed = True
         self._connections: set[callers.CallerConnection] = set()
         self._servers: list[asyncio.Server] = []
--- a/src/savorytally/dataplane/request_terms.py
+++ b/src/savorytally/dataplane/request_terms.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from .. import results
+from ..decisions import list_age
 from ..decisions import parent_matching
 from ..world import catalog
 from . import calls
@@ -46,11 +47,19 @@
 
     :param names: the header names.
     :param own_gate: the gate of this host, whose runs make calls.
+    :param view_age: when the configuration was last known to be the newest.
+    :param change_s: time within which a change must be in force, in seconds.
     """
 
     def __init__(
-        self, names: header_names.HeaderNames, own_gate: gate.Gate
+        self,
+        names: header_names.HeaderNames,
+        own_gate: gate.Gate,
+        view_age: list_age.ListAge,
+        change_s: float,
     ) -> None:
+        self._view_age = view_age
+        self._change_s = change_s
         self._names = names
         self._gate = own_gate
         self._catalog: catalog.Catalog | None = None
@@ -72,6 +81,15 @@
         """Apply a newer configuration."""
         self._catalog = newest
 
+    def may_deny(self, now: float) -> bool:
+        """Return whether the configuration is known to be recent enough.
+
+        A node that has missed a change might deny what the change allows.
+
+        :param now: loop time.
+        """
+        return self._view_age.age_s(now) <= self._change_s
+
     def determine(
         self, call: calls.Call, now: float
     ) -> results.ResultCode | None:
@@ -92,11 +110,11 @@
         host = request.header(b"host").decode("latin-1")
         route = find_route(newest, host, target.partition("?")[0])
         if route is None:
-            return results.UNKNOWN_ROUTE
+            return self._deny(results.UNKNOWN_ROUTE, now)
         call.route = route
         organisation = self._identify(call, newest)
         if isinstance(organisation, results.ResultCode):
-            return organisation
+            return self._deny(organisation, now)
         call.regions = catalog.permitted_regions(
             route.homes,
             organisation.homes if organisation is not None else frozenset(),
@@ -104,6 +122,11 @@
         self._set_terms(call, route, organisation, now)
         return None
 
+    def _deny(
+        self, code: results.ResultCode, now: float
+    ) -> results.ResultCode:
+        return code if self.may_deny(now) else results.STALE_VIEW
+
     def _identify(
         self, call: calls.Call, newest: catalog.Catalog
     ) -> catalog.Organisation | results.ResultCode | None:
--- a/src/savorytally/results.py
+++ b/src/savorytally/results.py
@@ -153,7 +153,7 @@
     1021,
     "stale_view",
     503,
-    "The node resumed after a pause and has not confirmed its view.",
+    "The node has not confirmed its configuration lately.",
     "Retry; another host will take the request.",
 )
 OWNER_UNSETTLED = _code(
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -9,6 +9,7 @@
 # Time within which the users require a configuration to be in force.
 IN_FORCE_S = 2.0
 OUTAGE_S = 6.4
+CONTROL_PORTS = (mesh.STORE.port, mesh.PEER_PORT)
 
 
 def run_scenario(scenario, hosts=6, **changes):
@@ -99,6 +100,67 @@
         assert run_scenario(scenario) == ({2: 6}, {False})
 
 
+class TestRefusals:
+    """A host that does not know the newest configuration can't deny."""
+
+    TARGETS = (
+        ("/nowhere/1", mesh.KEY),
+        ("/drawers/1", "new-key"),
+        ("/drawers/1", None),
+    )
+
+    async def _answers(self, cluster):
+        answers = [
+            await cluster.send(host, target, key=key)
+            for host in cluster.hosts
+            for target, key in self.TARGETS
+        ]
+        assert all(
+            answer.status != 503 or answer.header(b"retry-after")
+            for answer in answers
+        )
+        return {answer.status for answer in answers}
+
+    def test_host_without_news_of_the_store_answers_404_or_401(self):
+        async def scenario(cluster):
+            before = await self._answers(cluster)
+            cluster.store.silent = True
+            await asyncio.sleep(IN_FORCE_S + 1.1)
+            silent = await self._answers(cluster)
+            served = await cluster.send(cluster.hosts[0])
+            cluster.store.silent = False
+            await asyncio.sleep(IN_FORCE_S)
+            return before, silent, served.status, await self._answers(cluster)
+
+        known = {404, 401}
+        assert run_scenario(scenario) == (known, {503}, 200, known)
+
+    def test_host_cut_off_from_store_and_hosts_answers_404_or_401(self):
+        async def scenario(cluster):
+            for key in list(cluster.net.servers):
+                if key[1] in CONTROL_PORTS:
+                    cluster.net.drop_data(*key)
+                    cluster.net.unreachable.add(key)
+            await asyncio.sleep(IN_FORCE_S + 1.1)
+            return await self._answers(cluster)
+
+        assert run_scenario(scenario) == {503}
+
+    def test_larger_bodies_are_denied_without_news_of_the_store(self):
+        limits = {**mesh.configuration(1)["limits"], "max_body_bytes": 64}
+        config = mesh.configuration(1, limits=limits)
+
+        async def scenario(cluster):
+            host, body = cluster.hosts[0], b"x" * 65
+            known = await cluster.send(host, method="POST", body=body)
+            cluster.store.silent = True
+            await asyncio.sleep(IN_FORCE_S + 1.1)
+            silent = await cluster.send(host, method="POST", body=body)
+            return known.status, silent.status
+
+        assert run_scenario(scenario, config=config) == (413, 503)
+
+
 class TestWatch:
     @pytest.mark.parametrize("hosts", [4, 30])
     @pytest.mark.parametrize("after_s", [0.1, 0.5, 1.0, 3.0])
