Don't take a reset body without length as whole

Callers of the product's own data path got a 200 with part of the upstream's body, framed as whole: an answer without length or chunks whose connection is reset ended as if the upstream had closed it. A value of the platform was read the same way.

Cause: aiohttp's response parser ends such a body at any end of the connection before the error of the connection is reported, and a body that has ended gets no error. Closing the client while an answer is read has the same effect. The earlier tests did not show it because transport.abort() of a socket without unread data sends a FIN.

The protocol of the connector now fails the body unless the server has closed the connection, so that upstream and platform are both covered. Heads that end early were never taken as whole here.

--- a/src/savorytally/http/limited_client.py
+++ b/src/savorytally/http/limited_client.py
@@ -1,7 +1,7 @@
 """An aiohttp client connector that limits what a server may send.
 
 aiohttp bounds neither the number of interim (1xx) responses nor the size of
-a body.
+a body, and takes any end of a connection for the end of a body without length.
 """
 
 import asyncio
@@ -20,11 +20,34 @@
 
 
 class _LimitedProtocol(client_proto.ResponseHandler):
-    """Closes a connection that receives too many interim responses."""
+    """Closes a connection that receives too many interim responses.
+
+    A body that the connection leaves incomplete fails with
+    :class:`aiohttp.ClientPayloadError`. One without length is complete only
+    if the server closes the connection, not if it is reset or closed here.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop=loop)
         self._interim_count = 0
+        self._closed_by_server = False
+
+    def eof_received(self) -> None:
+        self._closed_by_server = True
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None or not self._closed_by_server:
+            self._fail_body()
+        super().connection_lost(exc)
+
+    def close(self) -> None:
+        self._fail_body()
+        super().close()
+
+    def abort(self) -> None:
+        self._fail_body()
+        super().abort()
 
     def data_received(self, data: bytes) -> None:
         if self._payload is not None and not self._payload.is_eof():
@@ -43,6 +66,12 @@
         )
         super().feed_data(data, size)
 
+    def _fail_body(self) -> None:
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(
+                aiohttp.ClientPayloadError("the body is incomplete")
+            )
+
     def _abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -5,11 +5,14 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import http.client
 import io
 import itertools
 import random
+import socket
+import struct
 
 from fakes import mesh
 from fakes import net
@@ -17,10 +20,15 @@
 from hypothesis import strategies as st
 import pytest
 
+from savorytally import outcomes
+from savorytally import ports
+from savorytally import results
 from savorytally.dataplane import frames
 from savorytally.dataplane import health
 from savorytally.dataplane import pool
 from savorytally.dataplane import store_watch
+from savorytally.http import platform
+from savorytally.http import upstream
 from savorytally.platform import headers
 from savorytally.platform import store
 
@@ -453,3 +461,90 @@
             body = shape.delivered(data, "", reset)
             seen = net.run(lambda data=data: read(data))
             assert seen == (body is not None, body == page)
+
+
+@contextlib.asynccontextmanager
+async def server_of(answer):
+    """Run a server that passes each request to ``answer``; yield its URL."""
+
+    async def accept(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await answer(writer)
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    yield f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    server.close()
+
+
+SENT = ports.UpstreamRequest("GET", "/", "", (), b"")
+
+
+async def cut_on_sockets(shape, sizes, reset):
+    """Return the sizes at which a client took a part for a whole answer."""
+    taken = []
+
+    async def send_part(writer):
+        writer.write(part)
+        await writer.drain()
+        if reset:
+            # The client reads all that was sent before the reset.
+            await asyncio.sleep(0.002)
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, linger
+            )
+        writer.close()
+
+    async with server_of(send_part) as url:
+        for size in sizes:
+            part = shape.encode("")[:size]
+            whole = shape.delivered(part, "", reset)
+            client = upstream.HttpUpstream(url)
+            answer = await client.exchange(SENT, 5.0)
+            await client.close()
+            reader = platform.HttpPlatform(url)
+            try:
+                value = await reader.read("name", 0, 1.0)
+            except OSError:
+                value = None
+            await reader.close()
+            if isinstance(answer, outcomes.Answer) and answer.body != whole:
+                taken.append((size, answer))
+            if value is not None and value.body != whole:
+                taken.append((size, value))
+            if shape.valid and whole is not None:
+                assert isinstance(answer, outcomes.Answer)
+                assert (value is not None) == (answer.status == 200)
+    return taken
+
+
+class TestCutOnSockets:
+    """Answers that the clients of :mod:`savorytally.http` read."""
+
+    @pytest.mark.parametrize("reset", [False, True])
+    @pytest.mark.parametrize("kind", sorted(SHAPES.keys() - {"no headers"}))
+    def test_part_is_neither_an_answer_nor_a_value_of_the_platform(
+        self, run, kind, reset
+    ):
+        shape = SHAPES[kind]
+        version = b"-signature: sig-NAME\r\nvalue-version: 7"
+        head = shape.head.replace(b"-signature: sig-NAME", version)
+        shape = dataclasses.replace(shape, head=head)
+        whole_bytes = len(shape.encode(""))
+        step = 1 + whole_bytes // 20
+        sizes = [*range(0, whole_bytes, step), whole_bytes - 1, whole_bytes]
+        assert not run(cut_on_sockets(shape, sizes, reset))
+
+    def test_closed_client_does_not_complete_a_body_without_length(self, run):
+        async def send_half(writer):
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+
+        async def work():
+            async with server_of(send_half) as url:
+                client = upstream.HttpUpstream(url)
+                task = asyncio.ensure_future(client.exchange(SENT, 5.0))
+                await asyncio.sleep(0.1)
+                await client.close()
+                return await task
+
+        assert run(work()).code is results.ANSWER_TRUNCATED
