Complete an unframed response only at the server's close

A response without length that was being read when its pool was closed was delivered as whole with the part that had arrived: connection_lost gets no error also when this end closes the connection.

Such a response is now complete only after the server's end of the stream, which asyncio and uvloop report through eof_received.

No caller is known to have seen it: a node closes its pool when it ends, and results of calls that were withdrawn are dropped.

--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -104,6 +104,7 @@
         # Loop time when the head of the latest response was read.
         self.head_at = 0.0
         self._reads_to_close = False
+        self._closed_by_server = False
         self._response: Response | None = None
         self._loop = asyncio.get_running_loop()
         self.reusable = True
@@ -138,12 +139,16 @@
         sockets.enable_keepalive(transport)
         self._parser = httptools.HttpResponseParser(self)
 
+    def eof_received(self) -> None:
+        self._closed_by_server = True
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self.lost_idle = self.reusable and self._done is None
         self.reusable = False
+        whole = self._reads_to_close and self._closed_by_server and exc is None
         if self._done is not None:
-            if self._in_message and self._reads_to_close and exc is None:
+            if self._in_message and whole:
                 self._complete()
                 self._deliver()
             elif self._in_message:
@@ -185,7 +190,7 @@
         )
 
     def close(self) -> None:
-        """Close an idle connection."""
+        """Close the connection; a response that is being read is truncated."""
         self.reusable = False
         if self._transport is not None:
             self._transport.close()
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -23,6 +23,7 @@
 from savorytally import outcomes
 from savorytally import ports
 from savorytally import results
+from savorytally.dataplane import exchanges
 from savorytally.dataplane import frames
 from savorytally.dataplane import health
 from savorytally.dataplane import pool
@@ -565,3 +566,32 @@
 
         with pytest.raises(OSError, match="no header 'Value-Version'"):
             run(work())
+
+
+def test_closed_pool_does_not_complete_a_body_without_length():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        address = mesh.STORE
+        await loop.create_server(
+            lambda: mesh.HttpServer(
+                lambda connection: connection.transport.write(
+                    b"HTTP/1.1 200 OK\r\n\r\nhalf"
+                )
+            ),
+            address.host,
+            address.port,
+        )
+        connections, ended = pool.Pool(address), loop.create_future()
+        connections.acquire(
+            False,
+            lambda connection: connection.request(
+                b"GET / HTTP/1.1\r\n\r\n",
+                lambda reply: True,
+                lambda used, result: ended.set_result(result),
+            ),
+        )
+        await asyncio.sleep(0.1)
+        connections.close()
+        return await ended
+
+    assert net.run(scenario) is exchanges.Broken.TRUNCATED
