Cut answers in the soak at any byte, also by RST

The fault answers_cut always ended at half of the answer by FIN, which lay before the signature, so that a node that takes a FIN within the head for the end of an empty body passed the soak. The cut is now drawn for each answer, half of them end by RST, and what upstreams advertise follows the signature, so that many cuts leave a signed part.

--- a/tools/soak_upstreams.py
+++ b/tools/soak_upstreams.py
@@ -3,6 +3,8 @@
 import asyncio
 import itertools
 import random
+import socket
+import struct
 import time
 import typing as t
 
@@ -103,7 +105,13 @@
 
 
 def _truncate(transport: t.Any, response: bytes) -> None:
-    transport.write(response[: len(response) // 2])
+    """End at any byte of the head or the body, by FIN or by RST."""
+    drawn = random.Random(response)
+    transport.write(response[: drawn.randrange(len(response))])
+    if drawn.random() < 0.5:
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
     transport.close()
 
 
@@ -400,7 +408,9 @@
             headers += f"{advertised.LIMIT}: {self.limit_per_s}\r\n"
         if self.draining:
             headers += f"{advertised.LEAVING}: 1\r\n"
-        return response.replace(b"\r\n", b"\r\n" + headers.encode(), 1)
+        # After the others, so that a head that is cut within them is signed.
+        end = f"\r\n{headers}\r\n".encode()
+        return response.replace(b"\r\n\r\n", end, 1)
 
     def _record_arrival(self, headers: dict[str, str], ran: bool) -> int:
         """Record an arrival and return its index."""
