Take no refusal that may be a duplicate as proof

Callers saw 503 (1027, "not run") for safe requests that an upstream had run or was running, when it wrote an earlier refusal once more on a kept connection.

Cause: connections on which an answer may be a duplicate are used for safe requests, and a marked refusal without an identifier was taken for the one of the request in progress. A refusal that names its request was taken likewise for a repeat of it on the same connection, and a marked 400 as the answer to another request.

Change: only the first refusal on a connection proves that its request has not run, health answers included. Later ones without an identifier, or to a repeat, mean 3006: the request may have run, is charged to the retry budget as any repeat, and goes to no more upstreams than the route's attempts. The connection is kept, since most such refusals are true. A safe request that ends so gets 502 with Retry-After.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -548,7 +548,9 @@
             status = 503
         self._end(call, code, status)
         headers: callers.Headers = [(b"content-type", b"application/json")]
-        if status in (429, 503):
+        if status in (429, 503) or (
+            code is results.REFUSAL_UNPROVED and call.idempotent
+        ):
             retry_after_s = self._retry_after_s(call, code, retry_after_ms)
             headers.append((b"retry-after", b"%.3f" % retry_after_s))
         if call.request_id:
--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -110,6 +110,8 @@
         # Whether a duplicate of an earlier response could be mistaken for the
         # response to a later request.
         self.ambiguous = False
+        # Whether the server has stated on it that it did not run a request.
+        self.has_refused = False
         self.keep_alive_s = 0.0
         self.last_used = self._loop.time()
         self.uses = 0
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -561,16 +561,26 @@
             self._cold_changed(now)
             return
         self._apply_advertised(run, result)
-        verdict = self._protocol.interpret(result)
-        rejected = verdict.code is results.UPSTREAM_SHED
+        verdict = self._protocol.interpret(
+            result,
+            self._protocol.may_be_duplicate(
+                run.call, result, connection.has_refused
+            ),
+        )
+        rejected = (
+            verdict.stated is _Reason.MARK
+            and verdict.code is not results.ANSWERED
+        )
         self._apply_load(result.headers, connection.head_at, rejected)
         connection.ambiguous = connection.ambiguous or verdict.ambiguous
+        connection.has_refused |= verdict.stated is not None
         self._pool.release(connection)
         run.echoes_id = verdict.echoes_id
         run.connection_uses = connection.uses
-        if verdict.code is results.INSTANCE_GONE:
+        misdirected = verdict.stated is _Reason.MISDIRECTED
+        if misdirected:
             self._note_replaced(run.call.instance_id)
-        failed = verdict.code is not results.INSTANCE_GONE and (
+        failed = not misdirected and (
             verdict.code is not results.ANSWERED
             or result.status >= _SERVER_ERROR
         )
@@ -700,9 +710,11 @@
         elif code is results.DEADLINE_PASSED:
             ran_s = now - run.started
         self._finish(run, code, reason, response, ran_s)
-        self._release(
-            run, ran_s, may_still_run=code is results.UPSTREAM_BROKEN
+        may_still_run = code in (
+            results.UPSTREAM_BROKEN,
+            results.REFUSAL_UNPROVED,
         )
+        self._release(run, ran_s, may_still_run)
 
     def _release(
         self, run: Run, ran_s: float | None, may_still_run: bool = False
--- a/src/savorytally/dataplane/health.py
+++ b/src/savorytally/dataplane/health.py
@@ -117,6 +117,8 @@
         if self._timer is not None:
             # When the timer fires, the connection may carry another request.
             self._timer.cancel()
+        if isinstance(result, exchanges.Response) and result.status != _OK:
+            connection.has_refused = True
         self._pool.release(connection)
         instance = ""
         if isinstance(result, exchanges.Response):
--- a/src/savorytally/dataplane/retries.py
+++ b/src/savorytally/dataplane/retries.py
@@ -91,7 +91,10 @@
             return False
         if call.offers >= OFFERS_MAX:
             return False
-        ran = not results.by_number(result.code).not_run
+        code = results.by_number(result.code)
+        # Most unproved refusals are true; the entry sends no request to more
+        # upstreams than the route's attempts.
+        ran = not code.not_run and code is not results.REFUSAL_UNPROVED
         if ran and len(call.reached) >= route.attempts:
             return False
         if call.deadline - now < max(MIN_USEFUL_S, result.run_ms / 1000):
--- a/src/savorytally/dataplane/upstream_protocol.py
+++ b/src/savorytally/dataplane/upstream_protocol.py
@@ -24,15 +24,20 @@
     """The result that a response means for its request.
 
     :param code: the request's result code.
-    :param reason: the reason why the request has certainly not run, ``None``
-        if it may have run.
+    :param stated: the reason that the response states why its request has not
+        run, ``None`` if it states none.
     :param echoes_id: whether the response echoes the request's identifier.
     """
 
     code: results.ResultCode
-    reason: not_run_reasons.NotRunReason | None
+    stated: not_run_reasons.NotRunReason | None
     echoes_id: bool
 
+    @property
+    def reason(self) -> not_run_reasons.NotRunReason | None:
+        """Why the request has certainly not run, ``None`` if it may have."""
+        return self.stated if self.code.not_run else None
+
     @property
     def ambiguous(self) -> bool:
         """Whether a duplicate could be mistaken for a later response.
@@ -41,7 +46,7 @@
         identifier, because the same request may be sent over the connection
         again.
         """
-        return self.reason is not None or not self.echoes_id
+        return self.stated is not None or not self.echoes_id
 
 
 class UpstreamProtocol:
@@ -102,22 +107,44 @@
         """Return the upstream instance that a response names as its sender."""
         return reply.header(self._names.responding_instance).decode("latin-1")
 
-    def interpret(self, reply: exchanges.Response) -> Interpretation:
-        """Return the result that a response means for its request."""
+    def may_be_duplicate(
+        self, call: frames.Call, reply: exchanges.Response, has_refused: bool
+    ) -> bool:
+        """Return whether a refusal may be a duplicate of an earlier one.
+
+        :param has_refused: whether another request was refused on the
+            connection before.
+        """
+        if not has_refused:
+            return False
         echoes_id = bool(reply.header(self._names.request_id))
-        if reply.status == _MISDIRECTED_STATUS:
-            reason = not_run_reasons.NotRunReason.MISDIRECTED
-            return Interpretation(results.INSTANCE_GONE, reason, echoes_id)
-        refused = (
+        # A repeated request may have been refused on the same connection.
+        return not echoes_id or bool(call.flags & frames.Flag.RETRY)
+
+    def interpret(
+        self, reply: exchanges.Response, may_be_duplicate: bool = False
+    ) -> Interpretation:
+        """Return the result that a response means for its request.
+
+        :param may_be_duplicate: whether a refusal does not prove that the
+            request has not run.
+        """
+        echoes_id = bool(reply.header(self._names.request_id))
+        stated = self._stated_reason(reply)
+        if stated is not None and may_be_duplicate:
+            code = results.REFUSAL_UNPROVED
+        elif stated is not_run_reasons.NotRunReason.MISDIRECTED:
+            code = results.INSTANCE_GONE
+        elif stated is not None and (
             reply.status >= _REFUSED_STATUS_MIN
             or reply.status == _TIMEOUT_STATUS
-        )
-        if refused and self._not_executed(reply):
-            reason = not_run_reasons.NotRunReason.MARK
-            return Interpretation(results.UPSTREAM_SHED, reason, echoes_id)
-        if self._deliverable(reply):
-            return Interpretation(results.ANSWERED, None, echoes_id)
-        return Interpretation(results.UPSTREAM_BROKEN, None, echoes_id)
+        ):
+            code = results.UPSTREAM_SHED
+        elif self._deliverable(reply):
+            code = results.ANSWERED
+        else:
+            code = results.UPSTREAM_BROKEN
+        return Interpretation(code, stated, echoes_id)
 
     def advertised(
         self, headers: callers.Headers
@@ -164,11 +191,19 @@
             if pair[0] not in self._hidden
         ]
 
+    def _stated_reason(
+        self, reply: exchanges.Response
+    ) -> not_run_reasons.NotRunReason | None:
+        """Return why a response states that its request did not run."""
+        if reply.status == _MISDIRECTED_STATUS:
+            return not_run_reasons.NotRunReason.MISDIRECTED
+        if reply.header(self._names.not_executed):
+            return not_run_reasons.NotRunReason.MARK
+        return None
+
     def _not_executed(self, reply: exchanges.Response) -> bool:
         """Return whether a response states that the request did not run."""
-        if reply.status == _MISDIRECTED_STATUS:
-            return True
-        return bool(reply.header(self._names.not_executed))
+        return self._stated_reason(reply) is not None
 
     def _deliverable(self, reply: exchanges.Response) -> bool:
         """Return whether a response may be delivered as the upstream's own."""
