Keep that a request has run when its repeat is refused

Callers of safe routes saw 503, or an upstream's own answer with the mark that the request was not executed, for requests that had run.

Cause: a repeat after an upstream's own 5xx left no trace of the first run, so a refusal of the repeat was the final result; and the mark of a repeat's 4xx was passed on although an earlier attempt may have run.

The mark is not passed on if an earlier attempt may have run.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -427,6 +427,7 @@
             # all other calls below it.
             may_retry = failed and not chain_failed and not final
             if may_retry and self._retries.may_retry(call, route, result, now):
+                call.worst_code = results.ANSWER_LOST
                 self._retry(call)
                 return
             self._pass_on(call, result)
@@ -530,7 +531,14 @@
             self._fail(call, results.REFUSAL_UNPROVED)
             return
         self._end(call, results.ANSWERED, result.status)
-        headers = [(bytes(name), bytes(v)) for name, v in result.headers]
+        worst = call.worst_code
+        may_have_run = worst is not None and not worst.not_run
+        headers = [
+            (bytes(name), bytes(value))
+            for name, value in result.headers
+            # The mark is about this attempt; an earlier one may have run.
+            if not (may_have_run and name == self._names.not_executed)
+        ]
         call.request.respond(result.status, headers, result.body)
 
     def _fail(
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -202,6 +202,31 @@
             b"answer to look",
         )
 
+    @pytest.mark.parametrize("refusal", [503, 400])
+    def test_run_that_failed_counts_when_its_repeat_is_refused(self, refusal):
+        """Callers were told that a request had not run after it had failed."""
+
+        async def scenario(cluster):
+            (serving,) = hosts_of(cluster, "drawers")
+            upstream = serving.upstream
+            upstream.calls = answer_with(500)
+            upstream.rejects = lambda: bool(upstream.ran)
+            # Each refusal is the first on its connection.
+            upstream.advertised_headers = {"connection": "close"}
+            upstream.write = lambda connection, answer: (
+                connection.transport.write(
+                    answer.replace(b"503", b"%d" % refusal, 1)
+                )
+            )
+            reply = await cluster.send(
+                hosts_of(cluster, "desk")[0], "/drawers/1", request_id="look"
+            )
+            mark = reply.header(b"x-savorytally-not-executed")
+            return reply.status, mark, runs(cluster)
+
+        expected_status = 502 if refusal == 503 else refusal
+        assert run_on_mesh(scenario) == (expected_status, b"", ["look"])
+
 
 class TestDuplicateAnswers:
     """Duplicates of answers that arrive where the next one is expected."""
