Check refusals of safe requests in the soak

Cause: the soak's upstreams write refusals twice, but the check that a refused request has not run passed over safe requests, so it never showed that they were told so untruly.

Change: the check holds for all requests. A record of a refused safe request that ran breaches it.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -261,11 +261,11 @@
     def test_other_cut_is_excused(self, name):
         assert checks.find_breaches(EXCUSED[name]) == []
 
-    def test_run_after_a_rejection_is_found(self):
+    @pytest.mark.parametrize("idempotent", [False, True])
+    def test_run_after_a_rejection_is_found(self, idempotent):
         late = changed(ARRIVAL, at=103.0)
-        (breach,) = checks.find_breaches(
-            record([changed(SENT, status=429)], [late])
-        )
+        refused = changed(SENT, status=429, idempotent=idempotent)
+        (breach,) = checks.find_breaches(record([refused], [late]))
         assert breach.startswith("refusals_are_true")
 
     def test_organisation_of_another_key_is_found(self):
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -93,9 +93,8 @@
     """A request rejected as not run has not run and does not run later."""
     ran = {arrival.name for arrival in record.arrivals if arrival.ran}
     for sent in record.sent:
-        if not sent.idempotent and sent.status in NOT_RUN_STATUSES:
-            if sent.name in ran:
-                yield f"{sent.name} was answered {sent.status} and has run"
+        if sent.status in NOT_RUN_STATUSES and sent.name in ran:
+            yield f"{sent.name} was answered {sent.status} and has run"
 
 
 @_check
