--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -275,6 +275,28 @@
 
         assert run_on_mesh(scenario, config=config) == (200, ["lot"])
 
+    def test_duplicate_health_refusal_is_no_proof_for_a_safe_request(self):
+        services = {"drawers": {"health_path": "/healthz"}}
+        config = mesh.configuration(1, services=services)
+
+        async def scenario(cluster):
+            (serving,) = hosts_of(cluster, "drawers")
+            upstream = serving.upstream
+            upstream.leaving = True
+            upstream.advertised_headers = {"x-savorytally-not-executed": "1"}
+            upstream.write = duplicate_answers(0.1)
+            serving.node.gate.health.probe()
+            await asyncio.sleep(0.05)
+            upstream.advertised_headers = {}
+            upstream.work_s = 0.2
+            reply = await cluster.send(serving, request_id="look")
+            return reply.status, runs(cluster)
+
+        # Without a retry budget, the refusal ends the request.
+        bounds = options.Bounds(retry_slack=0.0)
+        ended = run_on_mesh(scenario, config=config, bounds=bounds)
+        assert ended == (502, ["look"])
+
     def test_duplicate_421_is_not_used_for_the_next_request(self):
         async def scenario(cluster):
             (serving,) = hosts_of(cluster, "desk")
