Keep an answer that follows a duplicate refusal

Callers of safe routes got 502, or their requests ran twice, although the upstream's answer had been received.

Cause: where an upstream writes an earlier refusal again before an answer, the refusal was taken for the answer, and the answer that followed it in the same bytes was dropped as belonging to no request.

Change: a response that may be a duplicate is replaced by one that belongs to the request and follows in the same bytes. The connection is then not used again, as after any surplus response.

Evidence: the new test failed before (the request ran twice).

--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -67,12 +67,17 @@
 Matches = t.Callable[[Response], bool]
 
 
+def _never(reply: Response) -> bool:
+    return False
+
+
 class Connection(asyncio.Protocol):
     """A connection to an HTTP server.
 
     A response that does not belong to the request in progress, such as a late
     response to an earlier request, is dropped, and the connection is not used
-    again.
+    again. A response that may be a duplicate is replaced by one that follows
+    it in the same bytes.
 
     A response that exceeds a limit ends the connection at once.
 
@@ -97,6 +102,8 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._done: Done | None = None
         self._matches: Matches | None = None
+        self._may_be_duplicate: Matches = _never
+        self._replaceable = False
         self._headers: callers.Headers = []
         self._body: list[bytes] = []
         self._in_message = False
@@ -155,15 +162,25 @@
         self._parser = None
         self._lost(self)
 
-    def request(self, data: bytes, wanted: Matches, done: Done) -> None:
+    def request(
+        self,
+        data: bytes,
+        wanted: Matches,
+        done: Done,
+        may_be_duplicate: Matches = _never,
+    ) -> None:
         """Send a request.
 
         :param wanted: returns whether a response belongs to the request.
         :param done: called once with the response or the reason why there is
             none.
+        :param may_be_duplicate: returns whether a response that may belong to
+            the request may be a duplicate of an earlier one.
         """
         self._done = done
         self._matches = wanted
+        self._may_be_duplicate = may_be_duplicate
+        self._replaceable = False
         self._read_bytes = self._interim = 0
         self._head_read = False
         self.uses += 1
@@ -326,13 +343,15 @@
         )
         if not parser.should_keep_alive():
             self.reusable = False
-        if self._done is None or self._response is not None:
+        known = self._response is not None and not self._replaceable
+        if self._done is None or known:
             self.reusable = False
             return
         if self._matches is not None and not self._matches(reply):
             self.reusable = False
             return
         self.keep_alive_s = _keep_alive_s(reply)
+        self._replaceable = self._may_be_duplicate(reply)
         self._response = reply
 
     def _deliver(self) -> None:
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -532,6 +532,9 @@
                 run.call, reply, connection.ambiguous
             ),
             lambda used, result: self._ended(run, used, result),
+            lambda reply: self._protocol.may_be_duplicate(
+                run.call, reply, connection.has_refused
+            ),
         )
 
     def _ended(
--- a/src/savorytally/dataplane/upstream_protocol.py
+++ b/src/savorytally/dataplane/upstream_protocol.py
@@ -110,12 +110,12 @@
     def may_be_duplicate(
         self, call: frames.Call, reply: exchanges.Response, has_refused: bool
     ) -> bool:
-        """Return whether a refusal may be a duplicate of an earlier one.
+        """Return whether a response may be a duplicate of a refusal.
 
         :param has_refused: whether another request was refused on the
             connection before.
         """
-        if not has_refused:
+        if not has_refused or not self._not_executed(reply):
             return False
         echoes_id = bool(reply.header(self._names.request_id))
         # A repeated request may have been refused on the same connection.
@@ -126,12 +126,12 @@
     ) -> Interpretation:
         """Return the result that a response means for its request.
 
-        :param may_be_duplicate: whether a refusal does not prove that the
-            request has not run.
+        :param may_be_duplicate: whether the response is a refusal that does
+            not prove that the request has not run.
         """
         echoes_id = bool(reply.header(self._names.request_id))
         stated = self._stated_reason(reply)
-        if stated is not None and may_be_duplicate:
+        if may_be_duplicate:
             code = results.REFUSAL_UNPROVED
         elif stated is not_run_reasons.NotRunReason.MISDIRECTED:
             code = results.INSTANCE_GONE
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -252,6 +252,25 @@
 
         assert run_on_mesh(scenario) == (200, ["lot"])
 
+    def test_duplicate_before_an_answer_does_not_hide_it(self):
+        """The work was lost, although its answer had been received."""
+
+        async def scenario(cluster):
+            (serving,) = hosts_of(cluster, "drawers")
+            upstream = serving.upstream
+            refusals = []
+            upstream.rejects = lambda: not refusals
+
+            def write(connection, answer):
+                connection.transport.write(b"".join(refusals) + answer)
+                refusals[:] = [answer]
+
+            upstream.write = write
+            reply = await cluster.send(serving, request_id="look")
+            return reply.status, reply.body, runs(cluster)
+
+        assert run_on_mesh(scenario) == (200, b"answer to look", ["look"])
+
     def test_duplicate_health_answer_is_not_used_for_the_next_request(self):
         services = {"desk": {"health_path": "/healthz"}}
         config = mesh.configuration(1, services=services)
