--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -202,6 +202,31 @@
             b"answer to look",
         )
 
+    @pytest.mark.parametrize("refusal", [503, 400])
+    def test_run_that_failed_counts_when_its_repeat_is_refused(self, refusal):
+        """Callers were told that a request had not run after it had failed."""
+
+        async def scenario(cluster):
+            (serving,) = hosts_of(cluster, "drawers")
+            upstream = serving.upstream
+            upstream.calls = answer_with(500)
+            upstream.rejects = lambda: bool(upstream.ran)
+            # Each refusal is the first on its connection.
+            upstream.advertised_headers = {"connection": "close"}
+            upstream.write = lambda connection, answer: (
+                connection.transport.write(
+                    answer.replace(b"503", b"%d" % refusal, 1)
+                )
+            )
+            reply = await cluster.send(
+                hosts_of(cluster, "desk")[0], "/drawers/1", request_id="look"
+            )
+            mark = reply.header(b"x-savorytally-not-executed")
+            return reply.status, mark, runs(cluster)
+
+        expected_status = 502 if refusal == 503 else refusal
+        assert run_on_mesh(scenario) == (expected_status, b"", ["look"])
+
 
 class TestDuplicateAnswers:
     """Duplicates of answers that arrive where the next one is expected."""
@@ -227,6 +252,25 @@
 
         assert run_on_mesh(scenario) == (200, ["lot"])
 
+    def test_duplicate_before_an_answer_does_not_hide_it(self):
+        """The work was lost, although its answer had been received."""
+
+        async def scenario(cluster):
+            (serving,) = hosts_of(cluster, "drawers")
+            upstream = serving.upstream
+            refusals = []
+            upstream.rejects = lambda: not refusals
+
+            def write(connection, answer):
+                connection.transport.write(b"".join(refusals) + answer)
+                refusals[:] = [answer]
+
+            upstream.write = write
+            reply = await cluster.send(serving, request_id="look")
+            return reply.status, reply.body, runs(cluster)
+
+        assert run_on_mesh(scenario) == (200, b"answer to look", ["look"])
+
     def test_duplicate_health_answer_is_not_used_for_the_next_request(self):
         services = {"desk": {"health_path": "/healthz"}}
         config = mesh.configuration(1, services=services)
@@ -250,6 +294,28 @@
 
         assert run_on_mesh(scenario, config=config) == (200, ["lot"])
 
+    def test_duplicate_health_refusal_is_no_proof_for_a_safe_request(self):
+        services = {"drawers": {"health_path": "/healthz"}}
+        config = mesh.configuration(1, services=services)
+
+        async def scenario(cluster):
+            (serving,) = hosts_of(cluster, "drawers")
+            upstream = serving.upstream
+            upstream.leaving = True
+            upstream.advertised_headers = {"x-savorytally-not-executed": "1"}
+            upstream.write = duplicate_answers(0.1)
+            serving.node.gate.health.probe()
+            await asyncio.sleep(0.05)
+            upstream.advertised_headers = {}
+            upstream.work_s = 0.2
+            reply = await cluster.send(serving, request_id="look")
+            return reply.status, runs(cluster)
+
+        # Without a retry budget, the refusal ends the request.
+        bounds = options.Bounds(retry_slack=0.0)
+        ended = run_on_mesh(scenario, config=config, bounds=bounds)
+        assert ended == (502, ["look"])
+
     def test_duplicate_421_is_not_used_for_the_next_request(self):
         async def scenario(cluster):
             (serving,) = hosts_of(cluster, "desk")
