Bound reads that the product's platform never answers

Callers saw an outdated configuration for up to 22 s. A long poll that was sent while the platform was silent, or whose connection had fallen silent, was waited for until its own timeout (20 s and a margin of 2 s), although new connections worked. The retry then took another connection from the pool that had fallen silent at the same time, and backed off for up to 4 s.

Cause: an unanswered read counted as "nothing new". A read now waits 1 s for a newer version, as reads of the host list did, and fails 0.75 s later. It closes all connections, so that the next read opens one. Backoff counts from the start of the failed read and ends at 1 s. Headers and body have limits of their own, so that a large body is not broken off by the short one.

--- a/src/savorytally/http/platform.py
+++ b/src/savorytally/http/platform.py
@@ -22,7 +22,6 @@
 
 VERSION_HEADER = "Value-Version"
 ERA_HEADER = "Value-Era"
-_TIMEOUT_MARGIN_S = 2.0
 
 
 class HttpPlatform:
@@ -37,14 +36,18 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
 
     async def read(
         self, name: str, after: int, wait_s: float
     ) -> ports.Value | None:
         """Return a value that is newer than version ``after``.
 
+        A read without a response in time closes all connections, so that
+        later reads do not use one that may be silent too.
+
         :param name: name of the value.
         :param after: the last version that is known, 0 for none.
         :param wait_s: time to wait for a newer version, in seconds.
@@ -54,12 +57,11 @@
         """
         known = store_position.from_version(after)
         try:
-            async with asyncio.timeout(wait_s + _TIMEOUT_MARGIN_S):
-                era, value = await self._read(name, known, wait_s)
-                if value is None and era > known.era:
-                    # The known version may not exist in this era.
-                    first = store_position.Position(era, 0)
-                    era, value = await self._read(name, first, 0.0)
+            era, value = await self._read(name, known, wait_s)
+            if value is None and era > known.era:
+                # The known version may not exist in this era.
+                first = store_position.Position(era, 0)
+                era, value = await self._read(name, first, 0.0)
         except (aiohttp.ClientError, ValueError) as error:
             raise OSError(f"platform: {error}") from error
         if era < known.era:
@@ -74,12 +76,41 @@
             self._session = aiohttp.ClientSession(
                 connector=limited_client.LimitedConnector()
             )
+        session = self._session
+        timeout_s = max(
+            wait_s + defaults.PLATFORM_RESPONSE_S,
+            defaults.PLATFORM_READ_TIMEOUT_S,
+        )
+        try:
+            async with asyncio.timeout(timeout_s) as limit:
+                return await self._exchange(
+                    session, name, known, wait_s, limit
+                )
+        except TimeoutError as error:
+            if self._session is session:
+                await self.close()
+            raise TimeoutError("platform: no response in time") from error
+
+    async def _exchange(
+        self,
+        session: aiohttp.ClientSession,
+        name: str,
+        known: store_position.Position,
+        wait_s: float,
+        limit: asyncio.Timeout,
+    ) -> tuple[int, ports.Value | None]:
+        """Send a read and return its era and value.
+
+        :param limit: limits the time until the headers; extended for the body.
+        """
         query = {
             "after": str(known.revision),
             "wait_ms": str(int(wait_s * 1000)),
         }
         url = f"{self._base}/values/{name}"
-        async with self._session.get(url, params=query) as response:
+        async with session.get(url, params=query) as response:
+            now = asyncio.get_running_loop().time()
+            limit.reschedule(now + defaults.PLATFORM_BODY_TIMEOUT_S)
             era = int(response.headers.get(ERA_HEADER, known.era))
             if response.status == 304:
                 return era, None
--- a/src/savorytally/parts/platform_watch.py
+++ b/src/savorytally/parts/platform_watch.py
@@ -23,10 +23,7 @@
 
 Send = t.Callable[[list[participant.Outgoing]], None]
 
-_LONG_POLL_S = {
-    dissemination.CONFIGURATION: defaults.PLATFORM_WATCH_S,
-    dissemination.HOSTS: defaults.HOST_LIST_WATCH_S,
-}
+_VALUES = (dissemination.CONFIGURATION, dissemination.HOSTS)
 
 
 class PlatformWatch:
@@ -53,7 +50,7 @@
 
     async def run(self) -> None:
         """Watch the configuration and the host list until cancelled."""
-        await asyncio.gather(*(self._watch(name) for name in _LONG_POLL_S))
+        await asyncio.gather(*(self._watch(name) for name in _VALUES))
 
     async def _watch(self, name: str) -> None:
         last_version = 0
@@ -64,9 +61,10 @@
                 self._section_bodies.clear()
                 await asyncio.sleep(defaults.CONTROL_TICK_S)
                 continue
+            started = self._clock.now()
             try:
                 last_version = await self._poll_once(
-                    name, last_version, at_once=failures > 0
+                    name, last_version, failures
                 )
                 failures = 0
             except OSError as error:
@@ -76,20 +74,21 @@
                     extra=_platform_fault_fields(name),
                 )
                 self._disseminator.platform_failed()
-                await asyncio.sleep(self._backoff_s(name, failures))
+                await asyncio.sleep(self._pause_s(name, failures, started))
                 failures += 1
 
     async def _poll_once(
-        self, name: str, last_version: int, at_once: bool
+        self, name: str, last_version: int, failures: int
     ) -> int:
         """Read a value once and return the last version read.
 
-        :param at_once: whether not to wait for a newer version, since the
-            platform may have been restored from a copy.
+        :param failures: failed reads since the last successful one. A read
+            after one does not wait for a newer version, since the platform may
+            have been restored from a copy.
         """
         started = self._clock.now()
         confirming = not self._disseminator.pause_detector.confirmed(started)
-        wait_s = 0.0 if confirming or at_once else _LONG_POLL_S[name]
+        wait_s = 0.0 if confirming or failures else defaults.PLATFORM_WATCH_S
         read_task = asyncio.ensure_future(
             self._platform.read(name, last_version, wait_s)
         )
@@ -123,6 +122,17 @@
             return False
         return self._disseminator.reading(name, now)
 
+    def _pause_s(self, name: str, failures: int, started: float) -> float:
+        """Return the pause before the next read.
+
+        The backoff counts from the start of the failed read, so that a read
+        without a response does not add to it.
+        """
+        read_s = self._clock.now() - started
+        shortest_s = self._random.uniform(0.5, 1.0)
+        shortest_s *= defaults.PLATFORM_RETRY_MIN_S
+        return max(self._backoff_s(name, failures) - read_s, shortest_s)
+
     def _backoff_s(self, name: str, failures: int) -> float:
         longest_s = defaults.PLATFORM_RETRY_MAX_S
         if name not in self._disseminator.versions:
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -18,10 +18,6 @@
 
 CONFIGURATION = dissemination.CONFIGURATION
 HOSTS = dissemination.HOSTS
-_WAITS_S = {
-    CONFIGURATION: defaults.PLATFORM_WATCH_S,
-    HOSTS: defaults.HOST_LIST_WATCH_S,
-}
 CALM = transport.NetworkConditions()
 
 
@@ -129,7 +125,7 @@
     def _watch(self, name: str, now: float) -> list[participant.Outgoing]:
         store = self._fleet.store
         began = self._watching.get(name)
-        if began is None or now - began >= _WAITS_S[name]:
+        if began is None or now - began >= defaults.PLATFORM_WATCH_S:
             store.calls += 1
             began = self._watching[name] = now
         if self._host_id in store.down:
--- a/tests/fakes/meshes.py
+++ b/tests/fakes/meshes.py
@@ -20,6 +20,7 @@
     """A fake platform, upstreams and nodes on loopback ports."""
 
     platform: platform.Platform
+    platform_url: str
     upstreams: dict[str, upstream.Upstream]
     nodes: dict[str, daemon.Daemon]
     entry_urls: dict[str, str]
@@ -49,9 +50,10 @@
     :param fields: further settings of all nodes.
     """
     child_paths = children or {}
-    mesh = Mesh(platform.Platform(), {}, {}, {})
-    hosts = {}
     platform_port = free_port()
+    platform_url = f"http://127.0.0.1:{platform_port}"
+    mesh = Mesh(platform.Platform(), platform_url, {}, {}, {})
+    hosts = {}
     for number, service in enumerate(services):
         host_id = f"{service}-{number}"
         opened = settings.Ports(*(free_port() for _ in range(4)))
@@ -73,7 +75,7 @@
                 address="127.0.0.1",
                 upstream_url=f"http://127.0.0.1:{upstream_port}",
                 fleet_started_s=time.time(),
-                platform_url=f"http://127.0.0.1:{platform_port}",
+                platform_url=platform_url,
                 ports=opened,
                 **fields,
             )
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -20,11 +20,18 @@
 
 
 class Platform:
-    """Serves values; ``calls`` counts reads, a long poll as one."""
+    """Serves values; ``calls`` counts reads, a long poll as one.
+
+    While it is ``silent``, it takes reads, never answers them, and lets the
+    reads that wait already wait for ever.
+    """
 
     def __init__(self) -> None:
         self.calls = 0
         self.era = 0
+        self.silent = False
+        self._connections: dict[asyncio.BaseTransport, str] = {}
+        self._silent_connections: set[asyncio.BaseTransport] = set()
         self._values: dict[str, Stored] = {}
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
@@ -44,6 +51,17 @@
         self._values = dict(copied)
         self.era += 1
 
+    def silence_connections(self, name: str = "") -> None:
+        """Answer nothing any more on the connections that are open now.
+
+        :param name: only on those on which this value is read, empty for all.
+        """
+        self._silent_connections |= {
+            item
+            for item, read in self._connections.items()
+            if name in ("", read)
+        }
+
     async def start(self, address: str, port: int) -> None:
         """Listen for reads, and for ``PUT`` requests that publish values."""
         app = web.Application(client_max_size=4 << 20)
@@ -69,6 +87,18 @@
     async def _read(self, request: web.Request) -> web.Response:
         self.calls += 1
         name = request.match_info["name"]
+        self._connections[request.transport] = name
+        lost = self.silent
+        response = await self._find(request, name)
+        if (
+            lost
+            or self.silent
+            or request.transport in self._silent_connections
+        ):
+            await asyncio.Event().wait()
+        return response
+
+    async def _find(self, request: web.Request, name: str) -> web.Response:
         after = int(request.query.get("after", "0"))
         wait_s = int(request.query.get("wait_ms", "0")) / 1000
 
--- /dev/null
+++ b/tests/test_silent_platform.py
@@ -0,0 +1,98 @@
+"""The platform takes reads that it never answers, and works again later."""
+
+import asyncio
+import json
+
+from fakes import documents
+from fakes import meshes
+import pytest
+
+from savorytally.http import platform
+
+# Time within which a publication must be in force.
+IN_FORCE_S = 3.0
+SERVICES = ["browse", "checklist"] * 3
+
+
+async def publish(mesh, version):
+    """Publish a version of the configuration."""
+    body = json.dumps(documents.himali(version)).encode()
+    await mesh.platform.publish("configuration", version, body)
+
+
+async def versions_in_time(mesh, version):
+    """Return the versions in force ``IN_FORCE_S`` from now, or when met."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    held = set()
+    while loop.time() - began < IN_FORCE_S and held != {version}:
+        await asyncio.sleep(0.02)
+        held = {item.node.view.version for item in mesh.nodes.values()}
+    print(f"{held} after {loop.time() - began:.2f} s")
+    return held
+
+
+@pytest.fixture
+def play(run, free_port):
+    """Run a scenario on nodes that follow the platform at version 2."""
+
+    async def work(scenario):
+        mesh = await meshes.start(free_port, SERVICES)
+        await publish(mesh, 2)
+        assert await versions_in_time(mesh, 2) == {2}
+        try:
+            return await scenario(mesh)
+        finally:
+            await mesh.stop()
+
+    return lambda scenario: run(work(scenario))
+
+
+class TestInForce:
+    @pytest.mark.parametrize("silent_s", [0.5, 2.0, 6.0])
+    def test_read_lost_by_the_platform_hides_later_versions(
+        self, play, silent_s
+    ):
+        """The platform falls silent before the next long poll is sent."""
+
+        async def scenario(mesh):
+            mesh.platform.silent = True
+            await publish(mesh, 3)
+            await asyncio.sleep(silent_s)
+            mesh.platform.silent = False
+            return await versions_in_time(mesh, 3)
+
+        assert play(scenario) == {3}
+
+    @pytest.mark.parametrize("value", ["", "configuration"])
+    def test_open_connections_fall_silent(self, play, value):
+        """New connections work, as after a failover of the network."""
+
+        async def scenario(mesh):
+            mesh.platform.silence_connections(value)
+            await publish(mesh, 3)
+            return await versions_in_time(mesh, 3)
+
+        assert play(scenario) == {3}
+
+
+class TestHttpPlatform:
+    def test_read_after_an_unanswered_one_uses_a_new_connection(
+        self, run, free_port
+    ):
+        async def work():
+            mesh = await meshes.start(free_port, [])
+            reader = platform.HttpPlatform(mesh.platform_url)
+            # Two connections, of which one is idle when the read times out.
+            await asyncio.gather(
+                *(reader.read("hosts", 0, 0.0) for _ in range(2))
+            )
+            mesh.platform.silence_connections()
+            with pytest.raises(OSError, match="no response"):
+                await reader.read("hosts", 0, 0.0)
+            value = await reader.read("hosts", 0, 0.0)
+            await reader.close()
+            await mesh.stop()
+            return value
+
+        assert run(work()).version == 1
