Announce success only while the platform answers a reader

Readers tell the candidates that they read the platform with success, so that no others do. They went on telling so while a read was unanswered, and an answer for the host list hid an unanswered read of the configuration. A failed reader was relied on for another 1 s, until its last word had expired.

Success now means that both values were answered within the last 1.75 s, the longest time between two answers of a working platform, and that the latest read of neither failed. A change is announced at once, and word of failure takes a reader's place away at once, so that the next rank steps in. The log line of a failed read states the age of the latest answer, and a line tells when reads succeed again.

Measured on the simulated nodes of tests/test_silent_platform.py: 3 of 4 tests of TestAnnouncement failed on (three readers whose reads are lost hid version 2 from all 12 nodes; no candidate stepped in within 3 s); they pass.

--- a/src/savorytally/decisions/dissemination.py
+++ b/src/savorytally/decisions/dissemination.py
@@ -133,14 +133,14 @@
         self._activate_if_due(name, now)
         return self._notices(self._own, name)
 
-    def platform_read(self, name: str, started_at: float) -> None:
+    def platform_read(self, name: str, started_at: float, now: float) -> None:
         """Record that a read of the platform succeeded.
 
         Must be called after the publication that was read has been processed.
 
         :param started_at: when the read started.
         """
-        self._summaries.record_platform_read(True)
+        self._summaries.record_platform_answer(name, now)
         if name == CONFIGURATION:
             self._platform_read_at = started_at
             self._confirm_by_platform()
@@ -154,9 +154,17 @@
         if version == self.replicas[HOSTS].version:
             self._list_age.confirm(started_at)
 
-    def platform_failed(self) -> None:
-        """Record that a read of the platform failed."""
-        self._summaries.record_platform_read(False)
+    def platform_failed(self, name: str) -> None:
+        """Record that a read of a value failed."""
+        self._summaries.record_platform_failure(name)
+
+    def answer_age_s(self, now: float) -> float:
+        """Return the time since the platform answered, in seconds.
+
+        It is that of the value whose last successful read is the oldest,
+        infinite before the first.
+        """
+        return self._summaries.answer_age_s(now)
 
     def newer_version_seen(
         self, sender: str, version: int, now: float
--- a/src/savorytally/decisions/heartbeats.py
+++ b/src/savorytally/decisions/heartbeats.py
@@ -44,8 +44,12 @@
         self._usable = usable
         self._list_age = age
         self._role = platform_readers.PlatformReader(tree)
-        self._last_read_ok = False
-        self._was_reader = False
+        self._answered_at = {
+            replica.CONFIGURATION: -math.inf,
+            replica.HOSTS: -math.inf,
+        }
+        self._failed: set[str] = set()
+        self._last_announced = (False, False)
         self._announce_at = -math.inf
         self._repair_at = -math.inf
         self._age_query_at = -math.inf
@@ -55,9 +59,30 @@
         """Return whether this node's rank makes it a platform reader."""
         return self._role.reading(now)
 
-    def record_platform_read(self, succeeded: bool) -> None:
-        """Record whether the last read of the platform succeeded."""
-        self._last_read_ok = succeeded
+    def record_platform_answer(self, name: str, now: float) -> None:
+        """Record that the platform answered a read of a publication."""
+        self._answered_at[name] = now
+        self._failed.discard(name)
+
+    def record_platform_failure(self, name: str) -> None:
+        """Record that a read of a publication failed."""
+        self._failed.add(name)
+
+    def answer_age_s(self, now: float) -> float:
+        """Return the time since the platform answered, in seconds.
+
+        It is that of the publication whose last answer is the oldest,
+        infinite before the first.
+        """
+        return now - min(self._answered_at.values())
+
+    def succeeds(self, now: float) -> bool:
+        """Return whether the platform answers the reads of this node.
+
+        A read that is not answered in time counts as failed before it ends.
+        """
+        longest_s = defaults.PLATFORM_WATCH_S + defaults.PLATFORM_RESPONSE_S
+        return not self._failed and self.answer_age_s(now) <= longest_s
 
     def handle_summary(
         self, summary: dissemination_messages.VersionSummary, now: float
@@ -72,10 +97,12 @@
         message: dissemination_messages.ReaderHeartbeat,
         now: float,
     ) -> None:
-        """Record that a peer acts as a reader."""
+        """Record that a peer acts as a reader, and whether it succeeds."""
         self._role.reader_active(now)
         if message.succeeds:
             self._role.record_announcement(sender, now)
+        else:
+            self._role.withdraw_announcement(sender)
 
     def reply_to_age_query(
         self,
@@ -134,7 +161,7 @@
         """
         configuration_version = versions.get(replica.CONFIGURATION, 0)
         reading = dissemination_messages.ReaderHeartbeat(
-            self._last_read_ok, configuration_version
+            self.succeeds(now), configuration_version
         )
         outgoing = [
             Outgoing(peer, reading) for peer in self._announcement_targets(now)
@@ -154,9 +181,10 @@
     def _announcement_targets(self, now: float) -> list[str]:
         """Return the candidates that this reader must notify now."""
         active = self._role.reading(now)
-        started = active and not self._was_reader
-        self._was_reader = active
-        if not active or (now < self._announce_at and not started):
+        announced = (active, self.succeeds(now))
+        changed = announced != self._last_announced
+        self._last_announced = announced
+        if not active or (now < self._announce_at and not changed):
             return []
         self._announce_at = now + defaults.READER_HEARTBEAT_PERIOD_S
         return [item for item in self._relay.candidates if item != self._own]
--- a/src/savorytally/decisions/platform_readers.py
+++ b/src/savorytally/decisions/platform_readers.py
@@ -27,6 +27,10 @@
         """Record that a host announced that it reads the platform."""
         self._announced_at[host_id] = now
 
+    def withdraw_announcement(self, host_id: str) -> None:
+        """Record that a host's reads of the platform fail."""
+        self._announced_at.pop(host_id, None)
+
     def reader_active(self, at: float) -> None:
         """Record when any reader was last active, even if its reads fail."""
         if self._reader_active_at is None or at > self._reader_active_at:
--- a/src/savorytally/parts/platform_watch.py
+++ b/src/savorytally/parts/platform_watch.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import math
 import random
 import typing as t
 
@@ -71,9 +72,12 @@
                 logging.warning(
                     "platform read failed: %s",
                     error,
-                    extra=_platform_fault_fields(name),
+                    extra=_platform_fault_fields(
+                        name,
+                        self._disseminator.answer_age_s(self._clock.now()),
+                    ),
                 )
-                self._disseminator.platform_failed()
+                self._disseminator.platform_failed(name)
                 await asyncio.sleep(self._pause_s(name, failures, started))
                 failures += 1
 
@@ -107,7 +111,12 @@
         if value is not None:
             await self._publish(value)
             last_version = max(last_version, value.version)
-        self._disseminator.platform_read(name, started)
+        self._disseminator.platform_read(name, started, self._clock.now())
+        if failures:
+            logging.info(
+                "platform reads succeed again",
+                extra=logs.fields(value=name, failures=failures),
+            )
         if name == dissemination.HOSTS:
             self._disseminator.list_confirmed(last_version, started)
         if value is None and not wait_s:
@@ -210,8 +219,12 @@
     return version if type(version) is int else 0
 
 
-def _platform_fault_fields(name: str) -> dict[str, t.Any]:
-    return logs.fields(code=results.PLATFORM_FAULT.number, value=name)
+def _platform_fault_fields(name: str, age_s: float) -> dict[str, t.Any]:
+    return logs.fields(
+        code=results.PLATFORM_FAULT.number,
+        value=name,
+        answer_age_s=round(age_s, 3) if math.isfinite(age_s) else None,
+    )
 
 
 def _configuration_fault_fields(
--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -22,11 +22,16 @@
 
 
 class Store:
-    """The platform's publications; readers may be served outdated copies."""
+    """The platform's publications; readers may be served outdated copies.
+
+    Reads by ``silent`` readers of the ``silent_values`` are never answered.
+    """
 
     def __init__(self) -> None:
         self.calls = 0
         self.down: set[str] = set()
+        self.silent: set[str] = set()
+        self.silent_values = {CONFIGURATION, HOSTS}
         self.stale: dict[str, int] = {}
         self.bodies: dict[str, list[t.Mapping[str, bytes]]] = {
             CONFIGURATION: [],
@@ -128,8 +133,10 @@
         if began is None or now - began >= defaults.PLATFORM_WATCH_S:
             store.calls += 1
             began = self._watching[name] = now
+        if self._host_id in store.silent and name in store.silent_values:
+            return []
         if self._host_id in store.down:
-            self.dissemination.platform_failed()
+            self.dissemination.platform_failed(name)
             return []
         newest = store.newest(name, self._host_id)
         outgoing = []
@@ -138,7 +145,7 @@
             self._read[name] = newest
             bodies = store.bodies[name][newest - 1]
             outgoing = self.dissemination.published(name, newest, bodies, now)
-        self.dissemination.platform_read(name, began)
+        self.dissemination.platform_read(name, began, now)
         if name == HOSTS:
             self.dissemination.list_confirmed(newest, began)
         return outgoing
--- a/tests/test_silent_platform.py
+++ b/tests/test_silent_platform.py
@@ -4,9 +4,12 @@
 import json
 
 from fakes import documents
+from fakes import fleet
 from fakes import meshes
 import pytest
 
+from savorytally import defaults
+from savorytally.decisions import dissemination
 from savorytally.http import platform
 
 # Time within which a publication must be in force.
@@ -96,3 +99,39 @@
             return value
 
         assert run(work()).version == 1
+
+
+@pytest.fixture
+def silent_fleet():
+    """Twelve nodes of a data centre that all serve version 1."""
+    made = fleet.Fleet({("bagmati", "kirtipur"): 12})
+    made.publish()
+    made.start_all()
+    return made
+
+
+class TestAnnouncement:
+    def test_reader_whose_reads_are_unanswered_is_replaced(self, silent_fleet):
+        readers = silent_fleet.readers()
+        silent_fleet.store.silent = set(readers)
+        silent_fleet.transport.run(IN_FORCE_S)
+        assert len(silent_fleet.readers()) == 2 * len(readers)
+
+    def test_later_version_arrives_by_other_readers(self, silent_fleet):
+        silent_fleet.store.silent = set(silent_fleet.readers())
+        version = silent_fleet.publish()
+        silent_fleet.transport.run(IN_FORCE_S)
+        assert set(silent_fleet.versions().values()) == {version}
+
+    def test_other_value_does_not_hide_an_unanswered_read(self, silent_fleet):
+        """The host list was answered, the configuration was not."""
+        readers = silent_fleet.readers()
+        silent_fleet.store.silent = set(readers)
+        silent_fleet.store.silent_values = {dissemination.CONFIGURATION}
+        silent_fleet.transport.run(IN_FORCE_S)
+        assert len(silent_fleet.readers()) == 2 * len(readers)
+
+    def test_working_readers_are_not_replaced(self, silent_fleet):
+        silent_fleet.transport.run(30.0)
+        expected = defaults.READERS_PER_DATA_CENTRE
+        assert len(silent_fleet.readers()) == expected
