Show which nodes read the platform and when it answered

Neither metrics nor logs told a reader that waits for an unanswered read from one that works. Adds the gauges savorytally_reads_platform and savorytally_platform_answer_age_seconds. The test of both fails without them.

--- a/src/savorytally/node.py
+++ b/src/savorytally/node.py
@@ -228,6 +228,22 @@
             "Evacuated data centres in the current configuration.",
             lambda: len(self.view.evacuated),
         )
+        add(
+            "reads_platform",
+            "1 while this node reads the platform for its data centre.",
+            lambda: int(
+                self.dissemination.reading(
+                    dissemination.CONFIGURATION, self.environment.clock.now()
+                )
+            ),
+        )
+        add(
+            "platform_answer_age_seconds",
+            "Time since the platform answered this node, inf before that.",
+            lambda: self.dissemination.answer_age_s(
+                self.environment.clock.now()
+            ),
+        )
         add(
             "hosts",
             "Hosts in the current host list.",
--- a/tests/test_silent_platform.py
+++ b/tests/test_silent_platform.py
@@ -23,6 +23,13 @@
     await mesh.platform.publish("configuration", version, body)
 
 
+def shown(node):
+    """Return the gauges without labels of a node."""
+    lines = node.metrics.render()[0].decode().splitlines()
+    parts = [line.split() for line in lines if not line.startswith("#")]
+    return {item[0]: float(item[1]) for item in parts if len(item) == 2}
+
+
 async def versions_in_time(mesh, version):
     """Return the versions in force ``IN_FORCE_S`` from now, or when met."""
     loop = asyncio.get_running_loop()
@@ -110,6 +117,23 @@
     return made
 
 
+class TestFigures:
+    def test_unanswered_reads_show_in_metrics_and_logs(self, play, caplog):
+        async def scenario(mesh):
+            node = mesh.nodes["browse-0"].node
+            working = shown(node)
+            mesh.platform.silent = True
+            await asyncio.sleep(IN_FORCE_S)
+            return working, shown(node)
+
+        with caplog.at_level("WARNING"):
+            working, silent = play(scenario)
+        assert working["savorytally_reads_platform"] == 1
+        name = "savorytally_platform_answer_age_seconds"
+        assert working[name] < defaults.PLATFORM_WATCH_S < silent[name]
+        assert "no response in time" in caplog.text
+
+
 class TestAnnouncement:
     def test_reader_whose_reads_are_unanswered_is_replaced(self, silent_fleet):
         readers = silent_fleet.readers()
