Go on reading the platform after an unforeseen error

An error other than OSError while a publication was read or applied ended the node's task that reads both values. Nothing was logged, and the node went on without news. The error now counts as a failed read: it is logged with its traceback, candidates stand in for the reader, and the value is read again.

Measured: test_watch_goes_on_after_a_failed_publication failed before, all six nodes at version 2 after 3.0 s, and passes.

--- a/src/savorytally/parts/platform_watch.py
+++ b/src/savorytally/parts/platform_watch.py
@@ -68,14 +68,13 @@
                     name, last_version, failures
                 )
                 failures = 0
-            except OSError as error:
+            except Exception as error:
+                age_s = self._disseminator.answer_age_s(self._clock.now())
                 logging.warning(
                     "platform read failed: %s",
                     error,
-                    extra=_platform_fault_fields(
-                        name,
-                        self._disseminator.answer_age_s(self._clock.now()),
-                    ),
+                    exc_info=not isinstance(error, OSError),
+                    extra=_platform_fault_fields(name, age_s),
                 )
                 self._disseminator.platform_failed(name)
                 await asyncio.sleep(self._pause_s(name, failures, started))
--- a/tests/test_silent_platform.py
+++ b/tests/test_silent_platform.py
@@ -11,6 +11,7 @@
 from savorytally import defaults
 from savorytally.decisions import dissemination
 from savorytally.http import platform
+from savorytally.world import document_parts
 
 # Time within which a publication must be in force.
 IN_FORCE_S = 3.0
@@ -117,6 +118,30 @@
     return made
 
 
+class TestUnforeseenError:
+    def test_watch_goes_on_after_a_failed_publication(
+        self, play, monkeypatch, caplog
+    ):
+        """Nothing else tells that a node has stopped to read the platform."""
+
+        async def scenario(mesh):
+            fails = [True] * len(mesh.nodes)
+            divide = document_parts.divide
+
+            def divide_later(document):
+                if fails:
+                    fails.pop()
+                    raise OverflowError("too large")
+                return divide(document)
+
+            monkeypatch.setattr(document_parts, "divide", divide_later)
+            await publish(mesh, 3)
+            return await versions_in_time(mesh, 3)
+
+        assert play(scenario) == {3}
+        assert "platform read failed" in caplog.text
+
+
 class TestFigures:
     def test_unanswered_reads_show_in_metrics_and_logs(self, play, caplog):
         async def scenario(mesh):
