Replace streams that fall silent under control messages

A request of a rate-limited organisation asks the rate's owner, a node that may get no calls from here. When the stream to it fell silent, with TCP still up, requests were decided by the host's own small share for good: silence was looked for only while calls waited, an open stream without calls counted as idle, and the token requests kept it from being closed as unused. The same held for demand reports, advertisements and requests to follow a reader.

A control message now expects data too: without any for 0.2 s the stream is pinged, and it is replaced after 1.2 s of silence, as with calls.

--- a/src/savorytally/dataplane/streams.py
+++ b/src/savorytally/dataplane/streams.py
@@ -13,7 +13,7 @@
 RECONNECT_S = 0.5
 # Maximum number of control frames that wait for a stream to open.
 WAITING_FRAMES_MAX = 256
-# A stream with calls in progress is pinged after this time without data.
+# A stream on which data is expected is pinged after this time without data.
 PING_AFTER_S = 0.2
 # After this time without data, a stream gets no new calls, and its idempotent
 # calls fail so that they can go to other hosts. A ping and its response take
@@ -139,6 +139,8 @@
         # Loop time since which a call waits for a result. Before that, a
         # stream without data is only idle.
         self._awaiting_since = 0.0
+        # Loop time of the first control frame sent since data was received.
+        self._control_since: float | None = None
         # Numbers of the calls in progress that may run more than once.
         self._idempotent: set[int] = set()
         # Silent streams that were replaced, with the numbers of the calls that
@@ -223,7 +225,7 @@
         """Send a control frame if the stream is up."""
         if not self.open:
             return False
-        t.cast(Stream, self._stream).send(kind, *fields)
+        self._send_control(t.cast(Stream, self._stream), kind, *fields)
         return True
 
     def send_opening(self, kind: frames.Kind, *fields: t.Any) -> bool:
@@ -265,9 +267,9 @@
         since = self._silent_since
         if since is None or stream.received_at > since:
             self._silent_since = None
-            if not self._calls:
+            since = self._expecting_since(stream)
+            if since is None:
                 return False
-            since = max(stream.received_at, self._awaiting_since)
         silent_s = now - since
         if silent_s > REPLACE_AFTER_S:
             self._replace_stream(stream)
@@ -285,6 +287,8 @@
     def restart_silence(self, now: float) -> None:
         """Restart the measurement of silence: this host's loop was blocked."""
         self._awaiting_since = now
+        if self._control_since is not None:
+            self._control_since = now
 
     def close(self) -> None:
         """Close the stream; calls without a result fail as lost."""
@@ -297,6 +301,24 @@
             stream.close()
         self._fail_unsent()
 
+    def _send_control(
+        self, stream: Stream, kind: frames.Kind, *fields: t.Any
+    ) -> None:
+        since = self._control_since
+        if since is None or stream.received_at > since:
+            self._control_since = self._loop.time()
+        stream.send(kind, *fields)
+
+    def _expecting_since(self, stream: Stream) -> float | None:
+        """Return since when a stream owes data, ``None`` if it does not."""
+        expected = []
+        if self._calls:
+            expected.append(max(stream.received_at, self._awaiting_since))
+        since = self._control_since
+        if since is not None and stream.received_at <= since:
+            expected.append(since)
+        return min(expected, default=None)
+
     def _connect(self) -> None:
         if self._closed:
             self._loop.call_soon(self._fail_unsent)
@@ -322,13 +344,14 @@
         self._unreachable = False
         self._stream = stream
         self._silent_since = None
+        self._control_since = None
         stream.received_at = self._loop.time()
         queued, self._unsent_calls = self._unsent_calls, {}
         for call in queued.values():
             stream.send(frames.Kind.CALL, *call)
         waiting, self._waiting_frames = self._waiting_frames, []
         for frame in waiting:
-            stream.send(*frame)
+            self._send_control(stream, *frame)
 
     def _connect_failed(self) -> None:
         self._unreachable = True
