Keep a node's periodic work running after a failed callback

An exception in the gate's or the execution record's tick ended the node's periodic work without a log line: no more announcements, repairs of versions and detection of pauses, while the node went on serving. It is now logged, as one of a participant is.

Measured: test_exception_in_a_callback_does_not_end_the_ticks failed before.

--- a/src/savorytally/parts/control.py
+++ b/src/savorytally/parts/control.py
@@ -93,9 +93,9 @@
         self.send(self._members.leave(self._clock.now()))
 
     def tick(self) -> None:
-        """Run the periodic work of every participant.
+        """Run the periodic work of every participant and callback.
 
-        An exception in one participant is logged; the others still run.
+        An exception in one of them is logged; the others still run.
         """
         for item in self._participants:
             try:
@@ -103,7 +103,10 @@
             except Exception:
                 logging.exception("tick of %s failed", type(item).__name__)
         for callback in self._tick_callbacks:
-            callback()
+            try:
+                callback()
+            except Exception:
+                logging.exception("tick callback failed")
 
     async def run(self) -> None:
         """Tick until cancelled."""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -6,6 +6,7 @@
 from fakes import nodes
 import pytest
 
+from savorytally import defaults
 from savorytally import outcomes
 from savorytally import ports
 from savorytally import results
@@ -271,6 +272,26 @@
         node.control.tick()
         assert counting.ticks == 1
 
+    def test_exception_in_a_callback_does_not_end_the_ticks(self, run, fleet):
+        """Without ticks, a node goes on serving with an outdated view."""
+        ticks = []
+
+        def fail():
+            ticks.append(fleet.clock.now())
+            raise ValueError("fault")
+
+        async def work():
+            node = fleet.add("browse-0", answer_ok)
+            node.control.add_tick_callback(fail)
+            ticking = asyncio.ensure_future(node.control.run())
+            await asyncio.sleep(2.5 * defaults.CONTROL_TICK_S)
+            ended = ticking.done()
+            ticking.cancel()
+            return ended
+
+        assert not run(work())
+        assert len(ticks) > 1
+
     def test_queued_call_is_rejected_when_its_deadline_passes(
         self, run, fleet
     ):
