Report a connection attempt that ends with an unforeseen error

A call to a host whose listed address has no encoded form ("\ud800") waited until its deadline, and so did all later ones: the attempt had ended with an error other than OSError, which left the link waiting for it. Each error of an attempt now fails the calls that wait for it.

Measured: test_call_to_an_odd_address_fails_at_once failed before for the address; for a port out of range, which the event loop reports as OSError, it passed before too.

--- a/src/savorytally/peer/link.py
+++ b/src/savorytally/peer/link.py
@@ -255,7 +255,14 @@
                     ssl=self._shared.tls,
                 )
                 await self._handshake
-        except OSError as error:
+        except Exception as error:
+            if not isinstance(error, OSError):
+                # The host list may contain an address that has no valid form.
+                logging.warning(
+                    "connecting failed: %s",
+                    error,
+                    extra=logs.fields(peer=self.target.host_id),
+                )
             self._connecting = None
             self._stream = None
             if opened is not None:
@@ -308,7 +315,7 @@
         pending.assembly = None
         source.send(messages.Resolve(call_id, source.incarnation))
 
-    def _connect_failed(self, error: OSError) -> None:
+    def _connect_failed(self, error: Exception) -> None:
         now = self._loop.time()
         self._backoff.failed(now)
         error_name = type(error).__name__
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,9 +1,11 @@
 """Tests of calls over peer streams that fail in different ways."""
 
 import asyncio
+import dataclasses
 import random
 
 from fakes import peers
+import pytest
 
 from savorytally import defaults
 from savorytally import outcomes
@@ -134,6 +136,22 @@
         assert result.outcome.code is results.OUTCOME_UNKNOWN
         assert refused.outcome.code is results.NOT_DISPATCHED
 
+    @pytest.mark.parametrize(
+        "odd", [{"peer_port": 70_000}, {"address": "\ud800"}]
+    )
+    def test_call_to_an_odd_address_fails_at_once(self, run, free_port, odd):
+        """The first attempt to connect was never known to have ended."""
+
+        async def work():
+            pair = await peers.start(free_port())
+            target = dataclasses.replace(pair.target, **odd)
+            async with asyncio.timeout(defaults.CONNECT_TIMEOUT_S + 0.5):
+                result = await pair.links.call(target, peers.call(1))
+            await pair.stop()
+            return result
+
+        assert run(work()).outcome.code is results.NOT_DISPATCHED
+
     def test_call_to_an_unreachable_host_fails_at_once(self, run, free_port):
         async def work():
             pair = await peers.start(free_port())
