Keep the data plane's periodic work running after an error

An error in any part of a node's periodic work ended it without a log line: no stream was checked for silence, no demand reported, no version compared and no host followed any more, while the node went on serving. It is now logged, and the work goes on with the next tick.

--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+import logging
 import random
 import signal
 import typing as t
@@ -227,7 +228,7 @@
         )
         self._store_watch.start()
         self._tasks = [
-            self._loop.create_task(self._tick()),
+            self._loop.create_task(self._run_periodically()),
         ]
         self.log.event("start", service=chosen.service)
 
@@ -552,6 +553,13 @@
         )
         self._servers.append(server)
 
+    async def _run_periodically(self) -> None:
+        while True:
+            try:
+                await self._tick()
+            except Exception:
+                logging.exception("periodic work failed")
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -44,3 +44,24 @@
             return statuses
 
         assert set(net.run(scenario)) == {200}
+
+
+class TestPeriodicWork:
+    def test_failed_tick_does_not_end_the_periodic_work(self, monkeypatch):
+        """Silent streams are no longer noticed when nothing ticks."""
+        ticks = []
+
+        async def scenario():
+            cluster = mesh.Mesh()
+            await cluster.start({"drawers": ["low-a"]})
+            rates = cluster.hosts[0].node.rates
+
+            def fail(now):
+                ticks.append(now)
+                raise ValueError("fault")
+
+            monkeypatch.setattr(rates, "tick", fail)
+            await asyncio.sleep(NOTICED_S)
+
+        net.run(scenario)
+        assert len(ticks) > 1
