--- a/tests/fakes/fleet.py
+++ b/tests/fakes/fleet.py
@@ -18,19 +18,20 @@
 
 CONFIGURATION = dissemination.CONFIGURATION
 HOSTS = dissemination.HOSTS
-_WAITS_S = {
-    CONFIGURATION: defaults.PLATFORM_WATCH_S,
-    HOSTS: defaults.HOST_LIST_WATCH_S,
-}
 CALM = transport.NetworkConditions()
 
 
 class Store:
-    """The platform's publications; readers may be served outdated copies."""
+    """The platform's publications; readers may be served outdated copies.
+
+    Reads by ``silent`` readers of the ``silent_values`` are never answered.
+    """
 
     def __init__(self) -> None:
         self.calls = 0
         self.down: set[str] = set()
+        self.silent: set[str] = set()
+        self.silent_values = {CONFIGURATION, HOSTS}
         self.stale: dict[str, int] = {}
         self.bodies: dict[str, list[t.Mapping[str, bytes]]] = {
             CONFIGURATION: [],
@@ -129,11 +130,13 @@
     def _watch(self, name: str, now: float) -> list[participant.Outgoing]:
         store = self._fleet.store
         began = self._watching.get(name)
-        if began is None or now - began >= _WAITS_S[name]:
+        if began is None or now - began >= defaults.PLATFORM_WATCH_S:
             store.calls += 1
             began = self._watching[name] = now
+        if self._host_id in store.silent and name in store.silent_values:
+            return []
         if self._host_id in store.down:
-            self.dissemination.platform_failed()
+            self.dissemination.platform_failed(name)
             return []
         newest = store.newest(name, self._host_id)
         outgoing = []
@@ -142,7 +145,7 @@
             self._read[name] = newest
             bodies = store.bodies[name][newest - 1]
             outgoing = self.dissemination.published(name, newest, bodies, now)
-        self.dissemination.platform_read(name, began)
+        self.dissemination.platform_read(name, began, now)
         if name == HOSTS:
             self.dissemination.list_confirmed(newest, began)
         return outgoing
