Check the values of entries where they are decoded

With one odd entry among those of the upstreams, most nodes of a data centre stayed at the host list that they had, without a line in their logs, and requests to an odd address ended in 504 after their deadline.

Cause: entries were parsed without ranges. A whole number of more than 64 bits, or text without a UTF-8 form, can't be packed into the frames that tell the followers; the exception ended the reader's watch. A key with a line break went into a request header.

Now what is read of an entry is checked once against what frames, sockets and timers carry, also when a peer of another build tells of it. An entry that doesn't fit counts as absent, with one warning per change and savorytally_entries_refused_total. A configuration with such a value is refused whole, as with other invalid fields. Revisions and eras that have no number of 64 bits make a read of the store fail.

The simulated network refuses ports and host names as sockets do.

Nodes with an infinite or huge cold time of an upstream were not affected before.

--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -46,6 +46,7 @@
         self._cut: collections.Counter[str] = collections.Counter()
         self._broken: collections.Counter[str] = collections.Counter()
         self._forwarded = 0
+        self._entries_refused = 0
         self._store_reads: collections.Counter[str] = collections.Counter()
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
@@ -129,6 +130,10 @@
         """Count a read of the platform's store by how it ended."""
         self._store_reads[result] += 1
 
+    def entries_refused(self, number: int) -> None:
+        """Count entries that are ignored because of their values."""
+        self._entries_refused += number
+
     def broken(self, how: str) -> None:
         """Count an exchange that ended without a complete response."""
         self._broken[how] += 1
@@ -175,6 +180,10 @@
             lines.append(
                 f'savorytally_store_reads_total{{result="{result}"}} {count}'
             )
+        lines.append("# TYPE savorytally_entries_refused_total counter")
+        lines.append(
+            f"savorytally_entries_refused_total {self._entries_refused}"
+        )
         lines.append("# TYPE savorytally_request_seconds histogram")
         for route, buckets in sorted(self._buckets.items()):
             lines += self._histogram(route, buckets)
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -284,6 +284,7 @@
             belong to a later era than the known ones.
         """
         now = self._loop.time()
+        self.counts.entries_refused(changes.refused)
         if changes.configuration is not None:
             self.learn_configuration(changes.configuration, "store")
         known = self.position
--- a/src/savorytally/dataplane/store_sharing.py
+++ b/src/savorytally/dataplane/store_sharing.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import math
 import typing as t
 
@@ -18,6 +19,7 @@
 from ..decisions import shared_waits
 from ..decisions import store_readers
 from ..world import catalog
+from ..world import ranges
 from ..world import store_position
 from . import frames
 from . import store_watch
@@ -288,20 +290,16 @@
         if isinstance(position, int):
             self._store_readers.cannot_follow(stream.peer, self._loop.time())
             return
-        try:
-            found = {
-                entry.key: entry
-                for entry in map(catalog.entry_from_fields, changed)
-            }
-        except TypeError as error:
-            raise frames.MalformedFrame(str(error)) from error
+        found, refused = _read_entries(changed)
+        removed = list(filter(ranges.carried, removed))
         changes = store_watch.Changes(
             None if after is None else _read_position(after),
             _read_position(position),
             None,
             found,
-            tuple(removed),
+            (*removed, *refused),
             stepwise,
+            len(refused),
         )
         before = self._upstream_list.position
         try:
@@ -506,9 +504,34 @@
     return 0, _SEPARATOR.join((str(table), content, route)), rank
 
 
+def _read_entries(
+    rows: list[t.Any],
+) -> tuple[dict[str, catalog.Entry], list[str]]:
+    """Return the entries by identifier, and those that a host must not use.
+
+    Hosts of earlier builds pass on entries with any values.
+    """
+    found: dict[str, catalog.Entry] = {}
+    refused: list[str] = []
+    for fields in rows:
+        try:
+            entry = catalog.entry_from_fields(fields)
+        except TypeError as error:
+            raise frames.MalformedFrame(str(error)) from error
+        except ValueError as error:
+            logging.warning("entry of a peer ignored: %s", error)
+            refused += [fields[0]] if ranges.carried(fields[0]) else []
+            continue
+        found[entry.key] = entry
+    return found, refused
+
+
 def _read_position(fields: t.Any) -> store_position.Position:
     try:
         era, revision = fields
-        return store_position.Position(int(era), int(revision))
-    except (TypeError, ValueError) as error:
+        found = store_position.Position(int(era), int(revision))
+    except (ArithmeticError, TypeError, ValueError) as error:
         raise frames.MalformedFrame(f"position: {error}") from error
+    if not found.valid:
+        raise frames.MalformedFrame(f"position: {found}")
+    return found
--- a/src/savorytally/dataplane/store_watch.py
+++ b/src/savorytally/dataplane/store_watch.py
@@ -49,6 +49,7 @@
     :param removed: identifiers of entries that are gone.
     :param stepwise: whether it contains every entry that was written in
         between, instead of the difference between two states.
+    :param refused: number of entries that are ignored because of their values.
     """
 
     after: store_position.Position | None
@@ -57,6 +58,7 @@
     changed: dict[str, catalog.Entry]
     removed: tuple[str, ...]
     stepwise: bool = True
+    refused: int = 0
 
 
 class Source(t.Protocol):
--- a/src/savorytally/platform/documents.py
+++ b/src/savorytally/platform/documents.py
@@ -6,6 +6,7 @@
 
 from ..dataplane import options
 from ..world import catalog
+from ..world import ranges
 from . import durations
 
 # Key under which the operator stores the current configuration.
@@ -16,7 +17,7 @@
 EVACUATION_PREFIX = "op/evacuate/"
 
 # Exceptions raised while reading a document of unexpected form.
-_PARSE_ERRORS = (
+PARSE_ERRORS = (
     ArithmeticError,
     AttributeError,
     KeyError,
@@ -68,11 +69,12 @@
             for name, value in (document.get("services") or {}).items()
             if isinstance(value.get("health_path"), str)
         }
-        place = "services"
+        if not all(map(ranges.carried, health_paths.values())):
+            raise ValueError("health_path can't be sent")
         cold_terms = _cold_terms(document.get("services") or {})
         place = "limits"
         limits = _limits(document.get("limits") or {})
-    except _PARSE_ERRORS as error:
+    except PARSE_ERRORS as error:
         raise Malformed(f"{place}: {error!r}") from error
     return catalog.Catalog(
         version,
@@ -100,9 +102,9 @@
         slots = value["slots"]
         if not (isinstance(service, str) and isinstance(zone, str) and host):
             raise ValueError("service, zone and address must be text")
-        if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
-            raise ValueError("slots must be a positive whole number")
-        return catalog.Instance(
+        if isinstance(slots, bool):
+            raise ValueError("slots must be a whole number")
+        found = catalog.Instance(
             instance_id=key[len(INSTANCE_PREFIX) :],
             service=service,
             address=host,
@@ -115,8 +117,10 @@
             started_ms=_whole_number(value.get("born")),
             sequence=_whole_number(value.get("sequence")),
         )
-    except _PARSE_ERRORS as error:
-        raise Malformed(f"{key}: {error!r}") from error
+        catalog.checked(found)
+        return found
+    except PARSE_ERRORS as error:
+        raise Malformed(f"{key!r}: {error!r}") from error
 
 
 def _whole_number(value: t.Any) -> int:
@@ -134,7 +138,10 @@
 def _version(text: str) -> int:
     if not text.startswith("r"):
         raise ValueError(f"{text!r} is no version")
-    return int(text[1:])
+    number = int(text[1:])
+    if not ranges.carried(number):
+        raise ValueError("the version has more than 64 bits")
+    return number
 
 
 def _route(name: str, value: t.Mapping[str, t.Any]) -> catalog.Route:
@@ -148,7 +155,7 @@
         parts = (catalog.Cluster(value["service"], 1.0),)
     timeout_s = durations.seconds(value["timeout"])
     target = value.get("target_latency")
-    return catalog.Route(
+    route = catalog.Route(
         name=name,
         host=value["host"].lower(),
         prefix=value["prefix"],
@@ -162,6 +169,7 @@
         open_to_all=bool(value.get("auth_exempt", False)),
         homes=_homes(value),
     )
+    return ranges.checked(route)
 
 
 def _homes(value: t.Mapping[str, t.Any]) -> frozenset[str]:
@@ -201,19 +209,20 @@
     name: str, value: t.Mapping[str, t.Any]
 ) -> catalog.Organisation:
     priority = value.get("priority")
-    return catalog.Organisation(
+    organisation = catalog.Organisation(
         name=name,
         priority=None if priority is None else int(priority),
         rate_per_s=float(value.get("rate_per_s") or 0),
         burst=float(value.get("burst") or 0),
         homes=_homes(value),
     )
+    return ranges.checked(organisation)
 
 
 def _limits(value: t.Mapping[str, t.Any]) -> catalog.RequestLimits:
     default = catalog.RequestLimits()
     header, idle = value.get("header_timeout"), value.get("idle_timeout")
-    return catalog.RequestLimits(
+    limits = catalog.RequestLimits(
         header_bytes=int(value.get("max_header_bytes", default.header_bytes)),
         body_bytes=int(value.get("max_body_bytes", default.body_bytes)),
         header_timeout_s=(
@@ -223,3 +232,4 @@
             durations.seconds(idle) if idle else default.idle_timeout_s
         ),
     )
+    return ranges.checked(limits)
--- a/src/savorytally/platform/store.py
+++ b/src/savorytally/platform/store.py
@@ -11,11 +11,14 @@
 from ..dataplane import pool
 from ..dataplane import store_watch
 from ..world import catalog
+from ..world import ranges
 from ..world import store_position
 from . import documents
 
 # Timeout of a read.
 READ_TIMEOUT_S = 2.0
+# Malformed items whose keys are kept, so that each is logged once.
+MALFORMED_KEPT = 4096
 # Maximum number of pages of a snapshot, of about 500 items each.
 PAGES_MAX = 400
 # Time that a watch may take beyond its requested waiting time.
@@ -23,7 +26,9 @@
 ERA_HEADER = b"store-era"
 _ALL_KEYS = ""
 # An era with more digits is ignored.
-ERA_DIGITS_MAX = 9
+ERA_DIGITS_MAX = 8
+# The rest of a longer cause of a malformed entry is not logged.
+CAUSE_CHARACTERS_MAX = 200
 _OK = 200
 _GONE = 410
 
@@ -37,7 +42,9 @@
     def __init__(self, address: options.Address) -> None:
         self._pool = pool.Pool(address)
         self._host = f"{address.host}:{address.port}".encode()
-        self._malformed: dict[str, int] = {}
+        # Revision of each malformed item that was logged last.
+        self._malformed: dict[str, t.Any] = {}
+        self._refused = 0
         self.calls = 0
 
     @property
@@ -118,7 +125,7 @@
         :raises store_watch.Unavailable: if there is no valid response.
         """
         query = {name: value for name, value in query.items() if value}
-        text = urllib.parse.urlencode(query, safe="/")
+        text = urllib.parse.urlencode(query, safe="/", errors="surrogatepass")
         loop = asyncio.get_running_loop()
         connecting: asyncio.Future[exchanges.Connection | None]
         connecting = loop.create_future()
@@ -174,9 +181,13 @@
         configuration: bytes | None = None
         changed: dict[str, catalog.Entry] = {}
         removed = []
+        refused = self._refused
         prefix = documents.INSTANCE_PREFIX
         for item in items:
-            key = item.get("key", "")
+            key = item["key"]
+            if not ranges.carried(key):
+                self._refuse(item, "the key can't be carried")
+                continue
             if key == documents.CONFIGURATION_KEY:
                 if not item.get("deleted"):
                     configuration = (
@@ -204,14 +215,19 @@
                 changed.pop(name, None)
                 removed.append(name)
         return store_watch.Changes(
-            after, reached, configuration, changed, tuple(removed)
+            after,
+            reached,
+            configuration,
+            changed,
+            tuple(removed),
+            refused=self._refused - refused,
         )
 
     def _configuration(self, key: str, item: dict[str, t.Any]) -> bytes | None:
         try:
             return documents.decode_value(item)
         except documents.Malformed as error:
-            self._log_malformed(key, item, error)
+            self._refuse(item, error)
             return None
 
     def _instance(self, key: str, item: dict[str, t.Any]) -> t.Any:
@@ -219,16 +235,20 @@
             body = documents.decode_value(item)
             return documents.instance(key, body, item.get("created", 0))
         except documents.Malformed as error:
-            self._log_malformed(key, item, error)
+            self._refuse(item, error)
             return None
 
-    def _log_malformed(
-        self, key: str, item: dict[str, t.Any], error: documents.Malformed
-    ) -> None:
-        revision = item.get("revision", 0)
-        if self._malformed.get(key) != revision:
-            self._malformed[key] = revision
-            logging.warning("malformed store entry ignored: %s", error)
+    def _refuse(self, item: dict[str, t.Any], cause: object) -> None:
+        """Count an item that is ignored; log it once per change."""
+        key, revision = item["key"], item.get("revision", 0)
+        if self._malformed.get(key) == revision:
+            return
+        while len(self._malformed) >= MALFORMED_KEPT:
+            del self._malformed[next(iter(self._malformed))]
+        self._malformed[key] = revision
+        self._refused += 1
+        text = str(cause)[:CAUSE_CHARACTERS_MAX]
+        logging.warning("malformed store entry %.99r ignored: %s", key, text)
 
 
 def _parse_reply(
@@ -242,10 +262,10 @@
         raise store_watch.Unavailable(f"{path}: status {result.status}")
     try:
         value = json.loads(result.body)
-        int(value["current_rev"])
+        _position(value, None, 0)
         if not all(isinstance(item["key"], str) for item in value[table]):
             raise ValueError("a key is not a string")
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
+    except documents.PARSE_ERRORS as error:
         raise store_watch.Unavailable(f"{path}: malformed response") from error
     return value, _parse_era(result)
 
@@ -253,9 +273,15 @@
 def _position(
     body: dict[str, t.Any], stated_era: int | None, assumed_era: int
 ) -> store_position.Position:
-    """Return the store's position when it sent a response."""
+    """Return the store's position when it sent a response.
+
+    :raises ValueError: if the revision is out of range.
+    """
     era = assumed_era if stated_era is None else stated_era
-    return store_position.Position(era, int(body["current_rev"]))
+    found = store_position.Position(era, int(body["current_rev"]))
+    if not found.valid:
+        raise ValueError(f"no position of a store: {found!r:.80}")
+    return found
 
 
 def _parse_era(response: exchanges.Response) -> int | None:
@@ -263,4 +289,5 @@
     text = response.header(ERA_HEADER)
     if not text.isdigit() or len(text) > ERA_DIGITS_MAX:
         return None
-    return int(text)
+    era = int(text)
+    return era if era <= store_position.ERA_MAX else None
--- a/src/savorytally/world/catalog.py
+++ b/src/savorytally/world/catalog.py
@@ -7,6 +7,11 @@
 import dataclasses
 import typing as t
 
+from . import ranges
+
+# More slots are an error of the entry; its share of requests would be all.
+SLOTS_MAX = 1 << 20
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cluster:
@@ -243,10 +248,35 @@
     """Return the entry with these fields, in the order of its class.
 
     :raises TypeError: if no entry has this number of fields.
+    :raises ValueError: if a field has a value that no entry can have.
     """
     if len(fields) == len(dataclasses.fields(Evacuation)):
-        return Evacuation(*fields)
-    return Instance(*fields)
+        return checked(Evacuation(*fields))
+    return checked(Instance(*fields))
+
+
+def checked(entry: Entry) -> Entry:
+    """Return an entry whose fields other hosts and sockets accept.
+
+    :raises ValueError: if one does not; the message names it.
+    """
+    for field in dataclasses.fields(entry):
+        value = getattr(entry, field.name)
+        expected = (float, int) if field.type is float else field.type
+        if not isinstance(value, t.cast(t.Any, expected)):
+            raise ValueError(f"{field.name} has another type: {value!r:.80}")
+    if isinstance(entry, Instance):
+        # Sockets encode host names this way.
+        entry.address.encode("idna")
+        if not 0 < entry.port <= ranges.PORT_MAX:
+            raise ValueError(f"no port: {entry.port!r:.80}")
+        if not 0 < entry.slots <= SLOTS_MAX:
+            raise ValueError(f"slots out of range: {entry.slots!r:.80}")
+        if not 0.0 <= entry.cold_s <= ranges.DURATION_MAX_S:
+            raise ValueError(f"cold_s out of range: {entry.cold_s!r:.80}")
+    if not entry.key:
+        raise ValueError("the identifier is empty")
+    return ranges.checked(entry)
 
 
 def split_entries(
--- a/src/savorytally/world/store_position.py
+++ b/src/savorytally/world/store_position.py
@@ -4,6 +4,8 @@
 
 # Bits of a revision in a position that is encoded as a number.
 REVISION_BITS = 40
+# With the greatest era, the number still has 64 bits.
+ERA_MAX = (1 << 24) - 2
 
 
 class Position(t.NamedTuple):
@@ -20,6 +22,12 @@
     era: int
     revision: int
 
+    @property
+    def valid(self) -> bool:
+        """Whether it can be encoded as a number of 64 bits."""
+        in_range = 0 <= self.revision < 1 << REVISION_BITS
+        return in_range and 0 <= self.era <= ERA_MAX
+
     def to_version(self) -> int:
         """Return a number that orders positions; see :func:`from_version`.
 
--- a/tests/fakes/net.py
+++ b/tests/fakes/net.py
@@ -197,6 +197,10 @@
     async def create_connection(  # type: ignore[override]
         self, factory: t.Callable[[], t.Any], host: str, port: int, **_: t.Any
     ) -> tuple[Transport, t.Any]:
+        # As getaddrinfo does.
+        host.encode("idna")
+        if not 0 <= port < 1 << 16:
+            raise OverflowError("port must be 0-65535")
         key = (host, port)
         if key in self.net.unreachable:
             await asyncio.sleep(3600)
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,259 @@
+"""Odd entries among those of the upstreams cost nothing but themselves."""
+
+import asyncio
+import json
+
+from fakes import json_values
+from fakes import mesh
+from fakes import net
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from savorytally.dataplane import exchanges
+from savorytally.dataplane import store_watch
+from savorytally.platform import store
+
+# Time within which the users require a configuration to be in force.
+IN_FORCE_S = 2.0
+KEY = "servers/i-odd"
+# Only two hosts of a data centre read the store; the others follow them.
+PLACES = ["low-a"] * 4 + ["low-b"]
+LONE = "\ud800"
+WHOLE_NUMBERS = [1 << 63, 1 << 64, 10**30, 10**400, -(1 << 64)]
+ODD_VALUES = [
+    *WHOLE_NUMBERS,
+    *(float("inf"), float("nan"), -1.5, 1e300),
+    *("", LONE, f"i-1{LONE}", "x" * 100_000, "a\r\nb: c", "\0"),
+    *(None, True, [], {}, {"a": [LONE]}),
+]
+FIELDS = ["service", "zone", "slots", "state", "cold_remaining", "sequence"]
+ADDRESSES = [
+    *(f"10.1.9.9:{port}" for port in (0, -1, 65536, 1 << 64, "x", "", LONE)),
+    *(f"{host}:80" for host in ("", LONE, "a" * 300, "a..b", "a\0b", "[::")),
+]
+ODD_FIELDS = [
+    *((name, value) for name in [*FIELDS, "born"] for value in ODD_VALUES),
+    *(("cold_remaining", text) for text in ("1e300s", "nans", "-1s")),
+    *(("address", value) for value in [*ADDRESSES, *ODD_VALUES]),
+]
+
+PEER_ENTRY = ["i-2", "drawers", "10.1.9.9", 80, "low-a", 8, True, 0.0, 1, 2, 3]
+ODD_ENTRIES_OF_PEERS = [
+    [*PEER_ENTRY[:index], value, *PEER_ENTRY[index + 1 :]]
+    for index, value in [
+        *((1, None), (1, "a\n"), (2, "a..b"), (2, 7), (3, 65536), (3, "80")),
+        *((4, []), (5, 0), (5, 1 << 62), (6, 1), (7, float("inf"))),
+        *((7, -1.0), (8, 1 << 63), (9, 0.5), (10, None)),
+    ]
+]
+
+
+def write(target, key, value, **of_item):
+    """Write an entry; ``of_item`` replaces what the store says of it."""
+    target.put(key, value)
+    target.items[key].update(of_item)
+
+
+async def check(write_odd):
+    """Check that all nodes follow the store and serve beside odd entries.
+
+    :param write_odd: writes the odd entries to a mesh.
+    """
+    failures = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: failures.append(context))
+    cluster = mesh.Mesh()
+    await cluster.start({"drawers": PLACES})
+    await asyncio.sleep(1)
+    write_odd(cluster)
+    await asyncio.sleep(0.3)
+    cluster.store.put("op/config", mesh.configuration(2))
+    cluster.store.put("servers/i-1", cluster.hosts[0].entry(slots=7))
+    replies = asyncio.gather(
+        *(cluster.send(host) for host in cluster.hosts for _ in range(4))
+    )
+    await asyncio.sleep(IN_FORCE_S)
+    nodes = [host.node for host in cluster.hosts]
+    assert [node.version for node in nodes] == [2] * len(nodes)
+    assert [node._upstream_list.instances["i-1"].slots for node in nodes] == [
+        7
+    ] * len(nodes)
+    statuses = [getattr(reply, "status", None) for reply in await replies]
+    assert statuses == [200] * len(statuses)
+    assert failures == []
+    for node in nodes:
+        tasks = [*node._tasks, node._store_watch._task]
+        assert not any(task.done() for task in tasks if task is not None)
+
+
+def run(write_odd):
+    net.run(lambda: check(write_odd))
+
+
+class TestKinds:
+    @pytest.mark.parametrize("living", [False, True])
+    @pytest.mark.parametrize("name", sorted({name for name, _ in ODD_FIELDS}))
+    def test_odd_field_costs_its_entry_alone(self, name, living):
+        """Nodes stopped following, or requests ended in 504."""
+
+        def write_odd(cluster):
+            entry = cluster.hosts[1].entry()
+            if not living:
+                entry["address"] = "10.1.9.9:8547"
+            for number, (field, value) in enumerate(ODD_FIELDS):
+                if field == name:
+                    odd = {**entry, field: value}
+                    write(cluster.store, f"{KEY}-{number}", odd)
+
+        run(write_odd)
+
+    @pytest.mark.parametrize("name", ["created", "revision", "lease"])
+    @pytest.mark.parametrize("living", [False, True])
+    def test_what_the_store_says_is_odd(self, name, living):
+        """A watch ended for good, and its followers with it."""
+
+        def write_odd(cluster):
+            entry = cluster.hosts[1].entry()
+            if not living:
+                entry["address"] = "10.1.9.9:8547"
+            for number, value in enumerate(ODD_VALUES):
+                write(cluster.store, f"{KEY}-{number}", entry, **{name: value})
+
+        if name == "revision":
+            # The stand-in sorts its history by this field; a page does not.
+            write_odd = _in_pages(write_odd)
+        run(write_odd)
+
+    @pytest.mark.parametrize(
+        "key", [LONE, f"i{LONE}x", "x" * 100_000, "", "a\r\nb", "\0", "/"]
+    )
+    @pytest.mark.parametrize("deleted", [False, True])
+    def test_odd_key(self, key, deleted):
+        def write_odd(cluster):
+            for prefix in ("servers/", "op/evacuate/", ""):
+                odd = cluster.hosts[1].entry()
+                write(cluster.store, prefix + key, odd)
+                if deleted:
+                    cluster.store.delete(prefix + key)
+
+        run(write_odd)
+
+    @pytest.mark.parametrize("depth", [100, 900, 5_000, 100_000])
+    def test_deep_nesting(self, depth):
+        nested = b"[" * depth + b"]" * depth
+
+        def write_odd(cluster):
+            entry = json.dumps(cluster.hosts[1].entry()).encode()
+            write(cluster.store, f"{KEY}-1", nested)
+            inside = entry[:-1] + b', "more": ' + nested + b"}"
+            write(cluster.store, f"{KEY}-2", inside)
+            slots = entry.replace(b'"slots": 8', b'"slots": ' + nested)
+            write(cluster.store, f"{KEY}-3", slots)
+
+        run(write_odd)
+
+
+class TestOtherSources:
+    @pytest.mark.parametrize("entry", ODD_ENTRIES_OF_PEERS)
+    def test_entries_of_another_build_cost_themselves_alone(self, entry):
+        """Earlier builds pass on what the store holds, whatever it is."""
+
+        async def work():
+            cluster = mesh.Mesh()
+            await cluster.start({"drawers": ["low-a"]})
+            node = cluster.hosts[0].node
+            known = node.position
+            rows = [["i-2", *entry[1:]], ["i-3", *PEER_ENTRY[1:]]]
+            node.store_sharing.handle_changes(
+                None, known, [1, known.revision + 1], True, 0, rows, [LONE]
+            )
+            assert set(node._upstream_list.instances) == {"i-1", "i-3"}
+            assert b"savorytally_entries_refused_total 1" in (
+                node.counts.render()
+            )
+
+        net.run(work)
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"version": f"r{1 << 64}"},
+            {"routes": {"r": mesh.route("drawers", timeout="1e300s")}},
+            {"routes": {"r": mesh.route("drawers", priority=1 << 64)}},
+            {"routes": {LONE: mesh.route("drawers")}},
+            {"services": {"drawers": {"health_path": "/\r\na: b"}}},
+            {"tenants": {LONE: {"api_keys": ["a"]}}},
+            {"tenants": {"a": {"api_keys": ["a"], "rate_per_s": 1e999}}},
+            {"limits": {"max_body_bytes": 10**400}},
+        ],
+    )
+    def test_odd_configuration_is_refused_whole(self, changes):
+        """Its values reached frames that could not be packed."""
+
+        def write_odd(cluster):
+            odd = {**mesh.configuration(7), **changes}
+            cluster.store.put("op/config", odd)
+
+        run(write_odd)
+
+    @pytest.mark.parametrize("revision", ["1e999", str(1 << 64), "-1", "[]"])
+    def test_odd_revision_of_the_store(self, revision):
+        """It ended the reader's task, or went into frames."""
+        body = f'{{"items": [], "current_rev": {revision}}}'.encode()
+        reply = exchanges.Response(200, [], body)
+        with pytest.raises(store_watch.Unavailable):
+            store._parse_reply("/", "items", reply)
+
+
+def _in_pages(write_odd):
+    """Return the same writer for a store that has lost its history."""
+
+    def write_all(cluster):
+        write_odd(cluster)
+        cluster.store.history.clear()
+
+    return write_all
+
+
+ODD_SCALARS = json_values.SCALARS | st.sampled_from(ODD_VALUES)
+ODD_JSON = json_values.ANY | ODD_SCALARS
+
+
+@st.composite
+def odd_entries(draw):
+    """Draw a key, changes of an entry, and changes of what the store says."""
+    key = draw(st.text(max_size=8) | st.just(f"x{LONE}"))
+    changes = draw(
+        st.dictionaries(
+            st.sampled_from([*FIELDS, "born", "address"]) | st.text(),
+            ODD_JSON | st.sampled_from(ADDRESSES),
+            max_size=3,
+        )
+    )
+    whole = draw(st.booleans() | st.just(False))
+    value = draw(ODD_JSON) if whole else changes
+    of_item = draw(
+        st.dictionaries(
+            st.sampled_from(["created", "lease"]), ODD_SCALARS, max_size=1
+        )
+    )
+    return key, whole, value, of_item
+
+
+class TestGenerated:
+    @hypothesis.settings(max_examples=25)
+    @hypothesis.given(
+        entries=st.lists(odd_entries(), min_size=4, max_size=12),
+        living=st.booleans(),
+    )
+    def test_nodes_follow_and_serve_beside_any_entries(self, entries, living):
+        def write_odd(cluster):
+            usual = cluster.hosts[1].entry()
+            if not living:
+                usual["address"] = "10.1.9.9:8547"
+            for key, whole, value, of_item in entries:
+                written = value if whole else {**usual, **value}
+                write(cluster.store, f"{KEY}-{key}", written, **of_item)
+
+        run(write_odd)
