End every connection attempt with a result

A host name that has no encoded form, or a port out of range, makes an attempt raise UnicodeError or OverflowError instead of an OSError (seen with uvloop: UnicodeError for "a..b", a label of 300 characters and a lone surrogate). The task ended without a result: calls of that link waited until their deadline, later ones too, since the link still counted as connecting, and the exception reached the loop's handler.

Such an attempt now counts as failed, so the call goes to another host.

--- a/src/savorytally/dataplane/pool.py
+++ b/src/savorytally/dataplane/pool.py
@@ -7,6 +7,7 @@
 from ..decisions import memory_budget
 from . import exchanges
 from . import options
+from . import sockets
 
 # Idle time after which a connection is closed if the server gives no
 # keep-alive timeout.
@@ -172,7 +173,7 @@
                 _, connection = await self._loop.create_connection(
                     make, self._address.host, self._address.port
                 )
-        except (OSError, TimeoutError):
+        except sockets.CONNECT_ERRORS:
             on_opened(None)
             return
         if connection.open:
--- a/src/savorytally/dataplane/sockets.py
+++ b/src/savorytally/dataplane/sockets.py
@@ -8,6 +8,9 @@
 PROBE_EVERY_S = 1
 PROBES = 2
 UNACKNOWLEDGED_MAX_MS = 2_500
+# Ends of a connection attempt; addresses that can't be resolved or encoded
+# raise the last ones.
+CONNECT_ERRORS = (OSError, TimeoutError, ArithmeticError, ValueError)
 
 
 def enable_keepalive(transport: asyncio.BaseTransport) -> None:
--- a/src/savorytally/dataplane/streams.py
+++ b/src/savorytally/dataplane/streams.py
@@ -310,7 +310,7 @@
                 _, stream = await self._loop.create_connection(
                     make, self._host, self._port
                 )
-        except (OSError, TimeoutError):
+        except sockets.CONNECT_ERRORS:
             self._connecting = None
             self._connect_failed()
             return
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,7 +11,11 @@
 import pytest
 
 from savorytally.dataplane import exchanges
+from savorytally.dataplane import frames
+from savorytally.dataplane import options
+from savorytally.dataplane import pool
 from savorytally.dataplane import store_watch
+from savorytally.dataplane import streams
 from savorytally.platform import store
 
 # Time within which the users require a configuration to be in force.
@@ -38,6 +42,7 @@
     *(("address", value) for value in [*ADDRESSES, *ODD_VALUES]),
 ]
 
+_CALL = (0, "i", "r", b"GET", b"/", [], b"", 1, 1, 1, 0, "", "", b"")
 PEER_ENTRY = ["i-2", "drawers", "10.1.9.9", 80, "low-a", 8, True, 0.0, 1, 2, 3]
 ODD_ENTRIES_OF_PEERS = [
     [*PEER_ENTRY[:index], value, *PEER_ENTRY[index + 1 :]]
@@ -206,6 +211,29 @@
             store._parse_reply("/", "items", reply)
 
 
+class TestConnections:
+    """An attempt that raised nothing of the network's never ended."""
+
+    ADDRESSES = [("a..b", 80), (LONE, 80), ("10.1.9.9", 1 << 64)]
+
+    @pytest.mark.parametrize("address", ADDRESSES)
+    def test_attempt_at_an_impossible_address_ends(self, address):
+        async def work():
+            opened = asyncio.get_running_loop().create_future()
+            pool.Pool(options.Address(*address)).acquire(
+                False, opened.set_result
+            )
+            unsent = frames.Result(0, 1)
+            link = streams.Link(*address, None, unsent, None)
+            called = asyncio.get_running_loop().create_future()
+            link.call(frames.Call(*_CALL), called.set_result)
+            async with asyncio.timeout(1):
+                assert await opened is None
+                assert await called is unsent
+
+        net.run(work)
+
+
 def _in_pages(write_odd):
     """Return the same writer for a store that has lost its history."""
 
