Recover when following the platform fails unexpectedly

An exception that nobody foresaw, while changes were read, applied, packed or sent, ended the task or the stream that it arose in. The node kept its last host list without a line in its logs, and readers went on confirming to their followers that they read the store.

A frame that can't be packed is left out; if it was a call, the call fails as not sent. A frame that can't be handled ends its stream. One failing part of a tick doesn't keep the others from working. A host whose list lags behind that of the hosts it follows for 0.7 s reads the store itself for 5 s: changes precede the report of their position on a stream, so that a lag means that they are lost.

--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -6,6 +6,7 @@
 
 from .. import results
 from ..decisions import parent_matching
+from . import failures
 from . import not_run_reasons
 
 BOUNDS_S = (
@@ -180,6 +181,11 @@
             lines.append(
                 f'savorytally_store_reads_total{{result="{result}"}} {count}'
             )
+        lines.append("# TYPE savorytally_failures_total counter")
+        for work, count in sorted(failures.counts.items()):
+            lines.append(
+                f'savorytally_failures_total{{work="{work}"}} {count}'
+            )
         lines.append("# TYPE savorytally_entries_refused_total counter")
         lines.append(
             f"savorytally_entries_refused_total {self._entries_refused}"
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -26,6 +26,7 @@
 from . import entry
 from . import evacuations
 from . import event_log
+from . import failures
 from . import frames
 from . import gate
 from . import header_names
@@ -159,6 +160,9 @@
         self._raw = b""
         self._compressed = b""
         self._rejected_raw = b""
+        # Whether the host list has changes that were not applied, since that
+        # failed.
+        self._instances_pending = False
         self._at_address: dict[str, list[str]] = {}
         self.evacuations = evacuations.Evacuations(node_options, self.log)
         # Addresses of the other hosts of this region, and of other regions.
@@ -306,9 +310,12 @@
                 self._reconciler.entries_written(change.changed)
             if change.changed or change.removed:
                 self._log_hosts(change, changes.after is None)
-            if restored or change.changed or change.removed:
-                self._apply_instances(now)
             self.store_sharing.changed(change)
+            self._instances_pending |= bool(
+                restored or change.changed or change.removed
+            )
+            if self._instances_pending:
+                self._apply_instances(now)
             self._check_startup()
         if self._store_watch.healthy:
             self.confirmed(self._store_watch.read_at)
@@ -531,6 +538,7 @@
             if instance.ready
             and instance.data_centre == self._options.data_centre
         )
+        self._instances_pending = False
 
     def _apply_evacuations(self, now: float) -> None:
         """Apply which data centres are evacuated."""
@@ -557,20 +565,34 @@
         while True:
             await asyncio.sleep(TICK_S)
             now = self._loop.time()
-            self.gate.tick()
-            self.peers.tick(now)
-            self.rates.tick(now)
-            self.store_sharing.tick(now)
-            if self._reconciler.due(now):
-                self._apply_instances(now, confirmed=False)
-            self._check_startup()
-            if now >= self._gossip_at:
-                spread = 0.5 + self._random.random()
-                self._gossip_at = now + GOSSIP_INTERVAL_S * spread
-                self._upstream.sweep()
-                self._sweep_callers(now)
-                self._gossip()
-                self.reload()
+            for part in (
+                lambda now: self.gate.tick(),
+                self.peers.tick,
+                self.rates.tick,
+                self.store_sharing.tick,
+                self._tick_instances,
+                self._tick_gossip,
+            ):
+                # One part that fails must not keep the others from working.
+                try:
+                    part(now)
+                except Exception as error:
+                    failures.note("tick", error)
+
+    def _tick_instances(self, now: float) -> None:
+        if self._instances_pending or self._reconciler.due(now):
+            self._apply_instances(now, confirmed=False)
+        self._check_startup()
+
+    def _tick_gossip(self, now: float) -> None:
+        if now < self._gossip_at:
+            return
+        spread = 0.5 + self._random.random()
+        self._gossip_at = now + GOSSIP_INTERVAL_S * spread
+        self._upstream.sweep()
+        self._sweep_callers(now)
+        self._gossip()
+        self.reload()
 
     def _gossip(self) -> None:
         """Send the configuration's version to a random host of the region.
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -235,7 +235,9 @@
 
         def reply(result: frames.Result) -> None:
             runs.pop(call.number, None)
-            stream.send(frames.Kind.RESULT, *result.encoded_fields)
+            if not stream.send(frames.Kind.RESULT, *result.encoded_fields):
+                unknown = _UNKNOWN._replace(number=call.number)
+                stream.send(frames.Kind.RESULT, *unknown.encoded_fields)
 
         run = self._gate.run(call, reply, stream)
         if run.state is not gate.State.DONE:
--- a/src/savorytally/dataplane/store_sharing.py
+++ b/src/savorytally/dataplane/store_sharing.py
@@ -21,6 +21,7 @@
 from ..world import catalog
 from ..world import ranges
 from ..world import store_position
+from . import failures
 from . import frames
 from . import store_watch
 from . import streams
@@ -37,6 +38,10 @@
 # If this host's event loop was blocked for so long, missing messages are not
 # the followed hosts' fault.
 LOOP_LATE_S = 0.2
+# A host whose list lags behind those that it follows for longer reads the
+# store itself for a time. Changes precede the report of their position.
+LAG_MAX_S = 0.7
+OWN_READS_S = 5.0
 # Number of fields of an upstream that builds without eras accept.
 FIELDS_WITHOUT_ERAS = 10
 
@@ -139,6 +144,8 @@
         # Loop time of the latest FOLLOW frame to each followed host.
         self._followed_at: dict[str, float] = {}
         self._fresh_at = 0.0
+        # A position of a followed host that is not known here, and since when.
+        self._awaited: tuple[store_position.Position, float] | None = None
         self._last_tick = self._loop.time()
 
     @property
@@ -259,10 +266,31 @@
             return
         reached = _read_position(position)
         known = self._upstream_list.position
+        if self._lags(reached, now):
+            failures.note("following", f"{known} is known, not {reached}")
+            self._store_readers.lost(stream.peer, now)
+            self._store_readers.read_until(now + OWN_READS_S)
         if known is not None and reached.era == known.era and reached <= known:
             self._owner.confirmed(now - age_ms / 1000)
         self._owner.newer_at(stream, version, True)
 
+    def _lags(self, reached: store_position.Position, now: float) -> bool:
+        """Return whether changes that followed hosts have do not arrive.
+
+        :param reached: the position of a followed host's list.
+        """
+        known = self._upstream_list.position
+        if known is not None and known >= reached:
+            return False
+        awaited = self._awaited
+        if awaited is None or (known is not None and known >= awaited[0]):
+            self._awaited = reached, now
+            return False
+        if now - awaited[1] <= LAG_MAX_S:
+            return False
+        self._awaited = None
+        return True
+
     def handle_changes(
         self,
         stream: streams.Stream,
--- a/src/savorytally/dataplane/store_watch.py
+++ b/src/savorytally/dataplane/store_watch.py
@@ -8,6 +8,7 @@
 
 from ..world import catalog
 from ..world import store_position
+from . import failures
 
 # How long a watch waits for a change. A dead connection is detected by TCP
 # keepalive, so this only limits the delay if keepalive misses it.
@@ -186,6 +187,12 @@
                 self._subscriber.store_read(ReadResult.UNAVAILABLE)
                 self._healthy = False
                 self._subscriber.source_state(False, str(error))
+            except Exception as error:
+                failures.note("store_watch", error)
+                self._healthy = False
+                # What was applied is uncertain.
+                self._history_lost = True
+                self._subscriber.source_state(False, repr(error))
             else:
                 if self._watched:
                     pause_s = RETRY_MIN_S
--- a/src/savorytally/dataplane/streams.py
+++ b/src/savorytally/dataplane/streams.py
@@ -5,6 +5,7 @@
 import logging
 import typing as t
 
+from . import failures
 from . import frames
 from . import sockets
 
@@ -76,14 +77,26 @@
             # Only this stream is affected; its calls fail as lost.
             logging.warning("stream with %s ended: %s", self.peer, error)
             self.abort()
+        except Exception as error:
+            failures.note("frame", error)
+            self.abort()
+
+    def send(self, kind: frames.Kind, *fields: t.Any) -> bool:
+        """Send a frame, batched with the others of this turn of the loop.
 
-    def send(self, kind: frames.Kind, *fields: t.Any) -> None:
-        """Send a frame, batched with the others of this turn of the loop."""
+        :return: False if the stream is closed or the frame can't be encoded.
+        """
         if self._transport is None:
-            return
+            return False
+        try:
+            frame = frames.encode(kind, *fields)
+        except (ArithmeticError, TypeError, ValueError) as error:
+            failures.note("send", error)
+            return False
         if not self._out:
             self._loop.call_soon(self._flush)
-        self._out.append(frames.encode(kind, *fields))
+        self._out.append(frame)
+        return True
 
     def close(self) -> None:
         """Close the stream after the frames that were sent."""
@@ -186,7 +199,7 @@
         if call.flags & frames.Flag.IDEMPOTENT:
             self._idempotent.add(number)
         if self.open:
-            t.cast(Stream, self._stream).send(frames.Kind.CALL, *call)
+            self._send_call(t.cast(Stream, self._stream), call)
             return number
         self._unsent_calls[number] = call
         self._connect()
@@ -223,8 +236,7 @@
         """Send a control frame if the stream is up."""
         if not self.open:
             return False
-        t.cast(Stream, self._stream).send(kind, *fields)
-        return True
+        return t.cast(Stream, self._stream).send(kind, *fields)
 
     def send_opening(self, kind: frames.Kind, *fields: t.Any) -> bool:
         """Send a control frame as soon as the stream is up.
@@ -325,11 +337,17 @@
         stream.received_at = self._loop.time()
         queued, self._unsent_calls = self._unsent_calls, {}
         for call in queued.values():
-            stream.send(frames.Kind.CALL, *call)
+            self._send_call(stream, call)
         waiting, self._waiting_frames = self._waiting_frames, []
         for frame in waiting:
             stream.send(*frame)
 
+    def _send_call(self, stream: Stream, call: frames.Call) -> None:
+        """Send a call; it fails as not sent if it can't be."""
+        if not stream.send(frames.Kind.CALL, *call):
+            self._unsent_calls[call.number] = call
+            self._loop.call_soon(self._fail_unsent)
+
     def _connect_failed(self) -> None:
         self._unreachable = True
         self._retry_at = self._loop.time() + RECONNECT_S
--- a/src/savorytally/decisions/store_readers.py
+++ b/src/savorytally/decisions/store_readers.py
@@ -56,6 +56,7 @@
         self._candidates: dict[str, _Candidate] = {}
         self._last_followed_at = float("-inf")
         self._has_followers_until = float("-inf")
+        self._reads_until = float("-inf")
 
     @property
     def is_reader(self) -> bool:
@@ -111,6 +112,10 @@
         """Record that another host follows this one until the given time."""
         self._has_followers_until = max(self._has_followers_until, until)
 
+    def read_until(self, until: float) -> None:
+        """Have this host read the store itself until the given time."""
+        self._reads_until = until
+
     def restart_timeouts(self, now: float) -> None:
         """Restart all timeouts after this host itself was blocked."""
         for candidate in self._candidates.values():
@@ -152,7 +157,9 @@
 
     def reads_store(self, now: float) -> bool:
         """Return whether this host must read the store."""
-        if self.is_reader or now < self._has_followers_until:
+        if self.is_reader or now < max(
+            self._has_followers_until, self._reads_until
+        ):
             return True
         return now - self._last_followed_at > NO_READER_S
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import random
+import typing as t
 
 from fakes import json_values
 from fakes import mesh
@@ -10,17 +12,22 @@
 from hypothesis import strategies as st
 import pytest
 
+from savorytally import results
 from savorytally.dataplane import exchanges
+from savorytally.dataplane import failures
 from savorytally.dataplane import frames
 from savorytally.dataplane import options
 from savorytally.dataplane import pool
 from savorytally.dataplane import store_watch
 from savorytally.dataplane import streams
 from savorytally.platform import store
+from savorytally.world import catalog
+from savorytally.world import store_position
 
 # Time within which the users require a configuration to be in force.
 IN_FORCE_S = 2.0
 KEY = "servers/i-odd"
+ANSWERED = results.ANSWERED.number
 # Only two hosts of a data centre read the store; the others follow them.
 PLACES = ["low-a"] * 4 + ["low-b"]
 LONE = "\ud800"
@@ -65,9 +72,9 @@
 
     :param write_odd: writes the odd entries to a mesh.
     """
-    failures = []
+    errors = []
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda _, context: failures.append(context))
+    loop.set_exception_handler(lambda _, context: errors.append(context))
     cluster = mesh.Mesh()
     await cluster.start({"drawers": PLACES})
     await asyncio.sleep(1)
@@ -86,7 +93,7 @@
     ] * len(nodes)
     statuses = [getattr(reply, "status", None) for reply in await replies]
     assert statuses == [200] * len(statuses)
-    assert failures == []
+    assert errors == []
     for node in nodes:
         tasks = [*node._tasks, node._store_watch._task]
         assert not any(task.done() for task in tasks if task is not None)
@@ -234,6 +241,137 @@
         net.run(work)
 
 
+class TestUnforeseen:
+    """A value that no check knows must not keep nodes from following."""
+
+    def test_changes_that_can_not_be_packed(self, monkeypatch):
+        """Followers remained at the last list that was packed."""
+        encode = frames.encode
+
+        def fail_on_odd(kind, *fields):
+            if kind == frames.Kind.CHANGES and "i-odd" in repr(fields):
+                raise OverflowError
+            return encode(kind, *fields)
+
+        monkeypatch.setattr(frames, "encode", fail_on_odd)
+        run(lambda cluster: write(cluster.store, KEY, _dead(cluster)))
+
+    def test_changes_that_can_not_be_applied(self, monkeypatch):
+        """Readers and followers stayed at what they had applied before."""
+        apply = catalog.latest_instances
+        failed = []
+
+        def fail_on_odd(instances):
+            if "i-odd" in instances and len(failed) < 20:
+                failed.append(1)
+                raise LookupError
+            return apply(instances)
+
+        monkeypatch.setattr(catalog, "latest_instances", fail_on_odd)
+        run(lambda cluster: write(cluster.store, KEY, _dead(cluster)))
+        assert failed
+
+    def test_call_and_result_that_can_not_be_packed(self, monkeypatch):
+        """A call without a frame waited until its deadline."""
+        encode = frames.encode
+
+        def fail(kind, *fields):
+            if kind == frames.Kind.RESULT and fields[1] == ANSWERED:
+                raise OverflowError
+            if kind == frames.Kind.CALL and fields[0] == 1:
+                raise OverflowError
+            return encode(kind, *fields)
+
+        async def work():
+            cluster = mesh.Mesh()
+            await cluster.start({"desk": ["low-a"], "drawers": ["low-a"]})
+            monkeypatch.setattr(frames, "encode", fail)
+            start = asyncio.get_running_loop().time()
+            reply = await cluster.send(cluster.hosts[0])
+            assert reply.status in (502, 503)
+            assert asyncio.get_running_loop().time() - start < 0.5
+
+        net.run(work)
+
+    def test_failing_part_of_a_tick(self, monkeypatch):
+        """The task ended, and with it all that a node does by itself."""
+
+        def write_odd(cluster):
+            def fail():
+                raise LookupError
+
+            for host in cluster.hosts:
+                monkeypatch.setattr(host.node.gate, "tick", fail)
+
+        run(write_odd)
+
+    def test_frame_that_can_not_be_handled_ends_its_stream(self):
+        failed = failures.counts["frame"]
+
+        async def work():
+            errors = []
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, seen: errors.append(seen))
+            cluster = mesh.Mesh()
+            await cluster.start({"drawers": ["low-a"] * 2})
+            first = cluster.hosts[0].node.peers
+            first.send("10.1.0.2", frames.Kind.CRASHED, [[1]])
+            await asyncio.sleep(1)
+            assert errors == []
+
+        net.run(work)
+        assert failures.counts["frame"] == failed + 1
+
+    def test_watch_outlives_any_exception(self):
+        """The task ended, and the node still claimed to read the store."""
+        outcomes = [None, KeyError("a"), None]
+
+        class Source:
+            connected = True
+
+            async def snapshot(self, era):
+                return await self.changes(None, 0.0)
+
+            async def changes(self, after, wait_s):
+                await asyncio.sleep(0.01)
+                error = outcomes.pop() if outcomes else None
+                if error is not None:
+                    raise error
+                position = store_position.Position(1, 10 - len(outcomes))
+                return store_watch.Changes(after, position, None, {}, ())
+
+        class Subscriber:
+            position = None
+            states: t.ClassVar[list[bool]] = []
+
+            def published(self, changes):
+                self.position = changes.position
+
+            def source_state(self, reachable, why):
+                self.states.append(reachable)
+
+            def store_read(self, result):
+                pass
+
+        async def work():
+            subscriber = Subscriber()
+            watch = store_watch.StoreWatch(
+                Source(), subscriber, random.Random(1), 0.1
+            )
+            watch.start()
+            await asyncio.sleep(2)
+            assert subscriber.states == [True, False, True]
+            assert watch.healthy
+            watch.stop()
+
+        net.run(work)
+
+
+def _dead(cluster):
+    """Return an entry at an address where nobody is."""
+    return {**cluster.hosts[1].entry(), "address": "10.1.9.9:8547"}
+
+
 def _in_pages(write_odd):
     """Return the same writer for a store that has lost its history."""
 
