Let the soak write odd entries, and read errors in the nodes' logs

A fault of the soak holds an entry of odd values among the upstreams' for a while: numbers of more than 64 bits, ports out of range, text without a UTF-8 form or with a line break, a list instead of a state. No fault group is excused by it. A new check reads the nodes' logs for lines of level ERROR, which are used for unforeseen failures only.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -201,6 +201,7 @@
         [changed(ARRIVAL, name="n0", headers={})],
     ),
     "nodes_keep_running": record(unexpected_exits=[HOST]),
+    "nodes_log_no_error": record(node_errors=["127.0.0.1: tick failed"]),
     "nodes_keep_their_memory": record(peak_memory_bytes={HOST: 201 << 20}),
 }
 UNEXCUSED = {
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -178,6 +178,8 @@
             for proxy in (self.store_proxy, *(h.proxy for h in self.hosts)):
                 proxy.reset()
             await asyncio.sleep(0.2)
+        for host in self.hosts:
+            host.record_errors()
         return checks.find_breaches(self.record)
 
     def put_configuration(self, seed: int) -> None:
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -584,6 +584,12 @@
         yield f"the node of {host} exited unexpectedly"
 
 
+@_check
+def nodes_log_no_error(record: Record) -> t.Iterator[str]:
+    """Nodes foresee all that happens; asyncio logs what they do not."""
+    yield from record.node_errors
+
+
 @_check
 def nodes_keep_their_memory(record: Record) -> t.Iterator[str]:
     """No node uses more memory than the smallest hosts have."""
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -33,6 +33,18 @@
 RESTART_S = 0.2
 # Time after which the store removes the entry of a crashed upstream.
 ENTRY_EXPIRY_S = 3.0
+# Fields of an odd entry in the store, each with a value that no entry has.
+ODD_FIELDS = (
+    ("sequence", 1 << 70),
+    ("slots", 10**400),
+    ("born", 1 << 64),
+    ("address", "127.0.0.1:70000"),
+    ("address", "127.0.0.1:-1"),
+    ("zone", "\ud800"),
+    ("service", "desk\r\nx: y"),
+    ("cold_remaining", "1e300s"),
+    ("state", ["ready"]),
+)
 PLANNED = "planned"
 # Pauses between faults, scaled inversely to the number of hosts.
 REFERENCE_HOSTS = 8
@@ -103,7 +115,7 @@
 _ALL = frozenset(
     (
         *(PLANNED, "leaving", "process", "link", "store", "upstream"),
-        *("release", "zone"),
+        *("release", "writer", "zone"),
     )
 )
 # Groups that the faults of a run are drawn from, by seed modulo length.
@@ -111,7 +123,7 @@
     frozenset((PLANNED,)),
     frozenset((PLANNED, "upstream", "leaving")),
     frozenset((PLANNED, "release", "process", "zone")),
-    frozenset((PLANNED, "process", "link", "store")),
+    frozenset((PLANNED, "process", "link", "store", "writer")),
     _ALL,
 )
 
@@ -295,6 +307,16 @@
     await run.rewrite_store()
 
 
+@_fault("writer", everywhere=True)
+async def odd_entry(fault: ActiveFault) -> None:
+    """Let another writer hold an entry of odd values among the upstreams'."""
+    name, value = ODD_FIELDS[fault.seed % len(ODD_FIELDS)]
+    key = f"servers/odd-{fault.seed}"
+    fault.run.store.put(key, {**fault.host.entry(), name: value})
+    await asyncio.sleep(fault.duration_s)
+    fault.run.store.delete(key)
+
+
 @_fault("zone", everywhere=True)
 async def evacuate(fault: ActiveFault) -> None:
     """Evacuate a data centre and take it back."""
--- a/tools/soak_hosts.py
+++ b/tools/soak_hosts.py
@@ -17,6 +17,8 @@
 STORE_PORT = 8545
 # Time from SIGTERM to SIGKILL.
 STOP_TIMEOUT_S = 6.0
+# Part of a log line of a level that is used for unforeseen failures only.
+ERROR_LEVEL = '"level":"ERROR"'
 
 SETTINGS = """\
 local_node.node_name={name}
@@ -213,6 +215,15 @@
             peaks, held = self._record.peak_memory_bytes, int(found[1]) << 10
             peaks[self.address] = max(peaks.get(self.address, 0), held)
 
+    def record_errors(self) -> None:
+        """Record what the host's nodes have logged as errors."""
+        path = self._settings.with_suffix(".log")
+        self._record.node_errors += [
+            f"{self.address}: {line}"
+            for line in path.read_text(errors="replace").splitlines()
+            if ERROR_LEVEL in line
+        ]
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it is running."""
         if self.process is not None and self.process.poll() is None:
--- a/tools/soak_record.py
+++ b/tools/soak_record.py
@@ -175,6 +175,7 @@
     :param confinements: evacuations, and homes of routes.
     :param unexpected_exits: hosts whose node exited without a signal to
         stop.
+    :param node_errors: lines that nodes logged as errors.
     :param peak_memory_bytes: peak resident memory of the node, by host.
     """
 
@@ -191,6 +192,7 @@
     cold_spells: list[ColdSpell] = dataclasses.field(default_factory=list)
     confinements: list[Confinement] = dataclasses.field(default_factory=list)
     unexpected_exits: list[str] = dataclasses.field(default_factory=list)
+    node_errors: list[str] = dataclasses.field(default_factory=list)
     peak_memory_bytes: dict[str, int] = dataclasses.field(default_factory=dict)
 
     @contextlib.contextmanager
