--- a/src/savorytally/dataplane/counters.py
+++ b/src/savorytally/dataplane/counters.py
@@ -6,6 +6,7 @@
 
 from .. import results
 from ..decisions import parent_matching
+from . import failures
 from . import not_run_reasons
 
 BOUNDS_S = (
@@ -46,6 +47,7 @@
         self._cut: collections.Counter[str] = collections.Counter()
         self._broken: collections.Counter[str] = collections.Counter()
         self._forwarded = 0
+        self._entries_refused = 0
         self._store_reads: collections.Counter[str] = collections.Counter()
         self._buckets: dict[str, list[int]] = {}
         self._sums_s: dict[str, float] = {}
@@ -129,6 +131,10 @@
         """Count a read of the platform's store by how it ended."""
         self._store_reads[result] += 1
 
+    def entries_refused(self, number: int) -> None:
+        """Count entries that are ignored because of their values."""
+        self._entries_refused += number
+
     def broken(self, how: str) -> None:
         """Count an exchange that ended without a complete response."""
         self._broken[how] += 1
@@ -175,6 +181,15 @@
             lines.append(
                 f'savorytally_store_reads_total{{result="{result}"}} {count}'
             )
+        lines.append("# TYPE savorytally_failures_total counter")
+        for work, count in sorted(failures.counts.items()):
+            lines.append(
+                f'savorytally_failures_total{{work="{work}"}} {count}'
+            )
+        lines.append("# TYPE savorytally_entries_refused_total counter")
+        lines.append(
+            f"savorytally_entries_refused_total {self._entries_refused}"
+        )
         lines.append("# TYPE savorytally_request_seconds histogram")
         for route, buckets in sorted(self._buckets.items()):
             lines += self._histogram(route, buckets)
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import functools
-import logging
 import random
 import signal
 import typing as t
@@ -28,6 +27,7 @@
 from . import entry
 from . import evacuations
 from . import event_log
+from . import failures
 from . import frames
 from . import gate
 from . import header_names
@@ -167,6 +167,9 @@
         self._raw = b""
         self._compressed = b""
         self._rejected_raw = b""
+        # Whether the host list has changes that were not applied, since that
+        # failed.
+        self._instances_pending = False
         self._at_address: dict[str, list[str]] = {}
         self.evacuations = evacuations.Evacuations(node_options, self.log)
         # Addresses of the other hosts of this region, and of other regions.
@@ -245,7 +248,7 @@
         )
         self._store_watch.start()
         self._tasks = [
-            self._loop.create_task(self._run_periodically()),
+            self._loop.create_task(self._tick()),
         ]
         self.log.event("start", service=chosen.service)
 
@@ -302,6 +305,7 @@
             belong to a later era than the known ones.
         """
         now = self._loop.time()
+        self.counts.entries_refused(changes.refused)
         if changes.configuration is not None:
             self.learn_configuration(changes.configuration, "store")
         known = self.position
@@ -323,9 +327,12 @@
                 self._reconciler.entries_written(change.changed)
             if change.changed or change.removed:
                 self._log_hosts(change, changes.after is None)
-            if restored or change.changed or change.removed:
-                self._apply_instances(now)
             self.store_sharing.changed(change)
+            self._instances_pending |= bool(
+                restored or change.changed or change.removed
+            )
+            if self._instances_pending:
+                self._apply_instances(now)
             self._check_startup()
         read_at = self._store_watch.read_at
         if self._store_watch.healthy and self.confirmed(read_at):
@@ -565,6 +572,7 @@
             if instance.ready
             and instance.data_centre == self._options.data_centre
         )
+        self._instances_pending = False
 
     def _apply_evacuations(self, now: float) -> None:
         """Apply which data centres are evacuated."""
@@ -587,32 +595,39 @@
         )
         self._servers.append(server)
 
-    async def _run_periodically(self) -> None:
-        while True:
-            try:
-                await self._tick()
-            except Exception:
-                logging.exception("periodic work failed")
-
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
             now = self._loop.time()
-            self.gate.tick()
-            self.peers.tick(now)
-            self.rates.tick(now)
-            self.store_sharing.tick(now)
-            if self._reconciler.due(now):
-                self._apply_instances(now, confirmed=False)
-            self._check_startup()
-            self._check_view(now)
-            if now >= self._gossip_at:
-                spread = 0.5 + self._random.random()
-                self._gossip_at = now + GOSSIP_INTERVAL_S * spread
-                self._upstream.sweep()
-                self._sweep_callers(now)
-                self._gossip()
-                self.reload()
+            for part in (
+                lambda now: self.gate.tick(),
+                self.peers.tick,
+                self.rates.tick,
+                self.store_sharing.tick,
+                self._tick_instances,
+                self._tick_gossip,
+            ):
+                # One part that fails must not keep the others from working.
+                try:
+                    part(now)
+                except Exception as error:
+                    failures.note("tick", error)
+
+    def _tick_instances(self, now: float) -> None:
+        if self._instances_pending or self._reconciler.due(now):
+            self._apply_instances(now, confirmed=False)
+        self._check_startup()
+        self._check_view(now)
+
+    def _tick_gossip(self, now: float) -> None:
+        if now < self._gossip_at:
+            return
+        spread = 0.5 + self._random.random()
+        self._gossip_at = now + GOSSIP_INTERVAL_S * spread
+        self._upstream.sweep()
+        self._sweep_callers(now)
+        self._gossip()
+        self.reload()
 
     def _check_view(self, now: float) -> None:
         """Log when the view of the store is no longer recent, or again."""
--- a/src/savorytally/dataplane/store_sharing.py
+++ b/src/savorytally/dataplane/store_sharing.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import math
 import typing as t
 
@@ -18,7 +19,9 @@
 from ..decisions import shared_waits
 from ..decisions import store_readers
 from ..world import catalog
+from ..world import ranges
 from ..world import store_position
+from . import failures
 from . import frames
 from . import store_watch
 from . import streams
@@ -37,6 +40,10 @@
 # If this host's event loop was blocked for so long, missing messages are not
 # the followed hosts' fault.
 LOOP_LATE_S = 0.2
+# A host whose list lags behind those that it follows for longer reads the
+# store itself for a time. Changes precede the report of their position.
+LAG_MAX_S = 0.7
+OWN_READS_S = 5.0
 # Number of fields of an upstream that builds without eras accept.
 FIELDS_WITHOUT_ERAS = 10
 
@@ -145,6 +152,8 @@
         self._relayed_at = float("-inf")
         self._notified_at = float("-inf")
         self._notified_healthy = False
+        # A position of a followed host that is not known here, and since when.
+        self._awaited: tuple[store_position.Position, float] | None = None
         self._last_tick = self._loop.time()
 
     @property
@@ -278,6 +287,10 @@
             return
         reached = _read_position(position)
         known = self._upstream_list.position
+        if self._lags(reached, now):
+            failures.note("following", f"{known} is known, not {reached}")
+            self._store_readers.lost(stream.peer, now)
+            self._store_readers.read_until(now + OWN_READS_S)
         # After a pause of this host, frames may have waited for long.
         paused = now - self._last_tick > LOOP_LATE_S
         if (
@@ -303,6 +316,23 @@
         if self._store_readers.ranks_before(address):
             self._relayed_at = max(at, self._relayed_at)
 
+    def _lags(self, reached: store_position.Position, now: float) -> bool:
+        """Return whether changes that followed hosts have do not arrive.
+
+        :param reached: the position of a followed host's list.
+        """
+        known = self._upstream_list.position
+        if known is not None and known >= reached:
+            return False
+        awaited = self._awaited
+        if awaited is None or (known is not None and known >= awaited[0]):
+            self._awaited = reached, now
+            return False
+        if now - awaited[1] <= LAG_MAX_S:
+            return False
+        self._awaited = None
+        return True
+
     def handle_changes(
         self,
         stream: streams.Stream,
@@ -330,20 +360,16 @@
         if isinstance(position, int):
             self._store_readers.cannot_follow(stream.peer, self._loop.time())
             return
-        try:
-            found = {
-                entry.key: entry
-                for entry in map(catalog.entry_from_fields, changed)
-            }
-        except TypeError as error:
-            raise frames.MalformedFrame(str(error)) from error
+        found, refused = _read_entries(changed)
+        removed = list(filter(ranges.carried, removed))
         changes = store_watch.Changes(
             None if after is None else _read_position(after),
             _read_position(position),
             None,
             found,
-            tuple(removed),
+            (*removed, *refused),
             stepwise,
+            len(refused),
         )
         before = self._upstream_list.position
         try:
@@ -549,9 +575,34 @@
     return 0, _SEPARATOR.join((str(table), content, route)), rank
 
 
+def _read_entries(
+    rows: list[t.Any],
+) -> tuple[dict[str, catalog.Entry], list[str]]:
+    """Return the entries by identifier, and those that a host must not use.
+
+    Hosts of earlier builds pass on entries with any values.
+    """
+    found: dict[str, catalog.Entry] = {}
+    refused: list[str] = []
+    for fields in rows:
+        try:
+            entry = catalog.entry_from_fields(fields)
+        except TypeError as error:
+            raise frames.MalformedFrame(str(error)) from error
+        except ValueError as error:
+            logging.warning("entry of a peer ignored: %s", error)
+            refused += [fields[0]] if ranges.carried(fields[0]) else []
+            continue
+        found[entry.key] = entry
+    return found, refused
+
+
 def _read_position(fields: t.Any) -> store_position.Position:
     try:
         era, revision = fields
-        return store_position.Position(int(era), int(revision))
-    except (TypeError, ValueError) as error:
+        found = store_position.Position(int(era), int(revision))
+    except (ArithmeticError, TypeError, ValueError) as error:
         raise frames.MalformedFrame(f"position: {error}") from error
+    if not found.valid:
+        raise frames.MalformedFrame(f"position: {found}")
+    return found
--- a/src/savorytally/dataplane/store_watch.py
+++ b/src/savorytally/dataplane/store_watch.py
@@ -8,6 +8,7 @@
 
 from ..world import catalog
 from ..world import store_position
+from . import failures
 
 # How long a watch waits for a change.
 WATCH_S = 20.0
@@ -76,6 +77,7 @@
     :param removed: identifiers of entries that are gone.
     :param stepwise: whether it contains every entry that was written in
         between, instead of the difference between two states.
+    :param refused: number of entries that are ignored because of their values.
     """
 
     after: store_position.Position | None
@@ -84,6 +86,7 @@
     changed: dict[str, catalog.Entry]
     removed: tuple[str, ...]
     stepwise: bool = True
+    refused: int = 0
 
 
 class Source(t.Protocol):
@@ -272,6 +275,12 @@
                 if isinstance(error, NoAnswer):
                     # The time without an answer has been pause enough.
                     pause_s = RETRY_MIN_S
+            except Exception as error:
+                failures.note("store_watch", error)
+                self._healthy = False
+                # What was applied is uncertain.
+                self._history_lost = True
+                self._subscriber.source_state(False, repr(error))
             else:
                 if self._watched:
                     pause_s = RETRY_MIN_S
--- a/src/savorytally/dataplane/streams.py
+++ b/src/savorytally/dataplane/streams.py
@@ -5,6 +5,7 @@
 import logging
 import typing as t
 
+from . import failures
 from . import frames
 from . import sockets
 
@@ -76,14 +77,26 @@
             # Only this stream is affected; its calls fail as lost.
             logging.warning("stream with %s ended: %s", self.peer, error)
             self.abort()
+        except Exception as error:
+            failures.note("frame", error)
+            self.abort()
+
+    def send(self, kind: frames.Kind, *fields: t.Any) -> bool:
+        """Send a frame, batched with the others of this turn of the loop.
 
-    def send(self, kind: frames.Kind, *fields: t.Any) -> None:
-        """Send a frame, batched with the others of this turn of the loop."""
+        :return: False if the stream is closed or the frame can't be encoded.
+        """
         if self._transport is None:
-            return
+            return False
+        try:
+            frame = frames.encode(kind, *fields)
+        except (ArithmeticError, TypeError, ValueError) as error:
+            failures.note("send", error)
+            return False
         if not self._out:
             self._loop.call_soon(self._flush)
-        self._out.append(frames.encode(kind, *fields))
+        self._out.append(frame)
+        return True
 
     def close(self) -> None:
         """Close the stream after the frames that were sent."""
@@ -188,7 +201,7 @@
         if call.flags & frames.Flag.IDEMPOTENT:
             self._idempotent.add(number)
         if self.open:
-            t.cast(Stream, self._stream).send(frames.Kind.CALL, *call)
+            self._send_call(t.cast(Stream, self._stream), call)
             return number
         self._unsent_calls[number] = call
         self._connect()
@@ -225,8 +238,7 @@
         """Send a control frame if the stream is up."""
         if not self.open:
             return False
-        self._send_control(t.cast(Stream, self._stream), kind, *fields)
-        return True
+        return self._send_control(t.cast(Stream, self._stream), kind, *fields)
 
     def send_opening(self, kind: frames.Kind, *fields: t.Any) -> bool:
         """Send a control frame as soon as the stream is up.
@@ -303,11 +315,12 @@
 
     def _send_control(
         self, stream: Stream, kind: frames.Kind, *fields: t.Any
-    ) -> None:
+    ) -> bool:
+        """Send a control frame; return whether it could be packed."""
         since = self._control_since
         if since is None or stream.received_at > since:
             self._control_since = self._loop.time()
-        stream.send(kind, *fields)
+        return stream.send(kind, *fields)
 
     def _expecting_since(self, stream: Stream) -> float | None:
         """Return since when a stream owes data, ``None`` if it does not."""
@@ -332,7 +345,7 @@
                 _, stream = await self._loop.create_connection(
                     make, self._host, self._port
                 )
-        except (OSError, TimeoutError):
+        except sockets.CONNECT_ERRORS:
             self._connecting = None
             self._connect_failed()
             return
@@ -348,11 +361,17 @@
         stream.received_at = self._loop.time()
         queued, self._unsent_calls = self._unsent_calls, {}
         for call in queued.values():
-            stream.send(frames.Kind.CALL, *call)
+            self._send_call(stream, call)
         waiting, self._waiting_frames = self._waiting_frames, []
         for frame in waiting:
             self._send_control(stream, *frame)
 
+    def _send_call(self, stream: Stream, call: frames.Call) -> None:
+        """Send a call; it fails as not sent if it can't be."""
+        if not stream.send(frames.Kind.CALL, *call):
+            self._unsent_calls[call.number] = call
+            self._loop.call_soon(self._fail_unsent)
+
     def _connect_failed(self) -> None:
         self._unreachable = True
         self._retry_at = self._loop.time() + RECONNECT_S
