Let the soak's store fall silent among changes only

The checks were blind as well: a route had to be served by one host before the others had to know it, revoked keys had 7 s, and a fault of the store at any time after 3 s before a change excused arrivals for good.

Change: the store hangs (connections that saw it stay silent, later ones work), or its open connections fall silent, at once or up to 0.6 s after a change. A sixth kind of seed draws these and changes only, silences 8 s apart. Hosts in touch, 3 s after the last fault of the store or at the host, must have a version in force 2 s after its confirmation, which holds for revoked keys, too; none may answer 401, 403, 404 or stale_view to what it allows, and no host may ever deny what all versions allow. Excuses for leaving upstreams, evacuations and homes end 3 s after a fault. test_arrival_after_a_fault_of_the_store_is_excused held the excuse that had no end: its case is a breach now.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,9 @@
 """Tests of the soak's checks, and a short run of the soak itself."""
 
+import asyncio
 import base64
 import dataclasses
+import itertools
 import json
 
 import pytest
@@ -9,6 +11,7 @@
 from tools import soak
 from tools import soak_checks as checks
 from tools import soak_faults
+from tools import soak_hosts
 from tools import soak_record
 from tools import soak_upstreams
 
@@ -57,6 +60,8 @@
 ADVERTISING = changed(
     SENT, name="advertising", start="i-1@1", limited=True, leaving=True
 )
+DENIED = changed(SENT, status=404, body=b"", signature="")
+HUNG = soak_record.Fault("store_hung", "", "silence", 90.0, 96.9)
 NODE_ERROR = changed(CUT, status=502, end="answered")
 
 
@@ -200,6 +205,9 @@
         ],
         [changed(ARRIVAL, name="n0", headers={})],
     ),
+    "allowed_requests_are_not_denied": record(
+        [DENIED], faults=[HUNG], allowed_since={"desk": 97.9}
+    ),
     "nodes_keep_running": record(unexpected_exits=[HOST]),
     "nodes_keep_their_memory": record(peak_memory_bytes={HOST: 201 << 20}),
 }
@@ -303,14 +311,70 @@
     def test_arrival_that_is_not_excluded_is_no_breach(self, confined):
         assert checks.find_breaches(record(confinements=[confined])) == []
 
-    def test_arrival_after_a_fault_of_the_store_is_excused(self):
+    @pytest.mark.parametrize(
+        "span, excused",
+        [((86.0, 87.1), True), ((97.0, 97.1), True), ((92.0, 97.0), False)],
+    )
+    def test_arrival_after_a_fault_of_the_store_is_excused_for_a_while(
+        self, span, excused
+    ):
+        """A watch that the store lost kept hosts from knowing for 22 s."""
         confined = soak_record.Confinement(
             "", frozenset((OTHER,)), 90.0, 110.0, 5.0
         )
-        fault = soak_record.Fault("store_down", "", "store", 92.0, 93.0)
+        fault = soak_record.Fault("store_down", "", "store", *span)
         found = record(confinements=[confined], faults=[fault])
+        assert (checks.find_breaches(found) == []) is excused
+
+
+class TestDenials:
+    @pytest.mark.parametrize(
+        "denied, changes",
+        [
+            (DENIED, {"allowed_since": {"desk": 98.1}}),
+            (DENIED, {"faults": [changed(HUNG, until=97.1)]}),
+            (DENIED, {"faults": [KILL]}),
+            (changed(DENIED, status=401), {"key_revoked_at": {KEY: 100.0}}),
+            (changed(DENIED, signature="sig-a"), {}),
+        ],
+        ids=["soon", "store", "host", "key", "upstream"],
+    )
+    def test_denial_is_excused(self, denied, changes):
+        found = record(
+            [denied], **{"allowed_since": {"desk": 97.0}, **changes}
+        )
         assert checks.find_breaches(found) == []
 
+    @pytest.mark.parametrize("status", [401, 403, 404])
+    def test_denial_of_what_all_versions_allow_is_never_excused(self, status):
+        found = record(
+            [changed(DENIED, status=status)],
+            faults=[changed(HUNG, until=99.9), KILL],
+            allowed_since={"desk": 0.0},
+        )
+        assert len(checks.find_breaches(found)) == 1
+
+    @pytest.mark.parametrize("until, breaches", [(96.9, 1), (97.1, 0)])
+    def test_host_in_touch_that_lacks_versions_is_found(self, until, breaches):
+        """A host without news of the store answers 503 instead of 404."""
+        body = b'{"code":1021,"name":"stale_view"}'
+        found = record(
+            [changed(DENIED, status=503, body=body)],
+            arrivals=[],
+            faults=[changed(HUNG, until=until)],
+            allowed_since={"desk": 0.0},
+        )
+        assert len(checks.find_breaches(found)) == breaches
+
+    @pytest.mark.parametrize("until, breaches", [(96.9, 1), (97.1, 0)])
+    def test_revoked_key_ends_sooner_in_touch_with_the_store(
+        self, until, breaches
+    ):
+        found = record(
+            key_revoked_at={KEY: 97.0}, faults=[changed(HUNG, until=until)]
+        )
+        assert len(checks.find_breaches(found)) == breaches
+
 
 class TestRetries:
     def test_bound_grows_with_the_number_of_requests(self):
@@ -341,6 +405,19 @@
         assert first == soak_faults.schedule(seed, 8, 20.0)
         assert first != soak_faults.schedule(seed + 5, 8, 20.0)
 
+    def test_silences_of_the_store_leave_time_for_the_checks(self):
+        """With faults that renew reads, lost watches remained unseen."""
+        planned = soak_faults.schedule(5, 12, 60.0)
+        kinds = {fault.kind for fault in planned}
+        begun = [
+            fault.at_s for fault in planned if fault.kind.startswith("store")
+        ]
+        gaps = [after - at for at, after in itertools.pairwise(begun)]
+        assert kinds == {
+            *("change", "revoke", "store_hung", "store_connections_silent")
+        }
+        assert min(gaps) >= soak_faults.SILENCE_INTERVAL_S
+
     def test_every_group_of_faults_is_drawn_for_some_seed(self):
         grouped = frozenset().union(*soak_faults.GROUPS_BY_SEED)
         assert {kind.group for kind in soak_faults.KINDS.values()} == grouped
@@ -357,6 +434,46 @@
         assert json.loads(base64.b64decode(value))["state"] == state
 
 
+def test_silenced_connections_stay_silent_and_later_ones_work():
+    """A hung store keeps the connections that it no longer serves."""
+
+    async def answers(writer, reader):
+        writer.write(b"ping")
+        try:
+            return await asyncio.wait_for(reader.read(4), 0.2) == b"ping"
+        except TimeoutError:
+            return False
+
+    async def echo(reader, writer):
+        while data := await reader.read(4):
+            writer.write(data)
+        writer.close()
+
+    async def scenario():
+        far, near, port = "127.19.0.1", "127.19.0.2", soak_hosts.STORE_PORT
+        server = await asyncio.start_server(echo, far, port)
+        proxy = soak_hosts.Proxy(near, far, port)
+        await proxy.start()
+        found = []
+        for later in (None, True, False):
+            if later is not None:
+                proxy.silence(later=later)
+            connections.append(await asyncio.open_connection(near, port))
+            found.append([await answers(w, r) for r, w in connections])
+        for _, writer in connections:
+            writer.close()
+        server.close()
+        await asyncio.sleep(0.05)
+        return found
+
+    connections = []
+    assert asyncio.run(scenario()) == [
+        [True],
+        [False, False],
+        [False, False, True],
+    ]
+
+
 def test_connection_that_is_being_accepted_ends_the_run():
     """Seed 1: an upstream crashed between accept and connection."""
 
@@ -373,10 +490,10 @@
     assert transport.aborted
 
 
-# Seed 5 draws planned operations only, seed 1 faults of upstreams too, and
-# seed 9 faults of all groups.
+# Seed 6 draws planned operations only, seed 1 faults of upstreams too, seed 10
+# faults of all groups, and seed 11 silences of the store among changes.
 @pytest.mark.live
-@pytest.mark.parametrize("seed", [5, 1, 9])
+@pytest.mark.parametrize("seed", [6, 1, 10, 11])
 def test_seeded_run_has_no_breach(seed, capsys):
     status = soak.main(
         ["--seeds", str(seed), "--hosts", "6", "--seconds", "12"]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -116,7 +116,9 @@
         self.seconds = seconds
         net = free_net(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        self.record = soak_record.Record(dict(KEYS))
+        self.record = soak_record.Record(
+            dict(KEYS), allowed_since=dict.fromkeys(SERVICES, 0.0)
+        )
         self.store = mesh.Store()
         self._store_address = f"{net}.3.1"
         self.store_proxy = soak_hosts.Proxy(
@@ -194,7 +196,8 @@
             }
             for name in KEYS.values()
         }
-        self._added_routes.append(f"{checks.ADDED_ROUTE}{self._version}")
+        added = f"{checks.ADDED_ROUTE}{self._version}"
+        self._added_routes.append(added)
         routes = {name: _route(name) for name in SERVICES}
         for name, region in self.homes.items():
             routes[name]["allowed_regions"] = [region]
@@ -216,6 +219,7 @@
             tenants=tenants,
         )
         self.store.put("op/config", self._configuration)
+        self.record.allowed_since[added] = time.time()
         self._version += 1 + seed % 4
 
     async def rewrite_store(self) -> None:
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import math
 import typing as t
 
 from tools import soak_record
@@ -14,10 +15,13 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 50.0
 RETRY_WINDOW_S = 10.0
+# Time within which hosts in touch have a confirmed version in force.
+CONFIG_S = 2.0
 # Longest time until a revoked key is rejected, also when the store does not
 # respond.
 REVOCATION_MAX_S = 7.0
-# Time after a fault in which the checks of the host are suspended.
+# Time after a fault in which the checks of the host are suspended, and after
+# which all hosts are in touch with the store.
 SETTLE_S = 3.0
 STOP_GRACE_S = 6.0
 # Longest time in which a node responds to a request or forwards it.
@@ -52,11 +56,16 @@
 ADDED_ROUTE = "added-"
 ROUTE_REACTION_S = 3.0
 NOT_FOUND = 404
+DENIED_STATUSES = (401, 403, NOT_FOUND)
+# Part of the body with which a host without news of the store responds to what
+# its configuration does not allow.
+STALE_VIEW = b'"stale_view"'
 CUT = "cut"
 ANSWERED = "answered"
 TIMED_OUT = "timeout"
 # Group of planned operations.
 PLANNED = "planned"
+STORE_GROUPS = ("store", "silence")
 
 Check = t.Callable[[Record], t.Iterator[str]]
 checks: dict[str, Check] = {}
@@ -131,12 +140,15 @@
 
 @_check
 def withdrawn_keys_end(record: Record) -> t.Iterator[str]:
-    """A revoked key is rejected after some seconds."""
+    """A revoked key is rejected after some seconds, sooner in touch."""
+    senders = _Senders(record)
     for sent in record.sent:
         since = record.key_revoked_at.get(sent.key)
-        if since is None or sent.at < since + REVOCATION_MAX_S:
+        if since is None or sent.status != 200:
             continue
-        if sent.status == 200:
+        if sent.at >= since + REVOCATION_MAX_S or (
+            sent.at > since + CONFIG_S and senders.in_touch(sent.host, sent.at)
+        ):
             late_s = sent.at - since
             yield f"{sent.name} was served {late_s:.1f} s after the revocation"
 
@@ -367,7 +379,7 @@
 
 
 class _Senders:
-    """The senders of arrivals that nothing kept from knowing a state.
+    """The hosts that nothing kept from knowing what the store has.
 
     :param record: record of the run.
     """
@@ -375,7 +387,7 @@
     def __init__(self, record: Record) -> None:
         self._history = _History(record)
         self._store_faults = [
-            fault for fault in record.faults if fault.group == "store"
+            fault for fault in record.faults if fault.group in STORE_GROUPS
         ]
         self._by_name = {sent.name: sent for sent in record.sent}
 
@@ -387,13 +399,22 @@
         :param since: Unix time from which the store had it, in seconds.
         """
         sent = self._by_name.get(arrival.name)
-        if sent is None or any(
-            fault.at < arrival.at and fault.until + SETTLE_S > since
-            for fault in self._store_faults
-        ):
+        if sent is None or not self._stable(since):
             return None
-        calm = self._history.undisturbed(sent.host, since, arrival.at)
-        return sent if calm else None
+        return sent if self.in_touch(sent.host, arrival.at) else None
+
+    def in_touch(self, host: str, at: float) -> bool:
+        """Return whether host and store were undisturbed before a time.
+
+        :param at: Unix time in seconds.
+        """
+        return self._stable(at) and self._history.undisturbed(host, at, at)
+
+    def _stable(self, at: float) -> bool:
+        return not any(
+            fault.at <= at < fault.until + SETTLE_S
+            for fault in self._store_faults
+        )
 
 
 @_check
@@ -558,6 +579,33 @@
             yield f"{sent.service} at {sent.host} {late_s:.2f} s later"
 
 
+@_check
+def allowed_requests_are_not_denied(record: Record) -> t.Iterator[str]:
+    """Hosts in touch deny nothing that all versions in force allow.
+
+    Nor do they respond that they may lack a version. What all versions of the
+    run allow is denied by no host.
+    """
+    senders = _Senders(record)
+    for sent in record.sent:
+        since = record.allowed_since.get(sent.service)
+        denied = sent.status in DENIED_STATUSES
+        if (
+            not (denied or STALE_VIEW in sent.body)
+            or sent.signature
+            or since is None
+            or sent.at <= since + CONFIG_S
+            or sent.ended >= record.key_revoked_at.get(sent.key, math.inf)
+        ):
+            continue
+        if (denied and not since) or senders.in_touch(sent.host, sent.at):
+            late_s = sent.at - since
+            yield (
+                f"{sent.name} for {sent.service} at {sent.host} got"
+                f" {sent.status} {late_s:.2f} s after the route was added"
+            )
+
+
 @_check
 def abandoned_requests_end(record: Record) -> t.Iterator[str]:
     """Few requests reach upstreams after their callers have timed out."""
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -33,7 +33,18 @@
 RESTART_S = 0.2
 # Time after which the store removes the entry of a crashed upstream.
 ENTRY_EXPIRY_S = 3.0
+# Largest time from a change to a silence of the store: the pause of readers
+# after a change, in which they do not wait for the next one.
+SILENT_AFTER_MAX_MS = 600
+# Duration of the store's silence as a multiple of the duration of the fault,
+# and least time between the starts of two silences, so that the checks apply
+# in between.
+SILENCE_FACTOR = 2.0
+SILENCE_INTERVAL_S = 8.0
 PLANNED = "planned"
+# Changes that restart nothing, so that no node starts with a fresh read.
+CHANGES = "changes"
+SILENCE = "silence"
 # Pauses between faults, scaled inversely to the number of hosts.
 REFERENCE_HOSTS = 8
 PAUSE_FACTOR_MIN = 0.2
@@ -102,17 +113,18 @@
 KINDS: dict[str, FaultKind] = {}
 _ALL = frozenset(
     (
-        *(PLANNED, "leaving", "process", "link", "store", "upstream"),
-        *("release", "zone"),
+        *(PLANNED, CHANGES, "leaving", "process", "link", "store", SILENCE),
+        *("upstream", "release", "zone"),
     )
 )
 # Groups that the faults of a run are drawn from, by seed modulo length.
 GROUPS_BY_SEED = (
-    frozenset((PLANNED,)),
-    frozenset((PLANNED, "upstream", "leaving")),
-    frozenset((PLANNED, "release", "process", "zone")),
-    frozenset((PLANNED, "process", "link", "store")),
+    frozenset((PLANNED, CHANGES)),
+    frozenset((PLANNED, CHANGES, "upstream", "leaving")),
+    frozenset((PLANNED, CHANGES, "release", "process", "zone")),
+    frozenset((PLANNED, CHANGES, "process", "link", "store", SILENCE)),
     _ALL,
+    frozenset((CHANGES, SILENCE)),
 )
 
 
@@ -132,17 +144,20 @@
     groups = GROUPS_BY_SEED[seed % len(GROUPS_BY_SEED)]
     kinds = sorted(name for name in KINDS if KINDS[name].group in groups)
     pause = max(PAUSE_FACTOR_MIN, REFERENCE_HOSTS / hosts)
-    planned, at_s = [], 0.5
+    planned, at_s, silence_from_s = [], 0.5, 0.0
     while at_s < seconds:
-        planned.append(
-            PlannedFault(
-                at_s,
-                generator.choice(kinds),
-                generator.randrange(hosts),
-                generator.uniform(*DURATION_RANGE_S),
-                generator.getrandbits(32),
-            )
+        fault = PlannedFault(
+            at_s,
+            generator.choice(kinds),
+            generator.randrange(hosts),
+            generator.uniform(*DURATION_RANGE_S),
+            generator.getrandbits(32),
         )
+        silent = KINDS[fault.kind].group == SILENCE
+        if not silent or at_s >= silence_from_s:
+            planned.append(fault)
+            if silent:
+                silence_from_s = at_s + SILENCE_INTERVAL_S
         at_s += generator.uniform(*PAUSE_RANGE_S) * pause
     return planned
 
@@ -186,12 +201,12 @@
     fault.host.signal(signal.SIGHUP)
 
 
-@_fault(PLANNED, everywhere=True)
+@_fault(CHANGES, everywhere=True)
 async def change(fault: ActiveFault) -> None:
     fault.run.put_configuration(fault.seed)
 
 
-@_fault(PLANNED, everywhere=True)
+@_fault(CHANGES, everywhere=True)
 async def revoke(fault: ActiveFault) -> None:
     fault.run.revoke_key(fault.seed)
 
@@ -265,6 +280,31 @@
     fault.run.store_proxy.blackholed = [False, False]
 
 
+@_fault(SILENCE, everywhere=True)
+async def store_hung(fault: ActiveFault) -> None:
+    """Let the store take requests and answer none, often after a change.
+
+    Later it works on new connections, while the others stay silent.
+    """
+    await _change_before(fault)
+    fault.run.store_proxy.silence(later=True)
+    await asyncio.sleep(fault.duration_s * SILENCE_FACTOR)
+    fault.run.store_proxy.silence(later=False)
+
+
+@_fault(SILENCE, everywhere=True)
+async def store_connections_silent(fault: ActiveFault) -> None:
+    """Let the open connections to the store fall silent; new ones work."""
+    await _change_before(fault)
+    fault.run.store_proxy.silence(later=False)
+
+
+async def _change_before(fault: ActiveFault) -> None:
+    if fault.seed % 4:
+        fault.run.put_configuration(fault.seed)
+        await asyncio.sleep(fault.seed // 4 % SILENT_AFTER_MAX_MS / 1000)
+
+
 @_fault("store", everywhere=True)
 async def history_lost(fault: ActiveFault) -> None:
     fault.run.store.forget()
--- a/tools/soak_hosts.py
+++ b/tools/soak_hosts.py
@@ -1,6 +1,7 @@
 """Hosts of a soak run: node processes, their settings and proxied links."""
 
 import asyncio
+import math
 import os
 import pathlib
 import re
@@ -54,6 +55,8 @@
         self.delay_s = 0.0
         # Directions whose data is dropped: towards the target, and back.
         self.blackholed = [False, False]
+        # Loop time before which the connections opened that carry nothing.
+        self._silent_before = 0.0
 
     async def start(self) -> None:
         """Start to listen."""
@@ -66,6 +69,15 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence(self, later: bool) -> None:
+        """Let the open connections carry no data until they are closed.
+
+        :param later: whether the same holds for connections that are opened
+            before the next call.
+        """
+        now = asyncio.get_running_loop().time()
+        self._silent_before = math.inf if later else now
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -90,11 +102,13 @@
         # Dropped data leaves a gap in the stream, so the direction drops
         # everything from then on, as on a connection without a route.
         lost = False
+        opened = asyncio.get_running_loop().time()
         try:
             while data := await reader.read(1 << 16):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 lost = lost or self.blackholed[direction]
+                lost = lost or opened < self._silent_before
                 if writer.is_closing():
                     return
                 if not lost:
--- a/tools/soak_record.py
+++ b/tools/soak_record.py
@@ -167,6 +167,8 @@
     :param arrivals: requests received by upstreams, in order of time.
     :param run_ends: ends of runs by index of the arrival.
     :param faults: faults and planned operations.
+    :param allowed_since: Unix time at which the store had the first version
+        with a route, 0 if all versions have it, by name of the route.
     :param key_revoked_at: Unix time of the revocation, by API key.
     :param draining_since: Unix time at which the store's host list showed
         an upstream as draining or removed, by incarnation.
@@ -183,6 +185,7 @@
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     run_ends: dict[int, RunEnd] = dataclasses.field(default_factory=dict)
     faults: list[Fault] = dataclasses.field(default_factory=list)
+    allowed_since: dict[str, float] = dataclasses.field(default_factory=dict)
     key_revoked_at: dict[str, float] = dataclasses.field(default_factory=dict)
     draining_since: dict[str, float] = dataclasses.field(default_factory=dict)
     advertised_limits: list[AdvertisedLimit] = dataclasses.field(
