--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -7,6 +7,7 @@
 import pytest
 
 from savorytally.dataplane import store_watch
+from savorytally.dataplane import streams
 
 # Time within which the users require a configuration to be in force.
 IN_FORCE_S = 2.0
@@ -212,6 +213,37 @@
 
         assert run_scenario(scenario) == 0
 
+    def test_late_frames_confirm_at_their_arrival(self, monkeypatch):
+        """What followers hear of other hosts is 4 s late."""
+
+        async def scenario(cluster):
+            loop = asyncio.get_running_loop()
+            received = streams.Stream.data_received
+            others = [
+                host
+                for host in cluster.hosts
+                if host.node.store_sharing._store_readers.number is None
+            ]
+            late_peers = [host.node.peers for host in others]
+
+            def data_received(stream, data):
+                owner = stream._receive.__self__
+                receive = getattr(owner, "_receive_other", stream._receive)
+                if receive.__self__ in late_peers:
+                    loop.call_later(4.0, received, stream, data)
+                else:
+                    received(stream, data)
+
+            monkeypatch.setattr(streams.Stream, "data_received", data_received)
+            await asyncio.sleep(8.0)
+            cluster.store.put("op/config", mesh.configuration(2))
+            await asyncio.sleep(IN_FORCE_S + 0.5)
+            return sum(
+                host.node.version < 2 and may_deny(host) for host in others
+            )
+
+        assert run_scenario(scenario) == 0
+
     def test_followers_of_substitutes_are_not_told_of_reads(self):
         """The store rejects the readers of a data centre."""
 
