--- a/review/standins.py
+++ b/review/standins.py
@@ -337,6 +337,10 @@
             "crashes", id=name, at=self.instance_id, lost=self.running
         )
         self.crashes.append(time.monotonic())
+        self.restart()
+
+    def restart(self) -> None:
+        """End at once, and start again later under another id."""
         self.reset()
         self._start(self._return())
         self.fall_silent()
