--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the cases start. They need nothing
 # beside Python's standard library, so that they are only compiled.
 cd "$(dirname "$0")/.." || exit 2
-exec python3 -m compileall -q review
+PYTHONPYCACHEPREFIX=target/review exec python3 -m compileall -q review
--- a/review/standins.py
+++ b/review/standins.py
@@ -258,15 +258,29 @@
         self._store = store
         self._tasks: set[asyncio.Task[None]] = set()
         self._boots = 0
+        self._born_ms = 0
         self.running = 0
         self.instance_id = ""
+        # When the store has accepted that it drains, if it has.
+        self.draining_at = float("inf")
 
     async def boot(self) -> None:
         """Start under a new id and register."""
         self._boots += 1
         self.running = 0
         self.instance_id = f"i-{self.host.replace('.', '-')}-{self._boots}"
+        self._born_ms = int(time.time() * 1000)
         await self.listen()
+        await self._register("ready", 1)
+        self._record("boots", endpoint=self.instance_id, at=self.host)
+
+    async def drain(self) -> None:
+        """Report that it drains, and go on serving."""
+        await self._register("draining", 2)
+        self.draining_at = time.monotonic()
+        self._record("drains", endpoint=self.instance_id)
+
+    async def _register(self, state: str, sequence: int) -> None:
         await self._store.put(
             f"servers/{self.instance_id}",
             {
@@ -275,13 +289,12 @@
                 "zone": self.zone,
                 "version": "v1",
                 "slots": 36,
-                "state": "ready",
+                "state": state,
                 "cold_remaining": "0ms",
-                "sequence": 1,
-                "born": int(time.time() * 1000),
+                "sequence": sequence,
+                "born": self._born_ms,
             },
         )
-        self._record("boots", endpoint=self.instance_id, at=self.host)
 
     async def answer(
         self, request: Message, reader: asyncio.StreamReader
@@ -291,7 +304,8 @@
         target = request.first[1]
         if target == "/healthz":
             named = {"X-Savorytally-Instance-Id": self.instance_id}
-            return encode("HTTP/1.1 200 OK", named)
+            drains = self.draining_at < time.monotonic()
+            return encode(f"HTTP/1.1 {503 if drains else 200} -", named)
         name = headers.get("x-savorytally-attempt-id", "")
         wanted = headers.get("x-savorytally-expected-instance")
         if wanted and wanted != self.instance_id:
@@ -311,13 +325,15 @@
             # Endpoints drop a request when its connection closes.
             self._record("drops", id=name, at=self.instance_id)
             return None
-        receipt = f"{self.instance_id}.{name}"
+        headers = {
+            "X-Savorytally-Attempt-Id": name,
+            "X-Savorytally-Response-Signature": f"{self.instance_id}.{name}",
+        }
+        if self.draining_at < time.monotonic():
+            headers["Connection"] = "close"
         return encode(
             "HTTP/1.1 200 OK",
-            {
-                "X-Savorytally-Attempt-Id": name,
-                "X-Savorytally-Response-Signature": receipt,
-            },
+            headers,
             f"{name} {target} {len(request.body)}".encode().ljust(
                 self.body_bytes, b"."
             ),
