--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """A restarted node lets a request run again that crashes endpoints."""
 
 import asyncio
+import itertools
 import pathlib
 import sys
 import zlib
@@ -16,7 +17,6 @@
 TOUCH_S = 3.0
 RETRIES_MAX = 3
 BACK_AFTER_S = 2.0
-ENTRY = 1
 
 
 def counting_address(net, nodes):
@@ -62,17 +62,19 @@
 
     for endpoint in lab.endpoints:
         endpoint.arrived, endpoint.began = arrived, began
-    tasks = set()
+    tasks, down = set(), set()
     statuses = {"poison": [], "others": []}
 
-    async def one(target, kind):
+    async def one(number, target, kind):
         statuses[kind].append(
-            (record.now, await lab.send(ENTRY, target, key=KEY))
+            (record.now, await lab.send(number, target, key=KEY))
         )
 
     async def keep_sending(target, kind, gap_s):
-        while True:
-            task = asyncio.ensure_future(one(target, kind))
+        for number in itertools.cycle(range(1, len(services) + 1)):
+            if number in down:
+                continue
+            task = asyncio.ensure_future(one(number, target, kind))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
             await asyncio.sleep(gap_s)
@@ -92,11 +94,13 @@
         counting = counting_address(lab.net, len(services))
         node = next(x for x in lab.nodes[1:] if x.address != counting)
         record.say(f"node {node.number} is stopped and started again")
+        down.add(node.number)
         await node.restart()
         await node.ready()
         await asyncio.sleep(TOUCH_S + 0.5)
+        down.clear()
     measured = record.now
-    await asyncio.sleep(75.0)
+    await asyncio.sleep(40.0)
     for sender in senders:
         sender.cancel()
     if tasks:
