--- a/review/9/case.py
+++ b/review/9/case.py
@@ -13,11 +13,12 @@
 # From the pages: the bound `drain`.
 DRAIN_S = 2.0
 CALLS = 4
+DESKS = 4
 WORK_S = 0.23
 SLOW_X = 12
 SLOTS = 14
-# Traffic that takes two thirds of the called endpoints' slots.
-SENT_PER_S = 0.65 * 3 * SLOTS / WORK_S / CALLS
+# Traffic that takes three quarters of the called endpoints' slots.
+SENT_PER_S = 0.75 * 3 * SLOTS / WORK_S / CALLS
 
 
 async def case(lab):
@@ -41,7 +42,7 @@
         }
     }
     await lab.start(
-        ["desk", "desk", "ledger", "ledger", "ledger"],
+        ["desk"] * DESKS + ["ledger"] * 3,
         slots=SLOTS,
         config=lab2.configuration(7, routes, tenants),
     )
@@ -69,7 +70,7 @@
     def arrived(endpoint, connection):
         arrivals.append((record.now, endpoint))
 
-    for endpoint in lab.endpoints[:2]:
+    for endpoint in lab.endpoints[:DESKS]:
         endpoint.calls = calls
         endpoint.slots = 200
         endpoint.register()
@@ -78,7 +79,7 @@
     def work_s(endpoint):
         return lambda connection: WORK_S * (SLOW_X if endpoint in slow else 1)
 
-    for endpoint in lab.endpoints[2:]:
+    for endpoint in lab.endpoints[DESKS:]:
         endpoint.arrived = arrived
         endpoint.work_s = work_s(endpoint)
     tasks = set()
@@ -94,15 +95,15 @@
             task = asyncio.ensure_future(one(number))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-            await asyncio.sleep(2 / SENT_PER_S)
+            await asyncio.sleep(DESKS / SENT_PER_S)
 
-    senders = [asyncio.ensure_future(clients(n)) for n in (1, 2)]
+    senders = [asyncio.ensure_future(clients(n)) for n in range(1, DESKS + 1)]
     await asyncio.sleep(6.0)
-    leaving = lab.endpoints[2]
+    leaving = lab.endpoints[DESKS]
     if lab2.trouble():
         slow.add(leaving)
         record.say(f"{leaving.instance_id} turns slow, {SLOW_X} times")
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(0.4)
     # It never reports that it drains, and serves for some seconds more.
     leaving.leaving = True
     gone_at = leaving.unregister()
