--- a/review/lab2.py
+++ b/review/lab2.py
@@ -456,13 +456,14 @@
 class Node:
     """A node process beside an endpoint."""
 
-    def __init__(self, record, folder, net, number, service, **settings):
+    def __init__(self, record, folder, net, number, service, zone, **settings):
         self._record = record
         self._folder = folder
         self.net = net
         self.number = number
         self.address = f"{net}.{number}"
         self.service = service
+        self.zone = zone
         self._settings = settings
         self.process = None
         self.starts = 0
@@ -470,12 +471,12 @@
 
     def _write_settings(self):
         lines = {
-            "local_node.node_name": f"sidecar-z1-{self.number}",
+            "local_node.node_name": f"sidecar-{self.zone}-{self.number}",
             "local_node.role": "node",
             "local_node.machine_class": "sidecar",
             "local_node.serves": "sidecar",
             "local_node.ip": self.address,
-            "local_node.zone": "z1",
+            "local_node.zone": self.zone,
             "local_node.region": "reg1",
             "local_node.counts_as_loss": "false",
             "local_node.first_start": "true" if self.starts == 0 else "false",
@@ -493,6 +494,7 @@
             "network.internal_ports": f"{PEERS},{PEERS + 15}",
             "network.seeds": "",
             "network.zones.z1": "reg1",
+            "network.zones.z2": "reg1",
             "platform.discovery": "platform",
             "platform.entry": "static",
             "platform.heartbeat": "1500ms",
@@ -629,14 +631,18 @@
         self.endpoints = []
         self._ids = 0
 
-    async def start(self, services, slots=36, config=None, **settings):
+    async def start(
+        self, services, slots=36, config=None, zones=None, **settings
+    ):
         """Start the store, the endpoints and one node beside each."""
         self.store = Store(self.record)
         await self.store.start(f"{self.net}.250")
+        zones = zones or ["z1"] * len(services)
         for number, service in enumerate(services, start=1):
             address = f"{self.net}.{number}"
+            zone = zones[number - 1]
             endpoint = Endpoint(
-                self.record, self.store, address, service, slots
+                self.record, self.store, address, service, slots, zone
             )
             await endpoint.start()
             self.endpoints.append(endpoint)
@@ -647,6 +653,7 @@
                     self.net,
                     number,
                     service,
+                    zone,
                     **settings,
                 )
             )
