--- a/review/9/case.py
+++ b/review/9/case.py
@@ -14,11 +14,11 @@
 DRAIN_S = 2.0
 CALLS = 4
 DESKS = 4
-WORK_S = 0.23
+WORK_S = 0.25
 SLOW_X = 12
 SLOTS = 14
-# Traffic that takes three quarters of the called endpoints' slots.
-SENT_PER_S = 0.75 * 3 * SLOTS / WORK_S / CALLS
+# Traffic that takes 85 of 100 of the called endpoints' slots.
+SENT_PER_S = 0.85 * 3 * SLOTS / WORK_S / CALLS
 
 
 async def case(lab):
@@ -103,17 +103,17 @@
     if lab2.trouble():
         slow.add(leaving)
         record.say(f"{leaving.instance_id} turns slow, {SLOW_X} times")
-        await asyncio.sleep(0.4)
+        await asyncio.sleep(0.7)
     # It never reports that it drains, and serves for some seconds more.
     leaving.leaving = True
     gone_at = leaving.unregister()
     record.say(f"the entry of {leaving.instance_id} is removed")
-    await asyncio.sleep(7.0)
+    await asyncio.sleep(5.0)
+    leaving.stop()
     for sender in senders:
         sender.cancel()
     if tasks:
         await asyncio.wait(tasks, timeout=7)
-    leaving.stop()
     after = [
         at - gone_at
         for at, endpoint in arrivals
