--- a/review/lab2.py
+++ b/review/lab2.py
@@ -351,6 +351,8 @@
 
         :param back_after_s: when it starts again, ``None`` for never.
         """
+        if self._server is None:
+            return
         self._record.note("crash", endpoint=self.instance_id)
         key, self.registered = self.key, False
         self.stop()
@@ -370,6 +372,10 @@
             connection.transport.abort()
 
     def _arrive(self, connection):
+        if self._server is None:
+            # It was accepted in the moment of the crash.
+            connection.transport.abort()
+            return
         if connection.target == b"/healthz":
             status = 503 if self.leaving or self.state != "ready" else 200
             connection.respond(
