--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Work goes on for a client that has left with many requests under way."""
+"""Calls that wait at a gate reach an endpoint that has long been removed."""
 
 import asyncio
 import pathlib
@@ -10,21 +10,26 @@
 
 KEY = "6wsjnbanfqasnmgkcuyj"
 TENANT = "pulo780"
-# Requests that the leaving client sends before the first is answered.
-SENT = 80
-WORK_S = 2.5
-LEAVES_AFTER_S = 0.5
-# From the pages: half a second, and a quarter of the requests.
-NOTICE_S = 0.5
-SHARE_MAX = 0.25
+# From the pages: the bound `drain`.
+DRAIN_S = 2.0
+CALLS = 4
+WORK_S = 0.23
+SLOW_X = 12
+SLOTS = 14
+# Traffic that takes two thirds of the called endpoints' slots.
+SENT_PER_S = 0.65 * 3 * SLOTS / WORK_S / CALLS
 
 
 async def case(lab):
     """Play the case; return whether the rule was broken."""
     routes = {
-        "r-front": lab2.route("front", "/front/"),
-        "r-work": lab2.route(
-            "work", "/work/", timeout="5000ms", target_latency="5000ms"
+        "r-desk": lab2.route("desk", "/desk/", timeout="6000ms"),
+        "r-ledger": lab2.route(
+            "ledger",
+            "/ledger/",
+            timeout="3000ms",
+            target_latency="1200ms",
+            auth_exempt=True,
         ),
     }
     tenants = {
@@ -36,84 +41,90 @@
         }
     }
     await lab.start(
-        ["front", "work", "work", "work"],
+        ["desk", "desk", "ledger", "ledger", "ledger"],
+        slots=SLOTS,
         config=lab2.configuration(7, routes, tenants),
     )
     record = lab.record
-    # The requests at work, by identifier, with the start; and those dropped.
-    began_at, ended_at = {}, {}
+    arrivals = []
 
     async def calls(endpoint, connection, headers):
+        """Make the calls of a request, as an endpoint does while it runs."""
+        number = int(endpoint.address.rpartition(".")[2])
         name = headers[lab2.ATTEMPT]
-        if not connection.target.endswith(b"/long"):
-            return 200
-        began_at[name] = record.now
-        try:
-            await asyncio.sleep(WORK_S)
-        finally:
-            ended_at[name] = record.now
-        return 200
-
-    for endpoint in lab.endpoints[1:]:
+        budget_ms = min(3000, int(headers[lab2.DEADLINE]))
+        found = await asyncio.gather(
+            *(
+                lab.send(
+                    number,
+                    f"/ledger/{index}",
+                    name=f"{name}.{index}",
+                    budget_ms=budget_ms,
+                )
+                for index in range(CALLS)
+            )
+        )
+        return 200 if set(found) == {200} else 500
+
+    def arrived(endpoint, connection):
+        arrivals.append((record.now, endpoint))
+
+    for endpoint in lab.endpoints[:2]:
         endpoint.calls = calls
+        endpoint.slots = 200
+        endpoint.register()
+    slow = set()
+
+    def work_s(endpoint):
+        return lambda connection: WORK_S * (SLOW_X if endpoint in slow else 1)
+
+    for endpoint in lab.endpoints[2:]:
+        endpoint.arrived = arrived
+        endpoint.work_s = work_s(endpoint)
     tasks = set()
+    statuses = []
 
-    async def others():
-        # Four other clients stay: one in five leaves.
+    async def one(number):
+        statuses.append(
+            await lab.send(number, "/desk/1", key=KEY, budget_ms=6000)
+        )
+
+    async def clients(number):
         while True:
-            for _ in range(4):
-                task = asyncio.ensure_future(
-                    lab.send(1, "/work/short", key=KEY)
-                )
-                tasks.add(task)
-                task.add_done_callback(tasks.discard)
-            await asyncio.sleep(0.4)
-
-    sender = asyncio.ensure_future(others())
-    await asyncio.sleep(4.0)
-    reader, writer = await asyncio.open_connection(
-        f"{lab.net}.1", lab2.OUTBOUND
-    )
-    names = [lab.new_id() for _ in range(SENT)]
-    for name in names:
-        record.note("sent", id=name, target="/work/long")
-        writer.write(lab2.encode("/work/long", name, key=KEY))
-    await writer.drain()
-    statuses = []
+            task = asyncio.ensure_future(one(number))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(2 / SENT_PER_S)
+
+    senders = [asyncio.ensure_future(clients(n)) for n in (1, 2)]
+    await asyncio.sleep(6.0)
+    leaving = lab.endpoints[2]
     if lab2.trouble():
-        await asyncio.sleep(LEAVES_AFTER_S)
-        left_at = record.now
-        writer.close()
-        record.say(f"the client leaves, {len(began_at)} requests are at work")
-        await asyncio.sleep(8.0)
-    else:
-        for _ in names:
-            statuses.append((await lab2.read_response(reader))[0])
-        left_at = record.now
-        writer.close()
-        record.say(f"{statuses.count(200)} of {SENT} were served")
-        await asyncio.sleep(2.0)
-    sender.cancel()
+        slow.add(leaving)
+        record.say(f"{leaving.instance_id} turns slow, {SLOW_X} times")
+        await asyncio.sleep(0.5)
+    # It never reports that it drains, and serves for some seconds more.
+    leaving.leaving = True
+    gone_at = leaving.unregister()
+    record.say(f"the entry of {leaving.instance_id} is removed")
+    await asyncio.sleep(7.0)
+    for sender in senders:
+        sender.cancel()
     if tasks:
-        await asyncio.wait(tasks, timeout=6)
-    # Those that would have lasted until half a second after it left.
-    lasting = [
-        name
-        for name, at in began_at.items()
-        if at < left_at and at + WORK_S > left_at + NOTICE_S
-    ]
-    still = [
-        name
-        for name in lasting
-        if ended_at.get(name, record.now) > left_at + NOTICE_S
+        await asyncio.wait(tasks, timeout=7)
+    leaving.stop()
+    after = [
+        at - gone_at
+        for at, endpoint in arrivals
+        if endpoint is leaving and at > gone_at
     ]
-    late = [at for at in began_at.values() if at > left_at + NOTICE_S]
+    late = [at for at in after if at > DRAIN_S]
     record.say(
-        f"half a second later, endpoints are still at work on {len(still)} "
-        f"of the {len(lasting)} that last so long; {len(late)} have reached "
-        "endpoints since then"
+        f"{len(after)} requests have reached it since then, {len(late)} of "
+        f"them after {DRAIN_S} s, the last after {max(after, default=0):.2f} "
+        f"s; {statuses.count(200)} of {len(statuses)} were served"
     )
-    return bool(lasting) and len(still) > SHARE_MAX * len(lasting)
+    return bool(late)
 
 
 if __name__ == "__main__":
