--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 
 KEY = "6wsjnbanfqasnmgkcuyj"
 TENANT = "pulo780"
-POISON = "/work/poison"
+POISON = "/lots/poison"
 # From the pages: `touch`, and the retries that the rule allows.
 TOUCH_S = 3.0
 RETRIES_MAX = 3
@@ -46,7 +46,7 @@
     services = ["front", *["work"] * 5]
     routes = {
         "r-front": lab2.route("front", "/front/"),
-        "r-work": lab2.route("work", "/work/"),
+        "r-work": lab2.route("work", "/lots/"),
     }
     tenants = {
         TENANT: {
@@ -105,7 +105,7 @@
             await asyncio.sleep(gap_s)
 
     senders = [
-        asyncio.ensure_future(keep_sending("/work/1", 0.05)),
+        asyncio.ensure_future(keep_sending("/lots/1", 0.05)),
         asyncio.ensure_future(keep_sending(POISON, 0.7)),
     ]
     await asyncio.sleep(30.0)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -35,7 +35,7 @@
 
 async def case(lab):
     """Play the case; return whether the rule was broken."""
-    routes = {"r-work": lab2.route("work", "/work/")}
+    routes = {"r-work": lab2.route("work", "/lots/")}
     tenants = {
         TENANT: {
             "api_keys": [KEY],
@@ -63,7 +63,7 @@
         while True:
             if node in up:
                 task = asyncio.ensure_future(
-                    lab.send(node.number, "/work/1", key=KEY)
+                    lab.send(node.number, "/lots/1", key=KEY)
                 )
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
