Count a planned stop from the earliest time of its signal

Cause: the time at which the interpreter handled the signal stood for the time at which it was sent. A signal to a suspended process waits, so that the end of the schedule lay behind the kill.

Change: a signal can't have waited longer than the main thread has not run since it last reported, by wall and processor time. All ends of a stop count from that earliest time, callers' time to notice from the handling. It is a bound for any suspension, starved processors included; a busy loop isn't counted, since it uses its processor.

--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -190,6 +190,7 @@
         self._servers: list[asyncio.Server] = []
         self._tasks: list[asyncio.Task[t.Any]] = []
         self._stopping = asyncio.Event()
+        self._stop_signals = stop_signals.StopSignals(self._loop, self.stop)
         self._gossip_at = 0.0
 
     @property
@@ -255,7 +256,7 @@
 
     async def run(self) -> None:
         """Serve until SIGINT or SIGTERM arrives, then shut down gracefully."""
-        stop_signals.install(self._loop, self.stop)
+        self._stop_signals.install()
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self._stopping.wait()
@@ -264,7 +265,8 @@
     def stop(self, late_s: float = 0.0) -> None:
         """Start a graceful shutdown and return at once.
 
-        :param late_s: seconds since the stop signal arrived.
+        :param late_s: the longest time in seconds that the stop signal can
+            have waited.
         """
         if self._stopping.is_set():
             return
@@ -604,6 +606,7 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
+            self._stop_signals.note_running()
             now = self._loop.time()
             for part in (
                 lambda now: self.gate.tick(),
--- a/src/savorytally/dataplane/planned_stop.py
+++ b/src/savorytally/dataplane/planned_stop.py
@@ -47,7 +47,7 @@
 class Schedule:
     """The loop times of the steps of a planned stop.
 
-    :param began: the stop signal arrived.
+    :param began: the earliest time at which the stop signal was sent.
     :param noticed: callers have noticed by now that the node is not ready.
     :param refuses_from: from here on, requests that could outlast the stop are
         refused. Callers tolerate a final response only for requests that were
@@ -75,7 +75,7 @@
 
         :param grace_s: seconds from the stop signal until the process is
             killed.
-        :param began: loop time at which the signal arrived.
+        :param began: the earliest loop time at which the signal was sent.
         :param handled: loop time from which the node says that it is not
             ready.
         """
