Let the hosts count crashes that reply, not one that is listed

Cause: one host was chosen by hashing over the host list to count the crashes of a request, and a frame sent to it stood for its having counted. At an address without a node the frame is lost without notice.

Change: the first three hosts of the ranking that reply count a crash; one that does not reply in 0.4 s is passed over for the next ones. Replies carry the refused requests with their remaining time; a node that is started again asks for them. Lapsed refusals no longer hide later ones. Reports of older builds are counted as before, and nothing new is sent to these.

--- a/src/savorytally/dataplane/crash_watch.py
+++ b/src/savorytally/dataplane/crash_watch.py
@@ -3,16 +3,24 @@
 import asyncio
 import functools
 import itertools
+import random
 import typing as t
 
 from ..decisions import crash_detection
+from ..decisions import crash_reports
 from ..decisions import poison_requests
-from ..decisions import shared_rates
 from . import event_log
 from . import exchanges
 from . import frames
 from . import pool
 
+# How long a host's reply to a report is waited for.
+REPLY_S = 0.4
+# Longest list of refused requests that a host sends.
+REFUSALS_MAX = 1000
+
+_Report = crash_reports.Report
+
 
 class Carrier(t.Protocol):
     """Sends control frames to other hosts."""
@@ -32,16 +40,24 @@
     it then refuses a new connection. That is tested, since responses are lost
     and connections are dropped more often than upstreams crash.
 
-    For each request in progress at the crash, one host counts the crashes; it
-    is chosen by the request's fingerprint.
+    For each request in progress at the crash, a few hosts count the crashes;
+    they are chosen by the request's fingerprint. Their replies say which
+    requests are refused, for a node that has missed that.
 
     :param own_address: this host's address.
     :param connections: the connections to the upstream.
     :param log: logs each crash and each change in a poison request's state.
+    :param rand: chooses whom a node asks that was started again.
+    :param first_start: whether no host can know a refused request yet.
     """
 
     def __init__(
-        self, own_address: str, connections: pool.Pool, log: event_log.EventLog
+        self,
+        own_address: str,
+        connections: pool.Pool,
+        log: event_log.EventLog,
+        rand: random.Random,
+        first_start: bool,
     ) -> None:
         self._own_address = own_address
         self._pool = connections
@@ -52,6 +68,10 @@
         self._detector = crash_detection.CrashDetector()
         self._tickets = itertools.count(1)
         self._poison_requests = poison_requests.PoisonRequests()
+        self._random = rand
+        self._reports = crash_reports.CrashReports()
+        # Whether other hosts were asked which requests are refused.
+        self._asked = first_start
 
     def set_carrier(self, carrier: Carrier) -> None:
         """Set the carrier that sends frames to other hosts."""
@@ -60,6 +80,12 @@
     def learn_hosts(self, addresses: t.Iterable[str]) -> None:
         """Apply the addresses of all hosts."""
         self._hosts = sorted({self._own_address, *addresses})
+        if not self._asked and len(self._hosts) > 1:
+            self._asked = True
+            others = [one for one in self._hosts if one != self._own_address]
+            few = min(len(others), crash_reports.TRIED_MAX)
+            chosen = self._random.sample(others, few)
+            self._distribute([_Report(None, chosen)])
 
     def refused_s(self, call: frames.Call) -> float:
         """Return how long a call is refused, in seconds; 0 if it may run."""
@@ -106,6 +132,33 @@
         for update in self._poison_requests.record_crash(fingerprints, now):
             self._share_state(update)
 
+    def refusals(self) -> list[list[int]]:
+        """Return the refused requests with their remaining milliseconds."""
+        known = self._poison_requests.refusals(self._loop.time())
+        return [
+            [fingerprint, int(remaining_s * 1000)]
+            for fingerprint, remaining_s in known[-REFUSALS_MAX:]
+        ]
+
+    def report_counted(self, number: int, refused: list[t.Any]) -> None:
+        """Apply a host's reply to a report.
+
+        :param number: number of the report's frame.
+        :param refused: the host's :meth:`refusals`.
+        """
+        self._reports.replied(number)
+        now = self._loop.time()
+        for fingerprint, remaining_ms in refused:
+            remaining_s = remaining_ms / 1000
+            if self._poison_requests.adopt_refusal(
+                fingerprint, remaining_s, now
+            ):
+                self._log.event(
+                    "culprit",
+                    state=poison_requests.State.CONVICTED.name,
+                    fingerprint=fingerprint,
+                )
+
     def apply_state(self, state: int, fingerprint: int) -> None:
         """Apply a state that another host sent; forward it if it is new."""
         self._share_state(
@@ -122,15 +175,45 @@
             self._pool.release(connection)
             return
         self._log.event("upstream_crashed", running=len(crash.fingerprints))
-        by_host: dict[str, list[int]] = {}
-        for fingerprint in crash.fingerprints:
-            host = shared_rates.rate_owner(str(fingerprint), self._hosts)
-            by_host.setdefault(host, []).append(fingerprint)
-        for host, fingerprints in by_host.items():
-            if host == self._own_address:
+        self._distribute(
+            _Report(
+                fingerprint,
+                crash_reports.counting_hosts(fingerprint, self._hosts),
+            )
+            for fingerprint in crash.fingerprints
+        )
+
+    def _distribute(self, reports: t.Iterable[_Report]) -> None:
+        """Send reports to the next hosts that should get them."""
+        if self._carrier is None:
+            return
+        chosen = self._reports.distribute(reports)
+        while chosen:
+            address, group = chosen.popitem()
+            number = self._reports.sending(address, group)
+            known = (report.fingerprint for report in group)
+            fingerprints = [one for one in known if one is not None]
+            if address == self._own_address:
+                self._reports.replied(number)
                 self.count_crash(fingerprints)
-            elif self._carrier is not None:
-                self._carrier.send(host, frames.Kind.CRASHED, fingerprints)
+            elif self._carrier.send(
+                address, frames.Kind.CRASHED, [str(number), *fingerprints]
+            ):
+                self._loop.call_later(REPLY_S, self._reply_overdue, number)
+            else:
+                self._reply_overdue(number)
+
+    def _reply_overdue(self, number: int) -> None:
+        """Report to other hosts what a host has not confirmed."""
+        lost = self._reports.lost(number)
+        for report in lost:
+            if report.failed and report.fingerprint is not None:
+                self._log.event(
+                    "crash_uncounted",
+                    fingerprint=report.fingerprint,
+                    counted=report.counted,
+                )
+        self._distribute(lost)
 
     def _share_state(self, update: poison_requests.Update) -> None:
         """Log and broadcast a state that is new to this host."""
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -36,6 +36,8 @@
     WAIT_SAMPLES = 18
     MEAN_WAITS = 19
     ADVERTISEMENT = 20
+    # Only sent in reply to a crash report, which older builds don't send.
+    CRASH_COUNTED = 21
 
 
 class Flag:
@@ -200,6 +202,7 @@
     Kind.WAIT_SAMPLES: (list,),
     Kind.MEAN_WAITS: (list,),
     Kind.ADVERTISEMENT: (str, _NUMBER, _NUMBER, bool),
+    Kind.CRASH_COUNTED: (int, list),
 }
 # Indexes of the fields that are or contain floating point numbers.
 _FLOAT_INDEXES = {
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -98,7 +98,11 @@
         )
         self._upstream = pool.Pool(node_options.upstream, self._held)
         self.crash_watch = crash_watch.CrashWatch(
-            node_options.address, self._upstream, self.log
+            node_options.address,
+            self._upstream,
+            self.log,
+            rand,
+            node_options.first_start,
         )
         bounds = node_options.bounds
         self._slack_share = retry_slack.SlackShare(
@@ -512,9 +516,17 @@
         for name in self._at_address.get(address, ()):
             self.entry.placement.avoid(name, until)
 
-    def upstream_crashed(self, fingerprints: list[int]) -> None:
-        """Count a crash of another host's upstream."""
+    def upstream_crashed(self, fingerprints: list[int]) -> list[list[int]]:
+        """Count a crash of another host's upstream.
+
+        :return: the refused requests with their remaining milliseconds.
+        """
         self.crash_watch.count_crash(fingerprints)
+        return self.crash_watch.refusals()
+
+    def crash_counted(self, number: int, refused: list[t.Any]) -> None:
+        """Apply a host's reply to the report of a crash."""
+        self.crash_watch.report_counted(number, refused)
 
     def poison_request_state(self, state: int, fingerprint: int) -> None:
         """Apply the state of a request that may crash upstreams."""
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -88,10 +88,18 @@
         :param leaving: whether it is draining.
         """
 
-    def upstream_crashed(self, fingerprints: list[int]) -> None:
+    def upstream_crashed(self, fingerprints: list[int]) -> list[list[int]]:
         """Count a crash of another host's upstream.
 
         :param fingerprints: the requests that were running at the time.
+        :return: the refused requests with their remaining milliseconds.
+        """
+
+    def crash_counted(self, number: int, refused: list[t.Any]) -> None:
+        """Note that another host has counted a crash.
+
+        :param number: number of the report.
+        :param refused: the requests that it refuses.
         """
 
     def poison_request_state(self, state: int, fingerprint: int) -> None:
@@ -314,7 +322,18 @@
         self._owner.demand_reported(frame[1], frame[2])
 
     def _on_crashed(self, stream: streams.Stream, frame: list[t.Any]) -> None:
-        self._owner.upstream_crashed(frame[1])
+        # Reports of older builds have no number and get no reply.
+        number, fingerprints = "", frame[1]
+        if fingerprints and isinstance(fingerprints[0], str):
+            number, *fingerprints = fingerprints
+        refused = self._owner.upstream_crashed(fingerprints)
+        if number:
+            stream.send(frames.Kind.CRASH_COUNTED, int(number), refused)
+
+    def _on_crash_counted(
+        self, stream: streams.Stream, frame: list[t.Any]
+    ) -> None:
+        self._owner.crash_counted(frame[1], frame[2])
 
     def _on_poison_request(
         self, stream: streams.Stream, frame: list[t.Any]
@@ -364,5 +383,6 @@
     frames.Kind.TOKEN_GRANT: Peers._on_token_grant,
     frames.Kind.DEMAND_REPORT: Peers._on_demand_report,
     frames.Kind.CRASHED: Peers._on_crashed,
+    frames.Kind.CRASH_COUNTED: Peers._on_crash_counted,
     frames.Kind.POISON_REQUEST: Peers._on_poison_request,
 }
--- a/src/savorytally/decisions/poison_requests.py
+++ b/src/savorytally/decisions/poison_requests.py
@@ -2,11 +2,10 @@
 
 Protects against a poison request that is retried at other hosts after it has
 crashed an upstream. Each request that was running when an upstream crashed is
-counted by one host, which is found by rendezvous hashing of the request. A
-request that was running in two crashes becomes a suspect, and all hosts are
-notified; a response to it from any upstream clears it. A request that was
-running in three crashes without being cleared in between is refused by all
-hosts for a time.
+counted by a few hosts, see :mod:`.crash_reports`. A request that was running
+in two crashes becomes a suspect, and all hosts are notified; a response to it
+from any upstream clears it. A request that was running in three crashes
+without being cleared in between is refused by all hosts for a time.
 """
 
 import dataclasses
@@ -111,6 +110,7 @@
     def apply_update(self, update: Update, now: float) -> bool:
         """Apply an update; return whether to forward it to other hosts."""
         key = update.fingerprint
+        self._drop_expired(now)
         if update.state is State.CONVICTED:
             new = key not in self._refused
             self._refused.setdefault(key, now + REFUSED_S)
@@ -123,11 +123,29 @@
                 self._suspects[key] = now + COUNTED_S
             return new
         self._counts.pop(key, None)
-        self._drop_expired(now)
         if len(self._cleared) < TRACKED_MAX:
             self._cleared[key] = now + SUSPICION_IGNORED_S
         return self._suspects.pop(key, None) is not None
 
+    def refusals(self, now: float) -> list[tuple[int, float]]:
+        """Return the refused requests, each with the remaining time."""
+        return [
+            (key, until - now)
+            for key, until in self._refused.items()
+            if until > now
+        ]
+
+    def adopt_refusal(self, key: int, remaining_s: float, now: float) -> bool:
+        """Apply a refusal that another host knows; return whether it is new.
+
+        :param remaining_s: how long the request is still refused, in seconds.
+        """
+        new = self.refused_s(key, now) <= 0.0
+        if new:
+            self._refused[key] = now + min(remaining_s, REFUSED_S)
+            self._suspects.pop(key, None)
+        return new
+
     def answered(self, key: int) -> Update | None:
         """Record a response; return the update that clears the request."""
         if key not in self._suspects:
