Start waiting calls in a loop, not deeper and deeper in the stack

Cause: a refused call freed its slot and started the next one within the same call stack, eight frames each, until the interpreter raised RecursionError. The calls below it on the stack kept their slots and got no result.

Evidence: RecursionError in Gate._opened in the log of the failing test.

Change: Gate._advance queues what may start; the outermost one starts it in a loop.

--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -1,6 +1,7 @@
 """The gate: queues calls for the local upstream and forwards them."""
 
 import asyncio
+import collections
 import enum
 import typing as t
 
@@ -199,6 +200,9 @@
         self.reported = reported_load.ReportedLoad()
         # Number of requests that were sent to the upstream and have not ended.
         self._sent = 0
+        # Calls that have a slot and are about to start.
+        self._to_start: collections.deque[gate_queue.Job] = collections.deque()
+        self._starting = False
         # Timer of the next start that the rate limit allows.
         self._start_timer: asyncio.TimerHandle | None = None
         self.leaving = False
@@ -710,10 +714,25 @@
     def _advance(self, change: gate_queue.Change, now: float) -> None:
         for late in change.dropped:
             self._finish(late.context, results.SHED_AT_GATE, self._shed_reason)
-        for job in change.started:
-            self._start(job.context)
+        self._to_start.extend(change.started)
+        self._start_all()
         self._await_pace(now)
 
+    def _start_all(self) -> None:
+        """Start the calls that have a slot.
+
+        A call that ends as it starts frees its slot for the next one, which
+        is started by the loop here and not deeper in the stack.
+        """
+        if self._starting:
+            return
+        self._starting = True
+        try:
+            while self._to_start:
+                self._start(self._to_start.popleft().context)
+        finally:
+            self._starting = False
+
     def _await_pace(self, now: float) -> None:
         """Set a timer for the next start that the rate limit allows."""
         if self._start_timer is not None:
