Let no waiting call reach an upstream that has long left

Cause: a gate knew its upstream as leaving only by an entry that says "draining". An entry that is removed, hidden by a later instance's or given to another service said nothing to it. And it counted the drain time from when it had heard, which may be 0.6 s after the store.

Evidence: with 300 waiting calls on the simulated network, an upstream whose entry is removed got calls for 12.4 s, until the queue was empty; one that drains got them for 2.32 s if its change followed another one by 50 ms.

Change: the gate is given all entries at its upstream's address and notes which instances drain or are gone, since when at the earliest: the time at which the list was last known to be current, a second before the news at most. Calls that wait when the drain time ends are refused at once, and have time left to run elsewhere.

--- a/src/savorytally/dataplane/advertisements.py
+++ b/src/savorytally/dataplane/advertisements.py
@@ -16,6 +16,11 @@
 
 # Number of upstream instances whose advertisements are kept.
 INSTANCES_KEPT = 4
+# Longest time for which news of a leaving upstream is assumed to have been on
+# the way.
+NEWS_MAX_S = 1.0
+# Time that a call may need to reach the upstream.
+FORWARD_S = 0.05
 # Pause between two notifications of other hosts.
 NOTIFY_INTERVAL_S = 0.2
 
@@ -29,7 +34,9 @@
 
     :param protocol: reads the headers of responses.
     :param log: logs each change.
-    :param drain_s: how long a draining upstream may get new calls, in seconds.
+    :param drain_s: how long a leaving upstream may get new calls, in seconds.
+    :param list_confirmed_at: returns the loop time at which the host list was
+        last known to be current; an upstream has left later than that.
     :param on_changed: called when the rate limit in force may have changed.
     """
 
@@ -38,19 +45,25 @@
         protocol: upstream_protocol.UpstreamProtocol,
         log: event_log.EventLog,
         drain_s: float,
+        list_confirmed_at: t.Callable[[], float],
         on_changed: t.Callable[[], None],
     ) -> None:
         self._protocol = protocol
         self._log = log
         self._drain_s = drain_s
+        self._list_confirmed_at = list_confirmed_at
         self._on_changed = on_changed
         self._loop = asyncio.get_running_loop()
         self._instances: dict[str, advertised_state.AdvertisedState] = {}
         # The instance that responded last, and what it advertises.
         self._latest = ""
         self._current = advertised_state.AdvertisedState()
-        # The instance that the host list shows as draining, and since when.
-        self._listed_draining: tuple[str, float] | None = None
+        # The instances of the upstream that the host list contains.
+        self._listed: set[str] = set()
+        # The instances that drain or are gone according to the host list, and
+        # since when at the earliest.
+        self._draining_since: dict[str, float] = {}
+        self._gone_since: dict[str, float] = {}
         # Start time of the instance in the host list, by identifier.
         self._start_times: dict[str, int] = {}
         self._shares = pacing.SenderShares()
@@ -77,13 +90,28 @@
             state.instance_restarted()
         self._start_times = {instance_id: started_ms}
 
-    def learn_state(self, instance_id: str, ready: bool, now: float) -> None:
-        """Apply the state of the instance in the host list."""
-        known, _ = self._listed_draining or ("", now)
-        if ready and known == instance_id:
-            self._listed_draining = None
-        elif not ready and known != instance_id:
-            self._listed_draining = (instance_id, now)
+    def learn_listed(self, listed: t.Mapping[str, bool], now: float) -> None:
+        """Apply which instances the host list contains.
+
+        :param listed: whether each instance is ready, by identifier.
+        """
+        since = self._earliest_change(now)
+        for name in self._listed - listed.keys():
+            self._gone_since[name] = since
+        for name, ready in listed.items():
+            self._gone_since.pop(name, None)
+            if ready:
+                self._draining_since.pop(name, None)
+            else:
+                self._draining_since.setdefault(name, since)
+        self._listed = set(listed)
+        for table in (self._gone_since, self._draining_since):
+            for oldest in list(table)[:-INSTANCES_KEPT]:
+                del table[oldest]
+
+    def _earliest_change(self, now: float) -> float:
+        """Return since when what is learned now may be so at the earliest."""
+        return min(now, max(self._list_confirmed_at(), now - NEWS_MAX_S))
 
     def apply_headers(
         self, instance_id: str, headers: callers.Headers, sent_at: float
@@ -98,7 +126,9 @@
             return
         state = self._state_of(instance_id)
         advertised = self._protocol.advertised(headers)
-        if state.apply(advertised, sent_at, self._loop.time()):
+        now = self._loop.time()
+        since = self._earliest_change(now)
+        if state.apply(advertised, sent_at, now, since):
             self._notify_pending = True
             self._log_change(instance_id, state, "answer")
             self._set_current(instance_id)
@@ -117,15 +147,33 @@
             self._log_change(instance_id, state, "peer")
             self._set_current(instance_id)
 
-    def drained(self, instance_id: str, now: float) -> bool:
-        """Return whether an instance gets no new calls because it drains."""
+    def drained(
+        self, instance_id: str, now: float, unlisted: bool = False
+    ) -> bool:
+        """Return whether an instance gets no new calls because it leaves.
+
+        :param unlisted: whether a call is for an instance that is known not to
+            be listed, which is asked whether it still serves.
+        """
         since = []
         state = self._instances.get(instance_id)
         if state is not None and state.leaving_since is not None:
             since.append(state.leaving_since)
-        if self._listed_draining and self._listed_draining[0] == instance_id:
-            since.append(self._listed_draining[1])
-        return bool(since) and now - min(since) >= self._drain_s
+        tables = [self._draining_since]
+        if not unlisted:
+            tables.append(self._gone_since)
+        since += [
+            table[instance_id] for table in tables if instance_id in table
+        ]
+        return bool(since) and now - min(since) >= self._drain_s - FORWARD_S
+
+    @property
+    def any_leaving(self) -> bool:
+        """Whether an instance is known to leave or to have left."""
+        return bool(self._draining_since or self._gone_since) or any(
+            state.leaving_since is not None
+            for state in self._instances.values()
+        )
 
     def note_sender(self, sender: t.Hashable, now: float) -> None:
         """Note that a host has sent a call."""
--- a/src/savorytally/dataplane/gate.py
+++ b/src/savorytally/dataplane/gate.py
@@ -157,6 +157,8 @@
     :param log: logs each call that ends without a response.
     :param counts: counts the calls that have not run.
     :param node_options: the node's options.
+    :param list_confirmed_at: returns the loop time at which the host list was
+        last known to be current.
     """
 
     def __init__(
@@ -169,6 +171,7 @@
         log: event_log.EventLog,
         counts: counters.Counters,
         node_options: options.Options,
+        list_confirmed_at: t.Callable[[], float],
     ) -> None:
         self._protocol = upstream_protocol.UpstreamProtocol(names)
         self._log = log
@@ -185,6 +188,7 @@
             self._protocol,
             log,
             node_options.bounds.drain_s,
+            list_confirmed_at,
             self._apply_pace,
         )
         self.health = health.Health(
@@ -317,24 +321,31 @@
                     _Reason.EVACUATED,
                 )
 
-    def learn_entry(self, instance: catalog.Instance, now: float) -> None:
-        """Apply the upstream's entry in the host list."""
+    def learn_entries(
+        self, listed: t.Collection[catalog.Instance], now: float
+    ) -> None:
+        """Apply the entries of the upstream's address in the host list.
+
+        There are several if an earlier instance's entry has not expired.
+        """
+        self.advertisements.learn_listed(
+            {item.instance_id: item.ready for item in listed}, now
+        )
+        for item in listed:
+            self._learn_entry(item, now)
+        if not listed and not self._started_ms:
+            # An upstream that is listed later has then just started.
+            self._started_ms = {"": 0}
+        self._refuse_drained(now)
+
+    def _learn_entry(self, instance: catalog.Instance, now: float) -> None:
         self._queue.learn_slots(instance.slots)
         name = instance.instance_id
         self.advertisements.learn_start_time(name, instance.started_ms)
-        self.advertisements.learn_state(name, instance.ready, now)
         self._learn_start(instance, now)
         self._cold.learn_entry(instance, now)
         self._cold_changed(now)
 
-    def learn_no_entry(self) -> None:
-        """Note that the host list has no entry of the upstream.
-
-        One that is listed later has then just started.
-        """
-        if not self._started_ms:
-            self._started_ms = {"": 0}
-
     def _learn_start(self, instance: catalog.Instance, now: float) -> None:
         """Start a ramp-up if the entry is that of a new instance.
 
@@ -432,7 +443,8 @@
         The sender may not have learned yet that the upstream drains, that the
         data centre is evacuated or where the call may be served.
         """
-        if self.advertisements.drained(call.instance_id, now):
+        unlisted = bool(call.flags & frames.Flag.UNLISTED)
+        if self.advertisements.drained(call.instance_id, now, unlisted):
             return results.HOST_LEAVING, _Reason.LEAVING
         if self._evacuated:
             return results.DATA_CENTRE_EVACUATED, _Reason.EVACUATED
@@ -516,12 +528,26 @@
         now = self._loop.time()
         for job in self._queue.remove_overdue(now):
             self._finish(job.context, results.SHED_AT_GATE, self._shed_reason)
+        self._refuse_drained(now)
         self.advertisements.tick(now)
         self._cold_changed(now)
         self._log_pace()
         if self._queue.learn_reported(self.reported.ceiling(now)):
             self._advance(self._queue.advance(now), now)
 
+    def _refuse_drained(self, now: float) -> None:
+        """Refuse waiting calls of upstreams that get no more calls.
+
+        They may still have time to run elsewhere.
+        """
+        if not (self._queue.waiting and self.advertisements.any_leaving):
+            return
+        for job in self._queue.jobs():
+            blocked = self._blocked(job.context.call, now)
+            if blocked is not None:
+                self._queue.cancel(job)
+                self._finish(job.context, *blocked)
+
     def refuse_new(self) -> None:
         """Refuse new calls from now on."""
         self.leaving = True
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -114,6 +114,9 @@
         budget = retry_budget.FleetRetryBudget(
             bounds.retry_ratio, bounds.retry_window_s, self._slack_share
         )
+        # When the configuration and the host list were last known to be the
+        # newest.
+        self._view_age = list_age.ListAge()
         self.gate = gate.Gate(
             names,
             self._upstream,
@@ -127,14 +130,12 @@
             self.log,
             self.counts,
             node_options,
+            self._view_age.confirmed_at,
         )
         self.gate.advertisements.notify = self._broadcast_advertised
         self.peers = peers.Peers(node_options.peer_port, self.gate, self, rand)
         self.crash_watch.set_carrier(self.peers)
         self.rates = rates.Rates(node_options, self.peers)
-        # When the configuration and the host list were last known to be the
-        # newest.
-        self._view_age = list_age.ListAge()
         self.entry = entry.Entry(
             node_options,
             names,
@@ -569,14 +570,16 @@
         self._apply_evacuations(now)
         own = self._options.upstream
         hosts: dict[str, list[str]] = {}
-        listed_here = False
         for name, instance in instances.items():
             hosts.setdefault(instance.address, []).append(name)
-            if (instance.address, instance.port) == (own.host, own.port):
-                listed_here = True
-                self.gate.learn_entry(instance, now)
-        if not listed_here:
-            self.gate.learn_no_entry()
+        self.gate.learn_entries(
+            [
+                instance
+                for instance in instances.values()
+                if (instance.address, instance.port) == (own.host, own.port)
+            ],
+            now,
+        )
         self._at_address = hosts
         self._near, self._far = [], []
         for address in hosts:
--- a/src/savorytally/decisions/advertised_state.py
+++ b/src/savorytally/decisions/advertised_state.py
@@ -70,20 +70,26 @@
 
     @property
     def leaving_since(self) -> float | None:
-        """When it first advertised that it is leaving, or ``None``."""
+        """When it began to leave at the earliest, or ``None``."""
         return self._leaving_since
 
     def apply(
-        self, advertisement: Advertisement, sent_at: float, now: float
+        self,
+        advertisement: Advertisement,
+        sent_at: float,
+        now: float,
+        changed_at: float | None = None,
     ) -> bool:
         """Apply what a response advertises; return whether it is a change.
 
         :param advertisement: the advertisement in the response.
         :param sent_at: when the answered request was sent.
+        :param changed_at: the earliest time at which the upstream can have
+            begun to leave, ``None`` for now.
         """
         before = (self._limit_per_s, self._leaving_since)
         if advertisement.leaving and self._leaving_since is None:
-            self._leaving_since = now
+            self._leaving_since = now if changed_at is None else changed_at
         limit_per_s = advertisement.limit_per_s
         if limit_per_s is not None:
             higher = limit_per_s > self._limit_per_s
--- a/src/savorytally/decisions/gate_queue.py
+++ b/src/savorytally/decisions/gate_queue.py
@@ -316,9 +316,13 @@
             self.cancel(job)
         return late
 
+    def jobs(self) -> list[Job]:
+        """Return all waiting requests."""
+        return [entry[3] for entry in self._heap if not entry[3].removed]
+
     def clear(self) -> list[Job]:
         """Remove and return all waiting requests."""
-        waiting = [entry[3] for entry in self._heap if not entry[3].removed]
+        waiting = self.jobs()
         for job in waiting:
             self.cancel(job)
         return waiting
