Let nodes that start learn which unlisted hosts own rates

Cause: a host stays owner for 20 s after its entry has gone, but only a process that had seen the entry knew that; one that starts takes the next host. Besides, the 20 s counted from the last change before the removal, ended only with a change, and never ended for the host itself.

Change: a node that starts asks the hosts of its startup check for the hosts that still count and for the refused requests. The time counts from the removal. The unlisted host ends 3 s earlier by its own account and says so to those who ask.

test_unlisted_host_is_dropped_after_a_time asserted the count from the last change; it asserts now the time from the removal and the end without a change.

--- a/src/savorytally/dataplane/crash_watch.py
+++ b/src/savorytally/dataplane/crash_watch.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import itertools
-import random
 import typing as t
 
 from ..decisions import crash_detection
@@ -47,17 +46,10 @@
     :param own_address: this host's address.
     :param connections: the connections to the upstream.
     :param log: logs each crash and each change in a poison request's state.
-    :param rand: chooses whom a node asks that was started again.
-    :param first_start: whether no host can know a refused request yet.
     """
 
     def __init__(
-        self,
-        own_address: str,
-        connections: pool.Pool,
-        log: event_log.EventLog,
-        rand: random.Random,
-        first_start: bool,
+        self, own_address: str, connections: pool.Pool, log: event_log.EventLog
     ) -> None:
         self._own_address = own_address
         self._pool = connections
@@ -68,10 +60,7 @@
         self._detector = crash_detection.CrashDetector()
         self._tickets = itertools.count(1)
         self._poison_requests = poison_requests.PoisonRequests()
-        self._random = rand
         self._reports = crash_reports.CrashReports()
-        # Whether other hosts were asked which requests are refused.
-        self._asked = first_start
 
     def set_carrier(self, carrier: Carrier) -> None:
         """Set the carrier that sends frames to other hosts."""
@@ -80,12 +69,6 @@
     def learn_hosts(self, addresses: t.Iterable[str]) -> None:
         """Apply the addresses of all hosts."""
         self._hosts = sorted({self._own_address, *addresses})
-        if not self._asked and len(self._hosts) > 1:
-            self._asked = True
-            others = [one for one in self._hosts if one != self._own_address]
-            few = min(len(others), crash_reports.TRIED_MAX)
-            chosen = self._random.sample(others, few)
-            self._distribute([_Report(None, chosen)])
 
     def refused_s(self, call: frames.Call) -> float:
         """Return how long a call is refused, in seconds; 0 if it may run."""
@@ -147,6 +130,10 @@
         :param refused: the host's :meth:`refusals`.
         """
         self._reports.replied(number)
+        self.adopt_refusals(refused)
+
+    def adopt_refusals(self, refused: list[t.Any]) -> None:
+        """Apply another host's :meth:`refusals`."""
         now = self._loop.time()
         for fingerprint, remaining_ms in refused:
             remaining_s = remaining_ms / 1000
@@ -191,8 +178,7 @@
         while chosen:
             address, group = chosen.popitem()
             number = self._reports.sending(address, group)
-            known = (report.fingerprint for report in group)
-            fingerprints = [one for one in known if one is not None]
+            fingerprints = [report.fingerprint for report in group]
             if address == self._own_address:
                 self._reports.replied(number)
                 self.count_crash(fingerprints)
@@ -207,7 +193,7 @@
         """Report to other hosts what a host has not confirmed."""
         lost = self._reports.lost(number)
         for report in lost:
-            if report.failed and report.fingerprint is not None:
+            if report.failed:
                 self._log.event(
                     "crash_uncounted",
                     fingerprint=report.fingerprint,
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -38,6 +38,14 @@
     ADVERTISEMENT = 20
     # Only sent in reply to a crash report, which older builds don't send.
     CRASH_COUNTED = 21
+    # Only sent in reply to :data:`ASK_STATE`.
+    STATE = 22
+
+
+# Versions that ask a host for its own version; the first one also asks for
+# what only running hosts know. Older builds reply to both with their version.
+ASK_STATE = -2
+ASK_VERSION = -1
 
 
 class Flag:
@@ -203,6 +211,7 @@
     Kind.MEAN_WAITS: (list,),
     Kind.ADVERTISEMENT: (str, _NUMBER, _NUMBER, bool),
     Kind.CRASH_COUNTED: (int, list),
+    Kind.STATE: (list, list),
 }
 # Indexes of the fields that are or contain floating point numbers.
 _FLOAT_INDEXES = {
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -46,8 +46,6 @@
 TICK_S = 0.05
 # How long an unresponsive host gets no new calls.
 UNRESPONSIVE_AVOID_S = 0.3
-# Sent as a version to ask a host for its own.
-ASK_VERSION = -1
 # Interval at which a node sends its configuration version to a random host of
 # its region.
 GOSSIP_INTERVAL_S = 0.6
@@ -98,11 +96,7 @@
         )
         self._upstream = pool.Pool(node_options.upstream, self._held)
         self.crash_watch = crash_watch.CrashWatch(
-            node_options.address,
-            self._upstream,
-            self.log,
-            rand,
-            node_options.first_start,
+            node_options.address, self._upstream, self.log
         )
         bounds = node_options.bounds
         self._slack_share = retry_slack.SlackShare(
@@ -529,6 +523,21 @@
         """Apply a host's reply to the report of a crash."""
         self.crash_watch.report_counted(number, refused)
 
+    def running_state(self) -> tuple[list[t.Any], list[t.Any]]:
+        """Return what a host that has just started can't know.
+
+        :return: the refused requests, and the hosts that may own rates
+            although they are not listed.
+        """
+        return self.crash_watch.refusals(), self.rates.unlisted_owners()
+
+    def learn_running_state(
+        self, refused: list[t.Any], unlisted: list[t.Any]
+    ) -> None:
+        """Apply another host's :meth:`running_state`."""
+        self.crash_watch.adopt_refusals(refused)
+        self.rates.learn_unlisted_owners(unlisted)
+
     def poison_request_state(self, state: int, fingerprint: int) -> None:
         """Apply the state of a request that may crash upstreams."""
         self.crash_watch.apply_state(state, fingerprint)
@@ -540,7 +549,7 @@
             return
         now = self._loop.time()
         for host in check.choose_hosts(self._near, self._far, now):
-            self.peers.send(host, frames.Kind.VERSION, ASK_VERSION)
+            self.peers.send(host, frames.Kind.VERSION, frames.ASK_STATE)
         for host in check.waiting_for:
             if not self.peers.reaches(host):
                 check.replied(host, 0)
--- a/src/savorytally/dataplane/peers.py
+++ b/src/savorytally/dataplane/peers.py
@@ -102,6 +102,18 @@
         :param refused: the requests that it refuses.
         """
 
+    def running_state(self) -> tuple[list[t.Any], list[t.Any]]:
+        """Return what a host that has just started can't know.
+
+        :return: the refused requests, and the hosts that may own rates
+            although they are not listed.
+        """
+
+    def learn_running_state(
+        self, refused: list[t.Any], unlisted: list[t.Any]
+    ) -> None:
+        """Apply another host's :meth:`running_state`."""
+
     def poison_request_state(self, state: int, fingerprint: int) -> None:
         """Apply the state of a request that may crash upstreams."""
 
@@ -275,6 +287,8 @@
 
     def _on_version(self, stream: streams.Stream, frame: list[t.Any]) -> None:
         version = int(frame[1])
+        if version == frames.ASK_STATE:
+            stream.send(frames.Kind.STATE, *self._owner.running_state())
         if version >= 0:
             self._owner.version_reported(stream, version)
         if version > self._owner.version:
@@ -335,6 +349,9 @@
     ) -> None:
         self._owner.crash_counted(frame[1], frame[2])
 
+    def _on_state(self, stream: streams.Stream, frame: list[t.Any]) -> None:
+        self._owner.learn_running_state(frame[1], frame[2])
+
     def _on_poison_request(
         self, stream: streams.Stream, frame: list[t.Any]
     ) -> None:
@@ -384,5 +401,6 @@
     frames.Kind.DEMAND_REPORT: Peers._on_demand_report,
     frames.Kind.CRASHED: Peers._on_crashed,
     frames.Kind.CRASH_COUNTED: Peers._on_crash_counted,
+    frames.Kind.STATE: Peers._on_state,
     frames.Kind.POISON_REQUEST: Peers._on_poison_request,
 }
--- a/src/savorytally/dataplane/rates.py
+++ b/src/savorytally/dataplane/rates.py
@@ -25,6 +25,9 @@
 # Maximum time that a refusal is applied to further requests of the same kind.
 REFUSAL_TTL_MAX_S = 0.1
 
+# Sent instead of a wait by a host that is no owner any more.
+NOT_OWNER = -1
+
 OnDecided = t.Callable[[shared_rates.Grant], None]
 
 
@@ -50,6 +53,17 @@
     avoided_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    """A request that waits for the owner's response."""
+
+    on_decided: OnDecided
+    timer: asyncio.TimerHandle
+    organisation: str
+    urgency: int
+    owner: str
+
+
 class Carrier(t.Protocol):
     """Sends control frames to other hosts."""
 
@@ -92,8 +106,7 @@
         self._other_regions: dict[str, list[str]] = {}
         self._owners: dict[str, str] = {}
         self._hosts = 1
-        self._pending: dict[int, tuple[OnDecided, asyncio.TimerHandle, str]]
-        self._pending = {}
+        self._pending: dict[int, _Pending] = {}
         self._last_number = 0
         self._avoided: dict[str, float] = {}
         self._refused_until: dict[tuple[str, int], float] = {}
@@ -122,6 +135,41 @@
         if self._rate_hosts.node_stopping(address):
             self._update_owners()
 
+    def _owner_lapsed(self, pending: "_Pending") -> None:
+        """Ask the next owner, as the asked host is not listed any more."""
+        if self._rate_hosts.owner_lapsed(pending.owner):
+            self._update_owners()
+            self.request_token(
+                pending.organisation, pending.urgency, pending.on_decided
+            )
+            return
+        now = self._loop.time()
+        pending.on_decided(self._decide_locally(pending.organisation, now))
+
+    def unlisted_owners(self) -> list[list[t.Any]]:
+        """Return the hosts that may own rates although they are not listed.
+
+        :return: address, region and the milliseconds since each was listed.
+        """
+        return [
+            [address, region, int(ago_s * 1000)]
+            for address, region, ago_s in self._rate_hosts.unlisted(
+                self._loop.time()
+            )
+        ]
+
+    def learn_unlisted_owners(self, unlisted: list[t.Any]) -> None:
+        """Apply another host's :meth:`unlisted_owners`."""
+        now = self._loop.time()
+        found = [
+            self._rate_hosts.learn_unlisted(
+                address, region, ago_ms / 1000, now
+            )
+            for address, region, ago_ms in unlisted
+        ]
+        if any(found):
+            self._update_owners()
+
     def _update_owners(self) -> None:
         regions = self._rate_hosts.regions()
         self._hosts = sum(map(len, regions.values()))
@@ -165,7 +213,9 @@
         timer = self._loop.call_later(
             OWNER_TIMEOUT_S, self._owner_timed_out, number, organisation, owner
         )
-        self._pending[number] = (on_decided, timer, organisation)
+        self._pending[number] = _Pending(
+            on_decided, timer, organisation, urgency, owner
+        )
 
     def view(
         self, organisation: catalog.Organisation, urgency: int
@@ -200,6 +250,8 @@
         self, number: int, organisation: str, urgency: int
     ) -> tuple[int, int, bool, int]:
         """Handle another host's token request; return the grant's fields."""
+        if self._rate_hosts.lapsed:
+            return (number, urgency, False, NOT_OWNER)
         grant = self.pool.grant(organisation, urgency, self._loop.time())
         return (number, urgency, grant.granted, grant.wait_ms)
 
@@ -210,13 +262,15 @@
         pending = self._pending.pop(number, None)
         if pending is None:
             return
-        on_decided, timer, organisation = pending
-        timer.cancel()
+        pending.timer.cancel()
+        if wait_ms == NOT_OWNER:
+            self._owner_lapsed(pending)
+            return
         if not granted:
             refused_s = min(REFUSAL_TTL_MAX_S, wait_ms / 1000)
             until = self._loop.time() + refused_s
-            self._refused_until[organisation, urgency] = until
-        on_decided(shared_rates.Grant(granted, wait_ms))
+            self._refused_until[pending.organisation, urgency] = until
+        pending.on_decided(shared_rates.Grant(granted, wait_ms))
 
     def handle_demand(
         self, region: str, demand_per_s: dict[str, float]
@@ -226,6 +280,8 @@
 
     def tick(self, now: float) -> None:
         """Measure the demand of the rates owned here and report it."""
+        if self._rate_hosts.expire(now):
+            self._update_owners()
         if now < self._measure_at:
             return
         self._measure_at = now + DEMAND_INTERVAL_S
@@ -282,6 +338,6 @@
         now = self._loop.time()
         self._avoided[owner] = now + OWNER_AVOID_S
         if organisation not in self._organisations:
-            pending[0](shared_rates.Grant(True))
+            pending.on_decided(shared_rates.Grant(True))
             return
-        pending[0](self._decide_locally(organisation, now))
+        pending.on_decided(self._decide_locally(organisation, now))
--- a/src/savorytally/decisions/crash_reports.py
+++ b/src/savorytally/decisions/crash_reports.py
@@ -38,15 +38,14 @@
 class Report:
     """The report of one crash for one request.
 
-    :param fingerprint: the request; ``None`` to ask only which requests are
-        refused.
+    :param fingerprint: the request.
     :param untried: hosts that can get the report, in this order.
     :param counted: number of hosts that have replied.
     :param waiting: number of hosts whose reply is awaited.
     :param widened: how often hosts had to be added.
     """
 
-    fingerprint: int | None
+    fingerprint: int
     untried: list[str]
     counted: int = 0
     waiting: int = 0
--- a/src/savorytally/decisions/shared_rates.py
+++ b/src/savorytally/decisions/shared_rates.py
@@ -39,8 +39,12 @@
 HOSTS_FRACTION = 0.2
 # Age in seconds after which another region's demand report is ignored.
 DEMAND_AGE_MAX_S = 4.0
-# Time in seconds for which a host that has left the host list may stay owner.
+# Time in seconds for which a host that has left the host list stays owner for
+# others.
 OWNER_RETENTION_S = 20.0
+# How much earlier in seconds it stops being owner by its own account, so that
+# no other host owns its rates before. Covers the delay of host lists.
+OWNER_MARGIN_S = 3.0
 # Fraction of the rate that hosts without a connection to the owner may admit;
 # each gets an equal part.
 DISCONNECTED_FRACTION = 0.15
@@ -65,7 +69,10 @@
     owner while its node runs. If its upstream drains, it stays owner until the
     node reports that it is stopping or accepts no connection. If the
     upstream's entry expires, which may only mean that the host has lost its
-    connection to the list, it stays owner for ``OWNER_RETENTION_S``.
+    connection to the list, it stays owner for ``OWNER_RETENTION_S`` from then.
+    By its own account it ends ``OWNER_MARGIN_S`` earlier and tells those who
+    ask it. A host that has just started learns from others which hosts are
+    owners although they are not listed.
 
     :param own: address of this host.
     :param region: region of this host.
@@ -77,7 +84,12 @@
         self._active: set[str] = set()
         self._draining: set[str] = set()
         self._stopped: set[str] = set()
+        # Region of each host that may own buckets, and when it was last known
+        # to be in the host list; the hosts that are in the latest one.
         self._last_seen: dict[str, tuple[str, float]] = {}
+        self._running: set[str] = set()
+        # Whether this host was listed, in an earlier process too.
+        self._listed_once = False
         # Nodes that reported that they are stopping while their upstreams
         # accepted new work, and the time of the latest host list before that.
         self._stopping: dict[str, float] = {}
@@ -108,18 +120,81 @@
         still_draining = self._draining & self._last_seen.keys()
         self._draining = (still_draining | draining.keys()) - self._active
         self._stopped &= self._draining | ({self._own} - self._active)
-        # This node runs, even if its upstream is not in the list yet or if
-        # the upstream's entry has expired.
-        running = {self._own: self._region, **draining, **listed}
+        running = {**draining, **listed}
+        for address in self._running - running.keys():
+            if address in self._last_seen:
+                region, _ = self._last_seen[address]
+                self._last_seen[address] = (region, now)
+        self._running = set(running)
+        self._listed_once |= self._own in self._running
         for address, region in running.items():
             if address in self._stopped:
                 continue
             self._last_seen[address] = (region, now)
             if region == self._region:
                 self._region_hosts.add(address)
-        for address, (_, seen) in list(self._last_seen.items()):
-            if now - seen > OWNER_RETENTION_S:
-                del self._last_seen[address]
+        self.expire(now)
+
+    def expire(self, now: float) -> bool:
+        """Forget hosts that have left the host list for long enough.
+
+        :return: whether that is so for any.
+        """
+        expired = [
+            address
+            for address, (_, seen) in self._last_seen.items()
+            if address not in self._running
+            and now - seen > self._retention_s(address)
+        ]
+        for address in expired:
+            del self._last_seen[address]
+        return bool(expired)
+
+    def _retention_s(self, address: str) -> float:
+        own = address == self._own
+        return OWNER_RETENTION_S - (OWNER_MARGIN_S if own else 0.0)
+
+    def unlisted(self, now: float) -> list[tuple[str, str, float]]:
+        """Return the hosts that may be owners although they are not listed.
+
+        :return: address, region and the seconds since it was listed.
+        """
+        return [
+            (address, region, now - seen)
+            for address, (region, seen) in self._last_seen.items()
+            if address not in self._running
+        ]
+
+    def learn_unlisted(
+        self, address: str, region: str, ago_s: float, now: float
+    ) -> bool:
+        """Apply that another host counts an unlisted host as an owner.
+
+        :param ago_s: seconds since it was listed.
+        :return: whether that is new.
+        """
+        known = address in self._last_seen or address in self._stopped
+        if known or ago_s > self._retention_s(address):
+            return False
+        self._last_seen[address] = (region, now - ago_s)
+        self._listed_once |= address == self._own
+        if region == self._region:
+            self._region_hosts.add(address)
+        return True
+
+    @property
+    def lapsed(self) -> bool:
+        """Whether this host was listed, and has been no more for long."""
+        return self._listed_once and self._own not in self._last_seen
+
+    def owner_lapsed(self, address: str) -> bool:
+        """Note that a host is no owner by its own account.
+
+        :return: whether it stops being owner; not if it is listed.
+        """
+        if address in self._running:
+            return False
+        return self._last_seen.pop(address, None) is not None
 
     def node_stopping(self, address: str) -> bool:
         """Record that a node is stopping; return whether it stops being owner.
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -608,7 +608,13 @@
     def test_unlisted_host_is_dropped_after_a_time(self):
         hosts = shared_rates.RateOwners("a", "low")
         hosts.learn({"a": "low", "b": "low"}, {}, 0.0)
-        hosts.learn({"a": "low"}, {}, shared_rates.OWNER_RETENTION_S + 1)
+        # The time counts from its removal, not from the change before.
+        removed_at = shared_rates.OWNER_RETENTION_S + 1
+        hosts.learn({"a": "low"}, {}, removed_at)
+        assert hosts.regions() == {"low": ["a", "b"]}
+        assert not hosts.expire(removed_at + shared_rates.OWNER_RETENTION_S)
+        # No further change of the list is needed.
+        assert hosts.expire(removed_at + shared_rates.OWNER_RETENTION_S + 0.1)
         assert hosts.regions() == {"low": ["a"]}
 
     def test_leaving_host_uses_the_same_owner_as_the_others(self):
