Keep the bucket of an organisation that is gone for a moment

Cause: the bucket was dropped with the organisation, and a new one made in that time by its first owner is full.

Change: buckets stay for 60 s after their last use.

--- a/src/savorytally/decisions/shared_rates.py
+++ b/src/savorytally/decisions/shared_rates.py
@@ -45,6 +45,9 @@
 # How much earlier in seconds it stops being owner by its own account, so that
 # no other host owns its rates before. Covers the delay of host lists.
 OWNER_MARGIN_S = 3.0
+# Time in seconds after which the bucket of an organisation that is gone is
+# forgotten; longer than buckets start full.
+UNUSED_MAX_S = 60.0
 # Fraction of the rate that hosts without a connection to the owner may admit;
 # each gets an equal part.
 DISCONNECTED_FRACTION = 0.15
@@ -314,11 +317,11 @@
     def learn_organisations(
         self, organisations: t.Mapping[str, catalog.Organisation]
     ) -> None:
-        """Apply the rates of the organisations."""
+        """Apply the rates of the organisations.
+
+        One that is missing may return, and has used a part of its bucket.
+        """
         self._organisations = organisations
-        for name in list(self._buckets):
-            if name not in organisations:
-                del self._buckets[name]
 
     def learn_hosts(self, region_hosts: int, total_hosts: int) -> None:
         """Apply the number of hosts in this region and in all regions."""
@@ -402,6 +405,9 @@
         self._measured_at = now
         if period_s <= 0:
             return {}
+        for name in list(self._buckets.keys() - self._organisations.keys()):
+            if now - self._buckets[name].filled > UNUSED_MAX_S:
+                del self._buckets[name]
         for bucket in self._buckets.values():
             latest = bucket.requests / period_s
             bucket.requests = 0.0
--- a/tests/test_shared_rates.py
+++ b/tests/test_shared_rates.py
@@ -158,6 +158,33 @@
     assert at_once <= (88.0 * 1.125 + 10) / 2 + 1
 
 
+@pytest.mark.parametrize("gone_s", [0.4, 5.0, 50.0])
+def test_organisation_that_returns_gets_no_second_burst(gone_s):
+    """A tenant without a key was forgotten, and its bucket was full again."""
+    pool = shared_rates.SharedRates(0.25, 20.0, 5.0, 20.0)
+    pool.learn_organisations({"growers": GROWERS})
+    now = 1.0
+    granted = []
+
+    def take_all():
+        while pool.grant("growers", 0, now).granted:
+            granted.append(now)
+
+    for _ in range(10):
+        take_all()
+        pool.measure(now)
+        now += 0.1
+    pool.learn_organisations({})
+    now += gone_s
+    pool.measure(now)
+    pool.learn_organisations({"growers": GROWERS})
+    take_all()
+    allowed = GROWERS.burst * 1.125 + 10
+    refilled = GROWERS.rate_per_s * 1.125 * (now - 1.0)
+    assert len(granted) <= allowed + refilled + 1
+    assert granted.count(now) <= min(allowed, refilled) + 1
+
+
 def test_stopped_owner_is_not_asked_by_hosts_that_connect_later():
     config = mesh.configuration(1)
     config["tenants"]["growers"].update(rate_per_s=100, burst=100)
