Take no status line for an answer that is none in the protocol

An endpoint in trouble sent status 000 (MIXED): the request got no answer until its time was over, or the caller got the next response that followed on the connection, as a success. 600 and 999 were passed on as answers, HTTP/2.0 and RTSP/1.0 with 200 counted as successes.

Cause: all statuses below 200 were read as interim responses, all above as final ones; the parser accepts any three digits, any version and other protocols.

An entry takes such a result of an older gate for an unknown outcome.

--- a/src/savorytally/dataplane/entry.py
+++ b/src/savorytally/dataplane/entry.py
@@ -5,6 +5,7 @@
 import random
 import typing as t
 
+from .. import http_rules
 from .. import results
 from ..decisions import backpressure
 from ..decisions import chain_success
@@ -442,6 +443,11 @@
         """Handle the result of an attempt: respond, retry or fail."""
         now = self._loop.time()
         route = t.cast(catalog.Route, call.route)
+        if result.answered and not http_rules.is_final(result.status):
+            # Gates of older builds pass on what is no answer.
+            result = frames.Result(
+                result.number, results.UPSTREAM_BROKEN.number, arrived=True
+            )
         code = results.by_number(result.code)
         self._update_placement(route.name, instance, result, code, now)
         if call.done:
--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -8,11 +8,11 @@
 
 import httptools
 
+from .. import http_rules
 from ..decisions import memory_budget
 from . import callers
 from . import sockets
 
-_FIRST_FINAL_STATUS = 200
 _NO_BODY = frozenset((204, 304))
 
 # Limits of one response; a response that exceeds one is not usable.
@@ -63,6 +63,10 @@
     """A response exceeds a limit, which the message names."""
 
 
+class _NoResponse(Exception):
+    """The parser accepts a status line that is none of HTTP/1."""
+
+
 Done = t.Callable[["Connection", Response | Broken], None]
 Matches = t.Callable[[Response], bool]
 
@@ -94,6 +98,8 @@
         self._held = held or memory_budget.MemoryBudget()
         # Bytes received since the request in progress was sent.
         self._read_bytes = 0
+        # The first bytes of them.
+        self._start = b""
         self._interim = 0
         self._body_bytes = 0
         self._body_max_bytes = BODY_MAX_BYTES
@@ -187,6 +193,7 @@
         self._may_be_duplicate = may_be_duplicate
         self._replaceable = False
         self._read_bytes = self._interim = 0
+        self._start = b""
         self._head_read = False
         self.uses += 1
         if self._transport is None:
@@ -231,6 +238,12 @@
 
     def _parse(self, data: bytes) -> bool:
         """Parse a piece; return whether the connection remains usable."""
+        lacking = len(http_rules.START) - len(self._start)
+        if lacking > 0:
+            self._start += data[:lacking]
+            if not http_rules.is_start(self._start):
+                self._fail_garbled()
+                return False
         try:
             t.cast(httptools.HttpResponseParser, self._parser).feed_data(data)
             self._read_bytes += len(data)
@@ -298,7 +311,10 @@
 
     def on_headers_complete(self) -> None:
         status = self._status()
-        if status < _FIRST_FINAL_STATUS:
+        parser = t.cast(httptools.HttpResponseParser, self._parser)
+        if not http_rules.is_response(status, parser.get_http_version()):
+            raise _NoResponse(f"status {status}")
+        if not http_rules.is_final(status):
             self._interim += 1
             if self._interim > INTERIM_MAX:
                 raise _Oversized(f"more than {INTERIM_MAX} interim responses")
@@ -328,7 +344,7 @@
         self._held.grow(self, len(body))
 
     def on_message_complete(self) -> None:
-        if self._status() < _FIRST_FINAL_STATUS:
+        if not http_rules.is_final(self._status()):
             self._in_message = False
             return
         self._complete()
--- a/src/savorytally/http/limited_client.py
+++ b/src/savorytally/http/limited_client.py
@@ -13,6 +13,7 @@
 from aiohttp import http_exceptions
 
 from .. import defaults
+from .. import http_rules
 
 # Headers are parsed in chunks of this size, so that a server that sends many
 # interim responses at once does not block the event loop.
@@ -31,6 +32,12 @@
         super().__init__(loop=loop)
         self._interim_count = 0
         self._closed_by_server = False
+        # The first bytes since the latest request was sent.
+        self._start = b""
+
+    def set_response_params(self, *args: t.Any, **options: t.Any) -> None:
+        self._start = b""
+        super().set_response_params(*args, **options)
 
     def eof_received(self) -> None:
         self._closed_by_server = True
@@ -53,17 +60,30 @@
         if self._payload is not None and not self._payload.is_eof():
             super().data_received(data)
             return
+        lacking = len(http_rules.START) - len(self._start)
+        if lacking > 0:
+            self._start += data[:lacking]
+            if not http_rules.is_start(self._start):
+                self._abort("no response of HTTP/1")
+                return
         # aiohttp passes empty data to resume parsing its buffered bytes.
         for start in range(0, max(1, len(data)), _CHUNK_BYTES):
             super().data_received(data[start : start + _CHUNK_BYTES])
             if self._interim_count > defaults.INTERIM_RESPONSES_MAX:
-                self._abort()
+                self._abort(
+                    f"more than {defaults.INTERIM_RESPONSES_MAX} interim"
+                    " responses"
+                )
                 return
 
     def feed_data(self, data: t.Any, size: int = 0) -> None:
-        self._interim_count = (
-            self._interim_count + 1 if data[0].code < 200 else 0
-        )
+        head = data[0]
+        version = f"{head.version.major}.{head.version.minor}"
+        if not http_rules.is_response(head.code, version):
+            self._abort(f"status {head.code} of HTTP/{version}")
+            return
+        final = http_rules.is_final(head.code)
+        self._interim_count = 0 if final else self._interim_count + 1
         super().feed_data(data, size)
 
     def _fail_body(self) -> None:
@@ -72,10 +92,10 @@
                 aiohttp.ClientPayloadError("the body is incomplete")
             )
 
-    def _abort(self) -> None:
+    def _abort(self, text: str) -> None:
+        """Close the connection, whose request fails with a reason."""
         if self.transport is not None:
             self.transport.abort()
-        text = f"more than {defaults.INTERIM_RESPONSES_MAX} interim responses"
         self.set_exception(http_exceptions.BadHttpMessage(text))
 
 
--- a/src/savorytally/peer/answers.py
+++ b/src/savorytally/peer/answers.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from .. import defaults
+from .. import http_rules
 from .. import outcomes
 from .. import results
 from . import messages
@@ -118,6 +119,12 @@
                 "digest",
                 retries_unused=head.retries_unused,
             )
+        if not http_rules.is_final(head.status):
+            return outcomes.Failure(
+                results.UPSTREAM_BROKEN,
+                "status",
+                retries_unused=head.retries_unused,
+            )
         return outcomes.Answer(
             status=head.status,
             headers=head.headers,
