Bound what bodies in tiny chunks cost in memory and time

A faulty endpoint that answered in two-byte chunks without end made the node beside it hold 480 MB (300 are allowed, the process ends), and its loop 0.5 to 1.5 s late; a caller's body within its limits made it hold 1.3 GB, and others got no answer meanwhile (LOST).

Cause: each piece of a body was kept as an object of its own, and all that a read had brought was parsed in one turn of the loop. The budget counts bytes.

Change: bodies are gathered in one buffer. ReadTurns shares 2,000 parts of messages a turn among all connections of a node; what exceeds that waits unread. A response in over 65,536 pieces of under 64 bytes on average is broken off. The soak's upstreams send tiny chunks and statuses that are none; a check that no caller gets such a status has its mutant.

--- a/src/savorytally/dataplane/callers.py
+++ b/src/savorytally/dataplane/callers.py
@@ -8,6 +8,7 @@
 import httptools
 
 from ..world import catalog
+from . import read_turns
 from . import sockets
 
 _HOP_HEADERS = frozenset(
@@ -66,7 +67,7 @@
     __slots__ = (
         "_body",
         "_connection",
-        "_parts",
+        "_received",
         "body",
         "closes",
         "headers",
@@ -78,7 +79,8 @@
 
     def __init__(self, connection: "CallerConnection") -> None:
         self._connection = connection
-        self._parts: list[bytes] = []
+        # One buffer, since small pieces cost more than the bytes they hold.
+        self._received = bytearray()
         self._body = b""
         self.method = b""
         self.target = b""
@@ -159,13 +161,16 @@
 
     :param handler: handles the requests.
     :param open_connections: the set of open connections.
+    :param turns: shares the time for parsing with other connections.
     """
 
     def __init__(
         self,
         handler: RequestHandler,
         open_connections: set["CallerConnection"],
+        turns: read_turns.ReadTurns | None = None,
     ) -> None:
+        self._turns = turns or read_turns.ReadTurns()
         self._handler = handler
         self._open_connections = open_connections
         self._transport: asyncio.Transport | None = None
@@ -176,7 +181,9 @@
         self._body_bytes = 0
         self._reading_ended = False
         self._half_closed = False
+        # Whether reading is paused by the caller's pace, and by others' turns.
         self._paused = False
+        self._held = False
         self._loop = asyncio.get_running_loop()
         # Loop time of the first byte of an incomplete request head, or of the
         # last activity.
@@ -199,6 +206,7 @@
         self._open_connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._turns.drop(self)
         self._open_connections.discard(self)
         self._transport = None
         waiting, self._requests = self._requests, collections.deque()
@@ -222,17 +230,40 @@
     def resume_writing(self) -> None:
         if self._transport is not None and self._paused:
             self._paused = False
-            self._transport.resume_reading()
+            self._resume_reading(self._transport)
 
     def data_received(self, data: bytes) -> None:
+        if not self._reading_ended:
+            self._turns.feed(self, data)
+
+    def parse(self, data: bytes | memoryview) -> bool:
+        """Parse a piece; return whether more should be parsed."""
         if self._reading_ended:
-            return
+            return False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse_current(501, "upgrades are not supported")
         except httptools.HttpParserError as error:
             self._refuse_current(400, f"the request can't be parsed: {error}")
+        return not self._reading_ended
+
+    def parsed(self) -> None:
+        """Do nothing: requests are handled as they are complete."""
+
+    def hold_reading(self, held: bool) -> None:
+        """Stop reading from the caller, or read on."""
+        self._held = held
+        if self._transport is None or self._transport.is_closing():
+            return
+        if held:
+            self._transport.pause_reading()
+        elif not self._paused:
+            self._resume_reading(self._transport)
+
+    def _resume_reading(self, transport: asyncio.Transport) -> None:
+        if not self._held:
+            transport.resume_reading()
 
     def on_message_begin(self) -> None:
         self._current = Request(self)
@@ -242,11 +273,13 @@
         self.reading = True
 
     def on_url(self, url: bytes) -> None:
+        self._turns.count()
         if self._current is not None:
             self._current.target += url
             self._count_header(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._turns.count()
         if self._current is not None:
             self._current.headers.append((name.lower(), value))
             self._count_header(len(name) + len(value) + 4)
@@ -261,13 +294,14 @@
                 self._transport.write(_CONTINUE)
 
     def on_body(self, body: bytes) -> None:
+        self._turns.count()
         if self._current is None or self._reading_ended:
             return
         self._body_bytes += len(body)
         if self._body_bytes > self._handler.limits.body_bytes:
             self._refuse_current(413, "the body is larger than allowed")
             return
-        self._current._parts.append(body)
+        self._current._received += body
 
     def on_message_complete(self) -> None:
         request, self._current = self._current, None
@@ -275,9 +309,8 @@
         self.active_since = self._loop.time()
         if request is None or self._reading_ended:
             return
-        parts = request._parts
-        request.body = parts[0] if len(parts) == 1 else b"".join(parts)
-        request._parts = []
+        request.body = bytes(request._received)
+        request._received = bytearray()
         request.closes = not self._parser.should_keep_alive()
         self._requests.append(request)
         if len(self._requests) > PIPELINE_MAX and self._transport is not None:
@@ -302,7 +335,7 @@
             self.active_since = self._loop.time()
             if self._paused and len(self._requests) < PIPELINE_MAX:
                 self._paused = False
-                transport.resume_reading()
+                self._resume_reading(transport)
 
     def close(self) -> None:
         """Close the connection after the written bytes have been sent."""
@@ -315,6 +348,7 @@
 
     def end(self) -> None:
         """Close the connection; reject a request whose body is incomplete."""
+        self._turns.finish(self)
         if self._current is None or self.reading:
             self.close()
             return
@@ -345,7 +379,7 @@
         transport.write_eof()
         if self._paused:
             self._paused = False
-            transport.resume_reading()
+            self._resume_reading(transport)
         self._loop.call_later(LINGER_S, self._close_lingering)
 
     def _close_lingering(self) -> None:
--- a/src/savorytally/dataplane/exchanges.py
+++ b/src/savorytally/dataplane/exchanges.py
@@ -11,6 +11,7 @@
 from .. import http_rules
 from ..decisions import memory_budget
 from . import callers
+from . import read_turns
 from . import sockets
 
 _NO_BODY = frozenset((204, 304))
@@ -24,8 +25,10 @@
 BODY_MAX_BYTES = 16 << 20
 # Limit of a body whose length is given in advance, so that its end is known.
 KNOWN_BODY_MAX_BYTES = 32 << 20
-# Bytes parsed at a time, so that a limit is exceeded by little at most.
-PARSE_MAX_BYTES = 1 << 16
+# Number of pieces in which a body of any size may arrive, and the mean size of
+# pieces beyond it.
+PIECES_MAX = 1 << 16
+PIECE_MEAN_BYTES = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,14 +90,17 @@
 
     :param lost: called once when the connection has ended.
     :param held: the memory budget of response bodies that are being read.
+    :param turns: shares the time for parsing with other connections.
     """
 
     def __init__(
         self,
         lost: t.Callable[["Connection"], None],
         held: memory_budget.MemoryBudget | None = None,
+        turns: read_turns.ReadTurns | None = None,
     ) -> None:
         self._lost = lost
+        self._turns = turns or read_turns.ReadTurns()
         self._held = held or memory_budget.MemoryBudget()
         # Bytes received since the request in progress was sent.
         self._read_bytes = 0
@@ -111,7 +117,9 @@
         self._may_be_duplicate: Matches = _never
         self._replaceable = False
         self._headers: callers.Headers = []
-        self._body: list[bytes] = []
+        # One buffer, since small pieces cost more than the bytes they hold.
+        self._body = bytearray()
+        self._pieces = 0
         self._in_message = False
         self._head_read = False
         # Loop time when the head of the latest response was read.
@@ -158,9 +166,10 @@
         self._closed_by_server = True
 
     def connection_lost(self, exc: Exception | None) -> None:
+        was_reusable, self.reusable = self.reusable, False
+        self._turns.finish(self)
         self._transport = None
-        self.lost_idle = self.reusable and self._done is None
-        self.reusable = False
+        self.lost_idle = was_reusable and self._done is None
         whole = self._reads_to_close and self._closed_by_server and exc is None
         if self._done is not None:
             if self._in_message and whole:
@@ -205,6 +214,7 @@
         """End the connection at once, without calling ``done``."""
         self._done = None
         self.reusable = False
+        self._turns.drop(self)
         self._release_body()
         if self._transport is not None:
             self._transport.abort()
@@ -228,19 +238,32 @@
             # Bytes that belong to no request.
             self.abort()
             return
-        for start in range(0, len(data), PARSE_MAX_BYTES):
-            piece = data[start : start + PARSE_MAX_BYTES]
-            if self._parser is None or not self._parse(piece):
-                break
-        # The result is reported last, so that a request that ``done`` sends
-        # does not get the bytes that follow this response.
+        self._turns.feed(self, data)
+
+    def parsed(self) -> None:
+        """Report the response, if there is one.
+
+        That comes last, so that a request that ``done`` sends does not get the
+        bytes that follow this response.
+        """
         self._deliver()
 
-    def _parse(self, data: bytes) -> bool:
+    def hold_reading(self, held: bool) -> None:
+        """Stop reading from the server, or read on."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        if held:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def parse(self, data: bytes | memoryview) -> bool:
         """Parse a piece; return whether the connection remains usable."""
+        if self._parser is None or self._aborted:
+            return False
         lacking = len(http_rules.START) - len(self._start)
         if lacking > 0:
-            self._start += data[:lacking]
+            self._start += bytes(data[:lacking])
             if not http_rules.is_start(self._start):
                 self._fail_garbled()
                 return False
@@ -275,6 +298,7 @@
         logging.warning("response from %s broken off: %s", self._peer(), what)
         self._aborted = True
         self.reusable = False
+        self._turns.drop(self)
         if self._response is None:
             self._end(Broken.OVERSIZED)
         self._release_body()
@@ -292,8 +316,8 @@
         """Release the memory of a partly read response."""
         self._held.release(self)
         self._headers = []
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._body_bytes = self._pieces = 0
 
     def on_message_begin(self) -> None:
         if self._response is not None:
@@ -305,6 +329,7 @@
         self._reads_to_close = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._turns.count()
         if len(self._headers) >= HEADERS_MAX:
             raise _Oversized(f"more than {HEADERS_MAX} headers")
         self._headers.append((name.lower(), value))
@@ -337,10 +362,14 @@
     def on_body(self, body: bytes) -> None:
         if self._aborted:
             return
-        self._body.append(body)
+        self._turns.count()
+        self._body += body
         self._body_bytes += len(body)
+        self._pieces += 1
         if self._body_bytes > self._body_max_bytes:
             raise _Oversized(f"{self._body_bytes} bytes of a body")
+        if self._pieces > PIECES_MAX + self._body_bytes // PIECE_MEAN_BYTES:
+            raise _Oversized(f"a body in {self._pieces} pieces")
         self._held.grow(self, len(body))
 
     def on_message_complete(self) -> None:
@@ -356,11 +385,8 @@
     def _complete(self) -> None:
         self._in_message = False
         parser = t.cast(httptools.HttpResponseParser, self._parser)
-        body = self._body
         reply = Response(
-            parser.get_status_code(),
-            self._headers,
-            body[0] if len(body) == 1 else b"".join(body),
+            parser.get_status_code(), self._headers, bytes(self._body)
         )
         if not parser.should_keep_alive():
             self.reusable = False
--- a/src/savorytally/dataplane/node.py
+++ b/src/savorytally/dataplane/node.py
@@ -37,6 +37,7 @@
 from . import pool
 from . import probe_server
 from . import rates
+from . import read_turns
 from . import stop_signals
 from . import store_sharing
 from . import store_watch
@@ -94,7 +95,10 @@
         self._held = memory_budget.MemoryBudget.within(
             node_options.memory_bytes
         )
-        self._upstream = pool.Pool(node_options.upstream, self._held)
+        self._turns = read_turns.ReadTurns()
+        self._upstream = pool.Pool(
+            node_options.upstream, self._held, self._turns
+        )
         self.crash_watch = crash_watch.CrashWatch(
             node_options.address, self._upstream, self.log
         )
@@ -228,7 +232,10 @@
         """
         chosen = self._options
         serve = functools.partial(
-            callers.CallerConnection, self.entry, self._connections
+            callers.CallerConnection,
+            self.entry,
+            self._connections,
+            self._turns,
         )
         await self._listen(serve, chosen.entry.host, chosen.entry.port)
         await self._listen(self.peers.accept, chosen.address, chosen.peer_port)
--- a/src/savorytally/dataplane/pool.py
+++ b/src/savorytally/dataplane/pool.py
@@ -7,6 +7,7 @@
 from ..decisions import memory_budget
 from . import exchanges
 from . import options
+from . import read_turns
 from . import sockets
 
 # Idle time after which a connection is closed if the server gives no
@@ -30,15 +31,18 @@
 
     :param address: the server's address.
     :param memory_held: the memory budget of response bodies being read.
+    :param turns: shares the time for parsing with other connections.
     """
 
     def __init__(
         self,
         address: options.Address,
         memory_held: memory_budget.MemoryBudget | None = None,
+        turns: read_turns.ReadTurns | None = None,
     ) -> None:
         self._address = address
         self._held = memory_held or memory_budget.MemoryBudget()
+        self._turns = turns or read_turns.ReadTurns()
         self._idle: list[exchanges.Connection] = []
         self._ambiguous: list[exchanges.Connection] = []
         self._open: set[exchanges.Connection] = set()
@@ -173,7 +177,10 @@
 
     async def _connect(self, on_opened: OnOpened) -> None:
         make = functools.partial(
-            exchanges.Connection, self._connection_lost, self._held
+            exchanges.Connection,
+            self._connection_lost,
+            self._held,
+            self._turns,
         )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
--- /dev/null
+++ b/src/savorytally/dataplane/read_turns.py
@@ -0,0 +1,107 @@
+"""Shares the time of an event loop among connections that receive much.
+
+Bytes cost time by what they contain: a body in chunks of two bytes takes far
+longer to parse than the same body in one piece. Without a bound, one sender of
+such bytes delays all other connections of the process, in each turn of the
+loop and by all that was received.
+"""
+
+import asyncio
+import typing as t
+
+# Bytes parsed at a time.
+PIECE_BYTES = 1 << 12
+# Parts of messages, such as headers and pieces of bodies, that are parsed in
+# one turn of the loop, over all connections.
+TURN_PARTS = 2000
+
+
+class Reader(t.Protocol):
+    """A connection that parses what it has received."""
+
+    def parse(self, data: bytes | memoryview) -> bool:
+        """Parse a piece; return whether the connection remains usable."""
+
+    def parsed(self) -> None:
+        """Act on what was parsed: all that was received, or up to the end."""
+
+    def hold_reading(self, held: bool) -> None:
+        """Stop receiving more, or receive again."""
+
+
+class ReadTurns:
+    """The received bytes that wait for their turn.
+
+    Readers report each part with :meth:`count`. What exceeds a turn waits;
+    meanwhile the reader receives nothing more, and waiting readers take turns
+    piece by piece.
+    """
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._parts = 0
+        self._turn_due = False
+        self._waiting: dict[Reader, memoryview] = {}
+        # Readers that receive nothing more until their turn is over.
+        self._held: set[Reader] = set()
+
+    def count(self) -> None:
+        """Count a part of a message."""
+        self._parts += 1
+
+    def feed(self, reader: Reader, data: bytes) -> None:
+        """Parse received bytes, now or in later turns."""
+        if reader in self._waiting:
+            rest = b"".join((self._waiting[reader], data))
+            self._waiting[reader] = memoryview(rest)
+            return
+        spent = self._waiting or self._parts >= TURN_PARTS
+        if len(data) <= PIECE_BYTES and not spent:
+            # Most messages are short.
+            reader.parse(data)
+            reader.parsed()
+            self._await_turn()
+            return
+        self._waiting[reader] = memoryview(data)
+        while reader in self._waiting and self._parts < TURN_PARTS:
+            self._parse_piece(reader)
+        if reader in self._waiting:
+            self._held.add(reader)
+            reader.hold_reading(True)
+        self._await_turn()
+
+    def finish(self, reader: Reader) -> None:
+        """Parse at once what waits: the connection ends."""
+        while reader in self._waiting:
+            self._parse_piece(reader)
+
+    def drop(self, reader: Reader) -> None:
+        """Forget what waits: the connection was given up."""
+        self._waiting.pop(reader, None)
+        self._held.discard(reader)
+
+    def _parse_piece(self, reader: Reader) -> None:
+        data = self._waiting.pop(reader)
+        usable = reader.parse(data[:PIECE_BYTES])
+        rest = data[PIECE_BYTES:]
+        if usable and rest:
+            # Behind the others that wait.
+            self._waiting[reader] = rest
+            return
+        if reader in self._held:
+            self._held.discard(reader)
+            reader.hold_reading(False)
+        reader.parsed()
+
+    def _await_turn(self) -> None:
+        if not self._turn_due and (self._waiting or self._parts):
+            self._turn_due = True
+            self._loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._turn_due = False
+        self._parts = 0
+        while self._waiting and self._parts < TURN_PARTS:
+            self._parse_piece(next(iter(self._waiting)))
+        if self._waiting:
+            self._await_turn()
--- a/tests/fakes/endless.py
+++ b/tests/fakes/endless.py
@@ -26,6 +26,9 @@
     "trailers": (_CHUNKED + b"0\r\n", b"x-a: b\r\n" * 4096),
     "one trailer line": (_CHUNKED + b"0\r\nx-a: ", b"a" * _PIECE),
     "chunk extension": (_CHUNKED + b"1;a=", b"a" * _PIECE),
+    "chunks of one byte": (_CHUNKED, b"1\r\na\r\n" * 8192),
+    "chunks of two bytes": (_CHUNKED, b"2\r\nab\r\n" * 8192),
+    "chunks of 16 bytes": (_CHUNKED, (b"10\r\n" + b"a" * 16 + b"\r\n") * 4096),
     "empty lines": (b"", b"\r\n" * 4096),
 }
 
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -192,18 +192,18 @@
         head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
         length = exchanges.KNOWN_BODY_MAX_BYTES + 1
         results = feed_connection(
-            lambda connection: connection._parse(head % length)
+            lambda connection: connection.parse(head % length)
         )
         assert results == [exchanges.Broken.OVERSIZED]
 
     def test_body_in_chunks_of_one_byte_is_complete(self):
         def feed(connection):
-            connection._parse(
+            connection.parse(
                 b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
             )
             for _ in range(1 << 14):
-                connection._parse(b"1\r\na\r\n")
-            connection._parse(b"0\r\n\r\n")
+                connection.parse(b"1\r\na\r\n")
+            connection.parse(b"0\r\n\r\n")
             connection._deliver()
 
         assert feed_connection(feed)[0].body == b"a" * (1 << 14)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -166,6 +166,7 @@
 
 
 BREACHES = {
+    "statuses_are_final": record([changed(SENT, status=600)]),
     "at_most_once": record(arrivals=[ARRIVAL, ARRIVAL]),
     "refusals_are_true": record([changed(SENT, status=503)]),
     "answers_are_whole_and_own": record([changed(SENT, body=b"answer")]),
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -119,6 +119,14 @@
             yield f"{sent.name} got {sent.body!r} signed {sent.signature!r}"
 
 
+@_check
+def statuses_are_final(record: Record) -> t.Iterator[str]:
+    """A caller gets no status that no answer in the protocol has."""
+    for sent in record.sent:
+        if sent.status and not 200 <= sent.status <= 599:
+            yield f"{sent.name} got status {sent.status}"
+
+
 @_check
 def upstreams_see_no_key(record: Record) -> t.Iterator[str]:
     """Upstreams receive the key's organisation and never the key."""
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -591,6 +591,8 @@
     ("late", 0.5),
     ("close", 0.3),
     ("endless", 0.1),
+    ("tiny_chunks", 0.1),
+    ("odd_status", 0.5),
     ("trickle", 0.2),
 ):
     _register_response_fault(_kind, _fraction)
--- a/tools/soak_upstreams.py
+++ b/tools/soak_upstreams.py
@@ -21,6 +21,8 @@
 DUPLICATE_DELAY_S = 0.03
 # Unsent bytes above which no more is written.
 WRITE_BUFFER_MAX_BYTES = 1 << 18
+# Statuses that no answer in the protocol has.
+ODD_STATUSES = (b"000", b"001", b"099", b"600", b"999")
 # Services that callers request, and services that those call.
 ENTRY_SERVICES = ("drawers", "index", "desk")
 CALLED_SERVICES = ("shelf", "ledger", "vault")
@@ -148,6 +150,21 @@
     )
 
 
+def _tiny_chunks(transport: t.Any, response: bytes) -> None:
+    transport.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+    _write_repeatedly(transport, b"2\r\nab\r\n" * (1 << 12), 0.001)
+
+
+def _odd_status(transport: t.Any, response: bytes) -> None:
+    """Send a status that is none, and perhaps the sound response after it."""
+    drawn = random.Random(response)
+    version, _, rest = response.split(b" ", 2)
+    status = drawn.choice(ODD_STATUSES)
+    transport.write(b" ".join((version, status, rest)))
+    if drawn.random() < 0.5:
+        transport.write(response)
+
+
 def _trickle(transport: t.Any, response: bytes) -> None:
     # Interim responses keep data arriving without an end.
     _write_repeatedly(transport, b"HTTP/1.1 102 Processing\r\n\r\n", 0.3)
@@ -169,6 +186,8 @@
         b"no answer at all\r\n\r\n"
     ),
     "endless": _endless,
+    "tiny_chunks": _tiny_chunks,
+    "odd_status": _odd_status,
     "trickle": _trickle,
 }
 
