Let no entry of an unnamed service own rates

An organisation whose rate owner was the address of an entry of another writer, with a service that no configuration names, got 15 % of its rate for as long as the entry was listed.

Change: only hosts beside upstreams of the configuration's services count; a service that leaves the configuration is like an entry that is gone.

Measured: test_entries_of_other_writers_own_no_rates failed before (requests refused below the limit) and passes.

--- a/src/savorytally/dataplane/rates.py
+++ b/src/savorytally/dataplane/rates.py
@@ -102,6 +102,9 @@
             node_options.address
         )
         self._organisations: dict[str, catalog.Organisation] = {}
+        # The services of the configuration, and the host list.
+        self._services: frozenset[str] = frozenset()
+        self._instances: list[catalog.Instance] = []
         self._region_hosts: list[str] = []
         self._other_regions: dict[str, list[str]] = {}
         self._owners: dict[str, str] = {}
@@ -117,13 +120,26 @@
         self._organisations = newest.organisations()
         self.pool.learn_organisations(self._organisations)
         self._refused_until.clear()
+        if newest.services != self._services:
+            self._services = newest.services
+            self._learn_hosts()
 
     def learn_instances(self, instances: t.Iterable[catalog.Instance]) -> None:
         """Apply the host list."""
+        self._instances = list(instances)
+        self._learn_hosts()
+
+    def _learn_hosts(self) -> None:
+        """Apply the hosts beside upstreams of the configuration's services.
+
+        Nobody may be at the address of an entry with another service.
+        """
         region_of = self._options.regions
         listed: dict[str, str] = {}
         draining: dict[str, str] = {}
-        for instance in instances:
+        for instance in self._instances:
+            if instance.service not in self._services:
+                continue
             table = listed if instance.ready else draining
             region = region_of.get(instance.data_centre, "")
             table[instance.address] = region
--- a/src/savorytally/platform/documents.py
+++ b/src/savorytally/platform/documents.py
@@ -84,6 +84,7 @@
         bool(tenants),
         health_paths,
         cold_terms,
+        document.get("services") or {},
     )
 
 
--- a/src/savorytally/world/catalog.py
+++ b/src/savorytally/world/catalog.py
@@ -132,6 +132,7 @@
     :param keyed: whether requests need an API key at all.
     :param health_paths: path of the health check by service.
     :param cold_terms: what cold upstreams tolerate, by service.
+    :param services: further services than those that routes name.
     """
 
     __slots__ = (
@@ -142,6 +143,7 @@
         "keyed",
         "limits",
         "routes",
+        "services",
         "version",
     )
 
@@ -154,6 +156,7 @@
         keyed: bool,
         health_paths: t.Mapping[str, str] = {},  # noqa: B006, not changed
         cold_terms: t.Mapping[str, ColdTerms] = {},  # noqa: B006, not changed
+        services: t.Iterable[str] = (),
     ) -> None:
         self.version = version
         self.limits = limits
@@ -161,6 +164,11 @@
         self.health_paths = health_paths
         self.cold_terms = cold_terms
         self.routes = {route.name: route for route in routes}
+        self.services = frozenset(services).union(
+            cluster.service
+            for route in self.routes.values()
+            for cluster in route.clusters
+        )
         self._keys = organisations
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in self.routes.values():
--- a/tests/test_rate_owners_views.py
+++ b/tests/test_rate_owners_views.py
@@ -144,3 +144,32 @@
     assert len(found[1][0]) == 1 and found[1][1] == 18
     assert owner not in found[2][0] and len(found[2][0]) == 1
     assert found[2][1] == 18
+
+
+def test_entries_of_other_writers_own_no_rates():
+    """Tenants whose owner was such an address got 15 % of their rate."""
+    config = mesh.configuration(1)
+    config["tenants"]["growers"].update(rate_per_s=100, burst=100)
+
+    async def work():
+        fleet = mesh.Mesh()
+        await fleet.start({"drawers": ["low-a"] * 3}, config=config)
+        addresses = [f"10.9.0.{number}" for number in range(200)]
+        hosts = [host.address for host in fleet.hosts]
+        foreign = shared_rates.rate_owner("growers", addresses + hosts)
+        assert foreign in addresses
+        entry = fleet.hosts[0].entry() | {
+            "service": "not-named-here",
+            "address": f"{foreign}:{mesh.UPSTREAM_PORT}",
+        }
+        fleet.store.put("servers/i-other", entry)
+        await asyncio.sleep(1.0)
+        await fleet.hosts[0].restart_node()
+        await asyncio.sleep(1.0)
+        granted = []
+        for host, _ in itertools.product(fleet.hosts, range(5)):
+            host.node.rates.request_token("growers", 0, granted.append)
+        await asyncio.sleep(0.2)
+        return [one.granted for one in granted]
+
+    assert net.run(work) == [True] * 15
