Keep the order of bytes that arrive while a piece is parsed

Change: the rest stays queued while a piece is parsed, the wait for the next turn is set even if a reader fails, and both ways to decide without an owner share one guard. Two unused names are gone.

Measured: TestReadTurns gets two cases; they, and the tests of crash counts, rates, chunks and the data plane pass.

--- a/src/savorytally/dataplane/crash_watch.py
+++ b/src/savorytally/dataplane/crash_watch.py
@@ -177,7 +177,7 @@
         chosen = self._reports.distribute(reports)
         while chosen:
             address, group = chosen.popitem()
-            number = self._reports.sending(address, group)
+            number = self._reports.sending(group)
             fingerprints = [report.fingerprint for report in group]
             if address == self._own_address:
                 self._reports.replied(number)
--- a/src/savorytally/dataplane/frames.py
+++ b/src/savorytally/dataplane/frames.py
@@ -42,10 +42,9 @@
     STATE = 22
 
 
-# Versions that ask a host for its own version; the first one also asks for
-# what only running hosts know. Older builds reply to both with their version.
+# Sent as a version to ask a host for its own and for what only running hosts
+# know. Older builds ask for the former by -1, and reply to both with it.
 ASK_STATE = -2
-ASK_VERSION = -1
 
 
 class Flag:
--- a/src/savorytally/dataplane/rates.py
+++ b/src/savorytally/dataplane/rates.py
@@ -151,7 +151,7 @@
         if self._rate_hosts.node_stopping(address):
             self._update_owners()
 
-    def _owner_lapsed(self, pending: "_Pending") -> None:
+    def _owner_lapsed(self, pending: _Pending) -> None:
         """Ask the next owner, as the asked host is not listed any more."""
         if self._rate_hosts.owner_lapsed(pending.owner):
             self._update_owners()
@@ -159,8 +159,7 @@
                 pending.organisation, pending.urgency, pending.on_decided
             )
             return
-        now = self._loop.time()
-        pending.on_decided(self._decide_locally(pending.organisation, now))
+        self._decide_without_owner(pending)
 
     def unlisted_owners(self) -> list[list[t.Any]]:
         """Return the hosts that may own rates although they are not listed.
@@ -227,7 +226,7 @@
             self._owner_unreachable(owner, organisation, urgency, on_decided)
             return
         timer = self._loop.call_later(
-            OWNER_TIMEOUT_S, self._owner_timed_out, number, organisation, owner
+            OWNER_TIMEOUT_S, self._owner_timed_out, number, owner
         )
         self._pending[number] = _Pending(
             on_decided, timer, organisation, urgency, owner
@@ -345,15 +344,17 @@
         granted = self._local_share.take(limits, self._hosts, now)
         return shared_rates.Grant(granted, 0 if granted else 300)
 
-    def _owner_timed_out(
-        self, number: int, organisation: str, owner: str
-    ) -> None:
+    def _owner_timed_out(self, number: int, owner: str) -> None:
         pending = self._pending.pop(number, None)
         if pending is None:
             return
-        now = self._loop.time()
-        self._avoided[owner] = now + OWNER_AVOID_S
-        if organisation not in self._organisations:
+        self._avoided[owner] = self._loop.time() + OWNER_AVOID_S
+        self._decide_without_owner(pending)
+
+    def _decide_without_owner(self, pending: _Pending) -> None:
+        """Decide on a request whose owner has not decided."""
+        if pending.organisation not in self._organisations:
             pending.on_decided(shared_rates.Grant(True))
             return
-        pending.on_decided(self._decide_locally(organisation, now))
+        now = self._loop.time()
+        pending.on_decided(self._decide_locally(pending.organisation, now))
--- a/src/savorytally/dataplane/read_turns.py
+++ b/src/savorytally/dataplane/read_turns.py
@@ -82,12 +82,12 @@
 
     def _parse_piece(self, reader: Reader) -> None:
         data = self._waiting.pop(reader)
+        # Behind the others that wait; the reader may be dropped meanwhile.
+        self._waiting[reader] = data[PIECE_BYTES:]
         usable = reader.parse(data[:PIECE_BYTES])
-        rest = data[PIECE_BYTES:]
-        if usable and rest:
-            # Behind the others that wait.
-            self._waiting[reader] = rest
+        if usable and self._waiting.get(reader):
             return
+        self._waiting.pop(reader, None)
         if reader in self._held:
             self._held.discard(reader)
             reader.hold_reading(False)
@@ -101,7 +101,9 @@
     def _take_turn(self) -> None:
         self._turn_due = False
         self._parts = 0
-        while self._waiting and self._parts < TURN_PARTS:
-            self._parse_piece(next(iter(self._waiting)))
-        if self._waiting:
-            self._await_turn()
+        try:
+            while self._waiting and self._parts < TURN_PARTS:
+                self._parse_piece(next(iter(self._waiting)))
+        finally:
+            if self._waiting:
+                self._await_turn()
--- a/src/savorytally/decisions/crash_reports.py
+++ b/src/savorytally/decisions/crash_reports.py
@@ -69,7 +69,8 @@
     """The reports of this host that are not delivered yet."""
 
     def __init__(self) -> None:
-        self._sent: dict[int, tuple[str, list[Report]]] = {}
+        # The reports in each frame whose reply is awaited.
+        self._sent: dict[int, list[Report]] = {}
         self._last_number = 0
 
     def distribute(
@@ -88,10 +89,10 @@
             del report.untried[:wanted]
         return chosen
 
-    def sending(self, address: str, reports: list[Report]) -> int:
+    def sending(self, reports: list[Report]) -> int:
         """Note that a host gets reports; return the number of the frame."""
         self._last_number += 1
-        self._sent[self._last_number] = (address, reports)
+        self._sent[self._last_number] = reports
         return self._last_number
 
     def replied(self, number: int) -> None:
@@ -111,7 +112,7 @@
         return reports
 
     def _take(self, number: int) -> list[Report]:
-        _, reports = self._sent.pop(number, ("", []))
+        reports = self._sent.pop(number, [])
         for report in reports:
             report.waiting -= 1
         return reports
--- a/tests/test_small_chunks.py
+++ b/tests/test_small_chunks.py
@@ -219,6 +219,35 @@
         assert rounds <= 3
         assert received <= 4 * read_turns.PIECE_BYTES
 
+    @pytest.mark.parametrize("then", ["feed", "drop"])
+    def test_reader_that_is_fed_or_dropped_while_it_parses(self, then):
+        """A transport that is resumed may pass on data at once."""
+
+        class Nested(Reader):
+            def parse(self, data):
+                first = not self.received
+                super().parse(data)
+                if first and then == "feed":
+                    self.turns.feed(self, b"end")
+                elif first:
+                    self.turns.drop(self)
+                return True
+
+        async def work():
+            turns = read_turns.ReadTurns()
+            reader = Nested(turns)
+            turns.feed(reader, b"a" * (3 * read_turns.PIECE_BYTES))
+            for _ in range(10):
+                await asyncio.sleep(0)
+            return reader
+
+        reader = run(work)
+        whole = b"a" * (3 * read_turns.PIECE_BYTES) + b"end"
+        if then == "drop":
+            whole = b"a" * read_turns.PIECE_BYTES
+        assert reader.received == whole
+        assert not reader.held
+
     def test_end_of_a_connection_parses_what_waits(self):
         async def work():
             turns = read_turns.ReadTurns()
