State what holds now, search who counts crashes

Whoever reports, the first three hosts that reply count, and a report that fails is one that fewer have counted. A mutant that passes nothing on is noticed.

--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -5,8 +5,11 @@
 
 from fakes import mesh
 from fakes import net
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
+from savorytally.decisions import crash_reports
 from savorytally.decisions import poison_requests
 
 SERVICES = {"drawers": ["low-a", "low-b"] * 2, "desk": ["low-a", "low-b"] * 2}
@@ -176,3 +179,53 @@
     assert known.refused_s(7, later) == 0.0
     assert known.apply_update(update, later)
     assert known.refused_s(7, later) > 0.0
+
+
+def deliver(reports, report, replying):
+    """Deliver a report among hosts that reply or not; return who counted."""
+    counted = set()
+    chosen = reports.distribute([report])
+    while chosen:
+        again = []
+        for address, group in sorted(chosen.items()):
+            number = reports.sending(group)
+            if address in replying:
+                counted.add(address)
+                reports.replied(number)
+            else:
+                again += reports.lost(number)
+        chosen = reports.distribute(again)
+    return counted
+
+
+@hypothesis.given(
+    st.integers(0, 1 << 32),
+    st.sets(st.integers(0, 99), min_size=1, max_size=60),
+    st.sets(st.integers(0, 99), max_size=40),
+)
+def test_crashes_of_a_request_are_counted_in_common(fingerprint, up, down):
+    """Whoever reports and whoever is down, three hosts count them all."""
+    addresses = {f"10.1.0.{number}" for number in up | down}
+    replying = {f"10.1.0.{number}" for number in up - down}
+    sets = []
+    for _ in range(2):
+        hosts = crash_reports.counting_hosts(fingerprint, addresses)
+        report = crash_reports.Report(fingerprint, hosts)
+        counted = deliver(crash_reports.CrashReports(), report, replying)
+        assert report.failed == (len(counted) < crash_reports.COUNTING_HOSTS)
+        sets.append(counted)
+    tried = crash_reports.counting_hosts(fingerprint, addresses)
+    reached = [one for one in tried if one in replying]
+    first = set(reached[: crash_reports.COUNTING_HOSTS])
+    assert sets[0] == sets[1]
+    assert first <= sets[0] <= set(reached)
+
+
+def test_search_notices_a_report_that_is_not_passed_on(monkeypatch):
+    monkeypatch.setattr(crash_reports.CrashReports, "lost", lambda *_: [])
+    addresses = [f"10.1.0.{number}" for number in range(9)]
+    hosts = crash_reports.counting_hosts(7, addresses)
+    report = crash_reports.Report(7, hosts)
+    replying = set(hosts[1:])
+    counted = deliver(crash_reports.CrashReports(), report, replying)
+    assert len(counted) < crash_reports.COUNTING_HOSTS
