Let no late thread hide how long a signal has waited

Cause: a process has five threads, and any of them may take a signal that waits when it goes on. Another one took it and was late to run; the main loop reported meanwhile that no signal was waiting.

Change: for half a second after a pause of over 0.2 s, reports do not count, so that a signal counts as sent in the pause.

--- a/src/savorytally/dataplane/stop_signals.py
+++ b/src/savorytally/dataplane/stop_signals.py
@@ -8,6 +8,11 @@
 import typing as t
 
 _NUMBERS = (signal.SIGINT, signal.SIGTERM)
+# A longer time without running is a pause. Any thread of the process may take
+# a signal that has waited; until this long after a pause, one that another
+# thread is late to pass on counts as sent in the pause.
+PAUSE_S = 0.2
+SETTLE_S = 0.5
 
 
 class StopSignals:
@@ -31,9 +36,10 @@
         self._loop = loop
         self._on_signal = on_signal
         # Clock readings of the latest report.
-        self._reported_at = 0.0
-        self._processor_s = 0.0
-        self.note_running()
+        self._reported_at = time.monotonic()
+        self._processor_s = time.thread_time()
+        # When a pause ended, while reports do not count yet.
+        self._resumed_at: float | None = None
 
     def install(self) -> None:
         """Install the handlers; only the main thread may do that."""
@@ -44,16 +50,27 @@
 
     def note_running(self) -> None:
         """Note that the main thread runs and that no signal waits for it."""
-        self._reported_at = time.monotonic()
+        now = time.monotonic()
+        if self._stood_still_s(now) > PAUSE_S:
+            if self._resumed_at is None:
+                self._resumed_at = now
+            if now - self._resumed_at < SETTLE_S:
+                return
+        self._resumed_at = None
+        self._reported_at = now
         self._processor_s = time.thread_time()
 
+    def _stood_still_s(self, now: float) -> float:
+        """Return how long the main thread has not run since its report."""
+        ran_s = time.thread_time() - self._processor_s
+        return max(0.0, now - self._reported_at - ran_s)
+
     def _arrived(self, number: int, frame: types.FrameType | None) -> None:
         """Handle a signal, also while a callback keeps the loop busy."""
         now = time.monotonic()
-        ran_s = time.thread_time() - self._processor_s
-        waited_s = max(0.0, now - self._reported_at - ran_s)
+        sent_at = now - self._stood_still_s(now)
         self._loop.call_soon_threadsafe(
-            functools.partial(self._handle, now - waited_s)
+            functools.partial(self._handle, sent_at)
         )
 
     def _handle(self, sent_at: float) -> None:
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -142,3 +142,33 @@
         assert counted_from <= sent[signal.SIGTERM] + 0.01
         suspended_at = min(sent[signal.SIGSTOP], sent[signal.SIGTERM])
         assert counted_from >= suspended_at - REPORTS_S
+
+    @pytest.mark.parametrize(
+        ("reports_s", "late_s"),
+        [((1.0,), 1.0), ((1.0, 1.05, 1.4), 1.0), ((1.0, 1.4, 1.6), 0.0)],
+    )
+    def test_thread_that_passes_the_signal_on_late(
+        self, monkeypatch, reports_s, late_s
+    ):
+        """The loop reported before another thread passed the signal on."""
+        clock = {"now": 0.0}
+        monkeypatch.setattr(time, "monotonic", lambda: clock["now"])
+        monkeypatch.setattr(time, "thread_time", lambda: 0.0)
+        late = []
+        loop = ImmediateLoop()
+        signals = stop_signals.StopSignals(loop, late.append)
+        for at_s in reports_s:
+            clock["now"] = at_s
+            signals.note_running()
+        clock["now"] = reports_s[-1] + 0.01
+        signals._arrived(signal.SIGTERM, None)
+        (found_s,) = late
+        assert found_s >= late_s
+        assert found_s <= (clock["now"] if late_s else 0.02)
+
+
+class ImmediateLoop:
+    """Calls what is scheduled at once."""
+
+    def call_soon_threadsafe(self, callback):
+        callback()
